Workspace, settings, interfaces and messages between daemons

Cause: every other part needs the same typed messages, failures, settings and base classes for the systems around it. Measured: nothing yet; lint, doctests and the settings tests pass.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,68 @@
+# Two commands do everything on a fresh machine: `make demo` and `make test`.
+VENV ?= .venv
+SYSTEM_PYTHON ?= python3.11
+PYTHON := $(VENV)/bin/python
+PACKAGES := core daemon cli standins
+STAMP := $(VENV)/.installed-$(shell cat requirements*.txt constraints.txt packages/*/pyproject.toml | cksum | cut -d' ' -f1)
+WORKERS ?= 4
+
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)))
+export PATH := $(abspath $(VENV))/bin:$(PATH)
+
+.PHONY: setup demo up down test format lint check-proto check-model doctest pytest soak measure bench capacity proto
+
+setup: $(STAMP)
+
+$(STAMP):
+	test -x $(PYTHON) || $(SYSTEM_PYTHON) -m venv $(VENV)
+	$(PYTHON) -m pip install -q -c constraints.txt -r requirements-dev.txt
+	$(PYTHON) -m pip install -q --no-deps $(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $@
+
+demo: setup
+	$(PYTHON) tools/demo.py demo
+
+up: setup
+	$(PYTHON) tools/demo.py up
+
+down: setup
+	$(PYTHON) tools/demo.py down
+
+test: lint check-proto doctest pytest check-model
+
+format: setup
+	$(PYTHON) -m ruff format packages tools
+	$(PYTHON) -m ruff check --fix packages tools
+
+lint: setup
+	$(PYTHON) -m ruff format --check packages tools
+	$(PYTHON) -m ruff check packages tools
+
+proto: setup
+	$(PYTHON) tools/generate.py
+
+check-proto: setup
+	$(PYTHON) tools/generate.py --check
+
+doctest: setup
+	$(PYTHON) -m pytest --doctest-modules --ignore-glob='*/tests/*' packages/core/persimmonstall packages/cli/persimmonstall_cli
+
+pytest: setup
+	$(PYTHON) tools/run_tests.py -n $(WORKERS) -m "not soak" packages
+
+check-model: setup
+	$(PYTHON) tools/check_model.py
+
+soak: setup
+	$(PYTHON) -m pytest -m soak packages
+
+measure: setup
+	$(PYTHON) tools/measure.py
+
+bench: setup
+	$(PYTHON) tools/bench.py
+
+capacity: setup
+	$(PYTHON) tools/capacity.py
--- /dev/null
+++ b/packages/cli/persimmonstall_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The persimmonstall command."""
--- /dev/null
+++ b/packages/core/persimmonstall/burn/__init__.py
@@ -0,0 +1,1 @@
+"""Service-level objectives and their burn rates."""
--- /dev/null
+++ b/packages/core/persimmonstall/catalogue/snapshot.py
@@ -0,0 +1,119 @@
+"""An immutable version of the whole catalogue and the changes that lead from one to the next."""
+
+import attrs
+import msgspec
+
+from .records import KIND_OF, KINDS
+
+
+@attrs.frozen
+class Change:
+    """Change number `version`: record `name` of `kind` becomes `value`, or is deleted (None).
+
+    `call_id` identifies the operator's call, so that a repeated call is not applied twice.
+    """
+
+    version: int
+    kind: str
+    name: str
+    value: object = None
+    call_id: str = ""
+    at: float = 0.0
+
+
+def encode_change(change):
+    """Return `change` as bytes.
+
+    >>> from .records import Model
+    >>> decode_change(encode_change(Change(3, "model", "m", Model("m")))).value.version
+    '1'
+    """
+    return msgspec.json.encode(
+        (change.version, change.kind, change.name, change.value, change.call_id, change.at)
+    )
+
+
+def decode_change(data):
+    """Return the `Change` encoded in `data`; raises msgspec.MsgspecError on a malformed one."""
+    version, kind, name, value, call_id, at = msgspec.json.decode(data)
+    record = None if value is None else msgspec.convert(value, KINDS[kind])
+    return Change(version, kind, name, record, call_id, at)
+
+
+@attrs.define
+class Catalogue:
+    """All records at one version; never goes back to a lower version."""
+
+    version: int = 0
+    records: dict = attrs.field(factory=lambda: {kind: {} for kind in KINDS})
+    by_key: dict = attrs.field(factory=dict)
+    touched: dict = attrs.field(factory=dict)
+
+    def apply(self, change):
+        """Apply the next `Change`; False when it is not exactly the next version."""
+        if change.version != self.version + 1:
+            return False
+        self.put(change.kind, change.name, change.value)
+        self.touched[change.kind, change.name] = change.version
+        self.version = change.version
+        return True
+
+    def put(self, kind, name, value):
+        """Set or delete one record and keep the index of keys."""
+        old = self.records[kind].pop(name, None)
+        if kind == "organisation" and old:
+            for key_hash in old.key_hashes:
+                self.by_key.pop(key_hash, None)
+        if value is None:
+            return
+        self.records[kind][name] = value
+        if kind == "organisation":
+            for key_hash in value.key_hashes:
+                self.by_key[key_hash] = name
+
+    def get(self, kind, name):
+        """Return a record or None.
+
+        >>> Catalogue().get("model", "m") is None
+        True
+        """
+        return self.records[kind].get(name)
+
+    def version_of(self, kind, name):
+        """Return the catalogue version that last touched a record, 0 if never."""
+        return self.touched.get((kind, name), 0)
+
+    def organisation_of(self, key_hash):
+        """Return the `Organisation` that owns a key's hash, or None."""
+        name = self.by_key.get(key_hash)
+        return self.records["organisation"].get(name)
+
+    def dump(self):
+        """Return the whole catalogue as bytes, for the object store or a starting peer."""
+        rows = [
+            (kind, name, record, self.touched.get((kind, name), 0))
+            for kind, records in self.records.items()
+            for name, record in sorted(records.items())
+        ]
+        return msgspec.json.encode((self.version, rows))
+
+    @classmethod
+    def load(cls, data):
+        """Return the catalogue encoded by `dump`; raises msgspec.MsgspecError if malformed."""
+        version, rows = msgspec.json.decode(data)
+        made = cls()
+        for kind, name, record, touched in rows:
+            made.put(kind, name, msgspec.convert(record, KINDS[kind]))
+            made.touched[kind, name] = touched
+        made.version = version
+        return made
+
+
+def kind_of(record):
+    """Return the kind name of a record.
+
+    >>> from .records import Model
+    >>> kind_of(Model("m"))
+    'model'
+    """
+    return KIND_OF[type(record)]
--- /dev/null
+++ b/packages/core/persimmonstall/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Organisation limits, shared between entries by short leases."""
--- /dev/null
+++ b/packages/core/persimmonstall/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances and endpoints are there, and which are leaving."""
--- /dev/null
+++ b/packages/core/persimmonstall/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between daemons and between the tasks of one daemon."""
--- /dev/null
+++ b/packages/core/persimmonstall/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines: leases, fencing numbers and repair."""
--- /dev/null
+++ b/packages/core/persimmonstall/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the endpoint that serves a request."""
--- /dev/null
+++ b/packages/core/persimmonstall/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budgets and delays with jitter."""
--- /dev/null
+++ b/packages/core/persimmonstall/settings/schema.py
@@ -0,0 +1,182 @@
+"""The sections of the settings file and their options."""
+
+import attrs
+
+from .option import option
+
+ROLES = ("entry", "endpoint")
+
+
+@attrs.define
+class Daemon:
+    """Which daemon this is and where it listens."""
+
+    role: str = option("entry", "Role of this daemon.", choices=ROLES)
+    instance: str = option("", "Name of the instance, unique among all.")
+    address: str = option("127.0.0.1:7000", "IP:port for links between daemons.")
+    data_centre: str = option("dc1", "Data centre of the instance.")
+    region: str = option("r1", "Region of the instance.")
+    http: str = option("127.0.0.1:8000", "IP:port for callers (entry).")
+    admin: str = option("127.0.0.1:9000", "IP:port for operators (entry).")
+    seed: int = option(0, "Seed of the random source; 0 seeds from the system.", low=0)
+
+
+@attrs.define
+class Platform:
+    """Where the platform's services are."""
+
+    table: str = option("http://127.0.0.1:7101", "Base URL of the table service.")
+    objects: str = option("http://127.0.0.1:7102", "Base URL of the object store.")
+    instances: str = option("http://127.0.0.1:7103", "Base URL of the instance list.")
+    weights: str = option("http://127.0.0.1:7104", "Base URL of the weight store.")
+    timeout: float = option(1.0, "Time for one call.", "s", low=0.01, high=60)
+    poll: float = option(2.0, "Mean time between polls of the catalogue.", "s", low=0.05, high=60)
+    list_poll: float = option(2.0, "Mean time between reads of the instance list.", "s", low=0.05)
+
+
+@attrs.define
+class Endpoints:
+    """The endpoints that an endpoint daemon fronts: `name=kind@URL`, comma separated."""
+
+    serves: tuple = option((), "Endpoints as name=engine@URL or name=service:NAME@URL.")
+    ledger_poll: float = option(
+        2.0, "Time between comparisons with the engine's list.", "s", low=0.05
+    )
+    unowned_grace: float = option(
+        4.0, "Age at which unowned engine memory is freed.", "s", low=0.1
+    )
+    keep_answers: float = option(20.0, "How long finished answers are kept.", "s", low=0)
+    step_silence: float = option(
+        3.0, "Silence after which an engine is taken for dead.", "s", low=0.05
+    )
+
+
+@attrs.define
+class Callers:
+    """What callers may send and how long requests may take."""
+
+    body_bytes: int = option(16_777_216, "Largest request body.", "bytes", low=1024)
+    default_deadline: float = option(60.0, "Deadline of a request that names none.", "s", low=0.1)
+    max_deadline: float = option(900.0, "Longest deadline that a request may name.", "s", low=0.1)
+    token_bytes: float = option(4.0, "Bytes of text that count as one token.", "bytes", low=0.5)
+    idle_credit: int = option(2048, "Tokens that may wait for a slow caller.", "tokens", low=16)
+
+
+@attrs.define
+class Lengths:
+    """Upper bounds of the length classes, in prompt tokens."""
+
+    short: int = option(4_000, "Longest short prompt.", "tokens", low=1)
+    medium: int = option(32_000, "Longest medium prompt.", "tokens", low=1)
+    long: int = option(200_000, "Longest long prompt; longer ones are giant.", "tokens", low=1)
+    block: int = option(1024, "Prompt tokens in one block of the prefix cache.", "tokens", low=16)
+
+
+@attrs.define
+class Links:
+    """Links between daemons."""
+
+    heartbeat: float = option(1.0, "Time between heartbeats on an idle link.", "s", low=0.02)
+    silence: float = option(3.0, "Silence after which a link is taken for dead.", "s", low=0.05)
+    dial_timeout: float = option(1.0, "Time to open a link.", "s", low=0.02)
+    subset: int = option(64, "Endpoint daemons that an entry keeps links to.", low=1)
+    retry_base: float = option(0.1, "First delay before dialling again.", "s", low=0.001)
+    retry_cap: float = option(5.0, "Longest delay before dialling again.", "s", low=0.01)
+
+
+@attrs.define
+class Placing:
+    """Choice of the endpoint of a request."""
+
+    policy: str = option(
+        "length",
+        "Placement policy.",
+        choices=("length", "round_robin", "least_outstanding", "random_two"),
+    )
+    attempts: int = option(4, "Most attempts of one request.", low=1, high=20)
+    retry_share: float = option(0.1, "Retries allowed as a share of requests.", low=0, high=1)
+    chunk_tokens: int = option(1024, "Most prompt tokens prefilled in one step.", "tokens", low=16)
+    long_share: float = option(
+        0.6, "Share of endpoints that long prompts may hold.", low=0, high=1
+    )
+
+
+@attrs.define
+class Security:
+    """Keys and certificates; files are read again when they change."""
+
+    operator_keys: str = option("", "File of SHA-256 hashes of operators' keys, one a line.")
+    certificate: str = option("", "PEM certificate of the operators' port.")
+    private_key: str = option("", "PEM private key of the operators' port.")
+    peer_certificate: str = option("", "PEM certificate for links between daemons.")
+    peer_private_key: str = option("", "PEM private key for links between daemons.")
+    peer_authority: str = option("", "PEM authority that peers' certificates must be signed by.")
+
+
+@attrs.define
+class Observe:
+    """Logs and metrics."""
+
+    statsd: str = option("", "IP:port of the statsd server; empty for none.")
+    log_level: str = option(
+        "info", "Least severe log line.", choices=("debug", "info", "warning", "error")
+    )
+    burn_window: float = option(300.0, "Shortest window of the burn report.", "s", low=1)
+
+
+@attrs.define
+class Objectives:
+    """Service-level objectives."""
+
+    first_token: float = option(0.46, "Time to first token of a short prompt.", "s", low=0.01)
+    between_tokens: float = option(0.052, "Time between tokens.", "s", low=0.001)
+    share: float = option(0.95, "Share of requests that must meet them.", low=0, high=1)
+    in_time: float = option(
+        0.99, "Share of admitted requests that end within the deadline.", low=0, high=1
+    )
+
+
+SECTIONS = {
+    "daemon": Daemon,
+    "platform": Platform,
+    "endpoints": Endpoints,
+    "callers": Callers,
+    "lengths": Lengths,
+    "links": Links,
+    "placing": Placing,
+    "security": Security,
+    "observe": Observe,
+    "objectives": Objectives,
+}
+"""Section classes by their names in the file."""
+
+
+@attrs.define
+class Settings:
+    """All sections; passed whole to what is built from them."""
+
+    daemon: Daemon = attrs.field(factory=Daemon)
+    platform: Platform = attrs.field(factory=Platform)
+    endpoints: Endpoints = attrs.field(factory=Endpoints)
+    callers: Callers = attrs.field(factory=Callers)
+    lengths: Lengths = attrs.field(factory=Lengths)
+    links: Links = attrs.field(factory=Links)
+    placing: Placing = attrs.field(factory=Placing)
+    security: Security = attrs.field(factory=Security)
+    observe: Observe = attrs.field(factory=Observe)
+    objectives: Objectives = attrs.field(factory=Objectives)
+
+    def problems(self):
+        """Return (section, option, message) of every conflict between options."""
+        found = []
+        if not self.daemon.instance:
+            found.append(("daemon", "instance", "must be set"))
+        if self.daemon.role == "endpoint" and not self.endpoints.serves:
+            found.append(("endpoints", "serves", "must name at least one endpoint"))
+        if not self.lengths.short < self.lengths.medium < self.lengths.long:
+            found.append(("lengths", "medium", "short < medium < long must hold"))
+        if self.links.silence <= self.links.heartbeat:
+            found.append(("links", "silence", "must be longer than heartbeat"))
+        if bool(self.security.certificate) != bool(self.security.private_key):
+            found.append(("security", "private_key", "certificate and private_key go together"))
+        return found
--- /dev/null
+++ b/packages/core/persimmonstall/settings/view.py
@@ -0,0 +1,120 @@
+"""Reading an INI file into a checked view of the settings."""
+
+import configparser
+import difflib
+
+import attrs
+
+from .option import allowed
+from .schema import SECTIONS, Settings
+
+TRUE = frozenset(("yes", "true", "on", "1"))
+FALSE = frozenset(("no", "false", "off", "0"))
+
+
+@attrs.frozen
+class Problem:
+    """One thing wrong in a settings file."""
+
+    file: str
+    section: str
+    option: str
+    message: str
+
+    def __str__(self):
+        place = f"[{self.section}]" if self.section else ""
+        name = f" {self.option}" if self.option else ""
+        return f"{self.file}: {place}{name}: {self.message}"
+
+
+def near(name, names):
+    """Return a hint that names the nearest of `names`, or an empty string.
+
+    >>> near("enrty", ["entry", "table"])
+    '; did you mean entry?'
+    """
+    found = difflib.get_close_matches(name, names, 1)
+    return f"; did you mean {found[0]}?" if found else ""
+
+
+def convert(field, text):
+    """Return the option's value; raises ValueError when the text is not allowed."""
+    value = parse(field.type, text.strip())
+    low = field.metadata["low"]
+    high = field.metadata["high"]
+    choices = field.metadata["choices"]
+    if choices and value not in choices:
+        raise ValueError(text)
+    if low is not None and value < low:
+        raise ValueError(text)
+    if high is not None and value > high:
+        raise ValueError(text)
+    return value
+
+
+def parse(kind, text):
+    """Return `text` as a value of an option's type."""
+    if kind is bool:
+        lowered = text.lower()
+        if lowered not in TRUE | FALSE:
+            raise ValueError(text)
+        return lowered in TRUE
+    if kind is tuple:
+        return tuple(part.strip() for part in text.split(",") if part.strip())
+    return kind(text)
+
+
+def read_section(file, name, section, kind):
+    """Return the section's settings and the list of its problems."""
+    fields = {field.name: field for field in attrs.fields(kind)}
+    values = {}
+    problems = []
+    for key, text in section.items():
+        field = fields.get(key)
+        if field is None:
+            hint = near(key, fields)
+            problems.append(Problem(file, name, key, f"no such option{hint}"))
+            continue
+        try:
+            values[key] = convert(field, text)
+        except ValueError:
+            message = f"{text!r} is not allowed; it takes {allowed(field)}"
+            problems.append(Problem(file, name, key, message))
+    return kind(**values), problems
+
+
+def check(text, file="settings"):
+    r"""Return the pair of `Settings` and the list of every `Problem` in the INI `text`.
+
+    >>> settings, problems = check("[daemon]\nrole = entry\nport = 8000")
+    >>> problems[0].option
+    'port'
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text, file)
+    except configparser.Error as error:
+        return Settings(), [Problem(file, "", "", str(error).replace("\n", " "))]
+    sections = {}
+    problems = []
+    for name in parser.sections():
+        kind = SECTIONS.get(name)
+        if kind is None:
+            hint = near(name, SECTIONS)
+            problems.append(Problem(file, name, "", f"no such section{hint}"))
+            continue
+        sections[name], found = read_section(file, name, parser[name], kind)
+        problems.extend(found)
+    settings = Settings(**sections)
+    problems.extend(Problem(file, *found) for found in settings.problems())
+    return settings, problems
+
+
+def load(path):
+    """Return the checked settings of the file at `path` and its problems."""
+    try:
+        with open(path, encoding="utf-8") as stream:
+            text = stream.read()
+    except (OSError, UnicodeDecodeError) as error:
+        return Settings(), [Problem(str(path), "", "", f"cannot be read: {error}")]
+    return check(text, str(path))
--- /dev/null
+++ b/packages/core/persimmonstall/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Assembly of whole answers from frames of several attempts."""
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The persimmonstalld daemon: tasks, sockets and adapters around the decisions."""
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Operators administer the system through this gRPC service."""
--- /dev/null
+++ b/packages/standins/persimmonstall_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around persimmonstall; for tests only."""
