--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics of a daemon."""
