Organisations' limits lent by keepers, and fair share under pressure

Ruled out: rates as leases, which either waste the unused part or refill a burst with every new lease; one counter row in the table per request, which its writes cannot carry. Change: a fifth of a limit is split evenly, the rest is lent in amounts by a keeper found by rendezvous hashing; slots for concurrent requests are lent on a lease; an even share while the keeper is out of reach; requests wait for one answer, refusals carry when to come back.

--- a/packages/core/persimmonstall/messages/control.py
+++ b/packages/core/persimmonstall/messages/control.py
@@ -116,26 +116,40 @@
 
 @attrs.frozen
 class BudgetAsk:
-    """An entry asks the keeper of an organisation's budget for a lease.
+    """An entry asks the keeper of an organisation's budget for requests, tokens and slots.
 
-    `demand` is in requests and tokens per second seen lately; `active` are requests running.
+    `requests` and `tokens` are amounts to be lent on top of what was lent before; `need` is the
+    largest single amount of tokens among them.  `slots` is the number of concurrent requests
+    that the entry wants to be lent in all, of which `held` are in use.  The returned amounts
+    were lent and not used.
     """
 
     organisation: str
-    requests: float
-    tokens: float
-    active: int
+    sequence: int
+    requests: float = 0.0
+    tokens: float = 0.0
+    need: float = 0.0
+    slots: int = 0
+    held: int = 0
+    returned_requests: float = 0.0
+    returned_tokens: float = 0.0
 
 
 @attrs.frozen
 class BudgetLease:
-    """A share of an organisation's limits for `seconds`."""
+    """Answer to the `BudgetAsk` with the same sequence.
+
+    The amounts add to what the entry has; `slots` is what it is lent in all, for `seconds`.
+    `retry_after` (seconds) is positive when less was lent than asked.
+    """
 
     organisation: str
-    requests: float
-    tokens: float
-    concurrency: int
-    seconds: float
+    sequence: int
+    requests: float = 0.0
+    tokens: float = 0.0
+    slots: int = 0
+    seconds: float = 0.0
+    retry_after: float = 0.0
 
 
 @attrs.frozen
--- a/packages/core/persimmonstall/settings/schema.py
+++ b/packages/core/persimmonstall/settings/schema.py
@@ -101,6 +101,25 @@
     )
 
 
+@attrs.define
+class Limits:
+    """Sharing of organisations' limits between entries."""
+
+    own_share: float = option(
+        0.2, "Share of a limit that entries split evenly without asking.", low=0, high=1
+    )
+    burst: float = option(1.0, "Time over which a limit may be used at once.", "s", low=0.01)
+    wait: float = option(0.1, "Longest wait for the keeper's answer.", "s", low=0.001, high=5)
+    lend: float = option(1.0, "Time of use that is asked for in advance.", "s", low=0.01)
+    slot_lease: float = option(
+        30.0, "Time after which slots of a silent entry are lent anew.", "s", low=0.1
+    )
+    idle: float = option(10.0, "Time after which unused budget is returned.", "s", low=0.1)
+    pressure: float = option(
+        0.05, "Share of refusals for lack of room above which fairness acts.", low=0, high=1
+    )
+
+
 @attrs.define
 class Security:
     """Keys and certificates; files are read again when they change."""
@@ -144,6 +163,7 @@
     "lengths": Lengths,
     "links": Links,
     "placing": Placing,
+    "limits": Limits,
     "security": Security,
     "observe": Observe,
     "objectives": Objectives,
@@ -162,6 +182,7 @@
     lengths: Lengths = attrs.field(factory=Lengths)
     links: Links = attrs.field(factory=Links)
     placing: Placing = attrs.field(factory=Placing)
+    limits: Limits = attrs.field(factory=Limits)
     security: Security = attrs.field(factory=Security)
     observe: Observe = attrs.field(factory=Observe)
     objectives: Objectives = attrs.field(factory=Objectives)
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/limits/__init__.py
@@ -0,0 +1,5 @@
+"""The task around the organisations' limits: sends asks to keepers and lends as one."""
+
+from .task import Budgets
+
+__all__ = ["Budgets"]
