--- /dev/null
+++ b/packages/core/persimmonstall/streams/outbox.py
@@ -0,0 +1,76 @@
+"""The sending side of an answer: what was generated, what was sent, what may be sent."""
+
+import attrs
+
+from ..messages.requests import Chunk
+
+
+@attrs.define
+class Outbox:
+    """Output of one attempt at the endpoint's daemon.
+
+    `base` is the offset of the first token held here (the attempt resumed from there);
+    `window` bounds the tokens sent but not yet consumed by the caller's side.
+    """
+
+    request_id: str
+    attempt: int
+    window: int
+    base: int = 0
+    tokens: list = attrs.field(factory=list)
+    sent: int = 0
+    consumed: int = 0
+
+    def __attrs_post_init__(self):
+        self.sent = self.base
+        self.consumed = self.base
+
+    @property
+    def count(self):
+        """Offset after the last token generated."""
+        return self.base + len(self.tokens)
+
+    @property
+    def drained(self):
+        """Whether everything generated has been sent."""
+        return self.sent == self.count
+
+    def add(self, offset, tokens):
+        """Take newly generated tokens; False when some before `offset` are missing."""
+        have = self.count
+        if offset > have:
+            return False
+        self.tokens.extend(tokens[have - offset :])
+        return True
+
+    def take(self):
+        """Return the next `Chunk` that the window allows, or None.
+
+        >>> outbox = Outbox("r", 1, window=2)
+        >>> outbox.add(0, (1, 2, 3))
+        True
+        >>> outbox.take().tokens, outbox.take()
+        ((1, 2), None)
+        >>> outbox.credit(2)
+        >>> outbox.take().offset
+        2
+        """
+        limit = min(self.count, self.consumed + self.window)
+        if limit <= self.sent:
+            return None
+        start = self.sent
+        tokens = tuple(self.tokens[start - self.base : limit - self.base])
+        self.sent = limit
+        return Chunk(self.request_id, self.attempt, start, tokens)
+
+    def credit(self, offset):
+        """Note that the caller's side has consumed everything before `offset`."""
+        self.consumed = max(self.consumed, min(offset, self.count))
+
+    def rewind(self, offset):
+        """Send again from `offset`, over a new connection; False if it is out of range."""
+        if not self.base <= offset <= self.count:
+            return False
+        self.sent = offset
+        self.consumed = max(self.consumed, offset)
+        return True
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/endpoint/attempt.py
@@ -0,0 +1,64 @@
+"""One attempt at the endpoint daemon."""
+
+import enum
+
+import attrs
+
+from persimmonstall.messages.requests import Submit
+from persimmonstall.streams.outbox import Outbox
+
+
+class Phase(enum.StrEnum):
+    """Where an attempt stands."""
+
+    WAITING = "waiting"
+    STARTING = "starting"
+    RUNNING = "running"
+    PARKED = "parked"
+    ENDED = "ended"
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """State of one attempt; `deadline` and `ended_at` are in the local clock's seconds.
+
+    `result` is the `End` or `Refused` that ends it.  `session` is None while no entry is
+    attached; `detached_at` tells since when.
+    """
+
+    submit: Submit
+    outbox: Outbox
+    deadline: float
+    job_id: str
+    session: object = None
+    phase: Phase = Phase.WAITING
+    result: object = None
+    ended_at: float = 0.0
+    detached_at: float = 0.0
+    first_at: float = 0.0
+    cached: int = 0
+    timer: object = None
+    result_sent: bool = False
+    handed_over: bool = False
+
+    @property
+    def key(self):
+        """What identifies the attempt."""
+        return self.submit.request_id, self.submit.attempt
+
+    @property
+    def ended(self):
+        """Whether the attempt has its result."""
+        return self.phase is Phase.ENDED
+
+
+def make_attempt(submit, session, now, window, run):
+    """Return a new `Attempt` of a `Submit`; `run` identifies this daemon's process."""
+    base = len(submit.relayed)
+    return Attempt(
+        submit=submit,
+        outbox=Outbox(submit.request_id, submit.attempt, window, base),
+        deadline=now + submit.remaining,
+        job_id=f"{run}/{submit.request_id}/{submit.attempt}",
+        session=session,
+    )
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
@@ -0,0 +1,127 @@
+"""The endpoint daemon: listens for entries and fronts one or more endpoints."""
+
+import asyncio
+import uuid
+
+from persimmonstall.failures import Outcome, Reason
+from persimmonstall.messages import control, requests
+
+from .session import Session
+
+STEP = "endpoint"
+DRAIN_POLL_SECONDS = 0.05
+
+
+class EndpointDaemon:
+    """Owns the sessions with entries and one backend task for each endpoint.
+
+    `network` opens the port, `context` gives clock and random source, `metrics` counts.
+    """
+
+    def __init__(self, settings, network, context, metrics):
+        self.settings = settings
+        self.network = network
+        self.context = context
+        self.metrics = metrics
+        self.run_id = uuid.UUID(int=context.random.getrandbits(128)).hex
+        self.backends = {}
+        self.sessions = set()
+        self.owners = {}
+        self.version = 0
+        self.listener = None
+        self.tasks = []
+
+    def add(self, backend):
+        """Front one more endpoint; call before `start`."""
+        self.backends[backend.name] = backend
+
+    async def start(self):
+        """Start the backends and listen."""
+        for backend in self.backends.values():
+            self.tasks.append(asyncio.create_task(backend.run()))
+        self.listener = await self.network.listen(self.settings.daemon.address, self.accept)
+
+    async def accept(self, link):
+        """Serve one link until it ends."""
+        session = Session(link, self)
+        self.sessions.add(session)
+        await session.run()
+
+    def forget(self, session):
+        """Drop a session whose link is gone."""
+        self.sessions.discard(session)
+
+    def loads(self):
+        """Return the loads of all endpoints fronted here."""
+        return tuple(backend.load() for backend in self.backends.values())
+
+    def hello(self):
+        """Return the first message on a link."""
+        daemon = self.settings.daemon
+        return control.Hello(
+            daemon.instance,
+            daemon.role,
+            daemon.data_centre,
+            self.run_id,
+            self.version,
+            self.loads(),
+        )
+
+    def pong(self, sequence):
+        """Return the answer to a heartbeat."""
+        return control.Pong(sequence, self.version, self.loads())
+
+    def heard(self, version, session):
+        """Note the catalogue version that a peer has."""
+
+    def control(self, message, session):
+        """Handle a message that concerns no attempt."""
+
+    def broadcast(self, message):
+        """Send `message` to every entry that is connected."""
+        for session in self.sessions:
+            session.send(message)
+
+    def claim_owner(self, key, backend):
+        """Note which backend has the attempt `key`."""
+        self.owners[key] = backend
+
+    def release_owner(self, key):
+        """Forget the attempt `key`."""
+        self.owners.pop(key, None)
+
+    def owner_of(self, key):
+        """Return the backend that has the attempt `key`, or None."""
+        return self.owners.get(key)
+
+    def unknown_endpoint(self, message):
+        """Return the refusal of a message for an endpoint that is not fronted here."""
+        if isinstance(message, control.Reserve):
+            return control.Reserved(message.reservation, message.endpoint, Reason.NO_ENDPOINT)
+        return self.not_here(message, Reason.NO_ENDPOINT, Outcome.NOT_RUN)
+
+    def unknown_attempt(self, message):
+        """Return the answer to an attach to an attempt that this run does not have."""
+        return self.not_here(message, Reason.NOT_FOUND, Outcome.UNKNOWN)
+
+    def not_here(self, message, reason, outcome):
+        """Return a refusal from this daemon."""
+        peer = self.settings.daemon.instance
+        request_id = getattr(message, "request_id", "")
+        attempt = getattr(message, "attempt", 0)
+        return requests.Refused(request_id, attempt, reason, STEP, peer, outcome)
+
+    async def drain(self):
+        """Take no new work and wait until every attempt has ended and was sent."""
+        for backend in self.backends.values():
+            self.broadcast(backend.leave())
+        while any(backend.busy() for backend in self.backends.values()):
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    async def stop(self):
+        """End all tasks and close the port."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.listener:
+            await self.listener.close()
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -0,0 +1,441 @@
+"""Runs attempts on one model engine."""
+
+import asyncio
+import functools
+
+import attrs
+
+from persimmonstall.failures import Outcome, Reason
+from persimmonstall.messages import control, requests
+from persimmonstall.outside.engine import EngineLoad, Finish, Job, Step
+
+from .attempt import Phase, make_attempt
+from .backend import Backend, Expired, SessionLost
+
+STEP = "engine"
+WHOLE = frozenset((Finish.STOP, Finish.LENGTH))
+CANCEL_TRIES = 3
+BUSY_RETRY_SECONDS = 1.0
+REOPEN_SECONDS = 0.2
+
+
+@attrs.frozen
+class Submitted:
+    """The engine's answer to a hand-over."""
+
+    attempt: object
+    result: object
+
+
+@attrs.frozen
+class StepsLost:
+    """The connection that brings the engine's steps ended or went silent."""
+
+    detail: str
+
+
+@attrs.frozen
+class EngineDied:
+    """The engine does not answer on a new connection either."""
+
+    detail: str
+
+
+class EngineBackend(Backend):
+    """Owns the attempts on one engine.
+
+    `outside` is the `Engine`; `daemon` supplies settings, context, metrics and the run's
+    name.  All state is touched only by the task that reads `inbox`; calls to the engine run
+    in tasks of their own and post their results back.
+    """
+
+    def __init__(self, name, engine, daemon):
+        super().__init__(name)
+        self.engine = engine
+        self.daemon = daemon
+        self.attempts = {}
+        self.by_job = {}
+        self.reported = EngineLoad(0, 0, 0, 0, 0, 0.0)
+        self.tasks = set()
+        self.last_step = daemon.context.now()
+        self.reader = None
+        self.alive = True
+        self.handlers = {
+            requests.Submit: self.on_submit,
+            requests.Cancel: self.on_cancel,
+            requests.Credit: self.on_credit,
+            requests.Attach: self.on_attach,
+            SessionLost: self.on_session_lost,
+            Expired: self.on_expired,
+            Submitted: self.on_submitted,
+            Step: self.on_step,
+            StepsLost: self.on_steps_lost,
+            EngineDied: self.on_engine_died,
+            EngineLoad: self.on_load,
+        }
+
+    @property
+    def settings(self):
+        """Settings of the daemon."""
+        return self.daemon.settings
+
+    def now(self):
+        """Return the daemon's monotonic time in seconds."""
+        return self.daemon.context.now()
+
+    def spawn(self, coroutine):
+        """Run `coroutine` beside the backend's task and keep a reference to it."""
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def run(self):
+        """Serve until cancelled."""
+        self.reader = self.spawn(self.read_steps())
+        self.spawn(self.watch())
+        try:
+            while True:
+                envelope = await self.inbox.get()
+                handler = self.handlers.get(type(envelope.message))
+                if handler:
+                    handler(envelope.message, envelope.session)
+        finally:
+            for task in list(self.tasks):
+                task.cancel()
+
+    async def read_steps(self):
+        """Post the engine's steps until their connection is lost."""
+        try:
+            async for step in self.engine.steps():
+                self.post(step)
+        except OSError as error:
+            self.post(StepsLost(str(error)))
+            return
+        self.post(StepsLost("ended"))
+
+    async def watch(self):
+        """Poll the engine's load and notice when its steps go silent."""
+        endpoints = self.settings.endpoints
+        while True:
+            await asyncio.sleep(self.daemon.context.jitter(endpoints.step_silence / 3))
+            load = await self.engine.load(endpoints.step_silence / 2)
+            if load:
+                self.post(load)
+            silent = self.now() - self.last_step > endpoints.step_silence
+            if silent and self.running():
+                self.post(StepsLost("silent"))
+            if not load and not self.alive:
+                continue
+            if not load and (silent or load.detail == "not connected"):
+                self.post(EngineDied(load.detail))
+
+    def running(self):
+        """Return the attempts that the engine should be working on."""
+        return [a for a in self.attempts.values() if a.phase is Phase.RUNNING]
+
+    def busy(self):
+        """Return the number of attempts not yet ended or not yet wholly sent."""
+        return sum(1 for a in self.attempts.values() if not a.result_sent and a.session)
+
+    def load(self):
+        """Return the load as known now."""
+        running = self.reported
+        waiting = sum(1 for a in self.attempts.values() if a.phase is Phase.WAITING)
+        return control.EndpointLoad(
+            endpoint=self.name,
+            running=running.running,
+            waiting=running.waiting + waiting,
+            memory_used=running.memory_used,
+            memory_total=running.memory_total,
+            prefill_backlog=running.prefill_backlog,
+            step_seconds=running.step_seconds,
+            accepted=self.accepted,
+            models=running.models,
+            adapters=running.adapters,
+            leaving=self.leaving or not self.alive,
+        )
+
+    def on_load(self, load, _session):
+        """Keep the engine's latest load report; a report shows that it is alive."""
+        self.reported = load
+        self.alive = True
+
+    def on_submit(self, submit, session):
+        """Take a new attempt or refuse it at once."""
+        key = submit.request_id, submit.attempt
+        if key in self.attempts:
+            self.daemon.metrics.count("frames_dropped", tag="repeated_submit")
+            return
+        if self.leaving:
+            session.send(self.refused(submit, Reason.LEAVING, Outcome.NOT_RUN))
+            return
+        if not self.alive:
+            session.send(self.refused(submit, Reason.ENDPOINT_LOST, Outcome.NOT_RUN))
+            return
+        window = self.settings.callers.idle_credit
+        attempt = make_attempt(submit, session, self.now(), window, self.daemon.run_id)
+        self.attempts[key] = attempt
+        self.by_job[attempt.job_id] = attempt
+        self.daemon.claim_owner(key, self)
+        self.accepted += 1
+        loop = asyncio.get_running_loop()
+        expire = functools.partial(self.post, Expired(*key))
+        attempt.timer = loop.call_later(submit.remaining, expire)
+        attempt.phase = Phase.STARTING
+        self.spawn(self.hand_over(attempt))
+
+    def job_of(self, attempt):
+        """Return the engine job of an attempt."""
+        submit = attempt.submit
+        return Job(
+            job_id=attempt.job_id,
+            owner=self.daemon.run_id,
+            model=submit.model,
+            adapter=submit.adapter,
+            prompt=submit.prompt,
+            prompt_tokens=submit.prompt_tokens,
+            max_tokens=submit.max_tokens,
+            reserved_tokens=submit.prompt_tokens + submit.predicted_tokens,
+            priority=submit.priority,
+            blocks=submit.blocks,
+            resume_from=attempt.outbox.count,
+            chunk_tokens=self.settings.placing.chunk_tokens,
+            segments=submit.segments,
+        )
+
+    async def hand_over(self, attempt):
+        """Hand an attempt to the engine and post the answer."""
+        timeout = max(0.0, attempt.deadline - self.now())
+        attempt.handed_over = True
+        result = await self.engine.submit(self.job_of(attempt), timeout)
+        self.post(Submitted(attempt, result))
+
+    def on_submitted(self, submitted, _session):
+        """Note the engine's answer to a hand-over."""
+        attempt = submitted.attempt
+        result = submitted.result
+        if attempt.ended:
+            if result:
+                self.spawn(self.cancel_job(attempt.job_id))
+            return
+        if result:
+            attempt.phase = Phase.RUNNING
+            self.last_step = self.now()
+            return
+        not_run = result.reason in (Reason.NO_MEMORY, Reason.BUSY)
+        not_run = not_run or result.detail == "not connected"
+        outcome = Outcome.NOT_RUN if not_run else Outcome.UNKNOWN
+        reason = Reason.BUSY if result.reason is Reason.NO_MEMORY else result.reason
+        if outcome is Outcome.UNKNOWN:
+            self.spawn(self.cancel_job(attempt.job_id))
+        self.end(attempt, self.refused(attempt.submit, reason, outcome, result.detail))
+
+    def refused(self, submit, reason, outcome, detail=""):
+        """Return the refusal of an attempt."""
+        return requests.Refused(
+            submit.request_id,
+            submit.attempt,
+            reason,
+            STEP,
+            self.name,
+            outcome,
+            BUSY_RETRY_SECONDS,
+            detail,
+        )
+
+    def on_step(self, step, _session):
+        """Take one engine step and send what is new, one message for each session."""
+        self.last_step = self.now()
+        if step.load:
+            self.reported = step.load
+        touched = []
+        for output in step.outputs:
+            attempt = self.by_job.get(output.job_id)
+            if attempt is None or attempt.ended:
+                continue
+            self.take_output(attempt, output)
+            touched.append(attempt)
+        self.flush(touched)
+
+    def take_output(self, attempt, output):
+        """Add one job's output to its attempt."""
+        if output.tokens and not attempt.first_at:
+            attempt.first_at = self.now()
+            attempt.cached = output.cached
+        if not attempt.outbox.add(output.offset, output.tokens):
+            self.restart(attempt)
+            return
+        if output.finish is Finish.NONE:
+            return
+        if output.finish in WHOLE:
+            count = attempt.outbox.count
+            self.settle(attempt, self.whole(attempt, count, output.finish))
+            return
+        reason = Reason.BUSY if output.finish is Finish.OUT_OF_MEMORY else Reason.ENDPOINT_LOST
+        detail = str(output.finish)
+        self.settle(attempt, self.refused(attempt.submit, reason, Outcome.UNKNOWN, detail))
+
+    def whole(self, attempt, count, finish):
+        """Return the end mark of a whole answer."""
+        submit = attempt.submit
+        return requests.End(
+            submit.request_id, submit.attempt, count, str(finish), cached=attempt.cached
+        )
+
+    def restart(self, attempt):
+        """Run an attempt again on the same engine from the tokens already received.
+
+        Some of its output was lost with the connection that carried the steps.
+        """
+        self.daemon.metrics.count("attempts_restarted")
+        self.by_job.pop(attempt.job_id, None)
+        self.spawn(self.cancel_job(attempt.job_id))
+        attempt.job_id += "+"
+        self.by_job[attempt.job_id] = attempt
+        attempt.phase = Phase.STARTING
+        self.spawn(self.hand_over(attempt))
+
+    def flush(self, attempts):
+        """Send what the windows allow, as one message for each session."""
+        batches = {}
+        ended = []
+        for attempt in attempts:
+            if attempt.session is None:
+                continue
+            chunk = attempt.outbox.take()
+            if chunk:
+                batches.setdefault(attempt.session, []).append(chunk)
+            if attempt.ended and attempt.outbox.drained and not attempt.result_sent:
+                attempt.result_sent = True
+                ended.append(attempt)
+        for session, chunks in batches.items():
+            session.send(requests.Chunks(tuple(chunks)))
+        for attempt in ended:
+            attempt.session.send(attempt.result)
+        if ended:
+            self.send_loads({attempt.session for attempt in ended})
+
+    def send_loads(self, sessions):
+        """Send the current load along with answers."""
+        loads = control.Loads((self.load(),))
+        for session in sessions:
+            session.send(loads)
+
+    def settle(self, attempt, result):
+        """Give an attempt its result, without sending it yet."""
+        attempt.phase = Phase.ENDED
+        attempt.result = result
+        attempt.ended_at = self.now()
+        attempt.timer.cancel()
+        self.by_job.pop(attempt.job_id, None)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.settings.endpoints.keep_answers, self.drop, attempt)
+
+    def end(self, attempt, result):
+        """Give an attempt its result and send it as far as the window allows."""
+        if isinstance(result, requests.Refused):
+            attempt.outbox.sent = attempt.outbox.count
+        self.settle(attempt, result)
+        self.flush([attempt])
+
+    def drop(self, attempt):
+        """Forget a finished attempt."""
+        self.attempts.pop(attempt.key, None)
+        self.daemon.release_owner(attempt.key)
+
+    def find(self, message):
+        """Return the attempt that a message is about, or None."""
+        return self.attempts.get((message.request_id, message.attempt))
+
+    def on_cancel(self, cancel, _session):
+        """Stop an attempt that its entry no longer wants."""
+        attempt = self.find(cancel)
+        if attempt is None or attempt.ended:
+            return
+        attempt.session = None
+        self.stop(attempt, Reason.CANCELLED)
+
+    def on_expired(self, expired, _session):
+        """Stop an attempt whose deadline has passed."""
+        attempt = self.find(expired)
+        if attempt and not attempt.ended:
+            self.stop(attempt, Reason.DEADLINE)
+
+    def stop(self, attempt, reason):
+        """End an attempt before its answer is whole and free its memory."""
+        outcome = Outcome.UNKNOWN if attempt.handed_over else Outcome.NOT_RUN
+        self.spawn(self.cancel_job(attempt.job_id))
+        self.end(attempt, self.refused(attempt.submit, reason, outcome))
+
+    async def cancel_job(self, job_id):
+        """Cancel an engine job, trying again a few times.
+
+        A cancel that stays lost is repaired when the engine's own list is compared.
+        """
+        timeout = self.settings.platform.timeout
+        for _ in range(CANCEL_TRIES):
+            if await self.engine.cancel(job_id, timeout):
+                return
+            await asyncio.sleep(self.daemon.context.jitter(timeout))
+
+    def on_credit(self, credit, session):
+        """Let more output flow to a caller that keeps up."""
+        attempt = self.find(credit)
+        if attempt and attempt.session is session:
+            attempt.outbox.credit(credit.offset)
+            self.flush([attempt])
+
+    def on_attach(self, attach, session):
+        """Send an attempt's output over a new connection."""
+        attempt = self.find(attach)
+        if attempt is None or not attempt.outbox.rewind(attach.offset):
+            session.send(self.daemon.unknown_attempt(attach))
+            return
+        attempt.session = session
+        attempt.result_sent = False
+        self.flush([attempt])
+
+    def on_session_lost(self, lost, _session):
+        """Keep attempts of a lost link for a while, so that the entry can attach again."""
+        grace = 2 * self.settings.links.silence
+        loop = asyncio.get_running_loop()
+        for attempt in self.attempts.values():
+            if attempt.session is lost.session:
+                attempt.session = None
+                attempt.detached_at = self.now()
+                loop.call_later(grace, self.abandon, attempt)
+
+    def abandon(self, attempt):
+        """Stop an attempt that no entry came back for."""
+        if attempt.session is None and not attempt.ended:
+            self.daemon.metrics.count("attempts_abandoned")
+            self.stop(attempt, Reason.CANCELLED)
+
+    def on_steps_lost(self, lost, _session):
+        """Open a new connection for the engine's steps; gaps restart their attempts."""
+        self.daemon.metrics.count("engine_steps_lost")
+        self.last_step = self.now()
+        if self.reader:
+            self.reader.cancel()
+        self.reader = self.spawn(self.reopen())
+
+    async def reopen(self):
+        """Read steps again after a short pause."""
+        await asyncio.sleep(self.daemon.context.jitter(REOPEN_SECONDS))
+        await self.read_steps()
+
+    def on_engine_died(self, died, _session):
+        """Refuse everything that was running, so that the entries can go elsewhere."""
+        if not self.alive:
+            return
+        self.alive = False
+        self.daemon.metrics.count("engines_died")
+        open_attempts = [a for a in self.attempts.values() if not a.ended]
+        for attempt in open_attempts:
+            detail = died.detail
+            outcome = Outcome.UNKNOWN if attempt.handed_over else Outcome.NOT_RUN
+            self.end(attempt, self.refused(attempt.submit, Reason.ENDPOINT_LOST, outcome, detail))
+        self.daemon.broadcast(control.Loads((self.load(),)))
+
+
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon: takes callers' requests and brings them to endpoints."""
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -0,0 +1,147 @@
+"""The entry daemon: pipeline, links to endpoint daemons and what the filters share."""
+
+import asyncio
+import uuid
+
+import attrs
+
+from persimmonstall.failures import Failure, Reason
+from persimmonstall.messages import control
+
+from ..observe import logs
+from .dispatch import Dispatch
+from .exchange import Exchanges
+from .filters.authenticate import find_organisation
+from .links import EndpointLinks
+from .pipeline import Pipeline, make_filters
+
+LOG = logs.get("entry")
+DRAIN_POLL_SECONDS = 0.05
+
+
+@attrs.frozen
+class Readiness:
+    """Whether this entry should get new connections, and why not."""
+
+    ready: bool
+    reason: str = ""
+
+
+class EntryDaemon:
+    """What the filters of one entry share.
+
+    `follower` holds the catalogue, `placer` chooses endpoints, `network` opens links.
+    """
+
+    def __init__(self, settings, network, context, metrics, follower, placer, vocabulary):
+        self.settings = settings
+        self.network = network
+        self.context = context
+        self.metrics = metrics
+        self.follower = follower
+        self.placer = placer
+        self.vocabulary = vocabulary
+        self.run_id = uuid.UUID(int=context.random.getrandbits(128)).hex
+        self.exchanges = Exchanges(metrics)
+        self.links = EndpointLinks(self)
+        self.pipeline = Pipeline(make_filters(self), Dispatch(self))
+        self.leaving = False
+        self.active = 0
+
+    @property
+    def catalogue(self):
+        """The catalogue in force here."""
+        return self.follower.current
+
+    @property
+    def version(self):
+        """The version of the catalogue in force here."""
+        return self.follower.current.version
+
+    def hello(self):
+        """Return the first message on a link."""
+        daemon = self.settings.daemon
+        return control.Hello(
+            daemon.instance, daemon.role, daemon.data_centre, self.run_id, self.version
+        )
+
+    async def serve(self, request, sink):
+        """Return the `Answer` or `Refusal` of a `CallerRequest`."""
+        self.active += 1
+        try:
+            return await self.pipeline.serve(request, sink)
+        finally:
+            self.active -= 1
+
+    def organisation_of(self, secret):
+        """Return the organisation of a caller's key, or a `Refusal`."""
+        return find_organisation(self, secret)
+
+    def model_names(self, organisation):
+        """Return the names of the models and adapters that `organisation` may use."""
+        models = self.catalogue.records["model"]
+        adapters = self.catalogue.records["adapter"]
+        allowed = organisation.models or tuple(models)
+        names = [name for name in allowed if name in models]
+        return sorted(names + [name for name in organisation.adapters if name in adapters])
+
+    def readiness(self):
+        """Return whether new connections should come here."""
+        if self.leaving:
+            return Readiness(False, "leaving")
+        if not self.version:
+            return Readiness(False, "no configuration yet")
+        return Readiness(True)
+
+    def place(self, work, avoided):
+        """Return where the next attempt of `work` goes, or a `Failure`."""
+        return self.placer.place(work, avoided, self.context.now())
+
+    def may_retry(self, work, reason):
+        """Whether the retry budget allows another attempt of `work`."""
+        return self.placer.may_retry(work, reason, self.context.now())
+
+    def on_submit(self, work, placed):
+        """Note an attempt that was sent."""
+        self.placer.on_submit(work, placed, self.context.now())
+
+    def on_attempt_end(self, work, endpoint, result):
+        """Note the end of an attempt."""
+        self.placer.on_end(work, endpoint, result, self.context.now())
+        if isinstance(result, Failure):
+            self.metrics.count("attempts_failed", tag=str(Reason(result.reason)))
+
+    def on_loads(self, instance, loads):
+        """Take fresh loads of an instance's endpoints."""
+        self.links.learn(instance, loads)
+        self.placer.on_loads(instance, loads, self.context.now())
+
+    def on_leaving(self, instance, endpoints):
+        """Stop placing work on endpoints that are leaving."""
+        self.placer.on_leaving(endpoints)
+
+    def on_link_down(self, instance):
+        """Stop placing work behind an instance that is out of reach."""
+        self.placer.on_link_down(instance.name)
+
+    def heard(self, version, link):
+        """Note the catalogue version that a peer has."""
+        self.follower.heard(version, link)
+
+    def control(self, message, link):
+        """Handle a message that concerns no request."""
+
+    def bug(self, step, error):
+        """Count and log an unexpected error."""
+        self.metrics.count("bugs")
+        LOG.error("bug", step=step, error=repr(error), exc_info=error)
+
+    async def drain(self):
+        """Fail the readiness check and wait until every request has ended."""
+        self.leaving = True
+        while self.active:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    async def stop(self):
+        """End the links."""
+        await self.links.close()
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/entry/dispatch.py
@@ -0,0 +1,246 @@
+"""Places a request, sends it to an endpoint daemon and relays the answer.
+
+An attempt that is lost is resumed on another endpoint from the tokens that the caller
+already has, within the deadline and the retry budget.
+"""
+
+import attrs
+
+from persimmonstall.failures import Failure, Outcome, Reason, Refusal, refuse
+from persimmonstall.messages import requests
+
+from .exchange import LinkDown, LinkUp
+from .request import Answer
+
+STEP = "dispatch"
+CREDIT_SHARE = 4
+"""A credit is sent each time this part of the window was consumed."""
+RETRY_AFTER_SECONDS = 2.0
+
+
+@attrs.define
+class Run:
+    """One request on its way: its exchange, the current attempt and what was tried."""
+
+    work: object
+    sink: object
+    exchange: object
+    attempt: int = 0
+    endpoint: str = ""
+    peer_run: str = ""
+    handed_over: bool = False
+    avoided: set = attrs.field(factory=set)
+    first_at: float = 0.0
+    credited: int = 0
+
+    @property
+    def tokens(self):
+        """The output tokens that the caller already has."""
+        return self.exchange.assembly.tokens
+
+
+class Dispatch:
+    """Runs the attempts of requests; `entry` supplies placement, links and clock."""
+
+    def __init__(self, entry):
+        self.entry = entry
+
+    async def run(self, work, sink):
+        """Return the `Answer` or `Refusal` of one admitted request."""
+        exchange = self.entry.exchanges.open(work.request_id)
+        run = Run(work, sink, exchange)
+        outcome = None
+        try:
+            outcome = await self.attempt_until_done(run)
+            return outcome
+        finally:
+            self.entry.exchanges.close(exchange)
+            if not isinstance(outcome, Answer):
+                self.cancel(run)
+
+    async def attempt_until_done(self, run):
+        """Attempt the request until it has an answer or must be refused."""
+        while True:
+            placed = self.entry.place(run.work, run.avoided)
+            if not placed:
+                return self.refuse(run, placed)
+            sent = self.submit(run, placed)
+            result = await self.relay(run) if sent else self.lost(run, "no link")
+            self.entry.on_attempt_end(run.work, run.endpoint, result)
+            if not self.again(run, result):
+                return result if isinstance(result, Answer) else self.refuse(run, result)
+            run.avoided.add(run.endpoint)
+
+    def remaining(self, run):
+        """Return the seconds left before the deadline."""
+        return run.work.deadline - self.entry.context.now()
+
+    def submit(self, run, placed):
+        """Send the next attempt to the endpoint it was placed on; False without a link."""
+        run.attempt += 1
+        run.endpoint = placed.endpoint
+        run.exchange.assembly.begin(run.attempt)
+        run.credited = len(run.tokens)
+        link = self.entry.links.of(placed.endpoint)
+        if link is None or not link.ready:
+            return False
+        run.exchange.instance = link.name
+        run.peer_run = link.run_id
+        self.entry.on_submit(run.work, placed)
+        return link.send(self.submit_of(run, placed))
+
+    def submit_of(self, run, placed):
+        """Return the message that hands an attempt over."""
+        work = run.work
+        return requests.Submit(
+            request_id=work.request_id,
+            attempt=run.attempt,
+            endpoint=placed.endpoint,
+            organisation=work.organisation,
+            prompt=work.prompt,
+            remaining=self.remaining(run),
+            model=work.model,
+            adapter=work.adapter,
+            prompt_tokens=work.prompt_tokens,
+            max_tokens=work.max_tokens,
+            predicted_tokens=work.predicted_tokens,
+            priority=placed.priority,
+            length_class=work.length_class,
+            blocks=work.blocks,
+            fingerprint=work.fingerprint,
+            service=work.service,
+            method=work.method,
+            content_type=work.content_type,
+            idempotent=work.idempotent,
+            ticket=work.ticket,
+            relayed=tuple(run.tokens),
+        )
+
+    async def relay(self, run):
+        """Relay one attempt: an `Answer`, or the `Refused` or `Failure` that ended it."""
+        while True:
+            message = await run.exchange.next(self.remaining(run))
+            if message is None:
+                return Failure(Reason.DEADLINE, STEP, run.endpoint, "no answer in time")
+            result = await self.take(run, message)
+            if result is not None:
+                return result
+
+    async def take(self, run, message):
+        """Handle one message of an attempt; a result ends the attempt."""
+        assembly = run.exchange.assembly
+        if isinstance(message, requests.Chunk):
+            return await self.take_tokens(run, assembly.accept(message))
+        if isinstance(message, requests.End):
+            return self.take_end(run, message)
+        if isinstance(message, requests.Refused):
+            return message if assembly.concerns(message) else None
+        if isinstance(message, LinkDown):
+            return await self.reattach(run)
+        return None
+
+    async def take_tokens(self, run, fresh):
+        """Give new tokens to the caller, and credit to the sender."""
+        if isinstance(fresh, Failure):
+            return self.attach(run)
+        if not fresh:
+            return None
+        if not run.first_at:
+            run.first_at = self.entry.context.now()
+        await run.sink.write(fresh)
+        have = len(run.tokens)
+        window = self.entry.settings.callers.idle_credit
+        if have - run.credited >= window // CREDIT_SHARE:
+            run.credited = have
+            self.send(run, requests.Credit(run.work.request_id, run.attempt, have))
+        return None
+
+    def take_end(self, run, end):
+        """Return the whole answer once its end mark matches what was relayed."""
+        whole = run.exchange.assembly.finish(end)
+        if isinstance(whole, Failure):
+            return self.attach(run)
+        if not whole:
+            return None
+        return Answer(
+            count=end.count,
+            finish=end.finish,
+            first_at=run.first_at,
+            ended_at=self.entry.context.now(),
+            attempts=run.attempt,
+            endpoint=run.endpoint,
+            cached=end.cached,
+            status=end.status or 200,
+            body=end.body,
+            content_type=end.content_type,
+            tokens=tuple(run.tokens),
+        )
+
+    def send(self, run, message):
+        """Send a message to the daemon that has the current attempt; False when cut off."""
+        link = self.entry.links.of(run.endpoint)
+        return link is not None and link.send(message)
+
+    def attach(self, run):
+        """Ask for the output again from where the caller stands; a failure when cut off."""
+        have = len(run.tokens)
+        message = requests.Attach(run.work.request_id, run.attempt, have, self.remaining(run))
+        run.credited = have
+        return None if self.send(run, message) else self.lost(run, "no link to attach over")
+
+    async def reattach(self, run):
+        """Wait for a new link to the same daemon and attach to the attempt over it."""
+        patience = min(self.entry.settings.links.silence, self.remaining(run))
+        give_up = self.entry.context.now() + patience
+        link = self.entry.links.of(run.endpoint)
+        if link is not None and link.ready:
+            return self.attach_to(run, link.run_id)
+        while True:
+            message = await run.exchange.next(give_up - self.entry.context.now())
+            if message is None:
+                return self.lost(run, "no new link in time")
+            if isinstance(message, LinkUp):
+                return self.attach_to(run, message.run)
+
+    def attach_to(self, run, peer_run):
+        """Attach over a new link, unless the daemon was started anew meanwhile."""
+        if peer_run != run.peer_run:
+            return self.lost(run, "the daemon was started anew")
+        return self.attach(run)
+
+    def lost(self, run, detail):
+        """Return the failure of an attempt whose daemon is out of reach."""
+        return Failure(Reason.PEER_LOST, STEP, run.endpoint, detail)
+
+    def again(self, run, result):
+        """Whether to make another attempt after `result`."""
+        if isinstance(result, Answer):
+            return False
+        reason = Reason(result.reason)
+        if reason is Reason.DEADLINE or self.remaining(run) <= 0:
+            return False
+        not_run = getattr(result, "outcome", Outcome.UNKNOWN) == Outcome.NOT_RUN
+        not_run = not_run or result.detail == "no link"
+        run.handed_over = run.handed_over or not not_run
+        if not run.work.idempotent and not not_run:
+            return False
+        if run.attempt >= self.entry.settings.placing.attempts:
+            return False
+        return self.entry.may_retry(run.work, reason)
+
+    def refuse(self, run, result):
+        """Return the final refusal of a request."""
+        reason = Reason(result.reason)
+        outcome = getattr(result, "outcome", Outcome.NOT_RUN)
+        if isinstance(result, Failure) and not isinstance(result, Refusal) and run.attempt:
+            outcome = Outcome.UNKNOWN if result.detail != "no link" else Outcome.NOT_RUN
+        if run.handed_over or run.tokens:
+            outcome = Outcome.UNKNOWN
+        retry_after = getattr(result, "retry_after", 0) or RETRY_AFTER_SECONDS
+        failure = Failure(reason, result.step, result.peer, result.detail)
+        return refuse(failure, retry_after, Outcome(outcome), run.work.key)
+
+    def cancel(self, run):
+        """Tell the daemon of the last attempt that nobody waits for it any more."""
+        if run.attempt and run.endpoint:
+            self.send(run, requests.Cancel(run.work.request_id, run.attempt))
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/entry/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The filters of the pipeline, one module each."""
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/entry/filters/classify.py
@@ -0,0 +1,98 @@
+"""Finds a prompt's length, class, prefix blocks and fingerprint."""
+
+import attrs
+import xxhash
+
+from persimmonstall.failures import Reason, Refusal
+from persimmonstall.lengths import classify
+
+from ..filter import Filter
+
+FINGERPRINT_SEED = 1
+DEFAULT_MAX_TOKENS = 1024
+
+
+class Classify(Filter):
+    """Checks the model or service against the organisation and measures the prompt."""
+
+    name = "classify"
+
+    def __init__(self, parts):
+        self.parts = parts
+
+    async def admit(self, work):
+        """Return the work with its length, or a `Refusal`."""
+        if work.service:
+            return self.admit_service(work)
+        catalogue = self.parts.catalogue
+        organisation = catalogue.get("organisation", work.organisation)
+        adapter = catalogue.get("adapter", work.model)
+        model = catalogue.get("model", adapter.model if adapter else work.model)
+        if model is None or organisation is None:
+            return self.refuse(Reason.UNKNOWN_MODEL, f"no model {work.model!r}")
+        if organisation.models and model.name not in organisation.models:
+            return self.refuse(Reason.FORBIDDEN, f"{model.name} is not allowed")
+        if adapter and adapter.name not in organisation.adapters:
+            return self.refuse(Reason.FORBIDDEN, f"{adapter.name} is not allowed")
+        if adapter:
+            work = attrs.evolve(work, adapter=adapter.name)
+        return self.measure(work, model)
+
+    def admit_service(self, work):
+        """Return a plain service's work, or a `Refusal`."""
+        catalogue = self.parts.catalogue
+        service = catalogue.get("service", work.service)
+        if service is None:
+            return self.refuse(Reason.UNKNOWN_SERVICE, f"no service {work.service!r}")
+        organisation = catalogue.get("organisation", work.organisation)
+        if organisation.services and service.name not in organisation.services:
+            return self.refuse(Reason.FORBIDDEN, f"{service.name} is not allowed")
+        idempotent = work.idempotent and work.method not in service.non_idempotent
+        fingerprint = self.fingerprint(work.prompt, f"{work.service}/{work.method}")
+        return attrs.evolve(work, idempotent=idempotent, fingerprint=fingerprint)
+
+    def refuse(self, reason, detail):
+        """Return a refusal of this step."""
+        peer = self.parts.settings.daemon.instance
+        return Refusal(reason, self.name, peer, detail)
+
+    def measure(self, work, model):
+        """Return the work with its length, class, blocks and fingerprint."""
+        length = self.parts.vocabulary.count(work.prompt)
+        wanted = work.max_tokens or min(DEFAULT_MAX_TOKENS, model.max_output_tokens)
+        wanted = min(wanted, model.max_output_tokens, model.context_tokens - length)
+        if wanted < 1:
+            detail = f"{length} tokens; {model.name} takes {model.context_tokens}"
+            return self.refuse(Reason.PROMPT_TOO_LONG, detail)
+        lengths = self.parts.settings.lengths
+        block_bytes = int(lengths.block * self.parts.settings.callers.token_bytes)
+        return attrs.evolve(
+            work,
+            model=model.name,
+            prompt_tokens=length,
+            max_tokens=wanted,
+            predicted_tokens=wanted,
+            length_class=classify(length, lengths),
+            blocks=chain_blocks(work.prompt, block_bytes, work.model + work.adapter),
+            fingerprint=self.fingerprint(work.prompt, model.name),
+        )
+
+    def fingerprint(self, prompt, scope):
+        """Return the hash that identifies the content, whoever sends it."""
+        return xxhash.xxh3_128_hexdigest(prompt, seed=FINGERPRINT_SEED) + scope
+
+
+def chain_blocks(prompt, size, scope):
+    """Return the chained 64-bit hashes of the prompt's full blocks of `size` bytes.
+
+    >>> first = chain_blocks(b"aabb", 2, "m")
+    >>> chain_blocks(b"aacc", 2, "m")[0] == first[0]
+    True
+    """
+    view = memoryview(prompt)
+    previous = xxhash.xxh3_64_intdigest(scope)
+    blocks = []
+    for start in range(0, len(prompt) - size + 1, size):
+        previous = xxhash.xxh3_64_intdigest(view[start : start + size], seed=previous)
+        blocks.append(previous)
+    return tuple(blocks)
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/entry/http/parse.py
@@ -0,0 +1,216 @@
+"""Turns an HTTP body and its headers into a typed request, or a refusal that says what is wrong."""
+
+import hashlib
+
+import attrs
+import msgspec
+
+from persimmonstall.failures import Reason, Refusal
+
+from ..request import CallerRequest
+
+STEP = "parse"
+DEADLINE_HEADER = "X-Persimmonstall-Deadline"
+IDEMPOTENT_HEADER = "X-Persimmonstall-Idempotent"
+KEY_HEADER = "Idempotency-Key"
+MAX_KEY_LENGTH = 200
+MAX_MODEL_LENGTH = 200
+
+
+@attrs.frozen
+class Part:
+    """A part of a message's content; only text is served."""
+
+    type: str
+    text: str = ""
+
+
+@attrs.frozen
+class Message:
+    """One chat message."""
+
+    role: str
+    content: str | list[Part] | None = None
+    name: str | None = None
+
+
+@attrs.frozen
+class StreamOptions:
+    """Options of a streamed answer."""
+
+    include_usage: bool = False
+
+
+@attrs.frozen
+class ChatBody:
+    """Body of `POST /v1/chat/completions`; other fields are ignored."""
+
+    model: str
+    messages: list[Message]
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool | None = False
+    stream_options: StreamOptions | None = None
+    n: int | None = 1
+
+
+@attrs.frozen
+class CompletionBody:
+    """Body of `POST /v1/completions`; other fields are ignored."""
+
+    model: str
+    prompt: str | list[str]
+    max_tokens: int | None = None
+    stream: bool | None = False
+    stream_options: StreamOptions | None = None
+    n: int | None = 1
+
+
+@attrs.frozen
+class Parsed:
+    """A caller's request and how it wants its answer."""
+
+    request: CallerRequest
+    stream: bool = False
+    include_usage: bool = False
+    chat: bool = True
+
+
+class BadRequest(ValueError):  # noqa: N818
+    """A caller's mistake; its text is told to the caller."""
+
+
+def refuse(detail, reason=Reason.BAD_REQUEST):
+    """Return the refusal of a malformed request."""
+    return Refusal(reason, STEP, "", detail)
+
+
+def secret_of(headers):
+    """Return the caller's key from the Authorization header, or an empty string."""
+    scheme, _, secret = headers.get("Authorization", "").partition(" ")
+    return secret.strip() if scheme.lower() == "bearer" else ""
+
+
+def deadline_of(headers):
+    """Return the seconds that the caller allows, 0 when it does not say."""
+    text = headers.get(DEADLINE_HEADER)
+    if text is None:
+        return 0.0
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = 0.0
+    if not 0.0 < seconds < float("inf"):
+        raise BadRequest(f"{DEADLINE_HEADER} must be a positive number of seconds")
+    return seconds
+
+
+def idempotent_of(headers):
+    """Return whether the work may be run more than once."""
+    text = headers.get(IDEMPOTENT_HEADER, "yes").strip().lower()
+    if text not in ("yes", "no", "true", "false"):
+        raise BadRequest(f"{IDEMPOTENT_HEADER} must be yes or no")
+    return text in ("yes", "true")
+
+
+def key_of(headers):
+    """Return the idempotency key, empty when there is none."""
+    key = headers.get(KEY_HEADER, "").strip()
+    if len(key) > MAX_KEY_LENGTH:
+        raise BadRequest(f"{KEY_HEADER} is longer than {MAX_KEY_LENGTH} characters")
+    return key
+
+
+def text_of(message):
+    """Return the text of one chat message."""
+    if message.content is None:
+        return ""
+    if isinstance(message.content, str):
+        return message.content
+    for part in message.content:
+        if part.type != "text":
+            raise BadRequest(f"content parts of type {part.type!r} are not served")
+    return "".join(part.text for part in message.content)
+
+
+def prompt_of(body):
+    """Return the prompt's bytes."""
+    if isinstance(body, ChatBody):
+        if not body.messages:
+            raise BadRequest("messages must not be empty")
+        lines = [f"{message.role}: {text_of(message)}" for message in body.messages]
+        return "\n".join(lines).encode()
+    if isinstance(body.prompt, list):
+        if len(body.prompt) != 1:
+            raise BadRequest("exactly one prompt is served at a time")
+        return body.prompt[0].encode()
+    return body.prompt.encode()
+
+
+def limit_of(body):
+    """Return the most output tokens asked for, 0 when the caller does not say."""
+    wanted = body.max_tokens
+    if isinstance(body, ChatBody) and body.max_completion_tokens is not None:
+        wanted = body.max_completion_tokens
+    if wanted is None:
+        return 0
+    if wanted < 1:
+        raise BadRequest("max_tokens must be at least 1")
+    return wanted
+
+
+def parse_generation(kind, data, headers, request_id, now):
+    """Return the `Parsed` request of a `ChatBody` or `CompletionBody`, or a `Refusal`."""
+    try:
+        body = msgspec.json.decode(data, type=kind)
+        return generation_of(body, data, headers, request_id, now)
+    except (msgspec.ValidationError, msgspec.DecodeError, UnicodeError) as error:
+        return refuse(f"the body is not valid: {error}")
+    except BadRequest as error:
+        return refuse(str(error))
+
+
+def generation_of(body, data, headers, request_id, now):
+    """Return the `Parsed` request of a decoded body; raises `BadRequest`."""
+    if not body.model or len(body.model) > MAX_MODEL_LENGTH:
+        raise BadRequest("model must be a name")
+    if body.n not in (None, 1):
+        raise BadRequest("n must be 1")
+    prompt = prompt_of(body)
+    if not prompt:
+        raise BadRequest("the prompt must not be empty")
+    request = CallerRequest(
+        request_id=request_id,
+        secret=secret_of(headers),
+        prompt=prompt,
+        body_hash=hashlib.sha256(data).hexdigest(),
+        arrived=now,
+        model=body.model,
+        max_tokens=limit_of(body),
+        deadline=deadline_of(headers),
+        idempotent=idempotent_of(headers),
+        key=key_of(headers),
+    )
+    options = body.stream_options or StreamOptions()
+    return Parsed(request, bool(body.stream), options.include_usage, isinstance(body, ChatBody))
+
+
+def parse_service(service, method, data, headers, request_id, now):
+    """Return the `Parsed` call of a plain service, or a `Refusal`."""
+    try:
+        request = CallerRequest(
+            request_id=request_id,
+            secret=secret_of(headers),
+            prompt=data,
+            body_hash=hashlib.sha256(method.encode() + b"\0" + data).hexdigest(),
+            arrived=now,
+            deadline=deadline_of(headers),
+            service=service,
+            method=method,
+            content_type=headers.get("Content-Type", "application/json"),
+            idempotent=idempotent_of(headers),
+            key=key_of(headers),
+        )
+    except BadRequest as error:
+        return refuse(str(error))
+    return Parsed(request)
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/entry/pipeline.py
@@ -0,0 +1,49 @@
+"""The way of a request: each filter in order, then dispatch, then settling in reverse."""
+
+import asyncio
+
+import attrs
+
+from persimmonstall.failures import Failure, Outcome, Reason, Refusal
+
+from .filters.authenticate import Authenticate
+from .filters.classify import Classify
+
+
+def make_filters(parts):
+    """Return the filters of a request in the order they run; `parts` is the entry daemon."""
+    return (
+        Authenticate(parts),
+        Classify(parts),
+    )
+
+
+@attrs.define
+class Pipeline:
+    """Runs requests through `filters` and then through `dispatch`."""
+
+    filters: tuple
+    dispatch: object
+
+    async def serve(self, request, sink):
+        """Return the `Answer` or the `Refusal` of one request."""
+        passed = []
+        try:
+            for step in self.filters:
+                result = await step.admit(request)
+                if isinstance(result, Failure):
+                    return await self.settle(passed, result)
+                passed.append((step, result))
+                request = result
+            outcome = await self.dispatch.run(request, sink)
+        except asyncio.CancelledError:
+            gone = Refusal(Reason.CANCELLED, "caller", outcome=Outcome.UNKNOWN)
+            await asyncio.shield(self.settle(passed, gone))
+            raise
+        return await self.settle(passed, outcome)
+
+    async def settle(self, passed, outcome):
+        """Settle the filters that were passed, last one first."""
+        for step, admitted in reversed(passed):
+            outcome = await step.settle(admitted, outcome)
+        return outcome
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/network/__init__.py
@@ -0,0 +1,5 @@
+"""Links between daemons over gRPC."""
+
+from .grpc_network import GrpcNetwork
+
+__all__ = ["GrpcNetwork"]
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/network/grpc_link.py
@@ -0,0 +1,116 @@
+"""One link: a bidirectional gRPC stream of MessagePack frames, several frames a write."""
+
+import asyncio
+
+import grpc
+import msgspec
+
+from persimmonstall.failures import Failure, Reason
+from persimmonstall.messages.codec import decode, encode
+from persimmonstall.outside.link import Link
+
+STEP = "link"
+BATCH_BYTES = 1_048_576
+"""Size in bytes after which a write is sent without waiting for more frames."""
+
+BATCH = msgspec.msgpack.Decoder(list[msgspec.Raw])
+JOIN = msgspec.msgpack.Encoder()
+CLOSED = object()
+
+
+def join(frames):
+    """Return one gRPC message that holds `frames`."""
+    return JOIN.encode([msgspec.Raw(frame) for frame in frames])
+
+
+class GrpcLink(Link):
+    """A link over `call`, which has async `read` and `write` of bytes.
+
+    A writer task owns the sending side; `received_bytes` and `sent_bytes` count the payload.
+    """
+
+    def __init__(self, call, peer, on_close=None):
+        self.call = call
+        self.peer = peer
+        self.on_close = on_close
+        self.outgoing = asyncio.Queue()
+        self.incoming = []
+        self.closed = asyncio.Event()
+        self.dropped = 0
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.writer = asyncio.create_task(self.write())
+
+    def send(self, message):
+        """Queue `message`; False once the link is closed."""
+        if self.closed.is_set():
+            return False
+        self.outgoing.put_nowait(message)
+        return True
+
+    async def write(self):
+        """Send queued messages until the link is closed."""
+        try:
+            while True:
+                message = await self.outgoing.get()
+                data = join(self.gather(message))
+                self.sent_bytes += len(data)
+                await self.call.write(data)
+        except (grpc.RpcError, asyncio.InvalidStateError):
+            self.closed.set()
+
+    def gather(self, message):
+        """Return the frames of `message` and of what else is queued, up to a size."""
+        frames = [encode(message)]
+        size = len(frames[0])
+        while size < BATCH_BYTES and not self.outgoing.empty():
+            frames.append(encode(self.outgoing.get_nowait()))
+            size += len(frames[-1])
+        return frames
+
+    async def receive(self):
+        """Return the next message, or a `Failure` once the link is closed."""
+        while not self.incoming:
+            if self.closed.is_set():
+                return self.lost("closed")
+            data = await self.read()
+            if data is None:
+                self.closed.set()
+                return self.lost("ended by the peer")
+            self.received_bytes += len(data)
+            self.unpack(data)
+        return self.incoming.pop()
+
+    async def read(self):
+        """Return the next gRPC message, None at the end of the stream."""
+        try:
+            data = await self.call.read()
+        except (grpc.RpcError, asyncio.InvalidStateError):
+            return None
+        return data if isinstance(data, bytes) else None
+
+    def unpack(self, data):
+        """Decode the frames of one gRPC message, dropping those that are malformed."""
+        try:
+            frames = BATCH.decode(data)
+        except msgspec.MsgspecError:
+            self.dropped += 1
+            return
+        for frame in reversed(frames):
+            message = decode(frame)
+            if isinstance(message, Failure):
+                self.dropped += 1
+            else:
+                self.incoming.append(message)
+
+    def lost(self, detail):
+        """Return the failure that ends the stream of messages."""
+        return Failure(Reason.PEER_LOST, STEP, self.peer, detail)
+
+    async def close(self):
+        """Close the link; closing twice is harmless."""
+        self.closed.set()
+        self.writer.cancel()
+        if self.on_close:
+            on_close, self.on_close = self.on_close, None
+            await on_close()
