In-memory stand-ins of the platform and the back ends; virtual time and links

Cause: the daemons need systems around them that can be late, lost or lagging, in one process under virtual time as well as behind real sockets.

--- /dev/null
+++ b/packages/standins/persimmonstall_standins/engine.py
@@ -0,0 +1,588 @@
+"""Stand-in model engine: continuous batching with limited KV memory.
+
+One timer drives the batch steps, so that an idle engine costs nothing.  The cost model is in
+`EngineSettings`, the faults in `EngineFaults` and in `die`, `freeze` and `silence_steps`.
+"""
+
+import asyncio
+import weakref
+from collections import deque
+from random import Random
+
+from persimmonstall.failures import Failure, Reason
+from persimmonstall.outside.engine import (
+    CacheEvent,
+    Engine,
+    EngineLoad,
+    Finish,
+    JobKind,
+    JobState,
+    Output,
+    Step,
+)
+
+from .engine_orders import Artifacts
+from .engine_state import EngineFaults, EngineSettings, Export, LogEntry, Phase, Run, Stream
+from .output import natural_length, seed_of, token_at
+from .prefix_cache import PrefixCache
+
+
+class EngineModel(Engine):
+    """A model engine in memory; `speed` divides all of its times.
+
+    `fetch(artifact)` is awaited before a model or adapter is loaded and returns True or a
+    `Failure`.  `segment_alive(ref)` tells whether another engine still holds a `SegmentRef`.
+    """
+
+    def __init__(self, name, settings=None, faults=None, speed=1.0, fetch=None):
+        self.name = name
+        self.settings = settings or EngineSettings()
+        self.faults = faults or EngineFaults()
+        self.speed = speed
+        self.segment_alive = lambda ref: True
+        self.random = Random(f"{self.settings.seed}/{name}")
+        self.log = []
+        self.life = 0
+        self.dead = False
+        self.frozen = False
+        self.deferred = []
+        self.step_streams = weakref.WeakSet()
+        self.event_streams = weakref.WeakSet()
+        self.arrivals = 0
+        self.tickets = 0
+        self.steps_run = 0
+        self.artifacts = Artifacts(self, fetch)
+        self.clear()
+
+    def clear(self):
+        """Forget everything that a process keeps in memory."""
+        self.runs = {}
+        self.prefilling = []
+        self.decoding = {}
+        self.exports = {}
+        self.cache = PrefixCache()
+        self.used = 0
+        self.sequence = 0
+        self.event_sequence = 0
+        self.events_due = False
+        self.timer = None
+        self.overdue = False
+        self.plan = []
+        self.step_seconds = 0.0
+        self.loads = deque()
+        self.artifacts.reset()
+
+    # Calls.
+
+    async def submit(self, job, timeout):
+        """Start `Job`: True, or a `Failure`."""
+        return await self.answer("submit", lambda: self.submit_now(job), timeout)
+
+    async def cancel(self, job_id, timeout):
+        """Stop a job and free its memory.  True or a `Failure`."""
+        return await self.answer("cancel", lambda: self.cancel_now(job_id), timeout)
+
+    async def set_priority(self, job_id, priority, timeout):
+        """Change a job's priority.  True or a `Failure`."""
+        return await self.answer(
+            "set_priority", lambda: self.set_priority_now(job_id, priority), timeout
+        )
+
+    async def park(self, job_id, timeout):
+        """Export a job's KV cache to host memory: the ticket or a `Failure`."""
+        export = await self.answer("park", lambda: self.park_now(job_id), timeout)
+        if not export:
+            return export
+        seconds = self.copy_seconds(export.run)
+        if seconds > timeout:
+            await asyncio.sleep(timeout)
+            return self.failure("park", "timeout")
+        await asyncio.sleep(seconds)
+        return export.ticket
+
+    async def resume(self, ticket, job, timeout):
+        """Import a parked job's KV cache and go on as `job`: True or a `Failure`."""
+        return await self.answer("resume", lambda: self.resume_now(ticket, job), timeout)
+
+    async def discard(self, ticket, timeout):
+        """Delete an export.  True or a `Failure`."""
+        return await self.answer("discard", lambda: self.discard_now(ticket), timeout)
+
+    def steps(self):
+        """Return an async iterator of `Step` from now on."""
+        return self.open_stream(self.step_streams)
+
+    def cache_events(self):
+        """Return an async iterator of `CacheEvent` from now on."""
+        return self.open_stream(self.event_streams)
+
+    async def jobs(self, timeout):
+        """Return the tuple of `JobState` of all that holds memory, or a `Failure`.
+
+        A parked job is listed under its ticket.
+        """
+        return await self.answer("jobs", self.jobs_now, timeout)
+
+    async def load(self, timeout):
+        """Return the lagging `EngineLoad` or a `Failure`."""
+        return await self.answer("load", self.lagging_load, timeout)
+
+    async def order(self, order, timeout):
+        """Carry out `Order`: True or a `Failure`; loading goes on after a time-out."""
+        done = await self.answer("order", lambda: self.artifacts.begin(order), timeout)
+        if not isinstance(done, asyncio.Future):
+            return done
+        await asyncio.wait([done], timeout=timeout)
+        return done.result() if done.done() else self.failure("order", "timeout")
+
+    async def answer(self, step, effect, timeout):
+        """Return the result of the function `effect` under the present faults."""
+        if self.dead:
+            return self.failure(step, "not connected")
+        await asyncio.sleep(self.real(self.settings.latency))
+        if self.dead:
+            return self.failure(step, "not connected")
+        if self.frozen:
+            return await self.answer_after_thaw(step, effect, timeout)
+        result = effect()
+        if not self.faults.lose_answers:
+            return result
+        await asyncio.sleep(timeout)
+        return self.failure(step, "timeout")
+
+    async def answer_after_thaw(self, step, effect, timeout):
+        """Wait for a thaw; past `timeout` the effect comes without an answer."""
+        answer = asyncio.get_running_loop().create_future()
+        self.deferred.append((effect, answer))
+        await asyncio.wait([answer], timeout=timeout)
+        return answer.result() if answer.done() else self.failure(step, "timeout")
+
+    def failure(self, step, detail, reason=Reason.ENDPOINT_LOST):
+        """Return a `Failure` of this engine."""
+        return Failure(reason, step, self.name, detail)
+
+    def open_stream(self, streams):
+        """Return a new `Stream` that is fed until the engine dies."""
+        stream = Stream()
+        if self.dead:
+            stream.end()
+        else:
+            streams.add(stream)
+        return stream
+
+    # Effects of calls.
+
+    def submit_now(self, job):
+        """Admit a job or refuse it."""
+        if job.job_id in self.runs:
+            return True
+        if not self.artifacts.serves(job):
+            return self.failure("submit", job.model, Reason.UNKNOWN_MODEL)
+        if len(self.runs) >= self.settings.max_jobs:
+            return self.failure("submit", "batch full", Reason.BUSY)
+        run = self.new_run(job)
+        if self.used + max(run.memory, job.reserved_tokens) > self.settings.memory:
+            return self.failure("submit", "memory full", Reason.NO_MEMORY)
+        self.note("started", run)
+        self.hold(run)
+        self.look_up_prefix(run)
+        self.prefilling.append(run)
+        self.prefilling.sort(key=Run.order)
+        self.arm()
+        return True
+
+    def new_run(self, job):
+        """Return the `Run` of a job that starts from its prompt."""
+        seed = seed_of(job.model, job.adapter, job.prompt)
+        natural = natural_length(seed)
+        segment = job.kind is JobKind.SEGMENT
+        covered = max((ref.end for ref in job.segments), default=0)
+        start = job.start if segment else covered
+        end = job.end if segment else job.prompt_tokens + job.resume_from
+        self.arrivals += 1
+        return Run(
+            job=job,
+            seed=seed,
+            length=min(natural, job.max_tokens),
+            stops=natural <= job.max_tokens,
+            arrival=self.arrivals,
+            born=self.now(),
+            priority=job.priority,
+            position=start,
+            prefill_end=end,
+            generated=job.resume_from,
+            memory=end - start,
+            chunk=job.chunk_tokens or self.settings.chunk_tokens,
+            crashes=self.settings.crash_marker in job.prompt,
+        )
+
+    def look_up_prefix(self, run):
+        """Skip the prefill of what the prefix cache holds; the last token is always run."""
+        if run.job.kind is JobKind.SEGMENT or run.job.segments:
+            return
+        cached = self.cache.matched(run.job.blocks) * self.settings.block
+        run.cached = max(0, min(cached, run.job.prompt_tokens - 1))
+        run.position = run.cached
+
+    def cancel_now(self, job_id):
+        """Free a job unless the fault switch drops the cancel."""
+        if self.faults.drop_cancel:
+            return True
+        run = self.runs.get(job_id)
+        if run:
+            self.publish([self.finish(run, Finish.CANCELLED)])
+        return True
+
+    def set_priority_now(self, job_id, priority):
+        """Change the priority of a job that is still here."""
+        run = self.runs.get(job_id)
+        if not run:
+            return self.failure("set_priority", job_id, Reason.NOT_FOUND)
+        run.priority = priority
+        self.prefilling.sort(key=Run.order)
+        return True
+
+    def park_now(self, job_id):
+        """Begin the export of a job; its memory moves to the host's."""
+        run = self.runs.get(job_id)
+        if not run or run.phase is Phase.IMPORTING:
+            return self.failure("park", job_id, Reason.NOT_FOUND)
+        parked = sum(export.run.memory for export in self.exports.values())
+        if parked + run.memory > self.settings.host_memory:
+            return self.failure("park", "host memory full", Reason.NO_MEMORY)
+        self.publish([self.finish(run, Finish.PARKED)])
+        self.tickets += 1
+        export = Export(f"{self.name}/export-{self.tickets}", run, self.now())
+        self.exports[export.ticket] = export
+        self.later(self.copy_seconds(run), self.exported, export)
+        return export
+
+    def exported(self, export):
+        """Mark an export as whole."""
+        export.ready = True
+
+    def resume_now(self, ticket, job):
+        """Begin the import of an export into the memory of a new job."""
+        export = self.exports.get(ticket)
+        if not export or not export.ready:
+            return self.failure("resume", ticket, Reason.NOT_FOUND)
+        if job.job_id in self.runs:
+            return True
+        run = self.new_run(job)
+        run.position = export.run.position
+        run.memory = export.run.memory
+        if self.used + max(run.memory, job.reserved_tokens) > self.settings.memory:
+            return self.failure("resume", "memory full", Reason.NO_MEMORY)
+        run.phase = Phase.IMPORTING
+        self.note("started", run)
+        self.hold(run)
+        if not self.faults.stall_imports:
+            self.later(self.copy_seconds(run), self.imported, run, ticket)
+        return True
+
+    def imported(self, run, ticket):
+        """Go on with a job whose KV cache has arrived."""
+        if self.runs.get(run.job.job_id) is not run:
+            return
+        self.exports.pop(ticket, None)
+        if run.position < run.prefill_end:
+            run.phase = Phase.PREFILL
+            self.prefilling.append(run)
+            self.prefilling.sort(key=Run.order)
+        else:
+            run.phase = Phase.DECODE
+            self.decoding[run.job.job_id] = run
+        self.arm()
+
+    def discard_now(self, ticket):
+        """Delete an export if it is still here."""
+        self.exports.pop(ticket, None)
+        return True
+
+    def jobs_now(self):
+        """Return the list of all that holds engine or host memory."""
+        now = self.now()
+        running = [
+            JobState(name, run.job.owner, run.kind(), run.memory, now - run.born)
+            for name, run in self.runs.items()
+        ]
+        parked = [
+            JobState(name, held.run.job.owner, held.kind(), held.run.memory, now - held.born)
+            for name, held in self.exports.items()
+        ]
+        return tuple(running + parked)
+
+    # Memory.
+
+    def hold(self, run):
+        """Enter a job and its memory."""
+        self.runs[run.job.job_id] = run
+        self.used += run.memory
+        self.trim_cache()
+
+    def finish(self, run, reason, tokens=()):
+        """Remove a job, free its memory and return its last `Output`."""
+        name = run.job.job_id
+        del self.runs[name]
+        self.decoding.pop(name, None)
+        if run in self.prefilling:
+            self.prefilling.remove(run)
+        self.used -= run.memory
+        if run.pinned:
+            self.cache.unpin(run.job.blocks)
+            run.pinned = False
+            self.trim_cache()
+        self.note("finished", run, reason.value)
+        if not self.runs:
+            self.keep_load(force=True)
+        return Output(name, run.generated - len(tokens), tokens, reason, run.cached)
+
+    def trim_cache(self):
+        """Evict cached blocks that no longer fit beside the jobs."""
+        self.cache.trim((self.settings.memory - self.used) // self.settings.block)
+        self.schedule_events()
+
+    def relieve(self, outputs):
+        """End jobs of the lowest priority while the memory is overdrawn."""
+        while self.used > self.settings.memory:
+            victim = max(self.runs.values(), key=Run.order)
+            outputs.append(self.finish(victim, Finish.OUT_OF_MEMORY))
+
+    # Batch steps.
+
+    def arm(self):
+        """Plan the next step and set its timer, if there is work and no step under way."""
+        if self.timer or self.overdue or not (self.prefilling or self.decoding):
+            return
+        self.plan = self.plan_prefill()
+        if any(run.crashes for run, _ in self.plan):
+            self.note("crashed", self.plan[0][0])
+            self.die()
+            return
+        seconds = self.real(self.step_time() * self.faults.slow)
+        recent = self.step_seconds or seconds
+        self.step_seconds = 0.8 * recent + 0.2 * seconds
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(seconds, self.end_step)
+
+    def plan_prefill(self):
+        """Return the (run, tokens) pairs to prefill, by priority and arrival."""
+        left = self.settings.prefill_budget
+        plan = []
+        for run in self.prefilling:
+            if left <= 0:
+                break
+            take = min(run.chunk, run.prefill_end - run.position, left)
+            plan.append((run, take))
+            left -= take
+        return plan
+
+    def step_time(self):
+        """Return the modelled duration of the planned step in seconds."""
+        settings = self.settings
+        seconds = settings.base_step + settings.stream_step * len(self.decoding)
+        seconds *= settings.tokens_per_step
+        for run, take in self.plan:
+            attention = settings.attention_cost * take * (run.position + take / 2)
+            seconds += take / settings.prefill_rate + attention
+        remote = sum(len(run.job.segments) for run in self.decoding.values() if run.job.segments)
+        return seconds + remote * settings.segment_step
+
+    def end_step(self):
+        """Carry out the step that has just passed and begin the next one."""
+        self.timer = None
+        if self.frozen:
+            self.overdue = True
+            return
+        self.steps_run += 1
+        outputs = self.decode()
+        self.prefill(outputs)
+        if self.used > self.settings.memory:
+            self.relieve(outputs)
+        self.publish(outputs)
+        self.keep_load()
+        self.arm()
+
+    def decode(self):
+        """Return the outputs of the streams in the batch."""
+        outputs = []
+        for run in tuple(self.decoding.values()):
+            if run.job.segments and not all(map(self.segment_alive, run.job.segments)):
+                outputs.append(self.finish(run, Finish.REJECTED))
+            else:
+                outputs.append(self.generate(run))
+        return outputs
+
+    def generate(self, run):
+        """Return the next tokens of one stream, ending it at its length."""
+        offset = run.generated
+        count = max(0, min(self.settings.tokens_per_step, run.length - offset))
+        seed = run.seed
+        tokens = tuple(token_at(seed, k) for k in range(offset, offset + count))
+        run.generated = offset + count
+        run.memory += count
+        self.used += count
+        if run.generated >= run.length:
+            return self.finish(run, Finish.STOP if run.stops else Finish.LENGTH, tokens)
+        return Output(run.job.job_id, offset, tokens, Finish.NONE, run.cached)
+
+    def prefill(self, outputs):
+        """Advance the planned prefills; a finished one gives its first token or is held."""
+        for run, take in self.plan:
+            if self.runs.get(run.job.job_id) is not run:
+                continue
+            run.position += take
+            if run.position >= run.prefill_end:
+                outputs.append(self.end_prefill(run))
+        self.plan = []
+
+    def end_prefill(self, run):
+        """Return the first output after a whole prefill."""
+        self.prefilling.remove(run)
+        if run.job.kind is JobKind.SEGMENT:
+            run.phase = Phase.HELD
+            return Output(run.job.job_id, 0, (), Finish.PREFILLED)
+        if run.job.blocks and not run.job.segments:
+            self.cache.pin(run.job.blocks)
+            run.pinned = True
+            self.schedule_events()
+        run.phase = Phase.DECODE
+        self.decoding[run.job.job_id] = run
+        return self.generate(run)
+
+    def publish(self, outputs):
+        """Deliver one step to every open iterator."""
+        self.sequence += 1
+        if not self.step_streams:
+            return
+        step = Step(self.sequence, tuple(outputs), self.lagging_load())
+        for stream in self.step_streams:
+            stream.put(step)
+
+    # Load and cache events.
+
+    def keep_load(self, force=False):
+        """Remember the present load for lagging reports."""
+        now = self.now()
+        period = self.real(self.settings.load_period)
+        if not force and self.loads and now - self.loads[-1][0] < period:
+            return
+        self.loads.append((now, self.present_load()))
+        oldest = now - self.real(self.settings.load_lag)
+        while len(self.loads) > 1 and self.loads[1][0] <= oldest:
+            self.loads.popleft()
+
+    def present_load(self):
+        """Return the load as it is now."""
+        seconds = self.step_seconds
+        streams = len(self.decoding)
+        return EngineLoad(
+            running=streams,
+            waiting=len(self.prefilling),
+            memory_used=self.used,
+            memory_total=self.settings.memory,
+            prefill_backlog=sum(run.prefill_end - run.position for run in self.prefilling),
+            step_seconds=seconds,
+            models=self.artifacts.model_names(),
+            adapters=self.artifacts.adapter_names(),
+            role=self.artifacts.role,
+            tokens_per_second=streams * self.settings.tokens_per_step / seconds if seconds else 0,
+        )
+
+    def lagging_load(self):
+        """Return the newest load that is at least as old as the lag, else the oldest kept."""
+        if not self.loads:
+            self.keep_load(force=True)
+        oldest = self.now() - self.real(self.settings.load_lag)
+        while len(self.loads) > 1 and self.loads[1][0] <= oldest:
+            self.loads.popleft()
+        return self.loads[0][1]
+
+    def schedule_events(self):
+        """Publish the changes of the prefix cache after their lag."""
+        if self.events_due or not (self.cache.added or self.cache.removed):
+            return
+        self.events_due = True
+        self.later(self.settings.event_lag, self.publish_events)
+
+    def publish_events(self):
+        """Deliver one cache event, or lose it and leave a gap."""
+        self.events_due = False
+        added, removed = self.cache.take_changes()
+        self.event_sequence += 1
+        if self.random.random() < self.settings.event_loss:
+            return
+        event = CacheEvent(self.event_sequence, added, removed)
+        for stream in self.event_streams:
+            stream.put(event)
+
+    # Faults.
+
+    def die(self):
+        """Lose all memory and connections, as when the process is killed."""
+        self.dead = True
+        self.life += 1
+        self.frozen = False
+        if self.timer:
+            self.timer.cancel()
+        for stream in [*self.step_streams, *self.event_streams]:
+            stream.end()
+        self.step_streams.clear()
+        self.event_streams.clear()
+        self.deferred.clear()
+        self.clear()
+
+    def restart(self):
+        """Come back empty after `die`."""
+        if not self.dead:
+            self.die()
+        self.dead = False
+
+    def freeze(self):
+        """Stop making steps and answering; connections stay open."""
+        self.frozen = True
+
+    def thaw(self):
+        """Go on after `freeze`, first with the calls that came meanwhile."""
+        self.frozen = False
+        deferred, self.deferred = self.deferred, []
+        for effect, answer in deferred:
+            result = effect()
+            if not answer.done():
+                answer.set_result(result)
+        if self.overdue:
+            self.overdue = False
+            self.end_step()
+
+    def silence_steps(self):
+        """Make the open iterators silent for good; new ones work."""
+        for stream in [*self.step_streams, *self.event_streams]:
+            stream.muted = True
+
+    # Helpers.
+
+    def now(self):
+        """Return the event loop's time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def real(self, seconds):
+        """Return the event loop's seconds for modelled `seconds`."""
+        return seconds / self.speed
+
+    def copy_seconds(self, run):
+        """Return the loop's seconds that a copy of a job's KV cache takes."""
+        return self.real(run.memory / self.settings.copy_rate)
+
+    def later(self, seconds, action, *arguments):
+        """Call `action` after modelled `seconds` unless the engine has died meanwhile."""
+        life = self.life
+
+        def act():
+            if self.life == life:
+                action(*arguments)
+
+        asyncio.get_running_loop().call_later(self.real(seconds), act)
+
+    def note(self, event, run, detail=""):
+        """Add a line about a job to the log."""
+        self.log.append(LogEntry(self.now(), event, run.job.job_id, run.seed, detail))
--- /dev/null
+++ b/packages/standins/persimmonstall_standins/engine_orders.py
@@ -0,0 +1,121 @@
+"""Models, adapters and role of the stand-in engine, and the orders that change them."""
+
+import asyncio
+
+from persimmonstall.failures import Reason
+from persimmonstall.outside.engine import Finish, OrderAction
+
+from .engine_state import LogEntry
+
+START_VERSION = "1"
+"""Version of the models and adapters that an engine starts with."""
+
+
+class Artifacts:
+    """What one engine has loaded: sets of (name, version) pairs.
+
+    The load report lists each as "name" and as "name@version".
+    """
+
+    def __init__(self, engine, fetch=None):
+        self.engine = engine
+        self.fetch = fetch
+        self.fence = 0
+        self.loading = {}
+        self.models = set()
+        self.adapters = set()
+        self.role = "mixed"
+
+    def reset(self):
+        """Go back to the state after a start; loads under way are lost."""
+        settings = self.engine.settings
+        for task in self.loading.values():
+            task.cancel()
+        self.loading = {}
+        self.fence = 0
+        self.models = {(name, START_VERSION) for name in settings.models}
+        self.adapters = {(name, START_VERSION) for name in settings.adapters}
+        self.role = "mixed"
+
+    def serves(self, job):
+        """Whether the engine can run `job` with what is loaded."""
+        if not self.engine.settings.models and not self.models:
+            return True
+        if job.adapter and not any(name == job.adapter for name, _ in self.adapters):
+            return False
+        if job.version:
+            return (job.model, job.version) in self.models
+        return any(name == job.model for name, _ in self.models)
+
+    def model_names(self):
+        """Return the names of the loaded models, as reported."""
+        return listed(self.models)
+
+    def adapter_names(self):
+        """Return the names of the loaded adapters, as reported."""
+        return listed(self.adapters)
+
+    def begin(self, order):
+        """Start an order: True, a `Failure`, or the task that carries it out."""
+        engine = self.engine
+        if engine.settings.check_fence and order.fence < self.fence:
+            return engine.failure("order", f"fence {order.fence}", Reason.STALE_FENCE)
+        self.fence = max(self.fence, order.fence)
+        detail = f"{order.action} {order.name}@{order.version} fence {order.fence}"
+        engine.log.append(LogEntry(engine.now(), "ordered", detail=detail))
+        if order.action is OrderAction.SET_ROLE:
+            self.role = order.name
+            engine.keep_load(force=True)
+            return True
+        artifact = (order.name, order.version)
+        if order.action is OrderAction.LOAD_MODEL:
+            return self.begin_load(self.models, artifact, engine.settings.model_load)
+        if order.action is OrderAction.LOAD_ADAPTER:
+            return self.begin_load(self.adapters, artifact, engine.settings.adapter_load)
+        return self.unload(order.action, artifact)
+
+    def begin_load(self, loaded, artifact, seconds):
+        """Return True if `artifact` is loaded, else the task that loads it."""
+        if artifact in loaded:
+            return True
+        task = self.loading.get(artifact)
+        if not task:
+            work = self.load(loaded, artifact, seconds)
+            task = asyncio.get_running_loop().create_task(work)
+            self.loading[artifact] = task
+        return task
+
+    async def load(self, loaded, artifact, seconds):
+        """Fetch the weights and load them."""
+        try:
+            if self.fetch:
+                fetched = await self.fetch("@".join(artifact))
+                if not fetched:
+                    return fetched
+            await asyncio.sleep(self.engine.real(seconds))
+            loaded.add(artifact)
+            self.engine.keep_load(force=True)
+            return True
+        finally:
+            self.loading.pop(artifact, None)
+
+    def unload(self, action, artifact):
+        """Unload an artifact and end the jobs that needed it."""
+        engine = self.engine
+        loaded = self.models if action is OrderAction.UNLOAD_MODEL else self.adapters
+        loaded.discard(artifact)
+        orphans = [run for run in engine.runs.values() if not self.serves(run.job)]
+        if orphans:
+            engine.publish([engine.finish(run, Finish.CANCELLED) for run in orphans])
+        engine.keep_load(force=True)
+        return True
+
+
+def listed(artifacts):
+    """Return the reported names of (name, version) pairs.
+
+    >>> listed({("chat", "2")})
+    ('chat', 'chat@2')
+    """
+    names = {name for name, _ in artifacts}
+    return tuple(sorted(names | {f"{name}@{version}" for name, version in artifacts}))
--- /dev/null
+++ b/packages/standins/persimmonstall_standins/engine_state.py
@@ -0,0 +1,167 @@
+"""Settings, faults and records of the stand-in engine.
+
+Lengths and memory are in tokens, times in seconds of the modelled engine.
+"""
+
+import asyncio
+import enum
+
+import attrs
+from persimmonstall.outside.engine import JobKind
+
+
+@attrs.define
+class EngineSettings:
+    """Cost model and limits of one engine.
+
+    Prefill of positions [a, b) costs (b - a) / prefill_rate + attention_cost (b² - a²) / 2;
+    with the defaults 400,000 tokens cost 60% more than linear.  An empty `models` accepts any.
+    A step decodes `tokens_per_step` tokens of each stream.
+    """
+
+    memory: int = 400_000
+    host_memory: int = 1_200_000
+    base_step: float = 0.015
+    stream_step: float = 0.00015
+    segment_step: float = 0.002
+    prefill_rate: float = 40_000.0
+    attention_cost: float = 7.5e-11
+    prefill_budget: int = 2048
+    chunk_tokens: int = 1024
+    tokens_per_step: int = 1
+    max_jobs: int = 512
+    copy_rate: float = 1_000_000.0
+    block: int = 1024
+    latency: float = 0.0005
+    load_lag: float = 0.5
+    load_period: float = 0.1
+    event_lag: float = 1.0
+    event_loss: float = 0.02
+    models: tuple = ()
+    adapters: tuple = ()
+    model_load: float = 5.0
+    adapter_load: float = 1.0
+    check_fence: bool = True
+    crash_marker: bytes = b"CRASH-ENGINE"
+    seed: int = 1
+
+
+@attrs.define
+class EngineFaults:
+    """Switches that can be changed while the engine runs.
+
+    `slow` multiplies the time of a step; `drop_cancel` acknowledges cancels and ignores them;
+    `stall_imports` never completes an import; `lose_answers` carries calls out and lets them
+    time out.
+    """
+
+    slow: float = 1.0
+    drop_cancel: bool = False
+    stall_imports: bool = False
+    lose_answers: bool = False
+
+
+class Phase(enum.Enum):
+    """What a job does."""
+
+    IMPORTING = "importing"
+    PREFILL = "prefill"
+    DECODE = "decode"
+    HELD = "held"
+
+
+@attrs.define(eq=False)
+class Run:
+    """A job on the engine.
+
+    `position` is the next prompt position to prefill, up to `prefill_end`; `generated` is the
+    offset of the next output token; the answer ends at `length`, by itself if `stops`.
+    """
+
+    job: object
+    seed: int
+    length: int
+    stops: bool
+    arrival: int
+    born: float
+    priority: int
+    position: int
+    prefill_end: int
+    generated: int
+    memory: int
+    chunk: int
+    crashes: bool = False
+    phase: Phase = Phase.PREFILL
+    cached: int = 0
+    pinned: bool = False
+
+    def order(self):
+        """Return the sort key of the prefill queue."""
+        return self.priority, self.arrival
+
+    def kind(self):
+        """Return the `JobKind` under which the engine lists this job."""
+        return JobKind.IMPORT if self.phase is Phase.IMPORTING else self.job.kind
+
+
+@attrs.define
+class Export:
+    """KV cache of a parked job in host memory; `ready` once it is whole."""
+
+    ticket: str
+    run: Run
+    born: float
+    ready: bool = False
+
+    def kind(self):
+        """Return the `JobKind` under which the engine lists this export."""
+        return JobKind.PARKED if self.ready else JobKind.EXPORT
+
+
+@attrs.frozen
+class LogEntry:
+    """One line of the engine's own log: "started" or "finished" work, orders and crashes.
+
+    `content` is the seed of the answer, equal for equal model, adapter and prompt.
+    """
+
+    at: float
+    event: str
+    job_id: str = ""
+    content: int = 0
+    detail: str = ""
+
+
+class Stream:
+    """An open iterator of steps or cache events; a muted one receives nothing more."""
+
+    def __init__(self):
+        self.queue = asyncio.Queue()
+        self.muted = False
+        self.ended = False
+
+    def put(self, item):
+        """Deliver `item` unless the connection has gone silent."""
+        if not self.muted:
+            self.queue.put_nowait(item)
+
+    def end(self):
+        """End the iteration, as when the connection is reset."""
+        self.ended = True
+        self.queue.put_nowait(None)
+
+    def __aiter__(self):
+        return self
+
+    async def __anext__(self):
+        if self.ended and self.queue.empty():
+            raise StopAsyncIteration
+        item = await self.queue.get()
+        if item is None:
+            raise StopAsyncIteration
+        return item
+
+    async def aclose(self):
+        """Close the iterator."""
+        self.muted = True
+        self.end()
--- /dev/null
+++ b/packages/standins/persimmonstall_standins/instances.py
@@ -0,0 +1,69 @@
+"""In-memory stand-in of the platform's list of instances."""
+
+import asyncio
+
+import attrs
+from persimmonstall.outside.instances import InstanceList, InstanceState
+
+from .faults import FaultyStore
+
+LIST_LAG = 2.0
+"""Age of what the list shows, in seconds."""
+
+HEARTBEAT_EXPIRY = 10.0
+"""Time after the last heartbeat at which an instance leaves the list, in seconds."""
+
+
+class MemoryInstances(FaultyStore, InstanceList):
+    """A lagging list; `history` maps names to (time, `Instance`), oldest first."""
+
+    def __init__(self, lag=LIST_LAG, expiry=HEARTBEAT_EXPIRY, faults=None, **options):
+        super().__init__(faults, name="instances", **options)
+        self.lag = lag
+        self.expiry = expiry
+        self.history = {}
+        self.leaving = set()
+
+    async def list(self, timeout):
+        """Return a tuple of `Instance`, or a `Failure`."""
+        return await self.run_read("list", self.list_now, timeout)
+
+    async def register(self, instance, timeout):
+        """Announce `instance` and its state.  True or a `Failure`."""
+        return await self.run_write("register", lambda: self.register_now(instance), timeout)
+
+    def list_now(self):
+        """Return what was known `lag` seconds ago."""
+        seen = asyncio.get_running_loop().time() - self.lag
+        shown = (self.shown(name, seen) for name in sorted(self.history))
+        return tuple(instance for instance in shown if instance)
+
+    def shown(self, name, seen):
+        """Return the instance `name` as it was known at time `seen`, or None."""
+        known = [entry for entry in self.history[name] if entry[0] <= seen]
+        if not known or known[-1][0] < seen - self.expiry:
+            return None
+        return known[-1][1]
+
+    def register_now(self, instance):
+        """Record a heartbeat, keeping just the history that the lag needs."""
+        now = asyncio.get_running_loop().time()
+        if instance.name in self.leaving:
+            instance = attrs.evolve(instance, state=InstanceState.LEAVING)
+        entries = self.history.setdefault(instance.name, [])
+        entries.append((now, instance))
+        while len(entries) > 1 and entries[1][0] <= now - self.lag:
+            entries.pop(0)
+        return True
+
+    def mark_leaving(self, name):
+        """Let the platform announce that it will stop the instance `name`."""
+        self.leaving.add(name)
+        entries = self.history.get(name)
+        if entries:
+            self.register_now(entries[-1][1])
+
+    def remove(self, name):
+        """Take `name` off the list at once, as after a replacement."""
+        self.leaving.discard(name)
+        self.history.pop(name, None)
--- /dev/null
+++ b/packages/standins/persimmonstall_standins/output.py
@@ -0,0 +1,53 @@
+"""The stand-in model: an answer that is a pure function of model and prompt.
+
+So the output of a stream that moved between engines can be compared with an undisturbed one.
+"""
+
+import math
+from random import Random
+
+import xxhash
+
+TYPICAL_TOKENS = 220
+"""Median natural length of an answer, in tokens."""
+
+SPREAD = 0.5
+"""Standard deviation of the logarithm of the natural length."""
+
+SHORTEST = 8
+LONGEST = 4_000
+"""Bounds of the natural length, in tokens."""
+
+STRIDE = 0x9E3779B97F4A7C15
+MIXER = 0xBF58476D1CE4E5B9
+MASK = (1 << 64) - 1
+TOKEN_SHIFT = 47
+
+
+def seed_of(model, adapter, prompt):
+    """Return the 64-bit number that determines the answer to a prompt."""
+    digest = xxhash.xxh3_64(prompt)
+    digest.update(f"\0{model}\0{adapter}".encode())
+    return digest.intdigest()
+
+
+def token_at(seed, offset):
+    """Return token `offset` of the answer, a number below 131,072.
+
+    >>> token_at(7, 0) == token_at(7, 0) < 131_072
+    True
+    """
+    mixed = ((seed + offset * STRIDE) & MASK) * MIXER & MASK
+    return (mixed ^ (mixed >> 31)) * MIXER % (1 << 64) >> TOKEN_SHIFT
+
+
+def natural_length(seed):
+    """Return the number of tokens after which the answer ends by itself."""
+    drawn = Random(seed).lognormvariate(math.log(TYPICAL_TOKENS), SPREAD)
+    return max(SHORTEST, min(LONGEST, round(drawn)))
+
+
+def expected_output(model, prompt, max_tokens, adapter=""):
+    """Return the tokens of the whole answer to `prompt`, as a tuple."""
+    seed = seed_of(model, adapter, prompt)
+    return tuple(token_at(seed, k) for k in range(min(max_tokens, natural_length(seed))))
--- /dev/null
+++ b/packages/standins/persimmonstall_standins/prefix_cache.py
@@ -0,0 +1,62 @@
+"""Prefix cache of the stand-in engine: blocks of prompts, evicted least recently used first."""
+
+import attrs
+
+
+@attrs.define
+class PrefixCache:
+    """Known blocks by hash; `pins` counts running jobs per block, `idle` holds the others.
+
+    `added` and `removed` collect the changes that have not been published yet.
+    """
+
+    pins: dict = attrs.field(factory=dict)
+    idle: dict = attrs.field(factory=dict)
+    added: list = attrs.field(factory=list)
+    removed: list = attrs.field(factory=list)
+
+    def matched(self, blocks):
+        """Return how many leading blocks are cached.
+
+        >>> cache = PrefixCache()
+        >>> cache.pin((1, 2))
+        >>> cache.matched((1, 2, 3)), cache.matched((2,)), cache.matched((3, 1))
+        (2, 1, 0)
+        """
+        count = 0
+        for block in blocks:
+            if block not in self.pins and block not in self.idle:
+                break
+            count += 1
+        return count
+
+    def pin(self, blocks):
+        """Keep `blocks` while a job holds them."""
+        for block in blocks:
+            holders = self.pins.get(block, 0)
+            if not holders and self.idle.pop(block, self) is self:
+                self.added.append(block)
+            self.pins[block] = holders + 1
+
+    def unpin(self, blocks):
+        """Let go of `blocks`; they stay cached until evicted."""
+        for block in blocks:
+            holders = self.pins.pop(block) - 1
+            if holders:
+                self.pins[block] = holders
+            else:
+                self.idle[block] = None
+
+    def trim(self, limit):
+        """Evict the least recently used idle blocks until `limit` are left."""
+        while len(self.idle) > max(0, limit):
+            block = next(iter(self.idle))
+            del self.idle[block]
+            self.removed.append(block)
+
+    def take_changes(self):
+        """Return the (added, removed) blocks since the last call."""
+        changes = tuple(self.added), tuple(self.removed)
+        self.added.clear()
+        self.removed.clear()
+        return changes
--- /dev/null
+++ b/packages/standins/persimmonstall_standins/virtual/network.py
@@ -0,0 +1,213 @@
+"""In-memory links between daemons, with delays between data centres and faults."""
+
+import asyncio
+import itertools
+from collections import deque
+from random import Random
+
+import attrs
+from persimmonstall.failures import Failure, Reason
+from persimmonstall.outside.link import Link, Network
+
+LOCAL_DELAY = 0.0001
+"""One-way delay inside a data centre, in seconds."""
+
+REMOTE_DELAY = 0.0005
+"""One-way delay between data centres unless set otherwise, in seconds."""
+
+
+@attrs.define
+class Fabric:
+    """All links of a fleet, their delays and their faults.
+
+    `delays` maps a pair of data centres to seconds one way.  `cut_pairs` holds pairs of
+    addresses (from, to) between which nothing passes.  `drop_share` and `duplicate_share`
+    lose or double single messages, to test the receiver; order is always kept.
+    """
+
+    delays: dict = attrs.field(factory=dict)
+    remote_delay: float = REMOTE_DELAY
+    drop_share: float = 0.0
+    duplicate_share: float = 0.0
+    random: Random = attrs.field(factory=lambda: Random(1))
+    listeners: dict = attrs.field(factory=dict)
+    places: dict = attrs.field(factory=dict)
+    links: set = attrs.field(factory=set)
+    cut_pairs: set = attrs.field(factory=set)
+    messages: int = 0
+    numbers: object = attrs.field(factory=itertools.count)
+
+    def network(self, address, data_centre="dc1"):
+        """Return the `MemoryNetwork` of the daemon at `address`."""
+        self.places[address] = data_centre
+        return MemoryNetwork(self, address)
+
+    def delay(self, source, target):
+        """Return the one-way delay in seconds between two addresses."""
+        here = self.places.get(source)
+        there = self.places.get(target)
+        if here == there:
+            return LOCAL_DELAY
+        found = self.delays.get((here, there)) or self.delays.get((there, here))
+        return self.remote_delay if found is None else found
+
+    def passes(self, source, target):
+        """Whether messages pass from one address to another."""
+        return (source, target) not in self.cut_pairs
+
+    def cut(self, source, target, both=True):
+        """Let nothing pass from `source` to `target`, nor back if `both`; links stay open."""
+        self.cut_pairs.add((source, target))
+        if both:
+            self.cut_pairs.add((target, source))
+
+    def heal(self, source, target):
+        """Undo `cut`."""
+        self.cut_pairs -= {(source, target), (target, source)}
+
+    def isolate(self, address):
+        """Cut `address` off from every known address."""
+        for other in self.places:
+            if other != address:
+                self.cut(address, other)
+
+    def rejoin(self, address):
+        """Undo `isolate`."""
+        for other in self.places:
+            self.heal(address, other)
+
+    def silence(self, source, target):
+        """Make links open now silent for good from `source` to `target`; new ones work."""
+        for link in self.links:
+            if (link.address, link.peer) == (source, target):
+                link.silent = True
+
+    def kill(self, address):
+        """End a daemon's links and listener at once, as when its process dies."""
+        self.listeners.pop(address, None)
+        for link in [link for link in self.links if address in (link.address, link.peer)]:
+            link.end("connection reset")
+
+
+class MemoryLink(Link):
+    """One side of a link; `other` is the opposite side, `address` this side's daemon."""
+
+    def __init__(self, fabric, address, peer):
+        self.fabric = fabric
+        self.address = address
+        self.peer = peer
+        self.other = None
+        self.silent = False
+        self.closed = False
+        self.in_flight = deque()
+        self.arrived = asyncio.Queue()
+        fabric.links.add(self)
+
+    def send(self, message):
+        """Queue `message` towards the other side; False when the link is closed."""
+        if self.closed:
+            return False
+        if not self.silent and self.fabric.passes(self.address, self.peer):
+            self.transmit(message)
+        return True
+
+    def transmit(self, message):
+        """Put `message` under way, in order, subject to the shares of lost and doubled ones."""
+        fabric = self.fabric
+        fabric.messages += 1
+        if fabric.drop_share and fabric.random.random() < fabric.drop_share:
+            return
+        copies = 1
+        if fabric.duplicate_share and fabric.random.random() < fabric.duplicate_share:
+            copies = 2
+        delay = fabric.delay(self.address, self.peer)
+        loop = asyncio.get_running_loop()
+        for _ in range(copies):
+            self.in_flight.append(message)
+            loop.call_later(delay, self.deliver)
+
+    def deliver(self):
+        """Hand the oldest message under way to the other side."""
+        message = self.in_flight.popleft()
+        if not self.other.closed:
+            self.other.arrived.put_nowait(message)
+
+    async def receive(self):
+        """Return the next message, or a `Failure` once the link is closed."""
+        if self.closed and self.arrived.empty():
+            return self.lost("closed")
+        message = await self.arrived.get()
+        if isinstance(message, Failure):
+            self.arrived.put_nowait(message)
+        return message
+
+    def lost(self, detail):
+        """Return the failure that a closed link gives."""
+        return Failure(Reason.PEER_LOST, "link", self.peer, detail)
+
+    def end(self, detail):
+        """Close this side without telling the other one."""
+        if self.closed:
+            return
+        self.closed = True
+        self.fabric.links.discard(self)
+        self.arrived.put_nowait(self.lost(detail))
+
+    async def close(self):
+        """Close the link; the other side learns it after the delay unless it is silent."""
+        if self.closed:
+            return
+        self.end("closed")
+        if self.silent or not self.fabric.passes(self.address, self.peer):
+            return
+        delay = self.fabric.delay(self.address, self.peer)
+        asyncio.get_running_loop().call_later(delay, self.other.end, "closed by peer")
+
+
+class Listener:
+    """An open port of the fabric."""
+
+    def __init__(self, fabric, address):
+        self.fabric = fabric
+        self.address = address
+        self.tasks = set()
+
+    async def close(self):
+        """Accept no further links; open ones stay."""
+        self.fabric.listeners.pop(self.address, None)
+
+
+class MemoryNetwork(Network):
+    """The network as the daemon at `address` sees it."""
+
+    def __init__(self, fabric, address):
+        self.fabric = fabric
+        self.address = address
+
+    async def dial(self, address, timeout):
+        """Open a link to the daemon at `address`: a `Link` or a `Failure`."""
+        fabric = self.fabric
+        there_and_back = fabric.delay(self.address, address) * 2
+        passes = fabric.passes(self.address, address) and fabric.passes(address, self.address)
+        if not passes or there_and_back > timeout:
+            await asyncio.sleep(timeout)
+            return Failure(Reason.PEER_LOST, "dial", address, "timeout")
+        await asyncio.sleep(there_and_back)
+        accepting = fabric.listeners.get(address)
+        if accepting is None:
+            return Failure(Reason.PEER_LOST, "dial", address, "refused")
+        listener, accept = accepting
+        here = MemoryLink(fabric, self.address, address)
+        there = MemoryLink(fabric, address, self.address)
+        here.other, there.other = there, here
+        task = asyncio.get_running_loop().create_task(accept(there))
+        listener.tasks.add(task)
+        task.add_done_callback(listener.tasks.discard)
+        return here
+
+    async def listen(self, address, accept):
+        """Accept links at `address`, calling ``await accept(link)`` for each."""
+        listener = Listener(self.fabric, address)
+        self.fabric.listeners[address] = (listener, accept)
+        self.fabric.places.setdefault(address, self.fabric.places.get(self.address))
+        return listener
