A fleet of daemons on one virtual-time loop

Cause: behaviour under faults has to be seen without waiting in real time. Change: standins.fleet assembles entries, endpoint daemons and engine models on one fabric.

--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -118,17 +118,15 @@
         """Poll the engine's load and notice when its steps go silent."""
         endpoints = self.settings.endpoints
         while True:
-            await asyncio.sleep(self.daemon.context.jitter(endpoints.step_silence / 3))
             load = await self.engine.load(endpoints.step_silence / 2)
             if load:
                 self.post(load)
             silent = self.now() - self.last_step > endpoints.step_silence
             if silent and self.running():
                 self.post(StepsLost("silent"))
-            if not load and not self.alive:
-                continue
             if not load and (silent or load.detail == "not connected"):
                 self.post(EngineDied(load.detail))
+            await asyncio.sleep(self.daemon.context.jitter(endpoints.step_silence / 3))
 
     def running(self):
         """Return the attempts that the engine should be working on."""
--- a/packages/daemon/persimmonstall_daemon/entry/filters/classify.py
+++ b/packages/daemon/persimmonstall_daemon/entry/filters/classify.py
@@ -90,7 +90,7 @@
     True
     """
     view = memoryview(prompt)
-    previous = xxhash.xxh3_64_intdigest(scope)
+    previous = xxhash.xxh3_64_intdigest(scope.encode())
     blocks = []
     for start in range(0, len(prompt) - size + 1, size):
         previous = xxhash.xxh3_64_intdigest(view[start : start + size], seed=previous)
--- /dev/null
+++ b/packages/standins/persimmonstall_standins/fleet.py
@@ -0,0 +1,126 @@
+"""A small fleet of the daemons' own tasks in one process, on virtual or real time."""
+
+import asyncio
+from random import Random
+
+import attrs
+from persimmonstall.catalogue import Catalogue, Change, Model, Organisation
+from persimmonstall.clock import Context
+from persimmonstall.outside.instances import Instance
+from persimmonstall.settings import Settings
+from persimmonstall_daemon.adapters.vocabulary import ByteVocabulary
+from persimmonstall_daemon.endpoint.daemon import EndpointDaemon
+from persimmonstall_daemon.endpoint.engine_backend import EngineBackend
+from persimmonstall_daemon.entry.daemon import EntryDaemon
+from persimmonstall_daemon.entry.placer import LeastOutstanding
+from persimmonstall_daemon.entry.request import CallerRequest, NullSink
+from persimmonstall_daemon.observe.metrics import Metrics
+
+from .engine import EngineModel
+from .engine_state import EngineSettings
+from .virtual.network import Fabric
+
+SECRET = "caller-secret"
+SETTLE_SECONDS = 2.0
+
+
+class FixedFollower:
+    """Holds one catalogue and hears of no other."""
+
+    def __init__(self, current):
+        self.current = current
+
+    def heard(self, version, peer):
+        """Ignore the version that a peer has."""
+
+
+def small_catalogue(secret_hash):
+    """Return a catalogue with one organisation and one model."""
+    catalogue = Catalogue()
+    organisation = Organisation("nilerecord", key_hashes=(secret_hash,))
+    catalogue.apply(Change(1, "organisation", "nilerecord", organisation))
+    catalogue.apply(Change(2, "model", "m", Model("m")))
+    return catalogue
+
+
+@attrs.define
+class Fleet:
+    """Entries and endpoint daemons on one fabric; `engines` by endpoint name."""
+
+    catalogue: Catalogue
+    seed: int = 1
+    fabric: Fabric = attrs.field(factory=Fabric)
+    entries: list = attrs.field(factory=list)
+    daemons: dict = attrs.field(factory=dict)
+    engines: dict = attrs.field(factory=dict)
+    instances: list = attrs.field(factory=list)
+
+    def context(self, salt):
+        """Return the clock of the running loop and a seeded random source."""
+        loop = asyncio.get_running_loop()
+        return Context(loop.time, loop.time, Random(f"{self.seed}/{salt}"))
+
+    def settings(self, name, address, role, data_centre):
+        """Return the settings of one daemon."""
+        settings = Settings()
+        settings.daemon.instance = name
+        settings.daemon.address = address
+        settings.daemon.role = role
+        settings.daemon.data_centre = data_centre
+        return settings
+
+    async def add_endpoint(self, name, data_centre="dc1", engine=None):
+        """Start an endpoint daemon beside one engine; return the daemon."""
+        address = f"{name}:1"
+        settings = self.settings(name, address, "endpoint", data_centre)
+        network = self.fabric.network(address, data_centre)
+        daemon = EndpointDaemon(settings, network, self.context(name), Metrics(settings))
+        self.engines[name] = engine or EngineModel(name, EngineSettings(models=("m",)))
+        daemon.add(EngineBackend(name, self.engines[name], daemon))
+        await daemon.start()
+        self.daemons[name] = daemon
+        self.instances.append(Instance(name, "endpoint", address, data_centre))
+        return daemon
+
+    async def add_entry(self, name, data_centre="dc1", placer=None):
+        """Start an entry daemon linked to every endpoint daemon; return it."""
+        address = f"{name}:1"
+        settings = self.settings(name, address, "entry", data_centre)
+        entry = EntryDaemon(
+            settings,
+            self.fabric.network(address, data_centre),
+            self.context(name),
+            Metrics(settings),
+            FixedFollower(self.catalogue),
+            placer or LeastOutstanding(),
+            ByteVocabulary(settings.callers.token_bytes),
+        )
+        entry.links.set(self.instances)
+        self.entries.append(entry)
+        await asyncio.sleep(SETTLE_SECONDS)
+        return entry
+
+    def request(self, number, tokens, **changes):
+        """Return a caller's request with a prompt of `tokens` tokens."""
+        prompt = f"{number:08d}".encode() * (tokens // 2)
+        loop = asyncio.get_running_loop()
+        fields = {"model": "m", "max_tokens": 4096, "deadline": 120.0} | changes
+        return CallerRequest(
+            request_id=f"r{number}",
+            secret=SECRET,
+            prompt=prompt,
+            body_hash=str(number),
+            arrived=loop.time(),
+            **fields,
+        )
+
+    async def ask(self, entry, number, tokens, **changes):
+        """Send one request through `entry`; return its `Answer` or `Refusal`."""
+        return await entry.serve(self.request(number, tokens, **changes), NullSink())
+
+    async def stop(self):
+        """Stop all daemons."""
+        for entry in self.entries:
+            await entry.stop()
+        for daemon in self.daemons.values():
+            await daemon.stop()
