HTTP adapters of the outside systems and the servers of the stand-ins

Cause: the daemons reach engines, services and the platform over HTTP. Change: one adapter module for each base class over a shared client; a call that never connected is kept apart from one whose effect is unknown; prompts travel raw behind a JSON line, steps and cache events as JSON lines.

--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/adapters/engine.py
@@ -0,0 +1,121 @@
+"""A model engine over HTTP; steps and cache events are streams of JSON lines."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+from persimmonstall.failures import Reason
+from persimmonstall.outside.engine import CacheEvent, Engine, Step
+
+from . import wire
+from .caller import HttpCaller
+
+LINE_BYTES = 1 << 22
+"""Longest line of a stream, in bytes."""
+
+STARTED = wire.Call(None, bool)
+"""The answer to a call that starts a job."""
+
+
+class LineStream:
+    """An async iterator of the records in a stream of JSON lines.
+
+    It connects as soon as it is made and ends when the connection is lost.
+    """
+
+    def __init__(self, session, url, kind):
+        self.session = session
+        self.url = url
+        self.decoder = msgspec.json.Decoder(kind)
+        self.response = None
+        self.connecting = asyncio.get_running_loop().create_task(self.connect())
+
+    async def connect(self):
+        """Open the connection and return the response, or None when that fails."""
+        limit = aiohttp.ClientTimeout(total=None)
+        try:
+            return await self.session.get(self.url, timeout=limit, read_bufsize=LINE_BYTES)
+        except (aiohttp.ClientError, OSError):
+            return None
+
+    def __aiter__(self):
+        return self
+
+    async def __anext__(self):
+        if self.response is None:
+            self.response = await asyncio.shield(self.connecting)
+        line = await self.read_line()
+        if not line:
+            await self.aclose()
+            raise StopAsyncIteration
+        return self.decoder.decode(line)
+
+    async def read_line(self):
+        """Return the next line, empty when the connection is lost."""
+        if self.response is None or self.response.status != 200:
+            return b""
+        try:
+            line = await self.response.content.readline()
+        except (aiohttp.ClientError, OSError, ValueError):
+            return b""
+        return line if line.endswith(b"\n") else b""
+
+    async def aclose(self):
+        """Close the connection."""
+        self.connecting.cancel()
+        if self.response:
+            self.response.close()
+
+
+class HttpEngine(HttpCaller, Engine):
+    """Maps each failure to `ENDPOINT_LOST`; "not connected" never reached the engine."""
+
+    calls = wire.ENGINE
+    refused = Reason.ENDPOINT_LOST
+    unknown = Reason.ENDPOINT_LOST
+
+    async def submit(self, job, timeout):
+        """Start `Job`: True, or a `Failure`."""
+        body = wire.encode_with_prompt((), job)
+        return await self.exchange("submit", body, STARTED, timeout, self.unknown)
+
+    async def resume(self, ticket, job, timeout):
+        """Import a parked job's KV cache and go on as `job`: True or a `Failure`."""
+        body = wire.encode_with_prompt((ticket,), job)
+        return await self.exchange("resume", body, STARTED, timeout, self.unknown)
+
+    async def cancel(self, job_id, timeout):
+        """Stop a job and free its memory.  True or a `Failure`."""
+        return await self.call("cancel", (job_id,), timeout)
+
+    async def set_priority(self, job_id, priority, timeout):
+        """Change a job's priority.  True or a `Failure`."""
+        return await self.call("set_priority", (job_id, priority), timeout)
+
+    async def park(self, job_id, timeout):
+        """Export a job's KV cache: the ticket or a `Failure`."""
+        return await self.call("park", (job_id,), timeout)
+
+    async def discard(self, ticket, timeout):
+        """Delete an export.  True or a `Failure`."""
+        return await self.call("discard", (ticket,), timeout)
+
+    def steps(self):
+        """Return an async iterator of `Step`."""
+        return LineStream(self.open_session(), f"{self.url}/steps", Step)
+
+    def cache_events(self):
+        """Return an async iterator of `CacheEvent`."""
+        return LineStream(self.open_session(), f"{self.url}/cache_events", CacheEvent)
+
+    async def jobs(self, timeout):
+        """Return the engine's own list, a tuple of `JobState`, or a `Failure`."""
+        return await self.call("jobs", (), timeout, reading=True)
+
+    async def load(self, timeout):
+        """Return the `EngineLoad` or a `Failure`."""
+        return await self.call("load", (), timeout, reading=True)
+
+    async def order(self, order, timeout):
+        """Carry out `Order`: True or a `Failure`."""
+        return await self.call("order", (order,), timeout)
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/adapters/objects.py
@@ -0,0 +1,28 @@
+"""The platform's object store over HTTP."""
+
+from persimmonstall.outside.objects import ObjectStore
+
+from . import wire
+from .caller import HttpCaller
+
+
+class HttpObjects(HttpCaller, ObjectStore):
+    """A write without an answer is ambiguous."""
+
+    calls = wire.OBJECTS
+
+    async def put(self, name, data, timeout):
+        """Store `data` under `name`; return True or a `Failure`."""
+        return await self.call("put", (name, data), timeout)
+
+    async def get(self, name, timeout):
+        """Return the bytes, None when absent, or a `Failure`."""
+        return await self.call("get", (name,), timeout, reading=True)
+
+    async def list(self, prefix, timeout):
+        """Return the names with `prefix`, sorted, or a `Failure`."""
+        return await self.call("list", (prefix,), timeout, reading=True)
+
+    async def delete(self, name, timeout):
+        """Delete `name`; return True or a `Failure`."""
+        return await self.call("delete", (name,), timeout)
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/adapters/service.py
@@ -0,0 +1,57 @@
+"""A plain service over HTTP: the method is the path, the answer passes through."""
+
+
+import aiohttp
+from persimmonstall.failures import Failure, Reason
+from persimmonstall.outside.service import PlainService, ServiceAnswer
+
+from . import wire
+from .caller import CONNECTION_LOST, NOT_CONNECTED, TIMEOUT, HttpCaller
+
+CALL_ID = "Call-Id"
+"""Header with the identifier of a hand-over."""
+
+NOT_RUN = "Not-Run"
+"""Header of an answer by which the service says that it did not run the call."""
+
+
+class HttpService(HttpCaller, PlainService):
+    """Only BUSY and "not connected" are certain not to have run."""
+
+    calls = wire.SERVICE
+    refused = Reason.ENDPOINT_LOST
+    unknown = Reason.ENDPOINT_LOST
+
+    async def call(self, call, timeout):
+        """Run `ServiceCall`: `ServiceAnswer`, or a `Failure`."""
+        headers = {CALL_ID: call.call_id, "Content-Type": call.content_type}
+        limit = aiohttp.ClientTimeout(total=timeout)
+        try:
+            async with self.open_session().post(
+                f"{self.url}/methods/{call.method}",
+                data=call.body,
+                headers=headers,
+                timeout=limit,
+            ) as response:
+                body = await response.read()
+                return self.answer_of(response, body)
+        except aiohttp.ClientConnectorError:
+            return self.failure(NOT_CONNECTED)
+        except TimeoutError:
+            return self.failure(TIMEOUT)
+        except (aiohttp.ClientError, OSError):
+            return self.failure(CONNECTION_LOST)
+
+    async def load(self, timeout):
+        """Return the `ServiceLoad` or a `Failure`."""
+        return await super().call("load", (), timeout, reading=True)
+
+    def answer_of(self, response, body):
+        """Return the service's answer, or BUSY if it says that it did not run the call."""
+        if NOT_RUN in response.headers:
+            return Failure(Reason.BUSY, "call", self.name, response.headers[NOT_RUN])
+        return ServiceAnswer(response.status, body, response.content_type)
+
+    def failure(self, detail):
+        """Return the `Failure` of a call."""
+        return Failure(Reason.ENDPOINT_LOST, "call", self.name, detail)
--- /dev/null
+++ b/packages/standins/persimmonstall_standins/http_server.py
@@ -0,0 +1,182 @@
+"""Serves a stand-in over HTTP in the form that the daemon's adapters speak.
+
+Every stand-in also takes ``POST /faults``: a JSON object that sets fault switches by name, and
+whose member "action" calls one of the stand-in's actions, with "arguments" if it has any.
+``GET /log?after=N`` returns its log from line N on.
+"""
+
+import msgspec
+from aiohttp import web
+from persimmonstall.failures import Failure, Reason
+from persimmonstall.outside.engine import Job
+from persimmonstall.outside.service import ServiceCall
+from persimmonstall_daemon.adapters import wire
+from persimmonstall_daemon.adapters.service import CALL_ID, NOT_RUN
+
+LARGEST_BODY = 1 << 26
+"""Largest body of a call, in bytes."""
+
+DEFAULT_TIMEOUT = 10.0
+"""Time-out of a call that names none, in seconds."""
+
+
+class StandInServer:
+    """HTTP side of one stand-in; `calls` is its part of `wire`, `actions` its fault actions."""
+
+    def __init__(self, target, calls, actions=()):
+        self.target = target
+        self.calls = calls
+        self.actions = actions
+
+    def application(self):
+        """Return the aiohttp application."""
+        application = web.Application(client_max_size=LARGEST_BODY)
+        for name in self.calls:
+            application.router.add_post(f"/{name}", self.handler(name))
+        application.router.add_post("/faults", self.set_faults)
+        application.router.add_get("/log", self.show_log)
+        self.add_routes(application.router)
+        return application
+
+    def add_routes(self, router):
+        """Add what a kind of stand-in has besides its calls."""
+
+    def handler(self, name):
+        """Return the handler of one call."""
+        kind = self.calls[name].arguments
+        method = getattr(self.target, name)
+
+        async def handle(request):
+            arguments = msgspec.json.decode(await request.read(), type=kind)
+            return answer(await method(*arguments, timeout=timeout_of(request)))
+
+        return handle
+
+    async def set_faults(self, request):
+        """Set fault switches and run a fault action."""
+        wanted = msgspec.json.decode(await request.read(), type=dict)
+        action = wanted.pop("action", "")
+        arguments = wanted.pop("arguments", ())
+        unknown = [name for name in wanted if not hasattr(self.target.faults, name)]
+        if unknown or (action and action not in self.actions):
+            return web.json_response({"unknown": unknown or action}, status=400)
+        for name, value in wanted.items():
+            setattr(self.target.faults, name, value)
+        if action:
+            getattr(self.target, action)(*arguments)
+        return web.json_response({"done": True})
+
+    async def show_log(self, request):
+        """Return the log from the line that the caller names."""
+        lines = self.log()[int(request.query.get("after", 0)) :]
+        return web.Response(body=msgspec.json.encode(lines), content_type="application/json")
+
+    def log(self):
+        """Return the stand-in's log as a list of records."""
+        return [dict(self.target.meter.total)]
+
+
+class EngineServer(StandInServer):
+    """HTTP side of an `EngineModel`."""
+
+    def __init__(self, engine):
+        actions = ("die", "restart", "freeze", "thaw", "silence_steps")
+        super().__init__(engine, wire.ENGINE, actions)
+
+    def add_routes(self, router):
+        """Add the calls with a prompt and the streams."""
+        router.add_post("/submit", self.submit)
+        router.add_post("/resume", self.resume)
+        router.add_get("/steps", self.steps)
+        router.add_get("/cache_events", self.cache_events)
+
+    async def submit(self, request):
+        """Start a job."""
+        (job,) = wire.decode_with_prompt(await request.read(), tuple[Job])
+        return answer(await self.target.submit(job, timeout_of(request)))
+
+    async def resume(self, request):
+        """Import a parked job."""
+        ticket, job = wire.decode_with_prompt(await request.read(), tuple[str, Job])
+        return answer(await self.target.resume(ticket, job, timeout_of(request)))
+
+    async def steps(self, request):
+        """Stream the steps."""
+        return await stream_lines(request, self.target.steps())
+
+    async def cache_events(self, request):
+        """Stream the cache events."""
+        return await stream_lines(request, self.target.cache_events())
+
+    def log(self):
+        """Return the lines of the engine's own log."""
+        return self.target.log
+
+
+class ServiceServer(StandInServer):
+    """HTTP side of a `ServiceModel`."""
+
+    def __init__(self, service):
+        super().__init__(service, wire.SERVICE, ("die", "restart"))
+
+    def add_routes(self, router):
+        """Add the calls of the service's methods."""
+        router.add_post("/methods/{method}", self.call)
+
+    async def call(self, request):
+        """Run one call."""
+        call = ServiceCall(
+            request.headers.get(CALL_ID, ""),
+            request.match_info["method"],
+            await request.read(),
+            request.content_type,
+        )
+        result = await self.target.call(call, timeout_of(request))
+        if not isinstance(result, Failure):
+            return web.Response(
+                status=result.status, body=result.body, content_type=result.content_type
+            )
+        if result.reason is Reason.BUSY:
+            return web.Response(status=503, headers={NOT_RUN: result.detail})
+        request.transport.abort()
+        return web.Response(status=500)
+
+    def log(self):
+        """Return the calls that were run."""
+        return self.target.runs
+
+
+def timeout_of(request):
+    """Return the time-out of a call in seconds."""
+    return float(request.query.get("timeout", DEFAULT_TIMEOUT))
+
+
+def answer(result):
+    """Return the HTTP answer to a call."""
+    status = 503 if isinstance(result, Failure) else 200
+    body = wire.encode_answer(result)
+    return web.Response(body=body, status=status, content_type="application/json")
+
+
+async def stream_lines(request, records):
+    """Send each record of an async iterator as a JSON line until either side ends."""
+    response = web.StreamResponse(headers={"Content-Type": "application/x-ndjson"})
+    await response.prepare(request)
+    encoder = msgspec.json.Encoder()
+    try:
+        async for record in records:
+            await response.write(encoder.encode(record) + b"\n")
+    except ConnectionResetError:
+        return response
+    finally:
+        await records.aclose()
+    request.transport.abort()
+    return response
+
+
+async def listen(application, port, host="127.0.0.1"):
+    """Serve `application`; return its runner, whose `cleanup` closes the port."""
+    runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, host, port).start()
+    return runner
