--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -126,7 +126,7 @@
 
     def heard(self, version, link):
         """Note the catalogue version that a peer has."""
-        self.follower.heard(version, link)
+        self.follower.heard(version, link.name)
 
     def control(self, message, link):
         """Handle a message that concerns no request."""
--- a/packages/daemon/persimmonstall_daemon/roles.py
+++ b/packages/daemon/persimmonstall_daemon/roles.py
@@ -8,14 +8,12 @@
 import aiomisc
 
 from persimmonstall.clock import Context
+from persimmonstall.outside.instances import Instance, InstanceState
 
-from .adapters.engine import HttpEngine
-from .adapters.instances import HttpInstances
-from .adapters.objects import HttpObjects
-from .adapters.service import HttpService
-from .adapters.table import HttpTable
+from .adapters.connect import connect_engine, connect_platform
 from .adapters.vocabulary import ByteVocabulary
 from .catalogue.follower import CatalogueFollower
+from .catalogue.peers import NoPeers
 from .endpoint.daemon import EndpointDaemon
 from .endpoint.engine_backend import EngineBackend
 from .entry.daemon import EntryDaemon
@@ -85,3 +83,97 @@
     @abc.abstractmethod
     async def stop_role(self):
         """Close the role's ports."""
+
+
+class EntryRole(Role):
+    """An entry: callers' HTTP, links to endpoint daemons."""
+
+    async def start_role(self):
+        """Start the catalogue, the links and the HTTP port."""
+        self.platform = connect_platform(self.settings.platform)
+        self.follower = CatalogueFollower(
+            self.settings, self.platform.table, self.platform.objects, self.context, NoPeers()
+        )
+        self.spawn(self.follower.run())
+        self.entry = EntryDaemon(
+            self.settings,
+            self.network,
+            self.context,
+            self.metrics,
+            self.follower,
+            LeastOutstanding(),
+            ByteVocabulary(self.settings.callers.token_bytes),
+        )
+        self.spawn(self.watch_instances())
+        self.http = HttpServer(self.entry)
+        await self.http.start()
+
+    async def watch_instances(self):
+        """Keep links to the endpoint instances of the platform's list."""
+        platform = self.settings.platform
+        while True:
+            found = await self.platform.instances.list(platform.timeout)
+            if found:
+                self.entry.links.set([one for one in found if one.role == "endpoint"])
+            await asyncio.sleep(self.context.jitter(platform.list_poll))
+
+    async def drain_role(self):
+        """Let all requests end while the readiness check fails."""
+        await self.entry.drain()
+
+    async def stop_role(self):
+        """Close the HTTP port and the links."""
+        await self.http.stop()
+        await self.entry.stop()
+        await self.platform.close()
+
+
+class EndpointRole(Role):
+    """An endpoint daemon beside engines and plain services."""
+
+    async def start_role(self):
+        """Connect to the back ends and listen for entries."""
+        self.platform = connect_platform(self.settings.platform)
+        self.daemon = EndpointDaemon(self.settings, self.network, self.context, self.metrics)
+        for served in self.settings.endpoints.serves:
+            self.daemon.add(self.backend(served))
+        await self.daemon.start()
+        self.spawn(self.register())
+
+    def backend(self, served):
+        """Return the backend of one `name=engine@URL` setting."""
+        name, _, rest = served.partition("=")
+        _kind, _, url = rest.partition("@")
+        return EngineBackend(name, connect_engine(url, name), self.daemon)
+
+    async def register(self):
+        """Announce this instance to the platform's list until the daemon stops."""
+        daemon = self.settings.daemon
+        names = tuple(self.daemon.backends)
+        while True:
+            state = InstanceState.LEAVING if self.draining else InstanceState.LIVE
+            instance = Instance(
+                daemon.instance,
+                daemon.role,
+                daemon.address,
+                daemon.data_centre,
+                daemon.region,
+                state,
+                names,
+            )
+            platform = self.settings.platform
+            await self.platform.instances.register(instance, platform.timeout)
+            await asyncio.sleep(self.context.jitter(platform.list_poll))
+
+    async def drain_role(self):
+        """Take no new work and let all streams end."""
+        await self.daemon.drain()
+
+    async def stop_role(self):
+        """Close the port for entries."""
+        await self.daemon.stop()
+        await self.platform.close()
+
+
+ROLES = {"entry": EntryRole, "endpoint": EndpointRole}
+"""Role classes by the name in the settings."""
