--- /dev/null
+++ b/tools/bench.py
@@ -0,0 +1,169 @@
+"""Decision costs: microseconds and allocations per placement, by the size of the fleet.
+
+Prints a table; needs no network and no clock but the processor's.
+"""
+
+import time
+import tracemalloc
+from random import Random
+
+import tabulate
+from absl import app, flags
+from persimmonstall.messages.control import EndpointLoad
+from persimmonstall.messages.requests import Work
+from persimmonstall.placement.admission import admit
+from persimmonstall.placement.length_aware import LengthAware
+from persimmonstall.placement.lengths import classify
+from persimmonstall.placement.policy import LeastOutstanding, RandomTwo, RoundRobin
+from persimmonstall.placement.prediction import UsePredictor
+from persimmonstall.placement.view import FleetView
+from persimmonstall.settings import Settings
+
+FLAGS = flags.FLAGS
+flags.DEFINE_integer("placements", 2000, "Placements measured for each row.", lower_bound=100)
+flags.DEFINE_integer("organisations", 6300, "Organisations that send requests.", lower_bound=1)
+flags.DEFINE_integer("seed", 1, "Seed of fleet and requests.")
+
+FLEET_SIZES = (20, 200, 600)
+MODELS = (1, 9)
+IN_FLIGHT = 2000
+POLICIES = (RoundRobin, LeastOutstanding, RandomTwo, LengthAware)
+REPEATS = 3
+
+
+def make_view(settings, size, models, random):
+    """Return a view of `size` loaded endpoints which share `models` models."""
+    view = FleetView(settings)
+    for number in range(size):
+        name = f"e{number}"
+        view.join(name, f"dc{number % 3}", 0.0005)
+        view.report(
+            EndpointLoad(
+                name,
+                running=random.randrange(32),
+                waiting=0,
+                memory_used=random.randrange(300_000),
+                memory_total=400_000,
+                prefill_backlog=random.randrange(50_000),
+                step_seconds=0.02,
+                models=(f"m{number % models}",),
+            ),
+            1.0,
+        )
+    return view
+
+
+def make_works(settings, count, models, organisations, random):
+    """Return requests with log-distributed lengths and some shared prefixes."""
+    works = []
+    for number in range(count):
+        tokens = int(1000 * 1000 ** (random.random() ** 2))
+        blocks = tokens // settings.lengths.block
+        organisation = random.randrange(organisations)
+        chain = (organisation, *(random.getrandbits(60) for _ in range(blocks - 1)))[:blocks]
+        works.append(
+            Work(
+                f"r{number}",
+                f"o{organisation}",
+                b"",
+                deadline=1000.0,
+                arrived=1.0,
+                model=f"m{number % models}",
+                prompt_tokens=tokens,
+                max_tokens=8000,
+                predicted_tokens=200,
+                length_class=classify(tokens, settings.lengths),
+                blocks=chain,
+            )
+        )
+    return works
+
+
+def run(policy, view, predictor, works, random):
+    """Place every request, count it as sent, and end the oldest one in flight."""
+    for number, work in enumerate(works):
+        predictor.predict(work.organisation, work.model, work.max_tokens)
+        placed = policy.place(work, view, 1.0, random)
+        admit(work, placed, 1.0, random)
+        view.sent(work, 1, placed, 1.0)
+        if number >= IN_FLIGHT:
+            view.first_token(f"r{number - IN_FLIGHT}", 1, 1.0)
+            view.ended(f"r{number - IN_FLIGHT}", 1)
+
+
+def place_only(policy, view, works, random):
+    """Only decide."""
+    for work in works:
+        policy.place(work, view, 1.0, random)
+
+
+def microseconds(function, count):
+    """Return the median processor time of `function` for one of `count` requests."""
+    times = []
+    for _ in range(REPEATS):
+        start = time.process_time()
+        function()
+        times.append(time.process_time() - start)
+    return sorted(times)[REPEATS // 2] / count * 1e6
+
+
+def allocated(policy, view, works, random):
+    """Return the median of the bytes that one placement holds at its peak."""
+    peaks = []
+    tracemalloc.start()
+    for work in works:
+        tracemalloc.reset_peak()
+        before, _ = tracemalloc.get_traced_memory()
+        policy.place(work, view, 1.0, random)
+        peaks.append(tracemalloc.get_traced_memory()[1] - before)
+    tracemalloc.stop()
+    return sorted(peaks)[len(peaks) // 2]
+
+
+def warm(predictor, organisations, models):
+    """Fill the predictor with every pair."""
+    for organisation in range(organisations):
+        for _ in range(8):
+            predictor.observe(f"o{organisation}", f"m{organisation % models}", 200)
+
+
+def measure(kind, size, models, settings):
+    """Return one row of the table."""
+    random = Random(FLAGS.seed)
+    view = make_view(settings, size, models, random)
+    works = make_works(settings, FLAGS.placements, models, FLAGS.organisations, random)
+    predictor = UsePredictor()
+    warm(predictor, FLAGS.organisations, models)
+    policy = kind()
+    count = len(works)
+    run(policy, view, predictor, works, random)
+    decide = microseconds(lambda: place_only(policy, view, works, random), count)
+    whole = microseconds(lambda: run(policy, view, predictor, works, random), count)
+    bytes_each = allocated(policy, view, works[:200], random)
+    return (kind.__name__, size, models, round(decide, 1), round(whole, 1), bytes_each)
+
+
+def main(arguments):
+    """Print the table."""
+    del arguments
+    settings = Settings()
+    rows = [
+        measure(kind, size, models, settings)
+        for kind in POLICIES
+        for size in FLEET_SIZES
+        for models in MODELS
+    ]
+    headers = (
+        "policy",
+        "endpoints",
+        "models",
+        "place (us)",
+        "predict, place, admit, count (us)",
+        "peak of one place (bytes)",
+    )
+    print(tabulate.tabulate(rows, headers))
+    print(f"\n{FLAGS.organisations} organisations, seed {FLAGS.seed}, {FLAGS.placements} requests")
+
+
+if __name__ == "__main__":
+    app.run(main)
