--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/roles.py
@@ -0,0 +1,179 @@
+"""Builds the daemon of each role from its settings and runs it as an aiomisc service."""
+
+import abc
+import asyncio
+import random
+import signal
+
+import aiomisc
+
+from persimmonstall.clock import Context
+from persimmonstall.outside.instances import Instance, InstanceState
+
+from .adapters.connect import connect_engine, connect_platform
+from .adapters.vocabulary import ByteVocabulary
+from .catalogue.follower import CatalogueFollower
+from .catalogue.peers import NoPeers
+from .endpoint.daemon import EndpointDaemon
+from .endpoint.engine_backend import EngineBackend
+from .entry.daemon import EntryDaemon
+from .entry.http.server import HttpServer
+from .entry.placer import LeastOutstanding
+from .network import GrpcNetwork
+from .observe import logs
+from .observe.metrics import Metrics
+
+LOG = logs.get("daemon")
+
+
+class Role(aiomisc.Service, abc.ABC):
+    """What both roles share: context, metrics, signals and a graceful shutdown."""
+
+    def __init__(self, settings):
+        super().__init__()
+        self.settings = settings
+        seed = settings.daemon.seed or None
+        self.context = Context(random=random.Random(seed))
+        self.metrics = Metrics(settings)
+        self.network = GrpcNetwork(settings.security)
+        self.drained = asyncio.Event()
+        self.draining = None
+        self.tasks = []
+
+    def spawn(self, coroutine):
+        """Run `coroutine` until the daemon stops."""
+        self.tasks.append(asyncio.create_task(coroutine))
+
+    async def start(self):
+        """Start everything and watch for signals."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.begin_drain)
+        self.spawn(self.metrics.run())
+        await self.start_role()
+        LOG.info("started", address=self.settings.daemon.address)
+
+    def begin_drain(self):
+        """Start the graceful shutdown; a second signal changes nothing."""
+        if self.draining is None:
+            self.draining = asyncio.create_task(self.drain())
+
+    async def drain(self):
+        """Let everything in flight end, then allow the process to exit."""
+        LOG.info("draining")
+        await self.drain_role()
+        self.drained.set()
+
+    async def stop(self, exception=None):
+        """End all tasks."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.stop_role()
+        LOG.info("stopped")
+
+    @abc.abstractmethod
+    async def start_role(self):
+        """Start the role's tasks."""
+
+    @abc.abstractmethod
+    async def drain_role(self):
+        """Wait until nothing is in flight."""
+
+    @abc.abstractmethod
+    async def stop_role(self):
+        """Close the role's ports."""
+
+
+class EntryRole(Role):
+    """An entry: callers' HTTP, links to endpoint daemons."""
+
+    async def start_role(self):
+        """Start the catalogue, the links and the HTTP port."""
+        self.platform = connect_platform(self.settings.platform)
+        self.follower = CatalogueFollower(
+            self.settings, self.platform.table, self.platform.objects, self.context, NoPeers()
+        )
+        self.spawn(self.follower.run())
+        self.entry = EntryDaemon(
+            self.settings,
+            self.network,
+            self.context,
+            self.metrics,
+            self.follower,
+            LeastOutstanding(),
+            ByteVocabulary(self.settings.callers.token_bytes),
+        )
+        self.spawn(self.watch_instances())
+        self.http = HttpServer(self.entry)
+        await self.http.start()
+
+    async def watch_instances(self):
+        """Keep links to the endpoint instances of the platform's list."""
+        platform = self.settings.platform
+        while True:
+            found = await self.platform.instances.list(platform.timeout)
+            if found:
+                self.entry.links.set([one for one in found if one.role == "endpoint"])
+            await asyncio.sleep(self.context.jitter(platform.list_poll))
+
+    async def drain_role(self):
+        """Let all requests end while the readiness check fails."""
+        await self.entry.drain()
+
+    async def stop_role(self):
+        """Close the HTTP port and the links."""
+        await self.http.stop()
+        await self.entry.stop()
+        await self.platform.close()
+
+
+class EndpointRole(Role):
+    """An endpoint daemon beside engines and plain services."""
+
+    async def start_role(self):
+        """Connect to the back ends and listen for entries."""
+        self.platform = connect_platform(self.settings.platform)
+        self.daemon = EndpointDaemon(self.settings, self.network, self.context, self.metrics)
+        for served in self.settings.endpoints.serves:
+            self.daemon.add(self.backend(served))
+        await self.daemon.start()
+        self.spawn(self.register())
+
+    def backend(self, served):
+        """Return the backend of one `name=engine@URL` setting."""
+        name, _, rest = served.partition("=")
+        _kind, _, url = rest.partition("@")
+        return EngineBackend(name, connect_engine(url, name), self.daemon)
+
+    async def register(self):
+        """Announce this instance to the platform's list until the daemon stops."""
+        daemon = self.settings.daemon
+        names = tuple(self.daemon.backends)
+        while True:
+            state = InstanceState.LEAVING if self.draining else InstanceState.LIVE
+            instance = Instance(
+                daemon.instance,
+                daemon.role,
+                daemon.address,
+                daemon.data_centre,
+                daemon.region,
+                state,
+                names,
+            )
+            platform = self.settings.platform
+            await self.platform.instances.register(instance, platform.timeout)
+            await asyncio.sleep(self.context.jitter(platform.list_poll))
+
+    async def drain_role(self):
+        """Take no new work and let all streams end."""
+        await self.daemon.drain()
+
+    async def stop_role(self):
+        """Close the port for entries."""
+        await self.daemon.stop()
+        await self.platform.close()
+
+
+ROLES = {"entry": EntryRole, "endpoint": EndpointRole}
+"""Role classes by the name in the settings."""
