--- a/packages/daemon/tests/test_observe.py
+++ b/packages/daemon/tests/test_observe.py
@@ -1,6 +1,7 @@
 import io
 import json
 import pathlib
+import re
 import socket
 
 import pytest
@@ -8,6 +9,8 @@
 from persimmonstall_daemon.observe import logs, names
 from persimmonstall_daemon.observe.metrics import Metrics
 
+PACKAGE = pathlib.Path(names.__file__).resolve().parents[1]
+USE = re.compile(r"metrics\.(count|gauge|timing)\(\s*\"(\w+)\"([^\n]*)")
 PAGE = pathlib.Path(__file__).resolve().parents[3] / "docs" / "reference" / "metrics.md"
 
 
@@ -55,3 +58,18 @@
 
 def test_the_reference_page_is_the_table():
     assert PAGE.read_text(encoding="utf-8") == names.page()
+
+
+def test_every_name_used_is_in_the_table():
+    kinds = {"count": "counter", "gauge": "gauge", "timing": "timer"}
+    wrong = []
+    for source in PACKAGE.rglob("*.py"):
+        for method, name, rest in USE.findall(source.read_text(encoding="utf-8")):
+            entry = names.TABLE.get(name)
+            if (
+                entry is None
+                or entry.kind != kinds[method]
+                or bool(entry.tags) != ("tag=" in rest)
+            ):
+                wrong.append((source.name, method, name))
+    assert wrong == []
