Administration schema, catalogue follower and store, command line skeleton

Cause: nothing yet writes or follows the catalogue. Not yet tested against a table: that comes with the stand-ins.

--- /dev/null
+++ b/packages/cli/persimmonstall_cli/exits.py
@@ -0,0 +1,48 @@
+"""Exit codes of the command, by the reason of a failure."""
+
+from persimmonstall.failures import Reason
+
+SUCCESS = 0
+FAILED = 1
+USAGE = 2
+CONFLICT = 3
+NOT_FOUND = 4
+DENIED = 5
+UNAVAILABLE = 6
+UNKNOWN = 7
+INTERRUPTED = 130
+
+MEANINGS = {
+    SUCCESS: "done",
+    FAILED: "the call failed, or a report found what it looks for",
+    USAGE: "wrong command line, settings file or value",
+    CONFLICT: "the record was changed by somebody else; nothing was changed",
+    NOT_FOUND: "no such record",
+    DENIED: "the operator's key is missing or wrong",
+    UNAVAILABLE: "a daemon or the platform cannot be reached; nothing was changed",
+    UNKNOWN: "it is not known whether the change was made; send it again with its call id",
+    INTERRUPTED: "interrupted",
+}
+"""Meaning of each exit code, for the help and the reference."""
+
+BY_REASON = {
+    Reason.BAD_REQUEST: USAGE,
+    Reason.CONFLICT: CONFLICT,
+    Reason.KEY_CONFLICT: CONFLICT,
+    Reason.NOT_FOUND: NOT_FOUND,
+    Reason.UNAUTHENTICATED: DENIED,
+    Reason.FORBIDDEN: DENIED,
+    Reason.TABLE_DOWN: UNAVAILABLE,
+    Reason.STORE_DOWN: UNAVAILABLE,
+    Reason.PEER_LOST: UNAVAILABLE,
+    Reason.AMBIGUOUS: UNKNOWN,
+}
+
+
+def code_of(reason):
+    """Return the exit code for a failure's reason.
+
+    >>> code_of(Reason.CONFLICT), code_of(Reason.INTERNAL)
+    (3, 1)
+    """
+    return BY_REASON.get(reason, FAILED)
--- /dev/null
+++ b/packages/cli/persimmonstall_cli/main.py
@@ -0,0 +1,96 @@
+"""The `persimmonstall` command: finds the subcommand, runs it and prints what it returns."""
+
+import sys
+
+import orjson
+from persimmonstall.failures import Failure
+
+from .command import PROGRAM, find, flag_help, parse
+from .commands import COMMANDS
+from .exits import INTERRUPTED, MEANINGS, SUCCESS, USAGE, code_of
+from .report import Report, render
+
+
+def overview():
+    """Return the list of commands and exit codes."""
+    width = max(len(command.name) for command in COMMANDS)
+    lines = [f"usage: {PROGRAM} COMMAND [ARGUMENTS] [--flags]", "", "commands:"]
+    lines += [f"  {command.name:{width}}  {command.meaning}" for command in COMMANDS]
+    lines += ["", f"`{PROGRAM} COMMAND --help` lists the command's flags.", "", "exit codes:"]
+    lines += [f"  {code:3}  {meaning}" for code, meaning in MEANINGS.items()]
+    return "\n".join(lines)
+
+
+def main(arguments):
+    """Run the command line after the program's name; return the exit code."""
+    if not arguments or arguments[0] in ("help", "--help", "-h"):
+        print(overview())
+        return SUCCESS if arguments else USAGE
+    words = [word for word in arguments if not word.startswith("-")]
+    command = find(words or [arguments[0]], COMMANDS)
+    if not command:
+        return fail(command, "--json" in arguments)
+    if "--help" in arguments:
+        print(flag_help(command))
+        return SUCCESS
+    call = parse(command, without(arguments, command.name.split()))
+    if not call:
+        return fail(call, "--json" in arguments)
+    return show(command.handler(call), call.flags.json)
+
+
+def without(arguments, words):
+    """Return `arguments` without the first occurrence of each of `words`.
+
+    >>> without(["--json", "model", "show", "show"], ["model", "show"])
+    ['--json', 'show']
+    """
+    rest = list(arguments)
+    for word in words:
+        rest.remove(word)
+    return rest
+
+
+def show(result, json):
+    """Print a report, each of an iterator of reports, or a failure; return the exit code."""
+    if isinstance(result, Failure):
+        return fail(result, json)
+    if isinstance(result, Report):
+        print(render(result, json))
+        return SUCCESS
+    for report in result:
+        if isinstance(report, Failure):
+            return fail(report, json)
+        print(render(report, json), flush=True)
+    return SUCCESS
+
+
+def fail(failure, json):
+    """Print a failure to standard error; return its exit code."""
+    if json:
+        body = {
+            "reason": failure.reason,
+            "step": failure.step,
+            "peer": failure.peer,
+            "detail": failure.detail,
+        }
+        print(orjson.dumps({"error": body}).decode(), file=sys.stderr)
+    else:
+        place = failure.step + (f" at {failure.peer}" if failure.peer else "")
+        print(f"{PROGRAM}: {failure.reason} ({place}): {failure.detail}", file=sys.stderr)
+    return code_of(failure.reason)
+
+
+def run():
+    """Run the command line of this process."""
+    try:
+        sys.exit(main(sys.argv[1:]))
+    except KeyboardInterrupt:
+        sys.exit(INTERRUPTED)
+    except BrokenPipeError:
+        sys.stderr.close()
+        sys.exit(SUCCESS)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/packages/cli/persimmonstall_cli/report.py
@@ -0,0 +1,69 @@
+"""What commands print: tables for people, JSON for programs."""
+
+import attrs
+import orjson
+from tabulate import tabulate
+
+
+@attrs.frozen
+class Report:
+    """Rows under `columns`; `data` is the JSON form, by default a list of objects.
+
+    `note` is printed below the table.
+    """
+
+    columns: tuple[str, ...]
+    rows: tuple[tuple, ...]
+    note: str = ""
+    data: object = None
+
+
+def fields(pairs, note=""):
+    """Return a report of names and values.
+
+    >>> print(as_text(fields({"version": 3})))
+    version  3
+    """
+    rows = tuple((str(name), value) for name, value in pairs.items())
+    return Report((), rows, note, dict(pairs))
+
+
+def cell(value):
+    """Return a value as it stands in a table.
+
+    >>> cell(("a", "b")), cell(True), cell(2.0)
+    ('a, b', 'yes', '2')
+    """
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, (tuple, list)):
+        return ", ".join(map(str, value))
+    if isinstance(value, float):
+        return f"{value:g}"
+    return str(value)
+
+
+def as_text(report):
+    """Return the report as a table."""
+    rows = [[cell(value) for value in row] for row in report.rows]
+    table = tabulate(
+        rows, headers=report.columns, tablefmt="plain", disable_numparse=True, stralign="left"
+    )
+    return "\n".join(part for part in (table, report.note) if part)
+
+
+def as_json(report):
+    """Return the report as JSON.
+
+    >>> print(as_json(Report(("name", "version"), (("m", 3),))))
+    [{"name":"m","version":3}]
+    """
+    data = report.data
+    if data is None:
+        data = [dict(zip(report.columns, row, strict=True)) for row in report.rows]
+    return orjson.dumps(data, default=list).decode()
+
+
+def render(report, json):
+    """Return the report in the form that was asked for."""
+    return as_json(report) if json else as_text(report)
--- a/packages/core/persimmonstall/catalogue/__init__.py
+++ b/packages/core/persimmonstall/catalogue/__init__.py
@@ -1,16 +1,24 @@
 """What operators set: organisations, models, services, placement and switches, by version."""
 
+from .editing import Accepted, Edit, Rejected
+from .following import Following
 from .records import Adapter, DrainMark, Model, Organisation, Placement, QuarantineLift, Service
 from .snapshot import Catalogue, Change
+from .validate import validate
 
 __all__ = [
+    "Accepted",
     "Adapter",
     "Catalogue",
     "Change",
     "DrainMark",
+    "Edit",
+    "Following",
     "Model",
     "Organisation",
     "Placement",
     "QuarantineLift",
+    "Rejected",
     "Service",
+    "validate",
 ]
--- /dev/null
+++ b/packages/core/persimmonstall/catalogue/editing.py
@@ -0,0 +1,193 @@
+"""One operator's change: the transaction that makes it, and what the table's answer means.
+
+Every transaction compares and sets the version row, the record's row and the call's row, so
+a change is applied once, on the state that the operator saw, in one order with all others.
+A transaction that the table applies late meets a version row that has moved on and loses.
+"""
+
+import hashlib
+
+import attrs
+import msgspec
+
+from ..failures import Failure, Reason
+from ..outside.table import ABSENT, Committed, Conflict, Write
+from .layout import (
+    CALLS,
+    CONFIG,
+    LOG,
+    RECORDS,
+    VERSION_KEY,
+    AppliedCall,
+    Stored,
+    decode_call,
+    decode_stored,
+    decode_version,
+    encode_call,
+    encode_stored,
+    encode_version,
+    log_key,
+    record_key,
+)
+from .snapshot import Change, encode_change
+
+STEP = "catalogue_change"
+
+
+@attrs.frozen
+class Edit:
+    """What an operator asks for: `value` for a record, or its deletion (None).
+
+    `expected` is the version that last touched the record, 0 for a record that must not
+    exist.  The same `call_id` is sent again when an answer was lost.
+    """
+
+    kind: str
+    name: str
+    value: object
+    expected: int
+    call_id: str
+
+    def digest(self):
+        """Return a hash of what the call asks for."""
+        body = msgspec.json.encode((self.kind, self.name, self.value, self.expected))
+        return hashlib.sha256(body).hexdigest()
+
+
+@attrs.frozen
+class Seen:
+    """Rows read before a change; None for an absent row."""
+
+    version: object = None
+    record: object = None
+    call: object = None
+
+
+@attrs.frozen
+class Accepted:
+    """The change is in effect as catalogue version `version`.
+
+    `repeated` says that an earlier call with the same id had already made it.
+    """
+
+    version: int
+    repeated: bool = False
+
+
+@attrs.frozen
+class Rejected(Failure):
+    """The change was not made: the record is at `current` and reads `value`."""
+
+    current: int = 0
+    value: object = None
+
+
+@attrs.frozen
+class Transaction:
+    """The writes that make one change, and the version that they make."""
+
+    version: int
+    writes: tuple[Write, ...]
+
+
+@attrs.frozen
+class Retry:
+    """The change has to be planned again, from the rows that a conflict has `seen`."""
+
+    seen: Seen
+
+    def __bool__(self):
+        return False
+
+
+@attrs.frozen
+class Resend:
+    """The effect is unknown: the same transaction is sent again, and one of them loses."""
+
+    def __bool__(self):
+        return False
+
+
+def plan(edit, seen, at):
+    """Return what to do about `edit`: a `Transaction`, `Accepted` or a failure.
+
+    `at` is the wall-clock time in Unix seconds, for the log.
+    """
+    if seen.call:
+        return answer_repeat(edit, decode_call(seen.call))
+    stored = decode_stored(seen.record)[2] if seen.record else Stored(0, None)
+    if seen.record and stored.touched < edit.expected:
+        return Failure(Reason.TABLE_DOWN, STEP, "table", "the table serves old reads")
+    if stored.touched != edit.expected:
+        return rejected(stored)
+    if stored.value is None and edit.value is None:
+        return Failure(Reason.NOT_FOUND, STEP, detail=f"no {edit.kind} {edit.name}")
+    version = decode_version(seen.version) + 1
+    return Transaction(version, tuple(writes(edit, seen, version, at)))
+
+
+def rejected(stored):
+    """Return the answer to an edit of a record that is at another version."""
+    detail = f"the record is at version {stored.touched}"
+    return Rejected(Reason.CONFLICT, STEP, "", detail, stored.touched, stored.value)
+
+
+def answer_repeat(edit, call):
+    """Return the answer to a call whose id has already made a change."""
+    if call.digest != edit.digest():
+        detail = f"call id {edit.call_id} was used for another change"
+        return Failure(Reason.KEY_CONFLICT, STEP, detail=detail)
+    return Accepted(call.version, repeated=True)
+
+
+def writes(edit, seen, version, at):
+    """Return the conditional writes of one change."""
+    change = Change(version, edit.kind, edit.name, edit.value, edit.call_id, at)
+    value = None if edit.value is None else encode_stored(Stored(version, edit.value))
+    call = encode_call(AppliedCall(version, edit.digest()))
+    key = record_key(edit.kind, edit.name)
+    return [
+        Write(CONFIG, VERSION_KEY, row_version(seen.version), encode_version(version)),
+        Write(RECORDS, key, row_version(seen.record), value),
+        Write(LOG, log_key(version), ABSENT, encode_change(change)),
+        Write(CALLS, edit.call_id, ABSENT, call),
+    ]
+
+
+def row_version(row):
+    """Return the expected version of a row for a conditional write."""
+    return row.version if row else ABSENT
+
+
+def judge(edit, seen, transaction, result):
+    """Return what the table's answer to `transaction`, planned from `seen`, means.
+
+    `Accepted`, `Retry` after another operator's change, `Resend` when the effect is unknown,
+    or the table's `Failure`.  A conflict's rows are newer than any read, so the call's row
+    among them is the proof that the change was made.
+    """
+    if isinstance(result, Committed):
+        return Accepted(transaction.version)
+    if isinstance(result, Conflict):
+        return judge_conflict(edit, seen, result)
+    if result.reason is Reason.AMBIGUOUS:
+        return Resend()
+    return result
+
+
+def judge_conflict(edit, seen, conflict):
+    """Return the answer proved by a conflict, or `Retry` from the rows it shows.
+
+    Only the record's row is ever deleted, so it is the absent one among the rows.
+    """
+    record = seen.record
+    version = seen.version
+    for row in conflict.rows:
+        place = (row.table, row.key) if row else None
+        if place == (CALLS, edit.call_id):
+            return answer_repeat(edit, decode_call(row))
+        if place == (CONFIG, VERSION_KEY):
+            version = row
+        if place in (None, (RECORDS, record_key(edit.kind, edit.name))):
+            record = row
+    return Retry(Seen(version, record, None))
--- /dev/null
+++ b/packages/core/persimmonstall/catalogue/following.py
@@ -0,0 +1,83 @@
+"""Which step brings a daemon to the newest version of the catalogue it knows of.
+
+A daemon never takes a lower version than one it had or heard of, and after a start it is
+not ready before it has the newest version that the table or a peer could tell it.
+"""
+
+import enum
+
+import attrs
+
+
+class Step(enum.StrEnum):
+    """What a follower does next."""
+
+    NOTHING = "nothing"
+    READ_LOG = "read_log"
+    READ_RECORDS = "read_records"
+    ASK_PEERS = "ask_peers"
+
+
+@attrs.define
+class Following:
+    """Progress of one follower.
+
+    `have` is the version in force here, `newest` the highest known of, from the table or a
+    peer.  `table_up` and `log_gap` are what the last attempt met; `confirmed` says whether
+    the table or a peer has named a version since the start.
+    """
+
+    have: int = 0
+    newest: int = 0
+    table_up: bool = True
+    log_gap: bool = False
+    confirmed: bool = False
+
+    def heard(self, version):
+        """Note a version named by the table or a peer; return whether it is news.
+
+        >>> progress = Following(have=3)
+        >>> progress.heard(2), progress.heard(4), progress.behind()
+        (False, True, True)
+        """
+        self.confirmed = True
+        self.newest = max(self.newest, version)
+        return version > self.have
+
+    def reached(self, version):
+        """Note that `version` is in force here; False if that would be a step back."""
+        if version < self.have:
+            return False
+        self.have = version
+        self.newest = max(self.newest, version)
+        self.log_gap = False
+        return True
+
+    def behind(self):
+        """Return whether a newer version than the one in force is known."""
+        return self.have < self.newest
+
+    def ready(self):
+        """Return whether what is in force may be served from.
+
+        >>> Following().ready(), Following(confirmed=True).ready()
+        (False, True)
+        """
+        return self.confirmed and not self.behind()
+
+    def next_step(self):
+        """Return the `Step` that makes progress.
+
+        >>> Following(have=3, newest=4, table_up=False).next_step()
+        <Step.ASK_PEERS: 'ask_peers'>
+        """
+        if not self.behind():
+            return Step.NOTHING
+        if not self.table_up:
+            return Step.ASK_PEERS
+        return Step.READ_RECORDS if self.log_gap else Step.READ_LOG
+
+
+def fits(changes, have):
+    """Return whether `changes`, in order of version, continue version `have`."""
+    return bool(changes) and changes[0].version <= have + 1
--- /dev/null
+++ b/packages/core/persimmonstall/catalogue/layout.py
@@ -0,0 +1,100 @@
+"""Rows of the catalogue in the table service.
+
+One row per record, one row per version in the change log, one row per operator's call, and
+the version row that every change advances, which puts all changes in one order.
+"""
+
+import attrs
+import msgspec
+
+from .records import KINDS
+
+CONFIG = "config"
+RECORDS = "catalogue"
+LOG = "catalogue_log"
+CALLS = "catalogue_calls"
+VERSION_KEY = "version"
+SNAPSHOT_KEY = "snapshot"
+SNAPSHOT_PREFIX = "catalogue/snapshot/"
+VERSION_DIGITS = 12
+
+
+@attrs.frozen
+class Stored:
+    """A record as its row holds it; `touched` is the catalogue version that wrote it."""
+
+    touched: int
+    value: object
+
+
+@attrs.frozen
+class AppliedCall:
+    """What an operator's call did: it made `version` by the change with this `digest`."""
+
+    version: int
+    digest: str
+
+
+def record_key(kind, name):
+    """Return the key of a record's row.
+
+    >>> record_key("model", "m")
+    'model/m'
+    """
+    return f"{kind}/{name}"
+
+
+def log_key(version):
+    """Return the key of a version's row in the log; keys sort as versions do.
+
+    >>> log_key(7)
+    '000000000007'
+    """
+    return f"{version:0{VERSION_DIGITS}d}"
+
+
+def snapshot_name(version):
+    """Return the name of the snapshot of `version` in the object store."""
+    return SNAPSHOT_PREFIX + log_key(version)
+
+
+def snapshot_version(name):
+    """Return the version of a snapshot's name.
+
+    >>> snapshot_version(snapshot_name(7))
+    7
+    """
+    return int(name.removeprefix(SNAPSHOT_PREFIX))
+
+
+def encode_version(version):
+    """Return the value of the version row."""
+    return str(version).encode()
+
+
+def decode_version(row):
+    """Return the version in the version row; 0 when there is none."""
+    return int(row.value) if row else 0
+
+
+def encode_stored(stored):
+    """Return the value of a record's row."""
+    return msgspec.json.encode(stored)
+
+
+def decode_stored(row):
+    """Return the kind, name and `Stored` record of a record's row."""
+    kind, _, name = row.key.partition("/")
+    raw = msgspec.json.decode(row.value)
+    value = msgspec.convert(raw["value"], KINDS[kind])
+    return kind, name, Stored(raw["touched"], value)
+
+
+def encode_call(call):
+    """Return the value of a call's row."""
+    return msgspec.json.encode(call)
+
+
+def decode_call(row):
+    """Return the `AppliedCall` in a call's row."""
+    return msgspec.json.decode(row.value, type=AppliedCall)
--- /dev/null
+++ b/packages/core/persimmonstall/catalogue/validate.py
@@ -0,0 +1,99 @@
+"""Checks of records that operators send; each returns the list of what is wrong."""
+
+import re
+
+from ..failures import Failure, Reason
+from .snapshot import kind_of
+
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:@-]{0,127}")
+NAME_RULE = "a name starts with a letter or digit and has up to 128 of A-Z a-z 0-9 . _ : @ -"
+HIGHEST_PRIORITY = 9
+MOST_KEYS = 16
+MOST_NAMES = 1000
+MOST_CONTEXT_TOKENS = 16_000_000
+ENGINE_ROLES = ("mixed", "prefill", "decode")
+
+
+def validate(record, catalogue):
+    """Return True or a `Failure` that names everything wrong with `record`.
+
+    >>> from .records import Model
+    >>> from .snapshot import Catalogue
+    >>> validate(Model("", context_tokens=0), Catalogue()).reason
+    <Reason.BAD_REQUEST: 'bad_request'>
+    """
+    problems = name_problems(record.name)
+    problems += CHECKS.get(kind_of(record), nothing)(record, catalogue)
+    if problems:
+        return Failure(Reason.BAD_REQUEST, "validate", detail="; ".join(problems))
+    return True
+
+
+def name_problems(name):
+    """Return what is wrong with a record's name."""
+    return [] if NAME.fullmatch(name) else [f"name {name!r}: {NAME_RULE}"]
+
+
+def nothing(record, catalogue):
+    """Accept a record that has only a name."""
+    return []
+
+
+def organisation(record, catalogue):
+    """Check limits, priority and the names of what the organisation may call."""
+    problems = []
+    for field in ("requests_per_second", "tokens_per_second", "concurrency"):
+        value = getattr(record, field)
+        if not 0 <= value < float("inf"):
+            problems.append(f"{field} must be 0 (no limit) or more")
+    if not 0 <= record.priority <= HIGHEST_PRIORITY:
+        problems.append(f"priority must be from 0 to {HIGHEST_PRIORITY}")
+    if len(record.key_hashes) > MOST_KEYS:
+        problems.append(f"an organisation has at most {MOST_KEYS} keys; revoke one first")
+    for kind in ("model", "adapter", "service"):
+        problems += missing(catalogue, kind, getattr(record, kind + "s"))
+    return problems
+
+
+def missing(catalogue, kind, names):
+    """Return a problem for each of `names` that is no record of `kind`."""
+    if len(names) > MOST_NAMES:
+        return [f"at most {MOST_NAMES} {kind}s may be named"]
+    return [f"no {kind} {name!r}" for name in names if not catalogue.get(kind, name)]
+
+
+def model(record, catalogue):
+    """Check a model's lengths."""
+    problems = [] if record.version else ["version must be set"]
+    if not 1 <= record.context_tokens <= MOST_CONTEXT_TOKENS:
+        problems.append(f"context_tokens must be from 1 to {MOST_CONTEXT_TOKENS}")
+    if not 1 <= record.max_output_tokens <= record.context_tokens:
+        problems.append("max_output_tokens must be from 1 to context_tokens")
+    return problems
+
+
+def adapter(record, catalogue):
+    """Check that an adapter's model exists."""
+    return missing(catalogue, "model", (record.model,))
+
+
+def placement(record, catalogue):
+    """Check that what an endpoint shall serve exists."""
+    problems = missing(catalogue, "model", record.models)
+    problems += missing(catalogue, "adapter", record.adapters)
+    if record.role not in ENGINE_ROLES:
+        problems.append("role must be one of " + ", ".join(ENGINE_ROLES))
+    for name in record.adapters:
+        added = catalogue.get("adapter", name)
+        if added and added.model not in record.models:
+            problems.append(f"adapter {name!r} needs model {added.model!r}")
+    return problems
+
+
+CHECKS = {
+    "organisation": organisation,
+    "model": model,
+    "adapter": adapter,
+    "placement": placement,
+}
+"""Check of each kind that has more than a name."""
--- a/packages/core/persimmonstall/settings/view.py
+++ b/packages/core/persimmonstall/settings/view.py
@@ -22,9 +22,10 @@
     message: str
 
     def __str__(self):
-        place = f"[{self.section}]" if self.section else ""
+        place = f" [{self.section}]" if self.section else ""
         name = f" {self.option}" if self.option else ""
-        return f"{self.file}: {place}{name}: {self.message}"
+        separator = ":" if place else ""
+        return f"{self.file}:{place}{name}{separator} {self.message}"
 
 
 def near(name, names):
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/catalogue/compaction.py
@@ -0,0 +1,92 @@
+"""The task that stores snapshots of the catalogue and prunes the change log behind them."""
+
+from persimmonstall.catalogue.layout import (
+    CALLS,
+    CONFIG,
+    LOG,
+    SNAPSHOT_KEY,
+    SNAPSHOT_PREFIX,
+    decode_version,
+    encode_version,
+    log_key,
+    snapshot_name,
+)
+from persimmonstall.catalogue.snapshot import decode_change
+from persimmonstall.failures import Failure
+from persimmonstall.outside.table import ABSENT, Write
+
+SNAPSHOT_EVERY = 256
+"""Changes between two snapshots."""
+KEPT_LOG = 1024
+"""Changes, and their call ids, that stay in the table behind the newest snapshot."""
+KEPT_SNAPSHOTS = 3
+PRUNED_AT_ONCE = 50
+
+
+class CatalogueCompactor:
+    """Runs beside the follower of each entry; the snapshot row decides which one prunes."""
+
+    def __init__(self, settings, table, objects, follower):
+        self.settings = settings
+        self.table = table
+        self.objects = objects
+        self.follower = follower
+
+    @property
+    def timeout(self):
+        """Time for one call, in seconds."""
+        return self.settings.platform.timeout
+
+    async def run(self):
+        """Look after every change whether a snapshot is due, until cancelled."""
+        queue = self.follower.subscribe()
+        while True:
+            await self.compact()
+            await queue.get()
+
+    async def compact(self):
+        """Store a snapshot when one is due, then prune; a failure waits for the next change."""
+        row = await self.table.read(CONFIG, SNAPSHOT_KEY, self.timeout)
+        version = self.follower.version
+        if isinstance(row, Failure) or version < decode_version(row) + SNAPSHOT_EVERY:
+            return
+        data = self.follower.current.dump()
+        stored = await self.objects.put(snapshot_name(version), data, self.timeout)
+        if not stored:
+            return
+        expected = row.version if row else ABSENT
+        write = Write(CONFIG, SNAPSHOT_KEY, expected, encode_version(version))
+        if await self.table.commit([write], self.timeout):
+            await self.prune_log(version - KEPT_LOG)
+            await self.prune_snapshots()
+
+    async def prune_log(self, last):
+        """Delete the log's rows up to version `last`, and their calls' rows."""
+        while last > 0:
+            rows = await self.table.scan(LOG, "", "", PRUNED_AT_ONCE, self.timeout)
+            if isinstance(rows, Failure):
+                return
+            old = [row for row in rows if row.key <= log_key(last)]
+            if not old or not await self.table.commit(deletions(old), self.timeout):
+                return
+
+    async def prune_snapshots(self):
+        """Delete all but the newest snapshots."""
+        names = await self.objects.list(SNAPSHOT_PREFIX, self.timeout)
+        if isinstance(names, Failure):
+            return
+        for name in names[:-KEPT_SNAPSHOTS]:
+            await self.objects.delete(name, self.timeout)
+
+
+def deletions(rows):
+    """Return the writes that delete rows of the log and the rows of their calls.
+
+    A call's row is written once, so its version is 1.
+    """
+    writes = []
+    for row in rows:
+        call_id = decode_change(row.value).call_id
+        writes.append(Write(LOG, row.key, row.version, None))
+        writes.append(Write(CALLS, call_id, 1, None))
+    return writes
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/catalogue/reader.py
@@ -0,0 +1,121 @@
+"""Reads of the catalogue from the table and the object store."""
+
+import msgspec
+from persimmonstall.catalogue.layout import (
+    CONFIG,
+    LOG,
+    RECORDS,
+    SNAPSHOT_KEY,
+    SNAPSHOT_PREFIX,
+    VERSION_KEY,
+    decode_stored,
+    decode_version,
+    log_key,
+    snapshot_name,
+)
+from persimmonstall.catalogue.snapshot import Catalogue, decode_change
+from persimmonstall.failures import Failure, Reason
+
+PAGE_ROWS = 500
+
+
+class CatalogueReader:
+    """Reads versions, changes and whole catalogues; each result may be old."""
+
+    def __init__(self, settings, table, objects):
+        self.settings = settings
+        self.table = table
+        self.objects = objects
+
+    @property
+    def timeout(self):
+        """Time for one call, in seconds."""
+        return self.settings.platform.timeout
+
+    async def version(self):
+        """Return the version in the version row, or a `Failure`."""
+        row = await self.table.read(CONFIG, VERSION_KEY, self.timeout)
+        return row if isinstance(row, Failure) else decode_version(row)
+
+    async def changes(self, have):
+        """Return the logged changes after version `have`, oldest first, or a `Failure`."""
+        after = log_key(have)
+        rows = await self.table.scan(LOG, "", after, PAGE_ROWS, self.timeout)
+        if isinstance(rows, Failure):
+            return rows
+        return [decode_change(row.value) for row in rows]
+
+    async def snapshot(self):
+        """Return the newest `Catalogue` in the object store, None, or a `Failure`."""
+        version = await self.snapshot_version()
+        if isinstance(version, Failure):
+            return version
+        if not version:
+            return None
+        return await self.load_snapshot(snapshot_name(version))
+
+    async def snapshot_version(self):
+        """Return the version of the newest snapshot, 0 for none, or a `Failure`."""
+        row = await self.table.read(CONFIG, SNAPSHOT_KEY, self.timeout)
+        return row if isinstance(row, Failure) else decode_version(row)
+
+    async def load_snapshot(self, name):
+        """Return the `Catalogue` stored as object `name`, None, or a `Failure`."""
+        data = await self.objects.get(name, self.timeout)
+        if data is None or isinstance(data, Failure):
+            return data
+        try:
+            return Catalogue.load(data)
+        except (msgspec.MsgspecError, KeyError, ValueError) as error:
+            return Failure(Reason.STORE_DOWN, "catalogue_snapshot", name, str(error))
+
+    async def records(self):
+        """Return the whole `Catalogue` from the rows of the table, or a `Failure`.
+
+        Rows change while they are scanned, so the changes logged since the scan began are
+        applied on top, up to the version that the scan ended at.
+        """
+        began = await self.version()
+        if isinstance(began, Failure):
+            return began
+        catalogue = Catalogue()
+        failure = await self.scan_into(catalogue)
+        if failure is not None:
+            return failure
+        catalogue.version = began
+        ended = await self.version()
+        if isinstance(ended, Failure):
+            return ended
+        return await self.catch_up(catalogue, ended)
+
+    async def scan_into(self, catalogue):
+        """Put every record's row into `catalogue`; return None or a `Failure`."""
+        after = ""
+        while True:
+            rows = await self.table.scan(RECORDS, "", after, PAGE_ROWS, self.timeout)
+            if isinstance(rows, Failure):
+                return rows
+            for row in rows:
+                kind, name, stored = decode_stored(row)
+                catalogue.put(kind, name, stored.value)
+                catalogue.touched[kind, name] = stored.touched
+            if len(rows) < PAGE_ROWS:
+                return None
+            after = rows[-1].key
+
+    async def catch_up(self, catalogue, version):
+        """Apply logged changes up to `version`; return the catalogue or a `Failure`."""
+        while catalogue.version < version:
+            changes = await self.changes(catalogue.version)
+            if isinstance(changes, Failure):
+                return changes
+            if not all(map(catalogue.apply, changes)) or not changes:
+                return Failure(Reason.TABLE_DOWN, "catalogue_scan", detail="old or missing rows")
+        return catalogue
+
+    async def newest_object(self):
+        """Return the newest stored `Catalogue` without the table, None, or a `Failure`."""
+        names = await self.objects.list(SNAPSHOT_PREFIX, self.timeout)
+        if isinstance(names, Failure):
+            return names
+        return await self.load_snapshot(names[-1]) if names else None
