--- a/packages/daemon/persimmonstall_daemon/observe/names.py
+++ b/packages/daemon/persimmonstall_daemon/observe/names.py
@@ -56,7 +56,7 @@
     Entry("link_lost", Kind.COUNTER, "Links lost.", "reason"),
     Entry("control_sent", Kind.COUNTER, "Bytes of control messages sent."),
     Entry("control_received", Kind.COUNTER, "Bytes of control messages received."),
-    Entry("peers", Kind.GAUGE, "Instances in the view.", "state"),
+    Entry("peers", Kind.GAUGE, "Live instances in the view.", "role"),
     Entry("leaving_learned", Kind.COUNTER, "Endpoints learnt to be leaving.", "source"),
     Entry("catalogue_version", Kind.GAUGE, "Version of the configuration in force."),
     Entry("budget_asks", Kind.COUNTER, "Budget leases asked of keepers."),
