Limits and membership wired into both daemons

Cause: the limiter, the view of instances and the sources of leaving had no caller. Ruled out: heartbeats on links between entries, which at 40 entries would cost each of them about the whole control budget; a request's placement asking each source of leaving. Change: a Limits filter after classification; links between entries on demand; the entry's subset of endpoint daemons from the list; endpoint daemons leave on the first of list, drain mark and signal; a leaving entry still takes requests for the balancer's sake.

--- a/packages/core/persimmonstall/settings/schema.py
+++ b/packages/core/persimmonstall/settings/schema.py
@@ -18,6 +18,9 @@
     region: str = option("r1", "Region of the instance.")
     http: str = option("127.0.0.1:8000", "IP:port for callers (entry).")
     admin: str = option("127.0.0.1:9000", "IP:port for operators (entry).")
+    linger: float = option(
+        2.0, "Time for which a leaving entry still takes requests.", "s", low=0, high=60
+    )
     seed: int = option(0, "Seed of the random source; 0 seeds from the system.", low=0)
 
 
--- a/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
@@ -4,6 +4,7 @@
 import uuid
 
 from persimmonstall.failures import Outcome, Reason
+from persimmonstall.invariants import Invariants
 from persimmonstall.messages import control, requests
 
 from .session import Session
@@ -24,6 +25,8 @@
         self.context = context
         self.metrics = metrics
         self.run_id = uuid.UUID(int=context.random.getrandbits(128)).hex
+        self.invariants = Invariants(on_violation=metrics.violation)
+        self.stopping = False
         self.backends = {}
         self.sessions = set()
         self.owners = {}
@@ -111,10 +114,15 @@
         attempt = getattr(message, "attempt", 0)
         return requests.Refused(request_id, attempt, reason, STEP, peer, outcome)
 
-    async def drain(self):
-        """Take no new work and wait until every attempt has ended and was sent."""
+    def leave(self):
+        """Take no new work from now on and tell the entries."""
+        self.stopping = True
         for backend in self.backends.values():
             self.broadcast(backend.leave())
+
+    async def drain(self):
+        """Take no new work and wait until every attempt has ended and was sent."""
+        self.leave()
         while any(backend.busy() for backend in self.backends.values()):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -134,7 +134,9 @@
 
     def busy(self):
         """Return the number of attempts not yet ended or not yet wholly sent."""
-        return sum(1 for a in self.attempts.values() if not a.result_sent and a.session)
+        return sum(
+            1 for a in self.attempts.values() if not a.result_sent and (a.session or not a.ended)
+        )
 
     def load(self):
         """Return the load as known now."""
--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -4,10 +4,13 @@
 import uuid
 
 import attrs
-
 from persimmonstall.failures import Failure, Reason
+from persimmonstall.invariants import Invariants
+from persimmonstall.membership import subset_of
 from persimmonstall.messages import control
 
+from ..limits import Budgets, EntryPeers
+from ..membership import Membership
 from ..observe import logs
 from .dispatch import Dispatch
 from .exchange import Exchanges
@@ -17,6 +20,7 @@
 
 LOG = logs.get("entry")
 DRAIN_POLL_SECONDS = 0.05
+TICK_SECONDS = 1.0
 
 
 @attrs.frozen
@@ -30,10 +34,13 @@
 class EntryDaemon:
     """What the filters of one entry share.
 
-    `follower` holds the catalogue, `placer` chooses endpoints, `network` opens links.
+    `follower` holds the catalogue, `placer` chooses endpoints, `network` opens links,
+    `instances` is the platform's list.
     """
 
-    def __init__(self, settings, network, context, metrics, follower, placer, vocabulary):
+    def __init__(
+        self, settings, network, context, metrics, follower, placer, vocabulary, instances=None
+    ):
         self.settings = settings
         self.network = network
         self.context = context
@@ -43,7 +50,14 @@
         self.vocabulary = vocabulary
         self.run_id = uuid.UUID(int=context.random.getrandbits(128)).hex
         self.exchanges = Exchanges(metrics)
+        self.invariants = Invariants(on_violation=self.violated)
         self.links = EndpointLinks(self)
+        self.membership = Membership(settings, context, self.invariants, metrics, instances)
+        self.membership.subscribe(self.on_members)
+        self.peers = EntryPeers(self)
+        self.budgets = Budgets(
+            settings, context, self.invariants, metrics, self.entry_names, self.peers.send
+        )
         self.pipeline = Pipeline(make_filters(self), Dispatch(self))
         self.leaving = False
         self.active = 0
@@ -65,6 +79,49 @@
             daemon.instance, daemon.role, daemon.data_centre, self.run_id, self.version
         )
 
+    def violated(self, name, detail):
+        """Count and log a violated invariant."""
+        self.metrics.violation(name, detail)
+        LOG.error("invariant violated", invariant=name, detail=detail)
+
+    def entry_names(self):
+        """Return the names of the live entries."""
+        return [instance.name for instance in self.membership.entries()]
+
+    def on_members(self):
+        """Keep links to this entry's subset of the endpoint daemons."""
+        view = self.membership.view
+        daemons = view.present("endpoint")
+        size = self.settings.links.subset
+        name = self.settings.daemon.instance
+        entries = self.membership.entries()
+        self.links.set(subset_of(name, entries, daemons, size, self.served_by(daemons)))
+
+    def served_by(self, daemons):
+        """Return what each endpoint instance serves by the catalogue, as a dict of tuples."""
+        placements = self.catalogue.records["placement"]
+        return {
+            daemon.name: tuple(
+                model
+                for endpoint in daemon.endpoints
+                if endpoint in placements
+                for model in placements[endpoint].models
+            )
+            for daemon in daemons
+        }
+
+    async def start(self):
+        """Accept links of other entries."""
+        await self.peers.start()
+
+    async def tick(self):
+        """Renew budgets, close idle links and take over drain marks until cancelled."""
+        while True:
+            await asyncio.sleep(self.context.jitter(TICK_SECONDS))
+            self.membership.on_drains(self.catalogue.records["drain"])
+            self.budgets.tick(lambda name: self.catalogue.get("organisation", name))
+            self.peers.tick()
+
     async def serve(self, request, sink):
         """Return the `Answer` or `Refusal` of a `CallerRequest`."""
         self.active += 1
@@ -95,6 +152,7 @@
 
     def place(self, work, avoided):
         """Return where the next attempt of `work` goes, or a `Failure`."""
+        avoided = avoided | self.membership.view.leaving
         return self.placer.place(work, avoided, self.context.now())
 
     def may_retry(self, work, reason):
@@ -114,10 +172,12 @@
     def on_loads(self, instance, loads):
         """Take fresh loads of an instance's endpoints."""
         self.links.learn(instance, loads)
+        self.membership.on_loads(instance.name, loads)
         self.placer.on_loads(instance, loads, self.context.now())
 
     def on_leaving(self, instance, endpoints):
         """Stop placing work on endpoints that are leaving."""
+        self.membership.on_leaving(instance.name, endpoints)
         self.placer.on_leaving(endpoints)
 
     def on_link_down(self, instance):
@@ -137,11 +197,17 @@
         LOG.error("bug", step=step, error=repr(error), exc_info=error)
 
     async def drain(self):
-        """Fail the readiness check and wait until every request has ended."""
+        """Fail the readiness check and wait until every request has ended.
+
+        Requests are still taken for a while, until the balancer has noticed.
+        """
         self.leaving = True
+        await self.membership.leave()
+        await asyncio.sleep(self.settings.daemon.linger)
         while self.active:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     async def stop(self):
         """End the links."""
         await self.links.close()
+        await self.peers.close()
--- a/packages/daemon/persimmonstall_daemon/entry/dispatch.py
+++ b/packages/daemon/persimmonstall_daemon/entry/dispatch.py
@@ -5,7 +5,6 @@
 """
 
 import attrs
-
 from persimmonstall.failures import Failure, Outcome, Reason, Refusal, refuse
 from persimmonstall.messages import requests
 
--- a/packages/daemon/persimmonstall_daemon/entry/exchange.py
+++ b/packages/daemon/persimmonstall_daemon/entry/exchange.py
@@ -3,7 +3,6 @@
 import asyncio
 
 import attrs
-
 from persimmonstall.streams.assembly import Assembly
 
 
--- a/packages/daemon/persimmonstall_daemon/entry/filters/authenticate.py
+++ b/packages/daemon/persimmonstall_daemon/entry/filters/authenticate.py
@@ -7,7 +7,6 @@
 
 from ..filter import Filter
 
-
 STEP = "authenticate"
 
 
--- a/packages/daemon/persimmonstall_daemon/entry/filters/classify.py
+++ b/packages/daemon/persimmonstall_daemon/entry/filters/classify.py
@@ -2,7 +2,6 @@
 
 import attrs
 import xxhash
-
 from persimmonstall.failures import Reason, Refusal
 from persimmonstall.lengths import classify
 
--- a/packages/daemon/persimmonstall_daemon/entry/http/parse.py
+++ b/packages/daemon/persimmonstall_daemon/entry/http/parse.py
@@ -4,7 +4,6 @@
 
 import attrs
 import msgspec
-
 from persimmonstall.failures import Reason, Refusal
 
 from ..request import CallerRequest
--- a/packages/daemon/persimmonstall_daemon/entry/http/render.py
+++ b/packages/daemon/persimmonstall_daemon/entry/http/render.py
@@ -3,7 +3,6 @@
 import math
 
 import orjson
-
 from persimmonstall.failures import HTTP_STATUS, Reason, status_of
 
 CLIENT_ERRORS = frozenset(reason for reason, status in HTTP_STATUS.items() if status < 500)
--- a/packages/daemon/persimmonstall_daemon/entry/http/server.py
+++ b/packages/daemon/persimmonstall_daemon/entry/http/server.py
@@ -4,7 +4,6 @@
 
 import attrs
 from aiohttp import web
-
 from persimmonstall.failures import Outcome, Reason, Refusal
 
 from ..request import Answer
--- a/packages/daemon/persimmonstall_daemon/entry/http/sinks.py
+++ b/packages/daemon/persimmonstall_daemon/entry/http/sinks.py
@@ -2,8 +2,8 @@
 
 from aiohttp import web
 
-from . import render
 from ..request import Sink
+from . import render
 
 
 class Collector(Sink):
--- a/packages/daemon/persimmonstall_daemon/entry/links.py
+++ b/packages/daemon/persimmonstall_daemon/entry/links.py
@@ -126,6 +126,7 @@
         """Take up a daemon that introduced itself."""
         self.failures = 0
         self.run_id = hello.run
+        self.entry.membership.on_hello(hello)
         self.entry.on_loads(self.instance, hello.endpoints)
         self.entry.heard(hello.config_version, self)
         self.entry.exchanges.announce(LinkUp(self.name, hello.run))
--- a/packages/daemon/persimmonstall_daemon/entry/pipeline.py
+++ b/packages/daemon/persimmonstall_daemon/entry/pipeline.py
@@ -3,11 +3,11 @@
 import asyncio
 
 import attrs
-
 from persimmonstall.failures import Failure, Outcome, Reason, Refusal
 
 from .filters.authenticate import Authenticate
 from .filters.classify import Classify
+from .filters.limits import Limits
 
 
 def make_filters(parts):
@@ -15,6 +15,7 @@
     return (
         Authenticate(parts),
         Classify(parts),
+        Limits(parts),
     )
 
 
--- a/packages/daemon/persimmonstall_daemon/entry/placer.py
+++ b/packages/daemon/persimmonstall_daemon/entry/placer.py
@@ -3,7 +3,6 @@
 import abc
 
 import attrs
-
 from persimmonstall.failures import Failure, Reason
 
 STEP = "place"
--- a/packages/daemon/persimmonstall_daemon/limits/task.py
+++ b/packages/daemon/persimmonstall_daemon/limits/task.py
@@ -9,9 +9,6 @@
 from persimmonstall.limits import FairShare, Keeper, Limiter
 from persimmonstall.membership.rendezvous import owner
 
-TICK = 1.0
-"""Seconds between renewals, returns and evictions."""
-
 
 class Budgets:
     """Admits requests within their organisations' limits and keeps budgets for other entries.
@@ -110,11 +107,6 @@
         self.metrics.count("budget_leases")
         return self.keeper.lend(ask, instance, organisation, count, now, self.changed)
 
-    def on_ask(self, ask, instance, organisation):
-        """Answer a peer's ask; an organisation not known here yet is left unanswered."""
-        if organisation is not None:
-            self.send(instance, self.lend(ask, instance, organisation))
-
     def on_lease(self, lease):
         """Take in a lease and wake who waits for it."""
         self.limiter.on_lease(lease, self.context.now())
@@ -127,7 +119,10 @@
         self.limiter.settle(charge, used_tokens, self.context.now())
 
     def tick(self, organisation_of):
-        """Renew, return and evict; `organisation_of(name)` gives the record or None."""
+        """Renew, return and evict, about once a second.
+
+        `organisation_of(name)` gives the record or None.
+        """
         now = self.context.now()
         self.entries()
         for keeper, ask in self.limiter.tick(self.keeper_of, now):
@@ -137,9 +132,3 @@
         self.keeper.evict(now)
         self.fair.evict(now)
         self.metrics.gauge("budget_organisations", len(self.limiter.accounts))
-
-    async def run(self, organisation_of):
-        """Tick until cancelled."""
-        while True:
-            await asyncio.sleep(self.context.jitter(TICK))
-            self.tick(organisation_of)
--- a/packages/daemon/persimmonstall_daemon/membership/__init__.py
+++ b/packages/daemon/persimmonstall_daemon/membership/__init__.py
@@ -1,5 +1,6 @@
-"""The task that keeps a daemon's view of the other instances."""
+"""The tasks that keep a daemon's view of the other instances and of leaving."""
 
+from .leaving import Leaving
 from .task import Membership
 
-__all__ = ["Membership"]
+__all__ = ["Leaving", "Membership"]
--- a/packages/daemon/persimmonstall_daemon/membership/task.py
+++ b/packages/daemon/persimmonstall_daemon/membership/task.py
@@ -3,7 +3,6 @@
 import asyncio
 
 import attrs
-
 from persimmonstall.membership import View
 from persimmonstall.outside.instances import Instance, InstanceState
 
@@ -65,7 +64,8 @@
     async def leave(self):
         """Announce that this instance is leaving."""
         self.leaving = True
-        await self.register()
+        if self.instances is not None:
+            await self.register()
 
     async def refresh(self):
         """Read the list once; an unreadable list leaves the view as it is."""
@@ -78,16 +78,22 @@
         now = self.context.now()
         self.listed_at = now
         name = self.settings.daemon.instance
-        for instance in found:
-            if instance.name == name and instance.address == self.settings.daemon.address:
-                self.own_listed_leaving = instance.state is InstanceState.LEAVING
-        before = self.view.leaving
+        before = self.view.leaving, self.own_listed_leaving
+        self.take_own(found)
         others = tuple(instance for instance in found if instance.name != name)
-        if self.view.on_list(others, now) or before != self.view.leaving:
+        changed = self.view.on_list(others, now)
+        if changed or before != (self.view.leaving, self.own_listed_leaving):
             self.changed()
         self.metrics.gauge("peers", len(self.view.members("entry")), tag="entry")
         self.metrics.gauge("peers", len(self.view.members("endpoint")), tag="endpoint")
 
+    def take_own(self, found):
+        """Note what the list says of this instance; an entry of another address is older."""
+        daemon = self.settings.daemon
+        for instance in found:
+            if (instance.name, instance.address) == (daemon.instance, daemon.address):
+                self.own_listed_leaving = instance.state is InstanceState.LEAVING
+
     def on_drains(self, names):
         """Take the drain marks of the catalogue in force."""
         before = self.view.leaving
--- a/packages/daemon/persimmonstall_daemon/roles.py
+++ b/packages/daemon/persimmonstall_daemon/roles.py
@@ -6,9 +6,7 @@
 import signal
 
 import aiomisc
-
 from persimmonstall.clock import Context
-from persimmonstall.outside.instances import Instance, InstanceState
 
 from .adapters.connect import connect_engine, connect_platform
 from .adapters.vocabulary import ByteVocabulary
@@ -19,6 +17,7 @@
 from .entry.daemon import EntryDaemon
 from .entry.http.server import HttpServer
 from .entry.placer import LeastOutstanding
+from .membership import Leaving, Membership
 from .network import GrpcNetwork
 from .observe import logs
 from .observe.metrics import Metrics
@@ -103,20 +102,14 @@
             self.follower,
             LeastOutstanding(),
             ByteVocabulary(self.settings.callers.token_bytes),
+            self.platform.instances,
         )
-        self.spawn(self.watch_instances())
+        await self.entry.start()
+        self.spawn(self.entry.membership.run())
+        self.spawn(self.entry.tick())
         self.http = HttpServer(self.entry)
         await self.http.start()
 
-    async def watch_instances(self):
-        """Keep links to the endpoint instances of the platform's list."""
-        platform = self.settings.platform
-        while True:
-            found = await self.platform.instances.list(platform.timeout)
-            if found:
-                self.entry.links.set([one for one in found if one.role == "endpoint"])
-            await asyncio.sleep(self.context.jitter(platform.list_poll))
-
     async def drain_role(self):
         """Let all requests end while the readiness check fails."""
         await self.entry.drain()
@@ -138,7 +131,17 @@
         for served in self.settings.endpoints.serves:
             self.daemon.add(self.backend(served))
         await self.daemon.start()
-        self.spawn(self.register())
+        self.membership = Membership(
+            self.settings,
+            self.context,
+            self.daemon.invariants,
+            self.metrics,
+            self.platform.instances,
+            self.daemon.backends,
+        )
+        leaving = Leaving(self.daemon, self.membership)
+        self.membership.subscribe(leaving.update)
+        self.spawn(self.membership.run())
 
     def backend(self, served):
         """Return the backend of one `name=engine@URL` setting."""
@@ -146,27 +149,10 @@
         _kind, _, url = rest.partition("@")
         return EngineBackend(name, connect_engine(url, name), self.daemon)
 
-    async def register(self):
-        """Announce this instance to the platform's list until the daemon stops."""
-        daemon = self.settings.daemon
-        names = tuple(self.daemon.backends)
-        while True:
-            state = InstanceState.LEAVING if self.draining else InstanceState.LIVE
-            instance = Instance(
-                daemon.instance,
-                daemon.role,
-                daemon.address,
-                daemon.data_centre,
-                daemon.region,
-                state,
-                names,
-            )
-            platform = self.settings.platform
-            await self.platform.instances.register(instance, platform.timeout)
-            await asyncio.sleep(self.context.jitter(platform.list_poll))
-
     async def drain_role(self):
         """Take no new work and let all streams end."""
+        self.daemon.leave()
+        await self.membership.leave()
         await self.daemon.drain()
 
     async def stop_role(self):
--- a/packages/standins/persimmonstall_standins/fleet.py
+++ b/packages/standins/persimmonstall_standins/fleet.py
@@ -95,7 +95,8 @@
             placer or LeastOutstanding(),
             ByteVocabulary(settings.callers.token_bytes),
         )
-        entry.links.set(self.instances)
+        await entry.start()
+        entry.membership.on_list(tuple(self.instances))
         self.entries.append(entry)
         await asyncio.sleep(SETTLE_SECONDS)
         return entry
