Relay proved on the virtual fleet: resume, silent links, frozen daemons, slow and departing callers

Cause: the data path was untested under faults. Ruled out: attaching by timer alone; a daemon started anew is told by its run id and the attempt is resumed elsewhere at once. Change: tests that kill engines twice, silence links in each direction, isolate a daemon, remove the caller and the entry; strict invariants in the fleet; a margin before the deadline.

--- a/packages/core/persimmonstall/settings/schema.py
+++ b/packages/core/persimmonstall/settings/schema.py
@@ -58,6 +58,7 @@
     body_bytes: int = option(16_777_216, "Largest request body.", "bytes", low=1024)
     default_deadline: float = option(60.0, "Deadline of a request that names none.", "s", low=0.1)
     max_deadline: float = option(900.0, "Longest deadline that a request may name.", "s", low=0.1)
+    reply_margin: float = option(0.05, "Time kept back to answer before the deadline.", "s", low=0)
     token_bytes: float = option(4.0, "Bytes of text that count as one token.", "bytes", low=0.5)
     idle_credit: int = option(2048, "Tokens that may wait for a slow caller.", "tokens", low=16)
 
--- a/packages/daemon/persimmonstall_daemon/adapters/caller.py
+++ b/packages/daemon/persimmonstall_daemon/adapters/caller.py
@@ -1,8 +1,8 @@
 """HTTP client that the adapters share: one session per outside system."""
 
-
 import aiohttp
 import msgspec
+
 from persimmonstall.failures import Failure, Reason
 
 from .wire import decode_answer
--- a/packages/daemon/persimmonstall_daemon/adapters/engine.py
+++ b/packages/daemon/persimmonstall_daemon/adapters/engine.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 import msgspec
+
 from persimmonstall.failures import Reason
 from persimmonstall.outside.engine import CacheEvent, Engine, Step
 
--- a/packages/daemon/persimmonstall_daemon/adapters/wire.py
+++ b/packages/daemon/persimmonstall_daemon/adapters/wire.py
@@ -6,6 +6,7 @@
 
 import attrs
 import msgspec
+
 from persimmonstall.failures import Failure, Reason
 from persimmonstall.outside.engine import EngineLoad, JobState, Order
 from persimmonstall.outside.instances import Instance
--- a/packages/daemon/persimmonstall_daemon/endpoint/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/attempt.py
@@ -46,6 +46,11 @@
         """What identifies the attempt."""
         return self.submit.request_id, self.submit.attempt
 
+    @property
+    def undelivered(self):
+        """Whether an attached entry has not been sent everything yet."""
+        return self.session is not None and not self.result_sent
+
     @property
     def ended(self):
         """Whether the attempt has its result."""
--- a/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
@@ -4,6 +4,7 @@
 import uuid
 
 from persimmonstall.failures import Outcome, Reason
+from persimmonstall.invariants import Invariants
 from persimmonstall.messages import control, requests
 
 from .session import Session
@@ -18,11 +19,12 @@
     `network` opens the port, `context` gives clock and random source, `metrics` counts.
     """
 
-    def __init__(self, settings, network, context, metrics):
+    def __init__(self, settings, network, context, metrics, strict=False):
         self.settings = settings
         self.network = network
         self.context = context
         self.metrics = metrics
+        self.invariants = Invariants(strict, metrics.violation)
         self.run_id = uuid.UUID(int=context.random.getrandbits(128)).hex
         self.backends = {}
         self.sessions = set()
--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -134,7 +134,7 @@
 
     def busy(self):
         """Return the number of attempts not yet ended or not yet wholly sent."""
-        return sum(1 for a in self.attempts.values() if not a.result_sent and a.session)
+        return sum(1 for a in self.attempts.values() if not a.ended or a.undelivered)
 
     def load(self):
         """Return the load as known now."""
@@ -402,11 +402,12 @@
             if attempt.session is lost.session:
                 attempt.session = None
                 attempt.detached_at = self.now()
-                loop.call_later(grace, self.abandon, attempt)
+                loop.call_later(grace, self.abandon, attempt, attempt.detached_at)
 
-    def abandon(self, attempt):
-        """Stop an attempt that no entry came back for."""
-        if attempt.session is None and not attempt.ended:
+    def abandon(self, attempt, detached_at):
+        """Stop an attempt that no entry came back for since it was detached."""
+        same = attempt.detached_at == detached_at
+        if same and attempt.session is None and not attempt.ended:
             self.daemon.metrics.count("attempts_abandoned")
             self.stop(attempt, Reason.CANCELLED)
 
@@ -435,5 +436,3 @@
             outcome = Outcome.UNKNOWN if attempt.handed_over else Outcome.NOT_RUN
             self.end(attempt, self.refused(attempt.submit, Reason.ENDPOINT_LOST, outcome, detail))
         self.daemon.broadcast(control.Loads((self.load(),)))
-
-
--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -6,6 +6,7 @@
 import attrs
 
 from persimmonstall.failures import Failure, Reason
+from persimmonstall.invariants import Invariants
 from persimmonstall.messages import control
 
 from ..observe import logs
@@ -30,10 +31,13 @@
 class EntryDaemon:
     """What the filters of one entry share.
 
-    `follower` holds the catalogue, `placer` chooses endpoints, `network` opens links.
+    `follower` holds the catalogue, `placer` chooses endpoints, `network` opens links;
+    `strict` raises on a violated invariant.
     """
 
-    def __init__(self, settings, network, context, metrics, follower, placer, vocabulary):
+    def __init__(
+        self, settings, network, context, metrics, follower, placer, vocabulary, strict=False
+    ):
         self.settings = settings
         self.network = network
         self.context = context
@@ -41,6 +45,7 @@
         self.follower = follower
         self.placer = placer
         self.vocabulary = vocabulary
+        self.invariants = Invariants(strict, metrics.violation)
         self.run_id = uuid.UUID(int=context.random.getrandbits(128)).hex
         self.exchanges = Exchanges(metrics)
         self.links = EndpointLinks(self)
--- a/packages/daemon/persimmonstall_daemon/entry/dispatch.py
+++ b/packages/daemon/persimmonstall_daemon/entry/dispatch.py
@@ -4,6 +4,8 @@
 already has, within the deadline and the retry budget.
 """
 
+import asyncio
+
 import attrs
 
 from persimmonstall.failures import Failure, Outcome, Reason, Refusal, refuse
@@ -135,7 +137,7 @@
             return self.take_end(run, message)
         if isinstance(message, requests.Refused):
             return message if assembly.concerns(message) else None
-        if isinstance(message, LinkDown):
+        if isinstance(message, LinkDown) and message.instance == run.exchange.instance:
             return await self.reattach(run)
         return None
 
@@ -147,7 +149,8 @@
             return None
         if not run.first_at:
             run.first_at = self.entry.context.now()
-        await run.sink.write(fresh)
+        if not await self.write(run, fresh):
+            return Failure(Reason.DEADLINE, STEP, "caller", "the caller reads too slowly")
         have = len(run.tokens)
         window = self.entry.settings.callers.idle_credit
         if have - run.credited >= window // CREDIT_SHARE:
@@ -155,6 +158,15 @@
             self.send(run, requests.Credit(run.work.request_id, run.attempt, have))
         return None
 
+    async def write(self, run, fresh):
+        """Give tokens to the caller; False when it does not take them before the deadline."""
+        try:
+            async with asyncio.timeout(self.remaining(run)):
+                await run.sink.write(fresh)
+        except TimeoutError:
+            return False
+        return True
+
     def take_end(self, run, end):
         """Return the whole answer once its end mark matches what was relayed."""
         whole = run.exchange.assembly.finish(end)
@@ -162,6 +174,9 @@
             return self.attach(run)
         if not whole:
             return None
+        self.entry.invariants.check(
+            "answer_whole", end.count == len(run.tokens), run.work.request_id
+        )
         return Answer(
             count=end.count,
             finish=end.finish,
@@ -217,7 +232,7 @@
         if isinstance(result, Answer):
             return False
         reason = Reason(result.reason)
-        if reason is Reason.DEADLINE or self.remaining(run) <= 0:
+        if reason in (Reason.DEADLINE, Reason.CANCELLED) or self.remaining(run) <= 0:
             return False
         not_run = getattr(result, "outcome", Outcome.UNKNOWN) == Outcome.NOT_RUN
         not_run = not_run or result.detail == "no link"
--- a/packages/daemon/persimmonstall_daemon/entry/filters/authenticate.py
+++ b/packages/daemon/persimmonstall_daemon/entry/filters/authenticate.py
@@ -7,7 +7,6 @@
 
 from ..filter import Filter
 
-
 STEP = "authenticate"
 
 
@@ -48,7 +47,7 @@
             request_id=request.request_id,
             organisation=organisation.name,
             prompt=request.prompt,
-            deadline=request.arrived + seconds,
+            deadline=request.arrived + max(seconds / 2, seconds - callers.reply_margin),
             arrived=request.arrived,
             model=request.model,
             adapter=request.adapter,
--- a/packages/daemon/persimmonstall_daemon/entry/http/parse.py
+++ b/packages/daemon/persimmonstall_daemon/entry/http/parse.py
@@ -1,4 +1,4 @@
-"""Turns an HTTP body and its headers into a typed request, or a refusal that says what is wrong."""
+"""Turns an HTTP body and its headers into a typed request, or a refusal that says why not."""
 
 import hashlib
 
--- a/packages/daemon/persimmonstall_daemon/entry/http/render.py
+++ b/packages/daemon/persimmonstall_daemon/entry/http/render.py
@@ -113,10 +113,10 @@
 
 
 def event(body):
-    """Return a server-sent event that carries `body`.
+    r"""Return a server-sent event that carries `body`.
 
     >>> event({"a": 1})
-    b'data: {"a":1}\\n\\n'
+    b'data: {"a":1}\n\n'
     """
     return b"data: " + orjson.dumps(body) + b"\n\n"
 
--- a/packages/daemon/tests/test_observe.py
+++ b/packages/daemon/tests/test_observe.py
@@ -4,6 +4,7 @@
 import socket
 
 import pytest
+
 from persimmonstall.settings import Settings
 from persimmonstall_daemon.observe import logs, names
 from persimmonstall_daemon.observe.metrics import Metrics
--- /dev/null
+++ b/packages/daemon/tests/test_relay.py
@@ -0,0 +1,177 @@
+import asyncio
+
+import pytest
+
+from persimmonstall.failures import Outcome, Reason
+from persimmonstall.messages.requests import Chunk, End
+from persimmonstall.streams.assembly import Assembly
+from persimmonstall_daemon.entry.request import Answer, NullSink
+
+LONG_ANSWER = 55
+"""Number of a request whose answer has several hundred tokens."""
+
+FREED_WITHIN = 8.0
+"""Virtual seconds within which the engines' memory must be back to zero."""
+
+
+def used(fleet):
+    return [engine.used for engine in fleet.engines.values()]
+
+
+async def busy_endpoint(fleet):
+    """Wait until some engine holds memory and return its endpoint's name."""
+    for _ in range(200):
+        for name, engine in fleet.engines.items():
+            if engine.used and not engine.dead:
+                return name
+        await asyncio.sleep(0.05)
+    raise AssertionError("no engine is busy")
+
+
+async def undisturbed(fleet, entry, tokens=1000):
+    """Return the tokens of the long answer when nothing goes wrong."""
+    answer = await fleet.ask(entry, LONG_ANSWER, tokens)
+    return answer.tokens
+
+
+def test_answers_are_whole(on_fleet):
+    async def scenario(fleet, entry):
+        asked = [fleet.ask(entry, number, 1000) for number in range(40)]
+        return await asyncio.gather(*asked)
+
+    answers = on_fleet(scenario)
+    assert all(isinstance(answer, Answer) for answer in answers)
+    assert all(answer.count == len(answer.tokens) > 0 for answer in answers)
+
+
+def test_engine_killed_twice_mid_stream_is_resumed_without_loss(on_fleet):
+    async def scenario(fleet, entry):
+        want = await undisturbed(fleet, entry)
+        asked = asyncio.ensure_future(fleet.ask(entry, LONG_ANSWER, 1000))
+        for _ in range(2):
+            await asyncio.sleep(0.6)
+            fleet.engines[await busy_endpoint(fleet)].die()
+        return want, await asked
+
+    want, answer = on_fleet(scenario)
+    assert answer.tokens == want
+    assert answer.attempts == 3
+
+
+@pytest.mark.parametrize("direction", ["to_entry", "to_endpoint"])
+def test_link_silent_in_one_direction_is_replaced(on_fleet, direction):
+    async def scenario(fleet, entry):
+        want = await undisturbed(fleet, entry)
+        asked = asyncio.ensure_future(fleet.ask(entry, LONG_ANSWER, 1000))
+        await asyncio.sleep(0.5)
+        pair = (f"{await busy_endpoint(fleet)}:1", "entry1:1")
+        fleet.fabric.silence(*(pair if direction == "to_entry" else pair[::-1]))
+        return want, await asked
+
+    want, answer = on_fleet(scenario)
+    assert answer.tokens == want
+    assert answer.attempts == 1
+
+
+def test_daemon_frozen_past_silence_is_left_for_another(on_fleet):
+    async def scenario(fleet, entry):
+        want = await undisturbed(fleet, entry)
+        asked = asyncio.ensure_future(fleet.ask(entry, LONG_ANSWER, 1000))
+        await asyncio.sleep(0.5)
+        frozen = await busy_endpoint(fleet)
+        fleet.fabric.isolate(f"{frozen}:1")
+        answer = await asked
+        fleet.fabric.rejoin(f"{frozen}:1")
+        await asyncio.sleep(FREED_WITHIN)
+        return want, answer, used(fleet)
+
+    want, answer, memory = on_fleet(scenario)
+    assert answer.tokens == want
+    assert answer.attempts == 2
+    assert memory == [0, 0, 0]
+
+
+def test_frozen_engine_fails_in_time_when_there_is_no_other(on_fleet):
+    async def scenario(fleet, entry):
+        began = asyncio.get_running_loop().time()
+        asked = asyncio.ensure_future(fleet.ask(entry, LONG_ANSWER, 1000, deadline=10.0))
+        await asyncio.sleep(0.5)
+        fleet.engines["e0"].freeze()
+        refusal = await asked
+        return asyncio.get_running_loop().time() - began, refusal
+
+    took, refusal = on_fleet(scenario, engines=1)
+    assert took <= 10.0
+    assert refusal.outcome is Outcome.UNKNOWN
+    assert refusal.retry_after > 0
+
+
+def test_caller_that_leaves_frees_engine_memory(on_fleet):
+    async def scenario(fleet, entry):
+        asked = asyncio.ensure_future(fleet.ask(entry, LONG_ANSWER, 1000))
+        await asyncio.sleep(0.5)
+        held = sum(used(fleet))
+        asked.cancel()
+        await asyncio.sleep(FREED_WITHIN)
+        return held, used(fleet)
+
+    held, memory = on_fleet(scenario)
+    assert held > 0
+    assert memory == [0, 0, 0]
+
+
+def test_entry_killed_frees_engine_memory(on_fleet):
+    async def scenario(fleet, entry):
+        asked = asyncio.ensure_future(fleet.ask(entry, LONG_ANSWER, 1000))
+        await asyncio.sleep(0.5)
+        fleet.fabric.isolate("entry1:1")
+        await asyncio.sleep(2 * FREED_WITHIN)
+        asked.cancel()
+        return used(fleet)
+
+    assert on_fleet(scenario) == [0, 0, 0]
+
+
+class SlowSink(NullSink):
+    """Takes a long time for each write."""
+
+    async def write(self, tokens):
+        await asyncio.sleep(0.1)
+
+
+def test_slow_caller_holds_up_nobody_else(on_fleet):
+    async def scenario(fleet, entry):
+        loop = asyncio.get_running_loop()
+        slow = asyncio.ensure_future(entry.serve(fleet.request(LONG_ANSWER, 1000), SlowSink()))
+        await asyncio.sleep(0.5)
+        began = loop.time()
+        fast = await fleet.ask(entry, 2, 1000)
+        alone = loop.time() - began
+        return fast, alone, await slow
+
+    fast, took, slow = on_fleet(scenario, engines=1)
+    assert isinstance(fast, Answer)
+    assert took < 20.0
+    assert isinstance(slow, Answer)
+
+
+def test_frames_of_other_requests_and_attempts_are_dropped():
+    assembly = Assembly("r1", attempt=2)
+    assert assembly.accept(Chunk("r2", 2, 0, (1,))) == ()
+    assert assembly.accept(Chunk("r1", 1, 0, (1,))) == ()
+    assert assembly.accept(Chunk("r1", 2, 0, (1, 2))) == (1, 2)
+    assert assembly.accept(Chunk("r1", 2, 0, (1, 2))) == ()
+    assert assembly.finish(End("r1", 1, 2, "stop")) is False
+    assert assembly.finish(End("r1", 2, 3, "stop")).reason is Reason.AMBIGUOUS
+    assert assembly.finish(End("r1", 2, 2, "stop")) is True
+    assert assembly.dropped["other_attempt"] == 2
+
+
+def test_duplicated_frames_change_nothing(on_fleet):
+    async def scenario(fleet, entry):
+        want = await undisturbed(fleet, entry)
+        fleet.fabric.duplicate_share = 0.5
+        return want, await fleet.ask(entry, LONG_ANSWER, 1000)
+
+    want, answer = on_fleet(scenario)
+    assert answer.tokens == want
--- a/packages/standins/persimmonstall_standins/engine_state.py
+++ b/packages/standins/persimmonstall_standins/engine_state.py
@@ -7,6 +7,7 @@
 import enum
 
 import attrs
+
 from persimmonstall.outside.engine import JobKind
 
 
--- a/packages/standins/persimmonstall_standins/faults.py
+++ b/packages/standins/persimmonstall_standins/faults.py
@@ -7,6 +7,7 @@
 from collections import Counter
 
 import attrs
+
 from persimmonstall.failures import Failure, Reason
 
 NETWORK_LATENCY = 0.001
--- a/packages/standins/persimmonstall_standins/fleet.py
+++ b/packages/standins/persimmonstall_standins/fleet.py
@@ -1,9 +1,11 @@
 """A small fleet of the daemons' own tasks in one process, on virtual or real time."""
 
 import asyncio
+import itertools
 from random import Random
 
 import attrs
+
 from persimmonstall.catalogue import Catalogue, Change, Model, Organisation
 from persimmonstall.clock import Context
 from persimmonstall.outside.instances import Instance
@@ -54,6 +56,7 @@
     daemons: dict = attrs.field(factory=dict)
     engines: dict = attrs.field(factory=dict)
     instances: list = attrs.field(factory=list)
+    numbers: object = attrs.field(factory=itertools.count)
 
     def context(self, salt):
         """Return the clock of the running loop and a seeded random source."""
@@ -74,7 +77,7 @@
         address = f"{name}:1"
         settings = self.settings(name, address, "endpoint", data_centre)
         network = self.fabric.network(address, data_centre)
-        daemon = EndpointDaemon(settings, network, self.context(name), Metrics(settings))
+        daemon = EndpointDaemon(settings, network, self.context(name), Metrics(settings), True)
         self.engines[name] = engine or EngineModel(name, EngineSettings(models=("m",)))
         daemon.add(EngineBackend(name, self.engines[name], daemon))
         await daemon.start()
@@ -94,6 +97,7 @@
             FixedFollower(self.catalogue),
             placer or LeastOutstanding(),
             ByteVocabulary(settings.callers.token_bytes),
+            strict=True,
         )
         entry.links.set(self.instances)
         self.entries.append(entry)
@@ -106,7 +110,7 @@
         loop = asyncio.get_running_loop()
         fields = {"model": "m", "max_tokens": 4096, "deadline": 120.0} | changes
         return CallerRequest(
-            request_id=f"r{number}",
+            request_id=f"r{number}-{next(self.numbers)}",
             secret=SECRET,
             prompt=prompt,
             body_hash=str(number),
--- a/packages/standins/persimmonstall_standins/http_server.py
+++ b/packages/standins/persimmonstall_standins/http_server.py
@@ -7,6 +7,7 @@
 
 import msgspec
 from aiohttp import web
+
 from persimmonstall.failures import Failure, Reason
 from persimmonstall.outside.engine import Job
 from persimmonstall.outside.service import ServiceCall
--- a/packages/standins/persimmonstall_standins/instances.py
+++ b/packages/standins/persimmonstall_standins/instances.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import attrs
+
 from persimmonstall.outside.instances import InstanceList, InstanceState
 
 from .faults import FaultyStore
--- a/packages/standins/persimmonstall_standins/platform.py
+++ b/packages/standins/persimmonstall_standins/platform.py
@@ -7,6 +7,7 @@
 
 import uvloop
 from absl import app, flags
+
 from persimmonstall_daemon.adapters import wire
 
 from .http_server import StandInServer, listen
--- a/packages/standins/persimmonstall_standins/service.py
+++ b/packages/standins/persimmonstall_standins/service.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import attrs
+
 from persimmonstall.failures import Failure, Reason
 from persimmonstall.outside.service import PlainService, ServiceAnswer, ServiceLoad
 
--- a/packages/standins/persimmonstall_standins/virtual/network.py
+++ b/packages/standins/persimmonstall_standins/virtual/network.py
@@ -6,6 +6,7 @@
 from random import Random
 
 import attrs
+
 from persimmonstall.failures import Failure, Reason
 from persimmonstall.outside.link import Link, Network
 
--- a/packages/standins/persimmonstall_standins/weights.py
+++ b/packages/standins/persimmonstall_standins/weights.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import attrs
+
 from persimmonstall.failures import Failure, Reason
 from persimmonstall.outside.weights import FetchGrant, WeightStore
 
--- a/packages/standins/tests/test_engine.py
+++ b/packages/standins/tests/test_engine.py
@@ -1,6 +1,7 @@
 import asyncio
 
 import pytest
+
 from persimmonstall.failures import Reason
 from persimmonstall.outside.engine import Finish, Job, JobKind, Order, OrderAction, SegmentRef
 from persimmonstall_standins.engine import EngineModel
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -9,6 +9,7 @@
 
 import tabulate
 from absl import app, flags
+
 from persimmonstall.messages.control import EndpointLoad
 from persimmonstall.messages.requests import Work
 from persimmonstall.placement.admission import admit
