--- a/packages/core/persimmonstall/memory/__init__.py
+++ b/packages/core/persimmonstall/memory/__init__.py
@@ -1,1 +1,1 @@
-"""Predicted use of engine memory and the ledger of who holds it."""
+"""Engine memory: who holds it, until when, and what happens when it runs short."""
--- /dev/null
+++ b/packages/core/persimmonstall/memory/parking.py
@@ -0,0 +1,65 @@
+"""Which streams leave the engine's memory when it runs short, and which come back.
+
+The rule "long and low-priority first" frees the most for the least urgent.  One stream
+always stays, and each one alone fits into the engine, so that some stream always ends and
+makes room: there is no deadlock of half-admitted streams.
+"""
+
+from .ledger import Use
+
+GROWTH_PER_STREAM = 64
+"""Tokens that a stream may add while others are being parked."""
+
+SPARE_SHARE = 0.05
+"""Share of the engine's memory that parking frees beyond what is needed."""
+
+
+def shortage(ledger):
+    """Return the tokens by which the engine will be overdrawn soon; 0 if it will not.
+
+    >>> from ..invariants import Invariants
+    >>> from .ledger import Holding, Ledger
+    >>> ledger = Ledger(Invariants(strict=True), capacity=1000)
+    >>> _ = ledger.add(Holding("a", "d", Use.STREAM, 900, 900, 2000, 9.0, job_id="j"))
+    >>> ledger.grow("a", 990)
+    >>> shortage(ledger)
+    54
+    """
+    most = ledger.in_use + ledger.unowned + len(ledger.holdings) * GROWTH_PER_STREAM
+    if not ledger.capacity or most <= ledger.capacity:
+        return 0
+    staying = [held for held in ledger.holdings.values() if not held.parked and not held.parking]
+    soon = ledger.unowned + sum(held.actual + GROWTH_PER_STREAM for held in staying)
+    return max(0, soon - ledger.capacity)
+
+
+def choose_victims(ledger):
+    """Return the holdings to park now, least urgent first; empty when memory suffices."""
+    short = shortage(ledger)
+    if not short:
+        return []
+    running = [held for held in ledger.holdings.values() if is_running(held)]
+    running.sort(key=lambda held: (held.priority, held.actual, held.name))
+    needed = short + int(ledger.capacity * SPARE_SHARE)
+    victims = []
+    while needed > 0 and len(running) > 1:
+        victim = running.pop()
+        victims.append(victim)
+        needed -= victim.actual
+    return victims
+
+
+def is_running(holding):
+    """Whether a holding is a stream that can be parked."""
+    if holding.parked or holding.parking:
+        return False
+    return holding.use is Use.STREAM and holding.movable and holding.actual > 0
+
+
+def choose_resumed(ledger):
+    """Return the parked holding to bring back now, or None while there is no room for it."""
+    holding = ledger.resumable()
+    if holding is None:
+        return None
+    room = ledger.capacity - ledger.committed - ledger.unowned
+    return holding if holding.wanted <= room else None
