--- a/packages/core/persimmonstall/lengths.py
+++ b/packages/core/persimmonstall/lengths.py
@@ -12,6 +12,10 @@
     GIANT = "giant"
 
 
+LONG_CLASSES = frozenset((LengthClass.LONG, LengthClass.GIANT))
+"""Classes that are kept off the engines where room is left for shorter prompts."""
+
+
 def classify(tokens, lengths):
     """Return the class of a prompt of `tokens` under the `lengths` settings section.
 
--- a/packages/core/persimmonstall/placement/view.py
+++ b/packages/core/persimmonstall/placement/view.py
@@ -9,8 +9,8 @@
 
 import attrs
 
+from ..lengths import LONG_CLASSES
 from .cost import PRIOR_STEP_SECONDS, Cost, weighted_tokens
-from .lengths import LONG_CLASSES
 from .prefix import PrefixMap
 from .slow import Slowness
 
@@ -55,6 +55,7 @@
     models: tuple[str, ...] = ()
     adapters: tuple[str, ...] = ()
     leaving: bool = False
+    reported_leaving: bool = False
     drained: bool = False
     lost: bool = False
     warm_at: float = 0.0
@@ -81,7 +82,7 @@
     @property
     def usable(self):
         """Whether new work may go to the endpoint at all."""
-        return not (self.leaving or self.drained or self.lost)
+        return not (self.leaving or self.reported_leaving or self.drained or self.lost)
 
     def refresh(self):
         """Work out the corrected load from its parts."""
@@ -243,14 +244,18 @@
             return
         state.take_report(load, now)
         served = (state.models, state.adapters)
-        changed = served != (load.models, load.adapters)
-        if changed or (load.leaving and not state.leaving):
-            self.unlist(state)
-            state.models = load.models
-            state.adapters = load.adapters
-            # A report may be older than the news of leaving, so it never takes it back.
-            state.leaving = state.leaving or load.leaving
-            self.rebuild(state)
+        if served == (load.models, load.adapters) and load.leaving == state.reported_leaving:
+            return
+        self.unlist(state)
+        state.models = load.models
+        state.adapters = load.adapters
+        if state.reported_leaving and not load.leaving:
+            state.warm_at = now + WARM_SECONDS
+        # An endpoint that cannot be used for now, as its engine died, comes back empty.
+        if load.leaving:
+            self.prefixes.forget(state.name)
+        state.reported_leaving = load.leaving
+        self.rebuild(state)
 
     def keys_of(self, state):
         """Return the pools that an endpoint belongs to."""
@@ -289,7 +294,7 @@
         """Return the `Pool` that can serve `work`, or None."""
         return self.pools.get(pool_key(work))
 
-    def sent(self, work, attempt, placed, now):
+    def sent(self, work, placed, now):
         """Count an attempt that goes out as `placed`."""
         state = self.endpoints.get(placed.endpoint)
         if state is None:
@@ -300,15 +305,15 @@
         flight = Flight(
             state, tokens, long, memory, now, placed.expected, placed.ahead, work.model
         )
-        self.flights[work.request_id, attempt] = flight
+        self.flights[work.request_id, placed.endpoint] = flight
         state.add(flight)
         state.slowness.used(now)
         if work.blocks:
             self.prefixes.record(state.name, work.blocks)
 
-    def first_token(self, request_id, attempt, now):
+    def first_token(self, request_id, endpoint, now):
         """Note the first output of an attempt, and learn from how long it took."""
-        flight = self.flights.get((request_id, attempt))
+        flight = self.flights.get((request_id, endpoint))
         if flight is None or flight.answered:
             return
         state = flight.endpoint
@@ -320,9 +325,9 @@
         if work >= LEAST_LEARN_TOKENS and not state.slowness.eased:
             self.cost(flight.model).observe(work, observed)
 
-    def ended(self, request_id, attempt):
+    def ended(self, request_id, endpoint):
         """Stop counting an attempt, however it ended."""
-        flight = self.flights.pop((request_id, attempt), None)
+        flight = self.flights.pop((request_id, endpoint), None)
         if flight is None:
             return
         state = flight.endpoint
