--- a/packages/cli/persimmonstall_cli/command.py
+++ b/packages/cli/persimmonstall_cli/command.py
@@ -4,6 +4,7 @@
 
 import attrs
 from absl import flags
+
 from persimmonstall.failures import Failure, Reason
 
 PROGRAM = "persimmonstall"
--- a/packages/cli/persimmonstall_cli/main.py
+++ b/packages/cli/persimmonstall_cli/main.py
@@ -3,6 +3,7 @@
 import sys
 
 import orjson
+
 from persimmonstall.failures import Failure
 
 from .command import PROGRAM, find, flag_help, parse
--- a/packages/cli/tests/test_main.py
+++ b/packages/cli/tests/test_main.py
@@ -1,6 +1,7 @@
 import json
 
 import pytest
+
 from persimmonstall_cli import exits
 from persimmonstall_cli.main import main
 
--- a/packages/daemon/persimmonstall_daemon/catalogue/follower.py
+++ b/packages/daemon/persimmonstall_daemon/catalogue/follower.py
@@ -4,6 +4,7 @@
 from collections import deque
 
 import msgspec
+
 from persimmonstall.catalogue.following import Following, Step
 from persimmonstall.catalogue.snapshot import Catalogue, decode_change, encode_change
 from persimmonstall.failures import Failure
--- a/packages/daemon/persimmonstall_daemon/catalogue/reader.py
+++ b/packages/daemon/persimmonstall_daemon/catalogue/reader.py
@@ -1,6 +1,7 @@
 """Reads of the catalogue from the table and the object store."""
 
 import msgspec
+
 from persimmonstall.catalogue.layout import (
     CONFIG,
     LOG,
--- a/packages/daemon/tests/test_catalogue_follower.py
+++ b/packages/daemon/tests/test_catalogue_follower.py
@@ -2,6 +2,7 @@
 from random import Random
 
 import pytest
+
 from persimmonstall.catalogue import Model
 from persimmonstall.catalogue.layout import LOG
 from persimmonstall.catalogue.snapshot import decode_change
--- a/packages/daemon/tests/test_catalogue_store.py
+++ b/packages/daemon/tests/test_catalogue_store.py
@@ -2,6 +2,7 @@
 
 import attrs
 import pytest
+
 from persimmonstall.catalogue import Accepted, Rejected
 from persimmonstall.catalogue.editing import Transaction, plan
 from persimmonstall.failures import Reason
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -10,6 +10,7 @@
 
 import tabulate
 from absl import app, flags
+
 from persimmonstall.lengths import classify
 from persimmonstall.messages.control import EndpointLoad
 from persimmonstall.messages.requests import Work
