--- a/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
@@ -19,13 +19,13 @@
     `network` opens the port, `context` gives clock and random source, `metrics` counts.
     """
 
-    def __init__(self, settings, network, context, metrics):
+    def __init__(self, settings, network, context, metrics, strict=False):
         self.settings = settings
         self.network = network
         self.context = context
         self.metrics = metrics
+        self.invariants = Invariants(strict, metrics.violation)
         self.run_id = uuid.UUID(int=context.random.getrandbits(128)).hex
-        self.invariants = Invariants(on_violation=metrics.violation)
         self.stopping = False
         self.backends = {}
         self.sessions = set()
--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -4,6 +4,7 @@
 import uuid
 
 import attrs
+
 from persimmonstall.failures import Failure, Reason
 from persimmonstall.invariants import Invariants
 from persimmonstall.membership import subset_of
@@ -35,11 +36,20 @@
     """What the filters of one entry share.
 
     `follower` holds the catalogue, `placer` chooses endpoints, `network` opens links,
-    `instances` is the platform's list.
+    `instances` is the platform's list; `strict` raises on a violated invariant.
     """
 
     def __init__(
-        self, settings, network, context, metrics, follower, placer, vocabulary, instances=None
+        self,
+        settings,
+        network,
+        context,
+        metrics,
+        follower,
+        placer,
+        vocabulary,
+        instances=None,
+        strict=False,
     ):
         self.settings = settings
         self.network = network
@@ -48,9 +58,9 @@
         self.follower = follower
         self.placer = placer
         self.vocabulary = vocabulary
+        self.invariants = Invariants(strict, self.violated)
         self.run_id = uuid.UUID(int=context.random.getrandbits(128)).hex
         self.exchanges = Exchanges(metrics)
-        self.invariants = Invariants(on_violation=self.violated)
         self.links = EndpointLinks(self)
         self.membership = Membership(settings, context, self.invariants, metrics, instances)
         self.membership.subscribe(self.on_members)
--- a/packages/daemon/persimmonstall_daemon/entry/exchange.py
+++ b/packages/daemon/persimmonstall_daemon/entry/exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import attrs
+
 from persimmonstall.streams.assembly import Assembly
 
 
--- a/packages/daemon/persimmonstall_daemon/entry/filters/classify.py
+++ b/packages/daemon/persimmonstall_daemon/entry/filters/classify.py
@@ -2,6 +2,7 @@
 
 import attrs
 import xxhash
+
 from persimmonstall.failures import Reason, Refusal
 from persimmonstall.lengths import classify
 
--- a/packages/daemon/persimmonstall_daemon/entry/filters/limits.py
+++ b/packages/daemon/persimmonstall_daemon/entry/filters/limits.py
@@ -1,6 +1,7 @@
 """Holds organisations to their limits, shared with the other entries."""
 
 import attrs
+
 from persimmonstall.failures import Outcome, Reason, Refusal
 
 from ..filter import Filter
--- a/packages/daemon/persimmonstall_daemon/entry/http/parse.py
+++ b/packages/daemon/persimmonstall_daemon/entry/http/parse.py
@@ -1,9 +1,10 @@
-"""Turns an HTTP body and its headers into a typed request, or a refusal that says what is wrong."""
+"""Turns an HTTP body and its headers into a typed request, or a refusal that says why not."""
 
 import hashlib
 
 import attrs
 import msgspec
+
 from persimmonstall.failures import Reason, Refusal
 
 from ..request import CallerRequest
--- a/packages/daemon/persimmonstall_daemon/entry/pipeline.py
+++ b/packages/daemon/persimmonstall_daemon/entry/pipeline.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import attrs
+
 from persimmonstall.failures import Failure, Outcome, Reason, Refusal
 
 from .filters.authenticate import Authenticate
--- a/packages/daemon/persimmonstall_daemon/entry/placer.py
+++ b/packages/daemon/persimmonstall_daemon/entry/placer.py
@@ -3,6 +3,7 @@
 import abc
 
 import attrs
+
 from persimmonstall.failures import Failure, Reason
 
 STEP = "place"
--- a/packages/daemon/persimmonstall_daemon/membership/task.py
+++ b/packages/daemon/persimmonstall_daemon/membership/task.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import attrs
+
 from persimmonstall.membership import View
 from persimmonstall.outside.instances import Instance, InstanceState
 
--- a/packages/daemon/persimmonstall_daemon/roles.py
+++ b/packages/daemon/persimmonstall_daemon/roles.py
@@ -6,6 +6,7 @@
 import signal
 
 import aiomisc
+
 from persimmonstall.clock import Context
 
 from .adapters.connect import connect_engine, connect_platform
--- a/packages/daemon/tests/test_observe.py
+++ b/packages/daemon/tests/test_observe.py
@@ -5,6 +5,7 @@
 import socket
 
 import pytest
+
 from persimmonstall.settings import Settings
 from persimmonstall_daemon.observe import logs, names
 from persimmonstall_daemon.observe.metrics import Metrics
