--- a/packages/core/persimmonstall/outside/link.py
+++ b/packages/core/persimmonstall/outside/link.py
@@ -22,6 +22,9 @@
     async def receive(self):
         """Return the next message, or a `Failure` once the link is closed."""
 
+    async def flush(self, timeout):
+        """Wait until queued messages have left, at most `timeout` seconds."""
+
     @abc.abstractmethod
     async def close(self):
         """Close the link; closing twice is harmless."""
--- a/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
@@ -11,6 +11,7 @@
 
 STEP = "endpoint"
 DRAIN_POLL_SECONDS = 0.05
+FLUSH_SECONDS = 1.0
 
 
 class EndpointDaemon:
@@ -125,5 +126,8 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        for session in list(self.sessions):
+            await session.link.flush(FLUSH_SECONDS)
+            await session.link.close()
         if self.listener:
             await self.listener.close()
--- a/packages/daemon/persimmonstall_daemon/network/grpc_link.py
+++ b/packages/daemon/persimmonstall_daemon/network/grpc_link.py
@@ -39,6 +39,7 @@
         self.dropped = 0
         self.sent_bytes = 0
         self.received_bytes = 0
+        self.reading = None
         self.writer = asyncio.create_task(self.write())
 
     def send(self, message):
@@ -53,12 +54,25 @@
         try:
             while True:
                 message = await self.outgoing.get()
-                data = join(self.gather(message))
+                frames = self.gather(message)
+                data = join(frames)
                 self.sent_bytes += len(data)
                 await self.call.write(data)
+                for _ in frames:
+                    self.outgoing.task_done()
         except (grpc.RpcError, asyncio.InvalidStateError):
             self.closed.set()
 
+    async def flush(self, timeout):
+        """Wait until everything queued was written, at most `timeout` seconds."""
+        if self.closed.is_set():
+            return
+        try:
+            async with asyncio.timeout(timeout):
+                await self.outgoing.join()
+        except TimeoutError:
+            self.closed.set()
+
     def gather(self, message):
         """Return the frames of `message` and of what else is queued, up to a size."""
         frames = [encode(message)]
@@ -82,11 +96,16 @@
         return self.incoming.pop()
 
     async def read(self):
-        """Return the next gRPC message, None at the end of the stream."""
+        """Return the next gRPC message, None at the end of the stream or once closed."""
+        self.reading = asyncio.ensure_future(self.call.read())
         try:
-            data = await self.call.read()
+            data = await self.reading
         except (grpc.RpcError, asyncio.InvalidStateError):
             return None
+        except asyncio.CancelledError:
+            if asyncio.current_task().cancelling():
+                raise
+            return None
         return data if isinstance(data, bytes) else None
 
     def unpack(self, data):
@@ -111,6 +130,8 @@
         """Close the link; closing twice is harmless."""
         self.closed.set()
         self.writer.cancel()
+        if self.reading:
+            self.reading.cancel()
         if self.on_close:
             on_close, self.on_close = self.on_close, None
             await on_close()
--- a/packages/daemon/persimmonstall_daemon/roles.py
+++ b/packages/daemon/persimmonstall_daemon/roles.py
@@ -33,7 +33,7 @@
         super().__init__()
         self.settings = settings
         seed = settings.daemon.seed or None
-        self.context = Context(random=random.Random(seed))
+        self.clock = Context(random=random.Random(seed))
         self.metrics = Metrics(settings)
         self.network = GrpcNetwork(settings.security)
         self.drained = asyncio.Event()
@@ -92,13 +92,13 @@
         """Start the catalogue, the links and the HTTP port."""
         self.platform = connect_platform(self.settings.platform)
         self.follower = CatalogueFollower(
-            self.settings, self.platform.table, self.platform.objects, self.context, NoPeers()
+            self.settings, self.platform.table, self.platform.objects, self.clock, NoPeers()
         )
         self.spawn(self.follower.run())
         self.entry = EntryDaemon(
             self.settings,
             self.network,
-            self.context,
+            self.clock,
             self.metrics,
             self.follower,
             LeastOutstanding(),
@@ -115,7 +115,7 @@
             found = await self.platform.instances.list(platform.timeout)
             if found:
                 self.entry.links.set([one for one in found if one.role == "endpoint"])
-            await asyncio.sleep(self.context.jitter(platform.list_poll))
+            await asyncio.sleep(self.clock.jitter(platform.list_poll))
 
     async def drain_role(self):
         """Let all requests end while the readiness check fails."""
@@ -134,7 +134,7 @@
     async def start_role(self):
         """Connect to the back ends and listen for entries."""
         self.platform = connect_platform(self.settings.platform)
-        self.daemon = EndpointDaemon(self.settings, self.network, self.context, self.metrics)
+        self.daemon = EndpointDaemon(self.settings, self.network, self.clock, self.metrics)
         for served in self.settings.endpoints.serves:
             self.daemon.add(self.backend(served))
         await self.daemon.start()
@@ -163,7 +163,7 @@
             )
             platform = self.settings.platform
             await self.platform.instances.register(instance, platform.timeout)
-            await asyncio.sleep(self.context.jitter(platform.list_poll))
+            await asyncio.sleep(self.clock.jitter(platform.list_poll))
 
     async def drain_role(self):
         """Take no new work and let all streams end."""
