--- a/packages/core/persimmonstall/catalogue/editing.py
+++ b/packages/core/persimmonstall/catalogue/editing.py
@@ -39,7 +39,8 @@
     """What an operator asks for: `value` for a record, or its deletion (None).
 
     `expected` is the version that last touched the record, 0 for a record that must not
-    exist.  The same `call_id` is sent again when an answer was lost.
+    exist.  The same `call_id` is sent again when an answer was lost; `request` is the call's
+    own form where `value` was worked out from it and would differ in a repeat.
     """
 
     kind: str
@@ -47,6 +48,7 @@
     value: object
     expected: int
     call_id: str
+    request: bytes = b""
 
     @property
     def content(self):
@@ -55,8 +57,16 @@
 
     def digest(self):
         """Return a hash of what the call asks for."""
-        body = msgspec.json.encode((*self.content, self.expected))
-        return hashlib.sha256(body).hexdigest()
+        return digest(self.request or msgspec.json.encode((*self.content, self.expected)))
+
+    def content_digest(self):
+        """Return a hash of the record that the call writes."""
+        return digest(msgspec.json.encode(self.content))
+
+
+def digest(data):
+    """Return the SHA-256 hash (hex) of bytes."""
+    return hashlib.sha256(data).hexdigest()
 
 
 @attrs.frozen
@@ -72,11 +82,13 @@
 class Accepted:
     """The change is in effect as catalogue version `version`.
 
-    `repeated` says that an earlier call with the same id had already made it.
+    `repeated` says that an earlier call with the same id, or an earlier round of this one,
+    had already made it; `own` that the record is the one of this call.
     """
 
     version: int
     repeated: bool = False
+    own: bool = True
 
 
 @attrs.frozen
@@ -142,14 +154,14 @@
     if call.digest != edit.digest():
         detail = f"call id {edit.call_id} was used for another change"
         return Failure(Reason.KEY_CONFLICT, STEP, detail=detail)
-    return Accepted(call.version, repeated=True)
+    return Accepted(call.version, True, call.content == edit.content_digest())
 
 
 def writes(edit, seen, version, at):
     """Return the conditional writes of one change."""
     change = Change(version, *edit.content, edit.call_id, at)
     value = None if edit.value is None else encode_stored(Stored(version, edit.value))
-    call = encode_call(AppliedCall(version, edit.digest()))
+    call = encode_call(AppliedCall(version, edit.digest(), edit.content_digest()))
     key = record_key(edit.kind, edit.name)
     return [
         Write(CONFIG, VERSION_KEY, row_version(seen.version), encode_version(version)),
--- a/packages/core/persimmonstall/catalogue/layout.py
+++ b/packages/core/persimmonstall/catalogue/layout.py
@@ -29,10 +29,14 @@
 
 @attrs.frozen
 class AppliedCall:
-    """What an operator's call did: it made `version` by the change with this `digest`."""
+    """What an operator's call did: it made `version`.
+
+    `digest` is the hash of what was asked for, `content` that of the record written.
+    """
 
     version: int
     digest: str
+    content: str
 
 
 def record_key(kind, name):
--- a/packages/daemon/persimmonstall_daemon/adapters/caller.py
+++ b/packages/daemon/persimmonstall_daemon/adapters/caller.py
@@ -1,6 +1,5 @@
 """HTTP client that the adapters share: one session per outside system."""
 
-
 import aiohttp
 import msgspec
 from persimmonstall.failures import Failure, Reason
--- a/packages/daemon/persimmonstall_daemon/adapters/service.py
+++ b/packages/daemon/persimmonstall_daemon/adapters/service.py
@@ -1,6 +1,5 @@
 """A plain service over HTTP: the method is the path, the answer passes through."""
 
-
 import aiohttp
 from persimmonstall.failures import Failure, Reason
 from persimmonstall.outside.service import PlainService, ServiceAnswer
--- a/packages/daemon/persimmonstall_daemon/admin/__init__.py
+++ b/packages/daemon/persimmonstall_daemon/admin/__init__.py
@@ -1,1 +1,1 @@
-"""Operators administer the system through this gRPC service."""
+"""The operators' port: administration calls over gRPC."""
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/admin/answers.py
@@ -0,0 +1,45 @@
+"""Failures as gRPC status codes with reason, step and peer in the trailing metadata."""
+
+import grpc
+from persimmonstall.failures import Reason
+
+STATUS = {
+    Reason.BAD_REQUEST: grpc.StatusCode.INVALID_ARGUMENT,
+    Reason.UNAUTHENTICATED: grpc.StatusCode.UNAUTHENTICATED,
+    Reason.FORBIDDEN: grpc.StatusCode.PERMISSION_DENIED,
+    Reason.NOT_FOUND: grpc.StatusCode.NOT_FOUND,
+    Reason.CONFLICT: grpc.StatusCode.FAILED_PRECONDITION,
+    Reason.KEY_CONFLICT: grpc.StatusCode.ALREADY_EXISTS,
+    Reason.AMBIGUOUS: grpc.StatusCode.ABORTED,
+    Reason.TABLE_DOWN: grpc.StatusCode.UNAVAILABLE,
+    Reason.STORE_DOWN: grpc.StatusCode.UNAVAILABLE,
+    Reason.PEER_LOST: grpc.StatusCode.UNAVAILABLE,
+}
+"""Status of each reason that administration answers with."""
+
+PREFIX = "persimmonstall-"
+
+
+def metadata(failure):
+    """Return the trailing metadata of a `Failure`; values are ASCII.
+
+    >>> from persimmonstall.failures import Failure
+    >>> metadata(Failure(Reason.CONFLICT, "s", "p"))[0]
+    ('persimmonstall-reason', 'version_conflict')
+    """
+    pairs = [("reason", failure.reason), ("step", failure.step), ("peer", failure.peer)]
+    current = getattr(failure, "current", None)
+    if current is not None:
+        pairs.append(("current-version", str(current)))
+    return tuple((PREFIX + name, ascii_only(value)) for name, value in pairs)
+
+
+def ascii_only(text):
+    """Return `text` with what metadata cannot carry replaced."""
+    return str(text).encode("ascii", "replace").decode()
+
+
+async def abort(context, failure):
+    """End the call with the status of a `Failure`."""
+    status = STATUS.get(failure.reason, grpc.StatusCode.INTERNAL)
+    await context.abort(status, failure.detail or str(failure.reason), metadata(failure))
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/admin/convert.py
@@ -0,0 +1,81 @@
+"""Conversion between the catalogue's records and the messages of the operators' schema."""
+
+import attrs
+from persimmonstall import catalogue
+
+from . import persimmonstall_admin_pb2 as schema
+
+MESSAGES = {
+    "organisation": schema.Organisation,
+    "model": schema.Model,
+    "adapter": schema.Adapter,
+    "service": schema.Service,
+    "placement": schema.Placement,
+}
+"""Message of each kind of record that operators write whole."""
+
+RECORDS = {
+    "organisation": catalogue.Organisation,
+    "model": catalogue.Model,
+    "adapter": catalogue.Adapter,
+    "service": catalogue.Service,
+    "placement": catalogue.Placement,
+}
+
+ENTRIES = {
+    "organisation": schema.OrganisationEntry,
+    "model": schema.ModelEntry,
+    "adapter": schema.AdapterEntry,
+    "service": schema.ServiceEntry,
+    "placement": schema.PlacementEntry,
+}
+
+PAGES = {
+    "organisation": schema.ListOrganisationsResponse,
+    "model": schema.ListModelsResponse,
+    "adapter": schema.ListAdaptersResponse,
+    "service": schema.ListServicesResponse,
+    "placement": schema.ListPlacementsResponse,
+}
+
+KEY_ID_CHARACTERS = 12
+
+
+def key_id(key_hash):
+    """Return the short name of a key by its hash.
+
+    >>> key_id("0123456789abcdef")
+    '0123456789ab'
+    """
+    return key_hash[:KEY_ID_CHARACTERS]
+
+
+def shared_fields(kind):
+    """Return the names that the record and the message of `kind` share."""
+    known = MESSAGES[kind].DESCRIPTOR.fields_by_name
+    return [field.name for field in attrs.fields(RECORDS[kind]) if field.name in known]
+
+
+def to_record(kind, message, **extra):
+    """Return the record that a message of `kind` stands for."""
+    values = {name: getattr(message, name) for name in shared_fields(kind)}
+    lists = {name: tuple(value) for name, value in values.items() if is_list(kind, name)}
+    return RECORDS[kind](**{**values, **lists, **extra})
+
+
+def is_list(kind, name):
+    """Return whether a field of a message repeats."""
+    return MESSAGES[kind].DESCRIPTOR.fields_by_name[name].is_repeated
+
+
+def to_message(kind, record):
+    """Return the message of a record."""
+    return MESSAGES[kind](**{name: getattr(record, name) for name in shared_fields(kind)})
+
+
+def to_entry(kind, record, version):
+    """Return the entry of a record with the version that last touched it."""
+    entry = ENTRIES[kind](**{kind: to_message(kind, record)}, version=version)
+    if kind == "organisation":
+        entry.key_ids.extend(map(key_id, record.key_hashes))
+    return entry
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/admin/organisations.py
@@ -0,0 +1,93 @@
+"""Calls that change organisations and their keys."""
+
+import secrets
+
+import attrs
+from persimmonstall.failures import Failure, Reason
+
+from . import persimmonstall_admin_pb2 as schema
+from .convert import key_id, to_record
+from .operators import hash_key
+from .state import accepted_change, change_response
+
+KEY_PREFIX = "ps-"
+KEY_BYTES = 32
+
+
+async def create(state, request):
+    """Create an organisation without keys."""
+    if request.edit.expected_version:
+        return state.bad_request("expected_version must be 0 to create")
+    record = to_record("organisation", request.organisation)
+    return change_response(await state.change(record, request))
+
+
+async def change(state, request):
+    """Change everything of an organisation but its keys."""
+    if not request.edit.expected_version:
+        return state.bad_request("expected_version must name the version that was read")
+    stored = await state.read("organisation", request.organisation.name)
+    if isinstance(stored, Failure):
+        return stored
+    hashes = stored.value.key_hashes
+    record = to_record("organisation", request.organisation, key_hashes=hashes)
+    return change_response(await state.change(record, request))
+
+
+async def suspend(state, request):
+    """Suspend an organisation, or let it call again."""
+    stored = await state.read("organisation", request.name)
+    if isinstance(stored, Failure):
+        return stored
+    record = attrs.evolve(stored.value, suspended=request.suspended)
+    return change_response(await state.change(record, request))
+
+
+async def create_key(state, request):
+    """Add a key to an organisation and return it, this once."""
+    return await issue(state, request, keep=True)
+
+
+async def rotate_key(state, request):
+    """Replace all keys of an organisation by a new one and return it, this once."""
+    return await issue(state, request, keep=False)
+
+
+async def issue(state, request, keep):
+    """Make a new key; the organisation's others stay if `keep`."""
+    stored = await state.read("organisation", request.organisation)
+    if isinstance(stored, Failure):
+        return stored
+    key = KEY_PREFIX + secrets.token_urlsafe(KEY_BYTES)
+    kept = stored.value.key_hashes if keep else ()
+    record = attrs.evolve(stored.value, key_hashes=(*kept, hash_key(key)))
+    accepted = await state.change(record, request)
+    if not accepted_change(accepted):
+        return accepted
+    if accepted.repeated and not accepted.own:
+        return schema.KeyResponse(version=accepted.version, repeated=True)
+    return schema.KeyResponse(version=accepted.version, key=key, key_id=key_id(hash_key(key)))
+
+
+async def revoke_key(state, request):
+    """Remove one key of an organisation."""
+    stored = await state.read("organisation", request.organisation)
+    if isinstance(stored, Failure):
+        return stored
+    hashes = stored.value.key_hashes
+    kept = tuple(one for one in hashes if key_id(one) != request.key_id)
+    if len(kept) == len(hashes) and stored.touched == request.edit.expected_version:
+        detail = f"{request.organisation} has no key {request.key_id!r}"
+        return Failure(Reason.NOT_FOUND, "administration", detail=detail)
+    record = attrs.evolve(stored.value, key_hashes=kept)
+    return change_response(await state.change(record, request))
+
+
+HANDLERS = {
+    "CreateOrganisation": create,
+    "ChangeOrganisation": change,
+    "SuspendOrganisation": suspend,
+    "CreateKey": create_key,
+    "RotateKey": rotate_key,
+    "RevokeKey": revoke_key,
+}
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/admin/paging.py
@@ -0,0 +1,29 @@
+"""Pages of list calls: names in order, continued behind the last name of the page before."""
+
+import attrs
+
+DEFAULT_SIZE = 100
+LARGEST_SIZE = 1000
+
+
+@attrs.frozen
+class Page:
+    """The `names` of one page; `token` continues it, empty at the end."""
+
+    names: tuple[str, ...]
+    token: str
+
+
+def page_of(names, request):
+    """Return the `Page` of `names` that a list request asks for.
+
+    >>> from .persimmonstall_admin_pb2 import ListRequest
+    >>> page_of(["c", "a", "b"], ListRequest(page_size=2))
+    Page(names=('a', 'b'), token='b')
+    >>> page_of(["c", "a", "b"], ListRequest(page_size=2, page_token="b"))
+    Page(names=('c',), token='')
+    """
+    size = min(request.page_size or DEFAULT_SIZE, LARGEST_SIZE)
+    rest = sorted(name for name in names if name > request.page_token)
+    chosen = tuple(rest[:size])
+    return Page(chosen, chosen[-1] if len(rest) > size else "")
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/admin/records.py
@@ -0,0 +1,76 @@
+"""Calls that are alike for every kind of record: set, delete, get and list."""
+
+from persimmonstall.failures import Failure
+
+from .convert import PAGES, to_entry, to_record
+from .paging import page_of
+from .state import change_response
+
+PLAIN_KINDS = ("model", "adapter", "service", "placement")
+"""Kinds whose records are written whole, as they were sent."""
+
+
+def setter(kind):
+    """Return the handler that sets a record of `kind`."""
+
+    async def handle(state, request):
+        record = to_record(kind, getattr(request, kind))
+        return change_response(await state.change(record, request))
+
+    return handle
+
+
+def deleter(kind):
+    """Return the handler that deletes a record of `kind`."""
+
+    async def handle(state, request):
+        return change_response(await state.delete(kind, request.name, request))
+
+    return handle
+
+
+def getter(kind):
+    """Return the handler that reads one record: from the table, or else what is in force."""
+
+    async def handle(state, request):
+        stored = await state.store.read(kind, request.name)
+        if isinstance(stored, Failure):
+            return in_force(state, kind, request.name)
+        if stored.value is None:
+            return state.missing(kind, request.name)
+        return to_entry(kind, stored.value, stored.touched)
+
+    return handle
+
+
+def in_force(state, kind, name):
+    """Return the entry of a record as it is in force here."""
+    catalogue = state.follower.current
+    record = catalogue.get(kind, name)
+    if record is None:
+        return state.missing(kind, name)
+    return to_entry(kind, record, catalogue.version_of(kind, name))
+
+
+def lister(kind):
+    """Return the handler that lists the records of `kind` that are in force here."""
+
+    async def handle(state, request):
+        page = page_of(state.follower.current.records[kind], request)
+        entries = [in_force(state, kind, name) for name in page.names]
+        return PAGES[kind](entries=entries, next_page_token=page.token)
+
+    return handle
+
+
+def handlers():
+    """Return the handlers by the name of their call."""
+    made = {}
+    for kind in (*PLAIN_KINDS, "organisation"):
+        title = kind.capitalize()
+        made[f"Delete{title}"] = deleter(kind)
+        made[f"Get{title}"] = getter(kind)
+        made[f"List{title}s"] = lister(kind)
+    for kind in PLAIN_KINDS:
+        made[f"Set{kind.capitalize()}"] = setter(kind)
+    return made
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/admin/server.py
@@ -0,0 +1,91 @@
+"""The gRPC server of the operators' port."""
+
+import grpc
+from persimmonstall.failures import Failure, Reason
+
+from ..observe import logs
+from . import fleet, organisations, records
+from .answers import abort
+from .operators import Operators
+from .persimmonstall_admin_pb2_grpc import (
+    AdministrationServicer,
+    add_AdministrationServicer_to_server,
+)
+from .tls import bind
+from .watch import watch
+
+LOG = logs.get("admin")
+STOP_GRACE_SECONDS = 2.0
+MESSAGE_BYTES = 4 * 1024 * 1024
+OPTIONS = (
+    ("grpc.max_receive_message_length", MESSAGE_BYTES),
+    ("grpc.so_reuseport", 0),
+)
+
+
+class AdminServer:
+    """Serves the administration calls from an `Administration` state."""
+
+    def __init__(self, state):
+        self.state = state
+        self.operators = Operators(state.settings)
+        self.server = None
+        self.port = 0
+
+    async def start(self):
+        """Open the port; raises OSError when a certificate cannot be read."""
+        self.server = grpc.aio.server(options=OPTIONS)
+        add_AdministrationServicer_to_server(self.servicer(), self.server)
+        self.port = bind(self.server, self.state.settings)
+        await self.server.start()
+
+    async def stop(self):
+        """Close the port and end the watches."""
+        if self.server:
+            await self.server.stop(STOP_GRACE_SECONDS)
+
+    def servicer(self):
+        """Return a servicer whose calls are the handlers of all groups."""
+        servicer = AdministrationServicer()
+        handlers = records.handlers() | organisations.HANDLERS | fleet.HANDLERS
+        for name, handler in handlers.items():
+            setattr(servicer, name, self.unary(name, handler))
+        servicer.Watch = self.watch
+        return servicer
+
+    def unary(self, name, handler):
+        """Return `handler` behind authentication, with failures as status codes."""
+
+        async def call(request, context):
+            await self.authenticate(name, context)
+            result = await self.run(name, handler, request)
+            if isinstance(result, Failure):
+                logs.log_failure(LOG, "call_failed", result, call=name)
+                await abort(context, result)
+            LOG.info("call", call=name)
+            return result
+
+        return call
+
+    async def run(self, name, handler, request):
+        """Return the handler's answer; an unexpected error is logged and told as internal."""
+        try:
+            return await handler(self.state, request)
+        except Exception as error:
+            LOG.error("bug", call=name, error=repr(error), exc_info=error)
+            instance = self.state.settings.daemon.instance
+            return Failure(Reason.INTERNAL, "administration", instance, "see the daemon's log")
+
+    async def watch(self, request, context):
+        """Stream changes to an authenticated operator."""
+        await self.authenticate("Watch", context)
+        async for event in watch(self.state, request):
+            yield event
+
+    async def authenticate(self, name, context):
+        """End the call unless it carries an operator's key."""
+        metadata = dict(context.invocation_metadata() or ())
+        allowed = self.operators.check(metadata.get("authorization", ""))
+        if not allowed:
+            logs.log_failure(LOG, "call_denied", allowed, call=name)
+            await abort(context, allowed)
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/admin/view.py
@@ -0,0 +1,69 @@
+"""What the operators' port shows of the running fleet, from the daemon that answers."""
+
+import abc
+
+import attrs
+
+
+@attrs.frozen
+class SeenDaemon:
+    """A daemon and the catalogue version it last named; `heard_ago` in seconds, or -1."""
+
+    instance: str
+    role: str
+    data_centre: str = ""
+    version: int = 0
+    heard_ago: float = -1.0
+
+
+@attrs.frozen
+class SeenEndpoint:
+    """An endpoint with its latest load; `state` is live, leaving, draining or lost."""
+
+    name: str
+    instance: str
+    data_centre: str = ""
+    state: str = "live"
+    load: object = None
+
+
+@attrs.frozen
+class SeenVerdict:
+    """A quarantined fingerprint; `expires_in` in seconds."""
+
+    fingerprint: str
+    crashes: int
+    expires_in: float
+    lifted: bool = False
+
+
+class FleetView(abc.ABC):
+    """Lists what this daemon knows; nothing here reads the table."""
+
+    @abc.abstractmethod
+    def daemons(self):
+        """Return a `SeenDaemon` for each daemon known, this one included."""
+
+    @abc.abstractmethod
+    def endpoints(self):
+        """Return a `SeenEndpoint` for each endpoint known."""
+
+    @abc.abstractmethod
+    def verdicts(self):
+        """Return a `SeenVerdict` for each quarantined fingerprint."""
+
+
+class EmptyView(FleetView):
+    """A daemon that knows of no fleet."""
+
+    def daemons(self):
+        """Return no daemon."""
+        return ()
+
+    def endpoints(self):
+        """Return no endpoint."""
+        return ()
+
+    def verdicts(self):
+        """Return no verdict."""
+        return ()
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/admin/watch.py
@@ -0,0 +1,53 @@
+"""The stream of changes as they come into force in the answering daemon."""
+
+import attrs
+import msgspec
+
+from . import persimmonstall_admin_pb2 as schema
+
+
+async def watch(state, request):
+    """Yield a `WatchEvent` for each change after version `since`, without an end."""
+    queue = state.follower.subscribe()
+    try:
+        version = request.since or state.follower.version
+        while True:
+            for event in events_after(state.follower, version):
+                yield event
+            version = max(version, state.follower.version)
+            await queue.get()
+    finally:
+        state.follower.unsubscribe(queue)
+
+
+def events_after(follower, version):
+    """Return the events after `version`, with a gap event when some are no longer kept."""
+    changes = [change for change in follower.recent if change.version > version]
+    events = [event_of(change) for change in changes]
+    if len(changes) < follower.version - version:
+        events.insert(0, schema.WatchEvent(version=follower.version, gap=True))
+    return events
+
+
+def event_of(change):
+    """Return the event of a `Change`."""
+    return schema.WatchEvent(
+        version=change.version,
+        kind=change.kind,
+        name=change.name,
+        record="" if change.value is None else readable(change.value),
+        call_id=change.call_id,
+        at=change.at,
+    )
+
+
+def readable(record):
+    """Return a record as JSON without the hashes of keys.
+
+    >>> from persimmonstall.catalogue import Adapter
+    >>> readable(Adapter("a", "m"))
+    '{"name":"a","model":"m","version":"1"}'
+    """
+    fields = attrs.asdict(record)
+    fields.pop("key_hashes", None)
+    return msgspec.json.encode(fields).decode()
--- a/packages/daemon/persimmonstall_daemon/catalogue/store.py
+++ b/packages/daemon/persimmonstall_daemon/catalogue/store.py
@@ -43,17 +43,18 @@
         self.context = context
         self.follower = follower
 
-    async def change(self, record, expected_version, call_id):
+    async def change(self, record, expected_version, call_id, request=b""):
         """Set `record`: `Accepted`, `Rejected` with the current record, or a `Failure`.
 
         `expected_version` is the version that last touched the record, 0 to create it.
+        `request` identifies a repeat of the call where the record may differ in it.
         """
-        edit = Edit(kind_of(record), record.name, record, expected_version, call_id)
-        return await self.make(edit)
+        kind = kind_of(record)
+        return await self.make(Edit(kind, record.name, record, expected_version, call_id, request))
 
-    async def delete(self, kind, name, expected_version, call_id):
+    async def delete(self, kind, name, expected_version, call_id, request=b""):
         """Delete a record; answers as `change` does."""
-        return await self.make(Edit(kind, name, None, expected_version, call_id))
+        return await self.make(Edit(kind, name, None, expected_version, call_id, request))
 
     async def read(self, kind, name):
         """Return the `Stored` record as the table has it (value None: absent), or a `Failure`."""
@@ -93,7 +94,7 @@
 
         The change reaches the peers from here also while the table serves old reads.
         """
-        if isinstance(verdict, Accepted):
+        if isinstance(verdict, Accepted) and verdict.own:
             now = self.context.wall()
             self.follower.learn(Change(verdict.version, *edit.content, edit.call_id, now))
         return verdict
--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -435,5 +435,3 @@
             outcome = Outcome.UNKNOWN if attempt.handed_over else Outcome.NOT_RUN
             self.end(attempt, self.refused(attempt.submit, Reason.ENDPOINT_LOST, outcome, detail))
         self.daemon.broadcast(control.Loads((self.load(),)))
-
-
--- a/packages/daemon/persimmonstall_daemon/entry/http/server.py
+++ b/packages/daemon/persimmonstall_daemon/entry/http/server.py
@@ -157,7 +157,9 @@
             return refusal_response(organisation)
         name = request.match_info["model"]
         if name not in self.entry.model_names(organisation):
-            return refusal_response(Refusal(Reason.UNKNOWN_MODEL, "parse", "", f"no model {name!r}"))
+            return refusal_response(
+                Refusal(Reason.UNKNOWN_MODEL, "parse", "", f"no model {name!r}")
+            )
         return json_response(model_body(name))
 
     async def health(self, _request):
--- a/packages/daemon/persimmonstall_daemon/entry/http/sinks.py
+++ b/packages/daemon/persimmonstall_daemon/entry/http/sinks.py
@@ -67,9 +67,7 @@
 def json_response(body, status=200, headers=None):
     """Return a JSON response."""
     data = render.orjson.dumps(body)
-    return web.Response(
-        body=data, status=status, headers=headers, content_type="application/json"
-    )
+    return web.Response(body=data, status=status, headers=headers, content_type="application/json")
 
 
 def refusal_response(refusal, request_id=""):
@@ -79,5 +77,3 @@
         render.status(refusal),
         render.error_headers(refusal, request_id),
     )
-
-
