--- a/packages/daemon/persimmonstall_daemon/adapters/caller.py
+++ b/packages/daemon/persimmonstall_daemon/adapters/caller.py
@@ -2,6 +2,7 @@
 
 import aiohttp
 import msgspec
+
 from persimmonstall.failures import Failure, Reason
 
 from .wire import decode_answer
