Entry places by policy; endpoint daemons hand attempts over by due time

The lead's least-outstanding placer is replaced by the policies of the core, chosen by the setting placing.policy; the endpoint daemon's queue refuses what cannot finish in time and hands the rest to the engine by due time. Retries are delayed by the budget instead of allowed without bound.

--- a/packages/core/persimmonstall/placement/prefix.py
+++ b/packages/core/persimmonstall/placement/prefix.py
@@ -1,7 +1,7 @@
 """Bounded map from prompt blocks to the endpoints that probably have them cached.
 
-The map learns from what was sent and is corrected by what answers report as cached and by
-the engines' cache events, which are late and have gaps.  Block hashes are chained, so a block
+The map learns from what was sent and is corrected by the engines' cache events, which are
+late and have gaps.  Block hashes are chained, so a block
 stands for the whole prefix up to it.  Only blocks at grid positions are kept: the cost of a
 look-up or a record grows with the logarithm of the prompt.
 """
@@ -87,14 +87,6 @@
                     found[endpoint] = position + 1
         return found
 
-    def correct(self, endpoint, blocks, cached_blocks):
-        """Drop what an answer showed not to be cached: it had only `cached_blocks`."""
-        for position in GRID:
-            if position >= len(blocks):
-                break
-            if position >= cached_blocks:
-                self.drop(endpoint, blocks[position])
-
     def drop(self, endpoint, block):
         """Forget that `endpoint` holds `block`."""
         owners = self.owners.get(block)
--- a/packages/core/persimmonstall/placement/view.py
+++ b/packages/core/persimmonstall/placement/view.py
@@ -336,11 +336,6 @@
         state.own_running -= 1
         state.refresh()
 
-    def cached(self, endpoint, blocks, cached_tokens):
-        """Correct the prefix map by the prompt tokens that an answer reports as cached."""
-        cached_blocks = cached_tokens // self.settings.lengths.block
-        self.prefixes.correct(endpoint, blocks, cached_blocks)
-
     def look_for_late(self, now):
         """Count attempts whose first token is overdue against their endpoints.
 
--- a/packages/daemon/persimmonstall_daemon/endpoint/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/attempt.py
@@ -38,6 +38,8 @@
     first_at: float = 0.0
     cached: int = 0
     timer: object = None
+    priority: int = 0
+    chunk_tokens: int = 0
     result_sent: bool = False
     handed_over: bool = False
 
--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -1,13 +1,16 @@
 """Runs attempts on one model engine."""
 
 import asyncio
+import contextlib
 import functools
 
 import attrs
 
 from persimmonstall.failures import Outcome, Reason
 from persimmonstall.messages import control, requests
-from persimmonstall.outside.engine import EngineLoad, Finish, Job, Step
+from persimmonstall.outside.engine import CacheEvent, EngineLoad, Finish, Job, Step
+from persimmonstall.placement.prefix import PrefixMap
+from persimmonstall.placement.queue import make_hand_over
 
 from .attempt import Phase, make_attempt
 from .backend import Backend, Expired, SessionLost
@@ -56,6 +59,8 @@
         self.attempts = {}
         self.by_job = {}
         self.reported = EngineLoad(0, 0, 0, 0, 0, 0.0)
+        self.queue = make_hand_over(daemon.settings)
+        self.prefixes = PrefixMap()
         self.tasks = set()
         self.last_step = daemon.context.now()
         self.reader = None
@@ -72,6 +77,7 @@
             StepsLost: self.on_steps_lost,
             EngineDied: self.on_engine_died,
             EngineLoad: self.on_load,
+            CacheEvent: self.on_cache_event,
         }
 
     @property
@@ -93,6 +99,7 @@
     async def run(self):
         """Serve until cancelled."""
         self.reader = self.spawn(self.read_steps())
+        self.spawn(self.read_cache_events())
         self.spawn(self.watch())
         try:
             while True:
@@ -114,6 +121,18 @@
             return
         self.post(StepsLost("ended"))
 
+    async def read_cache_events(self):
+        """Post the engine's cache events, over a new connection whenever one is lost."""
+        while True:
+            with contextlib.suppress(OSError):
+                async for event in self.engine.cache_events():
+                    self.post(event)
+            await asyncio.sleep(self.daemon.context.jitter(REOPEN_SECONDS))
+
+    def on_cache_event(self, event, _session):
+        """Correct what the engine probably has cached."""
+        self.prefixes.event(self.name, event)
+
     async def watch(self):
         """Poll the engine's load and notice when its steps go silent."""
         endpoints = self.settings.endpoints
@@ -139,25 +158,34 @@
     def load(self):
         """Return the load as known now."""
         running = self.reported
-        waiting = sum(1 for a in self.attempts.values() if a.phase is Phase.WAITING)
+        waiting = len(self.queue.waiting)
+        backlog, long_tokens = self.queue.backlog(self.now())
         return control.EndpointLoad(
             endpoint=self.name,
             running=running.running,
             waiting=running.waiting + waiting,
-            memory_used=running.memory_used,
+            memory_used=max(running.memory_used, self.queue.memory_promised()),
             memory_total=running.memory_total,
-            prefill_backlog=running.prefill_backlog,
+            prefill_backlog=backlog,
             step_seconds=running.step_seconds,
             accepted=self.accepted,
             models=running.models,
             adapters=running.adapters,
             leaving=self.leaving or not self.alive,
+            long_tokens=long_tokens,
         )
 
     def on_load(self, load, _session):
         """Keep the engine's latest load report; a report shows that it is alive."""
-        self.reported = load
         self.alive = True
+        self.take_load(load)
+        self.pump()
+
+    def take_load(self, load):
+        """Keep the engine's report where it is needed."""
+        self.reported = load
+        self.queue.memory_total = load.memory_total
+        self.queue.step_seconds = load.step_seconds or self.queue.step_seconds
 
     def on_submit(self, submit, session):
         """Take a new attempt or refuse it at once."""
@@ -171,6 +199,11 @@
         if not self.alive:
             session.send(self.refused(submit, Reason.ENDPOINT_LOST, Outcome.NOT_RUN))
             return
+        waiting = self.queue.offer(submit, self.cached_tokens(submit), self.now())
+        if not waiting:
+            session.send(self.refused(submit, waiting.reason, Outcome.NOT_RUN, waiting.detail))
+            self.send_loads((session,))
+            return
         window = self.settings.callers.idle_credit
         attempt = make_attempt(submit, session, self.now(), window, self.daemon.run_id)
         self.attempts[key] = attempt
@@ -180,8 +213,25 @@
         loop = asyncio.get_running_loop()
         expire = functools.partial(self.post, Expired(*key))
         attempt.timer = loop.call_later(submit.remaining, expire)
-        attempt.phase = Phase.STARTING
-        self.spawn(self.hand_over(attempt))
+        self.pump()
+
+    def cached_tokens(self, submit):
+        """Return the prompt tokens that the engine probably has cached."""
+        matched = self.prefixes.match(submit.blocks).get(self.name, 0)
+        return min(matched * self.settings.lengths.block, submit.prompt_tokens - 1)
+
+    def pump(self):
+        """Hand over what may start now, and refuse what can no longer end in time."""
+        now = self.now()
+        for waiting in self.queue.hopeless(now):
+            attempt = self.attempts[waiting.key]
+            self.end(attempt, self.refused(attempt.submit, Reason.TOO_LATE, Outcome.NOT_RUN))
+        while waiting := self.queue.next(now):
+            attempt = self.attempts[waiting.key]
+            attempt.phase = Phase.STARTING
+            attempt.priority = self.queue.priority(waiting)
+            attempt.chunk_tokens = self.queue.chunk_tokens(waiting)
+            self.spawn(self.hand_over(attempt))
 
     def job_of(self, attempt):
         """Return the engine job of an attempt."""
@@ -195,10 +245,10 @@
             prompt_tokens=submit.prompt_tokens,
             max_tokens=submit.max_tokens,
             reserved_tokens=submit.prompt_tokens + submit.predicted_tokens,
-            priority=submit.priority,
+            priority=attempt.priority,
             blocks=submit.blocks,
             resume_from=attempt.outbox.count,
-            chunk_tokens=self.settings.placing.chunk_tokens,
+            chunk_tokens=attempt.chunk_tokens,
             segments=submit.segments,
         )
 
@@ -246,7 +296,7 @@
         """Take one engine step and send what is new, one message for each session."""
         self.last_step = self.now()
         if step.load:
-            self.reported = step.load
+            self.take_load(step.load)
         touched = []
         for output in step.outputs:
             attempt = self.by_job.get(output.job_id)
@@ -255,12 +305,15 @@
             self.take_output(attempt, output)
             touched.append(attempt)
         self.flush(touched)
+        self.pump()
 
     def take_output(self, attempt, output):
         """Add one job's output to its attempt."""
         if output.tokens and not attempt.first_at:
             attempt.first_at = self.now()
             attempt.cached = output.cached
+            self.queue.first_token(attempt.key, attempt.first_at)
+            self.prefixes.record(self.name, attempt.submit.blocks)
         if not attempt.outbox.add(output.offset, output.tokens):
             self.restart(attempt)
             return
@@ -326,6 +379,7 @@
         attempt.result = result
         attempt.ended_at = self.now()
         attempt.timer.cancel()
+        self.queue.ended(attempt.key)
         self.by_job.pop(attempt.job_id, None)
         loop = asyncio.get_running_loop()
         loop.call_later(self.settings.endpoints.keep_answers, self.drop, attempt)
@@ -428,6 +482,7 @@
         if not self.alive:
             return
         self.alive = False
+        self.prefixes.forget(self.name)
         self.daemon.metrics.count("engines_died")
         open_attempts = [a for a in self.attempts.values() if not a.ended]
         for attempt in open_attempts:
@@ -435,5 +490,3 @@
             outcome = Outcome.UNKNOWN if attempt.handed_over else Outcome.NOT_RUN
             self.end(attempt, self.refused(attempt.submit, Reason.ENDPOINT_LOST, outcome, detail))
         self.daemon.broadcast(control.Loads((self.load(),)))
-
-
--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -97,14 +97,18 @@
         """Return where the next attempt of `work` goes, or a `Failure`."""
         return self.placer.place(work, avoided, self.context.now())
 
-    def may_retry(self, work, reason):
-        """Whether the retry budget allows another attempt of `work`."""
-        return self.placer.may_retry(work, reason, self.context.now())
+    def retry_delay(self, work, reason, attempt):
+        """Return the seconds before another attempt of `work`, or None for no other one."""
+        return self.placer.retry_delay(work, reason, attempt, self.context.now())
 
     def on_submit(self, work, placed):
         """Note an attempt that was sent."""
         self.placer.on_submit(work, placed, self.context.now())
 
+    def on_first_token(self, work, endpoint):
+        """Note the first output of an attempt."""
+        self.placer.on_first_token(work, endpoint, self.context.now())
+
     def on_attempt_end(self, work, endpoint, result):
         """Note the end of an attempt."""
         self.placer.on_end(work, endpoint, result, self.context.now())
--- a/packages/daemon/persimmonstall_daemon/entry/dispatch.py
+++ b/packages/daemon/persimmonstall_daemon/entry/dispatch.py
@@ -4,6 +4,8 @@
 already has, within the deadline and the retry budget.
 """
 
+import asyncio
+
 import attrs
 
 from persimmonstall.failures import Failure, Outcome, Reason, Refusal, refuse
@@ -31,6 +33,7 @@
     handed_over: bool = False
     avoided: set = attrs.field(factory=set)
     first_at: float = 0.0
+    answering: int = 0
     credited: int = 0
 
     @property
@@ -67,9 +70,11 @@
             sent = self.submit(run, placed)
             result = await self.relay(run) if sent else self.lost(run, "no link")
             self.entry.on_attempt_end(run.work, run.endpoint, result)
-            if not self.again(run, result):
+            delay = self.delay_before_next(run, result)
+            if delay is None:
                 return result if isinstance(result, Answer) else self.refuse(run, result)
             run.avoided.add(run.endpoint)
+            await asyncio.sleep(delay)
 
     def remaining(self, run):
         """Return the seconds left before the deadline."""
@@ -145,6 +150,9 @@
             return self.attach(run)
         if not fresh:
             return None
+        if run.answering != run.attempt:
+            run.answering = run.attempt
+            self.entry.on_first_token(run.work, run.endpoint)
         if not run.first_at:
             run.first_at = self.entry.context.now()
         await run.sink.write(fresh)
@@ -212,21 +220,21 @@
         """Return the failure of an attempt whose daemon is out of reach."""
         return Failure(Reason.PEER_LOST, STEP, run.endpoint, detail)
 
-    def again(self, run, result):
-        """Whether to make another attempt after `result`."""
+    def delay_before_next(self, run, result):
+        """Return the seconds before another attempt after `result`, None for no other one."""
         if isinstance(result, Answer):
-            return False
+            return None
         reason = Reason(result.reason)
         if reason is Reason.DEADLINE or self.remaining(run) <= 0:
-            return False
+            return None
         not_run = getattr(result, "outcome", Outcome.UNKNOWN) == Outcome.NOT_RUN
         not_run = not_run or result.detail == "no link"
         run.handed_over = run.handed_over or not not_run
         if not run.work.idempotent and not not_run:
-            return False
+            return None
         if run.attempt >= self.entry.settings.placing.attempts:
-            return False
-        return self.entry.may_retry(run.work, reason)
+            return None
+        return self.entry.retry_delay(run.work, reason, run.attempt)
 
     def refuse(self, run, result):
         """Return the final refusal of a request."""
--- a/packages/daemon/persimmonstall_daemon/entry/pipeline.py
+++ b/packages/daemon/persimmonstall_daemon/entry/pipeline.py
@@ -8,6 +8,7 @@
 
 from .filters.authenticate import Authenticate
 from .filters.classify import Classify
+from .filters.predict import Predict
 
 
 def make_filters(parts):
@@ -15,6 +16,7 @@
     return (
         Authenticate(parts),
         Classify(parts),
+        Predict(parts),
     )
 
 
--- a/packages/daemon/persimmonstall_daemon/roles.py
+++ b/packages/daemon/persimmonstall_daemon/roles.py
@@ -18,7 +18,7 @@
 from .endpoint.engine_backend import EngineBackend
 from .entry.daemon import EntryDaemon
 from .entry.http.server import HttpServer
-from .entry.placer import LeastOutstanding
+from .entry.policy_placer import PolicyPlacer
 from .network import GrpcNetwork
 from .observe import logs
 from .observe.metrics import Metrics
@@ -101,7 +101,7 @@
             self.context,
             self.metrics,
             self.follower,
-            LeastOutstanding(),
+            PolicyPlacer(self.settings, self.context),
             ByteVocabulary(self.settings.callers.token_bytes),
         )
         self.spawn(self.watch_instances())
--- a/packages/standins/persimmonstall_standins/fleet.py
+++ b/packages/standins/persimmonstall_standins/fleet.py
@@ -12,7 +12,7 @@
 from persimmonstall_daemon.endpoint.daemon import EndpointDaemon
 from persimmonstall_daemon.endpoint.engine_backend import EngineBackend
 from persimmonstall_daemon.entry.daemon import EntryDaemon
-from persimmonstall_daemon.entry.placer import LeastOutstanding
+from persimmonstall_daemon.entry.policy_placer import PolicyPlacer
 from persimmonstall_daemon.entry.request import CallerRequest, NullSink
 from persimmonstall_daemon.observe.metrics import Metrics
 
@@ -86,13 +86,14 @@
         """Start an entry daemon linked to every endpoint daemon; return it."""
         address = f"{name}:1"
         settings = self.settings(name, address, "entry", data_centre)
+        context = self.context(name)
         entry = EntryDaemon(
             settings,
             self.fabric.network(address, data_centre),
-            self.context(name),
+            context,
             Metrics(settings),
             FixedFollower(self.catalogue),
-            placer or LeastOutstanding(),
+            placer or PolicyPlacer(settings, context),
             ByteVocabulary(settings.callers.token_bytes),
         )
         entry.links.set(self.instances)
