--- a/packages/core/persimmonstall/outside/link.py
+++ b/packages/core/persimmonstall/outside/link.py
@@ -23,7 +23,8 @@
         """Return the next message, or a `Failure` once the link is closed."""
 
     async def flush(self, timeout):
-        """Wait until queued messages have left, at most `timeout` seconds."""
+        """Wait until queued messages have left, at most `timeout` seconds.  True if they have."""
+        return True
 
     @abc.abstractmethod
     async def close(self):
