--- a/packages/standins/persimmonstall_standins/fleet.py
+++ b/packages/standins/persimmonstall_standins/fleet.py
@@ -100,7 +100,8 @@
             ByteVocabulary(settings.callers.token_bytes),
             strict=True,
         )
-        entry.links.set(self.instances)
+        await entry.start()
+        entry.membership.on_list(tuple(self.instances))
         self.entries.append(entry)
         await asyncio.sleep(SETTLE_SECONDS)
         return entry
