--- a/packages/daemon/persimmonstall_daemon/entry/pipeline.py
+++ b/packages/daemon/persimmonstall_daemon/entry/pipeline.py
@@ -9,6 +9,7 @@
 from .filters.authenticate import Authenticate
 from .filters.classify import Classify
 from .filters.limits import Limits
+from .filters.predict import Predict
 
 
 def make_filters(parts):
@@ -16,6 +17,7 @@
     return (
         Authenticate(parts),
         Classify(parts),
+        Predict(parts),
         Limits(parts),
     )
 
--- a/packages/daemon/persimmonstall_daemon/roles.py
+++ b/packages/daemon/persimmonstall_daemon/roles.py
@@ -17,7 +17,7 @@
 from .endpoint.engine_backend import EngineBackend
 from .entry.daemon import EntryDaemon
 from .entry.http.server import HttpServer
-from .entry.placer import LeastOutstanding
+from .entry.policy_placer import PolicyPlacer
 from .membership import Leaving, Membership
 from .network import GrpcNetwork
 from .observe import logs
@@ -33,7 +33,7 @@
         super().__init__()
         self.settings = settings
         seed = settings.daemon.seed or None
-        self.context = Context(random=random.Random(seed))
+        self.clock = Context(random=random.Random(seed))
         self.metrics = Metrics(settings)
         self.network = GrpcNetwork(settings.security)
         self.drained = asyncio.Event()
@@ -92,16 +92,16 @@
         """Start the catalogue, the links and the HTTP port."""
         self.platform = connect_platform(self.settings.platform)
         self.follower = CatalogueFollower(
-            self.settings, self.platform.table, self.platform.objects, self.context, NoPeers()
+            self.settings, self.platform.table, self.platform.objects, self.clock, NoPeers()
         )
         self.spawn(self.follower.run())
         self.entry = EntryDaemon(
             self.settings,
             self.network,
-            self.context,
+            self.clock,
             self.metrics,
             self.follower,
-            LeastOutstanding(),
+            PolicyPlacer(self.settings, self.clock),
             ByteVocabulary(self.settings.callers.token_bytes),
             self.platform.instances,
         )
@@ -128,13 +128,13 @@
     async def start_role(self):
         """Connect to the back ends and listen for entries."""
         self.platform = connect_platform(self.settings.platform)
-        self.daemon = EndpointDaemon(self.settings, self.network, self.context, self.metrics)
+        self.daemon = EndpointDaemon(self.settings, self.network, self.clock, self.metrics)
         for served in self.settings.endpoints.serves:
             self.daemon.add(self.backend(served))
         await self.daemon.start()
         self.membership = Membership(
             self.settings,
-            self.context,
+            self.clock,
             self.daemon.invariants,
             self.metrics,
             self.platform.instances,
