Service-level burn: counts at the entry, RPC, table, JSON and page

Ruled out: rings of buckets for windows of hours, whose state at 6,300 organisations is far over the memory budget; a statsd name for each organisation. Change: counts that forget exponentially over three windows, six numbers an objective; the account filter records requests, ListBurn gives whole organisations a page, and the command line adds up the entries' counts.

--- /dev/null
+++ b/packages/cli/persimmonstall_cli/burn/plots.py
@@ -0,0 +1,43 @@
+"""Plots of burn rates as inline SVG."""
+
+import io
+
+from matplotlib.figure import Figure
+
+from persimmonstall.burn.report import FAST_BURN, SLOW_BURN
+
+from .table import span
+
+MOST_BARS = 20
+INCHES = (9.0, 0.35)
+"""Width of a plot, and height of each bar."""
+
+
+def svg_of(figure):
+    """Return a figure as an SVG element."""
+    text = io.StringIO()
+    figure.savefig(text, format="svg", bbox_inches="tight", metadata={"Date": None})
+    whole = text.getvalue()
+    return whole[whole.index("<svg") :]
+
+
+def burn_plot(rows, objective):
+    """Return bars of the burn rates of the worst rows of one objective as SVG."""
+    chosen = [row for row in rows if row.objective == objective][:MOST_BARS]
+    figure = Figure(figsize=(INCHES[0], 1.2 + INCHES[1] * len(chosen) * 2))
+    axes = figure.subplots()
+    names = [f"{row.organisation} / {row.length_class}" for row in chosen]
+    count = len(chosen[0].windows) if chosen else 0
+    for index in range(count):
+        heights = [row.rates[index] for row in chosen]
+        places = [place + (index - 1) * 0.25 for place in range(len(chosen))]
+        label = span(chosen[0].windows[index].seconds)
+        axes.barh(places, heights, height=0.22, label=label)
+    axes.set_yticks(range(len(names)), names)
+    axes.invert_yaxis()
+    axes.axvline(1.0, color="grey", linewidth=0.8)
+    axes.axvline(SLOW_BURN, color="orange", linewidth=0.8, linestyle="--")
+    axes.axvline(FAST_BURN, color="red", linewidth=0.8, linestyle="--")
+    axes.set_xlabel("burn rate")
+    axes.legend(loc="lower right")
+    return svg_of(figure)
--- /dev/null
+++ b/packages/cli/tests/test_burn_report.py
@@ -0,0 +1,35 @@
+import orjson
+import pytest
+
+from persimmonstall.burn import BurnRecorder, Served, merge
+from persimmonstall.settings import Settings
+from persimmonstall_cli.burn.page import page_of
+from persimmonstall_cli.burn.table import report_of
+from persimmonstall_cli.report import as_json, as_text
+
+
+@pytest.fixture
+def rows():
+    recorder = BurnRecorder(Settings())
+    for number in range(40):
+        recorder.record(Served("a<b", "short", first_token=0.1 * (number % 10)), 0.0)
+    return merge(recorder.rows(0.0))
+
+
+def test_table_and_json_show_the_burn_rate(rows):
+    report = report_of(rows)
+    assert "burn 5 min" in as_text(report)
+    data = orjson.loads(as_json(report))
+    first = next(row for row in data if row["objective"] == "first_token")
+    assert first["windows"][0]["burn"] == pytest.approx(10.0)
+
+
+def test_the_page_is_self_contained_and_escaped(rows):
+    page = page_of(rows, "Burn")
+    assert page.count("<svg") == 3
+    assert "a<b" not in page.split("<h2>All rows</h2>")[1]
+    assert "src=" not in page and "<script" not in page and "<link" not in page
+
+
+def test_without_requests_the_page_says_so_with_an_empty_table():
+    assert "<svg" not in page_of([], "Burn")
--- a/packages/core/persimmonstall/burn/__init__.py
+++ b/packages/core/persimmonstall/burn/__init__.py
@@ -1,1 +1,16 @@
-"""Service-level objectives and their burn rates."""
+"""Service-level burn: objectives, counts over several windows and burn rates."""
+
+from .counts import WindowCount
+from .objectives import Objective, Served
+from .recorder import BurnRecorder
+from .report import BurnRow, BurnState, merge
+
+__all__ = [
+    "BurnRecorder",
+    "BurnRow",
+    "BurnState",
+    "Objective",
+    "Served",
+    "WindowCount",
+    "merge",
+]
--- /dev/null
+++ b/packages/core/persimmonstall/burn/objectives.py
@@ -0,0 +1,66 @@
+"""The objectives and how one request is judged against them."""
+
+import enum
+
+import attrs
+
+
+class Objective(enum.StrEnum):
+    """What is promised to callers."""
+
+    FIRST_TOKEN = "first_token"
+    BETWEEN_TOKENS = "between_tokens"
+    IN_TIME = "in_time"
+    SERVED = "served"
+
+
+@attrs.frozen
+class Served:
+    """What became of one request; times in seconds.
+
+    `first_token` and `between_tokens` are None where there was none.  `refused` says that it
+    was refused without having been run.
+    """
+
+    organisation: str
+    length_class: str
+    first_token: float | None = None
+    between_tokens: float | None = None
+    in_time: bool = True
+    refused: bool = False
+
+
+def target(objectives, objective):
+    """Return the share of requests that must meet an objective."""
+    shares = {Objective.IN_TIME: objectives.in_time, Objective.SERVED: objectives.served}
+    return shares.get(objective, objectives.share)
+
+
+def first_token_limit(objectives, length_class):
+    """Return the time to first token promised to a length class, in seconds."""
+    limits = {
+        "medium": objectives.first_token_medium,
+        "long": objectives.first_token_long,
+        "giant": objectives.first_token_giant,
+    }
+    return limits.get(length_class, objectives.first_token)
+
+
+def judge(served, objectives):
+    """Return the (objective, met) pairs that one `Served` counts for.
+
+    >>> from persimmonstall.settings.schema import Objectives
+    >>> judge(Served("o", "short", first_token=0.5), Objectives())[1]
+    (<Objective.FIRST_TOKEN: 'first_token'>, False)
+    """
+    verdicts = [(Objective.SERVED, not served.refused)]
+    if served.refused:
+        return verdicts
+    if served.first_token is not None:
+        limit = first_token_limit(objectives, served.length_class)
+        verdicts.append((Objective.FIRST_TOKEN, served.first_token <= limit))
+    if served.between_tokens is not None:
+        met = served.between_tokens <= objectives.between_tokens
+        verdicts.append((Objective.BETWEEN_TOKENS, met))
+    verdicts.append((Objective.IN_TIME, served.in_time))
+    return verdicts
--- /dev/null
+++ b/packages/core/persimmonstall/burn/report.py
@@ -0,0 +1,83 @@
+"""Burn rates from the counts of one or more daemons.
+
+A burn rate of 1 uses up exactly the error budget that the objective leaves; the state is
+judged on two windows at once, so that it is raised quickly and cleared quickly.
+"""
+
+import enum
+from collections import defaultdict
+
+import attrs
+
+from .objectives import Objective, target
+
+FAST_BURN = 14.4
+"""Burn rate over the two shorter windows that calls for action at once."""
+
+SLOW_BURN = 6.0
+"""Burn rate over the two longer windows that calls for action within the day."""
+
+LEAST_EVENTS = 5.0
+"""Events in a window below which its burn rate raises no state."""
+
+
+class BurnState(enum.StrEnum):
+    """How urgent a row is."""
+
+    OK = "ok"
+    SLOW = "slow_burn"
+    FAST = "fast_burn"
+
+
+@attrs.frozen
+class BurnRow:
+    """Counts of one organisation, length class and objective at one daemon."""
+
+    organisation: str
+    length_class: str
+    objective: str
+    target: float
+    windows: tuple
+
+    @property
+    def rates(self):
+        """Burn rate of each window, the shortest first."""
+        budget = 1.0 - self.target
+        return tuple(window.bad_share / budget if budget else 0.0 for window in self.windows)
+
+    @property
+    def state(self):
+        """The `BurnState` of the row."""
+        rates = [
+            rate if window.total >= LEAST_EVENTS else 0.0
+            for rate, window in zip(self.rates, self.windows, strict=True)
+        ]
+        if min(rates[0], rates[1]) >= FAST_BURN:
+            return BurnState.FAST
+        if min(rates[1], rates[2]) >= SLOW_BURN:
+            return BurnState.SLOW
+        return BurnState.OK
+
+
+def merge(rows):
+    """Return the rows of several daemons added up, the worst first."""
+    together = defaultdict(list)
+    for row in rows:
+        together[row.organisation, row.length_class, row.objective].append(row)
+    merged = [add_up(same) for same in together.values()]
+    return sorted(merged, key=lambda row: (-max(row.rates), row.organisation, row.length_class))
+
+
+def add_up(rows):
+    """Return rows of one organisation, class and objective as one."""
+    first = rows[0]
+    windows = first.windows
+    for row in rows[1:]:
+        windows = tuple(a + b for a, b in zip(windows, row.windows, strict=True))
+    return attrs.evolve(first, windows=windows)
+
+
+def row_of(organisation, length_class, objective, counts, objectives, now):
+    """Return the `BurnRow` of one `BurnCounts`."""
+    goal = target(objectives, Objective(objective))
+    return BurnRow(organisation, length_class, str(objective), goal, counts.read(now))
--- a/packages/core/persimmonstall/settings/schema.py
+++ b/packages/core/persimmonstall/settings/schema.py
@@ -152,11 +152,17 @@
     """Service-level objectives."""
 
     first_token: float = option(0.46, "Time to first token of a short prompt.", "s", low=0.01)
+    first_token_medium: float = option(2.0, "The same of a medium prompt.", "s", low=0.01)
+    first_token_long: float = option(20.0, "The same of a long prompt.", "s", low=0.01)
+    first_token_giant: float = option(120.0, "The same of a giant prompt.", "s", low=0.01)
     between_tokens: float = option(0.052, "Time between tokens.", "s", low=0.001)
     share: float = option(0.95, "Share of requests that must meet them.", low=0, high=1)
     in_time: float = option(
         0.99, "Share of admitted requests that end within the deadline.", low=0, high=1
     )
+    served: float = option(
+        0.99, "Share of requests that are not refused for lack of room.", low=0, high=1
+    )
 
 
 SECTIONS = {
--- a/packages/daemon/persimmonstall_daemon/admin/fleet.py
+++ b/packages/daemon/persimmonstall_daemon/admin/fleet.py
@@ -1,5 +1,7 @@
 """Calls about endpoints, quarantine, daemons and the answering daemon's settings."""
 
+from collections import defaultdict
+
 import attrs
 from persimmonstall.catalogue import DrainMark, QuarantineLift
 
@@ -76,6 +78,29 @@
     return schema.ListDaemonsResponse(entries=entries, next_page_token=page.token)
 
 
+async def list_burn(state, request):
+    """List the burn counts of this daemon, whole organisations at a time."""
+    by_name = defaultdict(list)
+    for row in state.view.burn():
+        by_name[row.organisation].append(row)
+    page = page_of(by_name, request)
+    entries = [burn_message(row) for name in page.names for row in by_name[name]]
+    instance = state.settings.daemon.instance
+    return schema.ListBurnResponse(entries=entries, next_page_token=page.token, instance=instance)
+
+
+def burn_message(row):
+    """Return the message of a `BurnRow`."""
+    windows = [schema.BurnWindow(**attrs.asdict(window)) for window in row.windows]
+    return schema.BurnEntry(
+        organisation=row.organisation,
+        length_class=row.length_class,
+        objective=row.objective,
+        target=row.target,
+        windows=windows,
+    )
+
+
 async def get_version(state, request):
     """Return the version in force here and the newest heard of."""
     return schema.GetVersionResponse(
@@ -117,5 +142,6 @@
     "ListQuarantine": list_quarantine,
     "LiftQuarantine": lift,
     "ListDaemons": list_daemons,
+    "ListBurn": list_burn,
     "GetConfiguration": get_configuration,
 }
--- a/packages/daemon/persimmonstall_daemon/admin/view.py
+++ b/packages/daemon/persimmonstall_daemon/admin/view.py
@@ -52,6 +52,10 @@
     def verdicts(self):
         """Return a `SeenVerdict` for each quarantined fingerprint."""
 
+    def burn(self):
+        """Return the `BurnRow`s of this daemon; only entries have any."""
+        return ()
+
 
 class EmptyView(FleetView):
     """A daemon that knows of no fleet."""
--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from persimmonstall.burn import BurnRecorder
 from persimmonstall.failures import Failure, Reason
 from persimmonstall.invariants import Invariants
 from persimmonstall.membership import subset_of
@@ -64,6 +65,7 @@
         self.links = EndpointLinks(self)
         self.membership = Membership(settings, context, self.invariants, metrics, instances)
         self.membership.subscribe(self.on_members)
+        self.burn = BurnRecorder(settings)
         self.peers = EntryPeers(self)
         self.budgets = Budgets(
             settings, context, self.invariants, metrics, self.entry_names, self.peers.send
@@ -131,6 +133,8 @@
             self.membership.on_drains(self.catalogue.records["drain"])
             self.budgets.tick(lambda name: self.catalogue.get("organisation", name))
             self.peers.tick()
+            self.burn.evict(self.context.now())
+            self.metrics.gauge("in_flight", self.active)
 
     async def serve(self, request, sink):
         """Return the `Answer` or `Refusal` of a `CallerRequest`."""
--- a/packages/daemon/persimmonstall_daemon/entry/pipeline.py
+++ b/packages/daemon/persimmonstall_daemon/entry/pipeline.py
@@ -6,6 +6,7 @@
 
 from persimmonstall.failures import Failure, Outcome, Reason, Refusal
 
+from .filters.account import Account
 from .filters.authenticate import Authenticate
 from .filters.classify import Classify
 from .filters.limits import Limits
@@ -19,6 +20,7 @@
         Classify(parts),
         Predict(parts),
         Limits(parts),
+        Account(parts),
     )
 
 
