Endpoint daemon: ledger, comparison with the engine's list, parking and reservations

Cause: lost cancels, dead daemons, half-done imports, uncollected exports and owners paused past their lapse left engine memory held; wrong guesses of the output ended streams. Ruled out: freeing another instance's jobs at once, which would cut the streams of a daemon that still drains beside the engine: they wait until the platform no longer lists it, or for the longest deadline. Change: a keeper in the engine backend's task holds the ledger, compares it with the engine's list every two seconds, parks and imports streams, and grants reservations that lapse. Jobs carry instance and run as their owner. Before and after: of five failures each leaves engine memory held without the comparison, and none after 12 s with it; the lapse likewise for a paused owner.

--- a/packages/core/persimmonstall/messages/control.py
+++ b/packages/core/persimmonstall/messages/control.py
@@ -70,12 +70,16 @@
 
 @attrs.frozen
 class Reserve:
-    """Ask for memory on an endpoint for a segment of a long prompt; lapses by itself."""
+    """Ask for memory on an endpoint for a segment of a long prompt; lapses by itself.
+
+    `renew` puts off the lapse of a reservation that must still be there.
+    """
 
     reservation: str
     endpoint: str
     tokens: int
     lapse: float
+    renew: bool = False
 
 
 @attrs.frozen
--- a/packages/daemon/persimmonstall_daemon/endpoint/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/attempt.py
@@ -23,7 +23,7 @@
     """State of one attempt; `deadline` and `ended_at` are in the local clock's seconds.
 
     `result` is the `End` or `Refused` that ends it.  `session` is None while no entry is
-    attached; `detached_at` tells since when.
+    attached; `detached_at` tells since when.  `holding` names its entry in the memory ledger.
     """
 
     submit: Submit
@@ -40,6 +40,7 @@
     timer: object = None
     result_sent: bool = False
     handed_over: bool = False
+    holding: str = ""
 
     @property
     def key(self):
--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -7,8 +7,9 @@
 
 from persimmonstall.failures import Outcome, Reason
 from persimmonstall.messages import control, requests
-from persimmonstall.outside.engine import EngineLoad, Finish, Job, Step
+from persimmonstall.outside.engine import EngineLoad, Finish, Job, JobKind, Step
 
+from ..memory.keeper import MemoryKeeper, tokens_of
 from .attempt import Phase, make_attempt
 from .backend import Backend, Expired, SessionLost
 
@@ -60,6 +61,7 @@
         self.last_step = daemon.context.now()
         self.reader = None
         self.alive = True
+        self.memory = MemoryKeeper(self)
         self.handlers = {
             requests.Submit: self.on_submit,
             requests.Cancel: self.on_cancel,
@@ -72,6 +74,7 @@
             StepsLost: self.on_steps_lost,
             EngineDied: self.on_engine_died,
             EngineLoad: self.on_load,
+            **self.memory.handlers,
         }
 
     @property
@@ -94,6 +97,7 @@
         """Serve until cancelled."""
         self.reader = self.spawn(self.read_steps())
         self.spawn(self.watch())
+        self.spawn(self.memory.run())
         try:
             while True:
                 envelope = await self.inbox.get()
@@ -134,7 +138,8 @@
 
     def busy(self):
         """Return the number of attempts not yet ended or not yet wholly sent."""
-        return sum(1 for a in self.attempts.values() if not a.ended or a.undelivered)
+        attempts = sum(1 for a in self.attempts.values() if not a.ended or a.undelivered)
+        return attempts + self.memory.busy()
 
     def load(self):
         """Return the load as known now."""
@@ -152,13 +157,19 @@
             models=running.models,
             adapters=running.adapters,
             leaving=self.leaving or not self.alive,
+            long_tokens=self.memory.ledger.segment_tokens(),
         )
 
     def on_load(self, load, _session):
         """Keep the engine's latest load report; a report shows that it is alive."""
-        self.reported = load
+        self.take_load(load)
         self.alive = True
 
+    def take_load(self, load):
+        """Keep a load report and the size of the engine's memory."""
+        self.reported = load
+        self.memory.ledger.set_capacity(load.memory_total)
+
     def on_submit(self, submit, session):
         """Take a new attempt or refuse it at once."""
         key = submit.request_id, submit.attempt
@@ -171,6 +182,11 @@
         if not self.alive:
             session.send(self.refused(submit, Reason.ENDPOINT_LOST, Outcome.NOT_RUN))
             return
+        full = self.memory.admit(submit)
+        if full is not None:
+            refused = self.refused(submit, full.reason, Outcome.NOT_RUN, full.detail)
+            session.send(refused)
+            return
         window = self.settings.callers.idle_credit
         attempt = make_attempt(submit, session, self.now(), window, self.daemon.run_id)
         self.attempts[key] = attempt
@@ -181,6 +197,7 @@
         expire = functools.partial(self.post, Expired(*key))
         attempt.timer = loop.call_later(submit.remaining, expire)
         attempt.phase = Phase.STARTING
+        self.memory.hold(attempt)
         self.spawn(self.hand_over(attempt))
 
     def job_of(self, attempt):
@@ -188,17 +205,20 @@
         submit = attempt.submit
         return Job(
             job_id=attempt.job_id,
-            owner=self.daemon.run_id,
+            owner=str(self.memory.owner),
             model=submit.model,
             adapter=submit.adapter,
             prompt=submit.prompt,
             prompt_tokens=submit.prompt_tokens,
             max_tokens=submit.max_tokens,
-            reserved_tokens=submit.prompt_tokens + submit.predicted_tokens,
+            reserved_tokens=tokens_of(submit),
             priority=submit.priority,
             blocks=submit.blocks,
             resume_from=attempt.outbox.count,
             chunk_tokens=self.settings.placing.chunk_tokens,
+            kind=JobKind.SEGMENT if submit.segment_end else JobKind.GENERATE,
+            start=submit.segment_start,
+            end=submit.segment_end,
             segments=submit.segments,
         )
 
@@ -219,6 +239,7 @@
             return
         if result:
             attempt.phase = Phase.RUNNING
+            self.memory.confirmed(attempt)
             self.last_step = self.now()
             return
         not_run = result.reason in (Reason.NO_MEMORY, Reason.BUSY)
@@ -246,7 +267,7 @@
         """Take one engine step and send what is new, one message for each session."""
         self.last_step = self.now()
         if step.load:
-            self.reported = step.load
+            self.take_load(step.load)
         touched = []
         for output in step.outputs:
             attempt = self.by_job.get(output.job_id)
@@ -255,6 +276,7 @@
             self.take_output(attempt, output)
             touched.append(attempt)
         self.flush(touched)
+        self.memory.relieve()
 
     def take_output(self, attempt, output):
         """Add one job's output to its attempt."""
@@ -264,7 +286,11 @@
         if not attempt.outbox.add(output.offset, output.tokens):
             self.restart(attempt)
             return
-        if output.finish is Finish.NONE:
+        self.memory.grew(attempt)
+        if output.finish in (Finish.NONE, Finish.PARKED):
+            return
+        if output.finish is Finish.PREFILLED:
+            self.settle(attempt, self.whole(attempt, 0, output.finish, attempt.job_id.encode()))
             return
         if output.finish in WHOLE:
             count = attempt.outbox.count
@@ -274,11 +300,16 @@
         detail = str(output.finish)
         self.settle(attempt, self.refused(attempt.submit, reason, Outcome.UNKNOWN, detail))
 
-    def whole(self, attempt, count, finish):
-        """Return the end mark of a whole answer."""
+    def whole(self, attempt, count, finish, body=b""):
+        """Return the end mark of a whole answer; a segment's has its job id as `body`."""
         submit = attempt.submit
         return requests.End(
-            submit.request_id, submit.attempt, count, str(finish), cached=attempt.cached
+            submit.request_id,
+            submit.attempt,
+            count,
+            str(finish),
+            cached=attempt.cached,
+            body=body,
         )
 
     def restart(self, attempt):
@@ -287,13 +318,18 @@
         Some of its output was lost with the connection that carried the steps.
         """
         self.daemon.metrics.count("attempts_restarted")
-        self.by_job.pop(attempt.job_id, None)
         self.spawn(self.cancel_job(attempt.job_id))
-        attempt.job_id += "+"
-        self.by_job[attempt.job_id] = attempt
+        self.rename(attempt)
         attempt.phase = Phase.STARTING
         self.spawn(self.hand_over(attempt))
 
+    def rename(self, attempt):
+        """Give an attempt the name of its next job on the engine."""
+        self.by_job.pop(attempt.job_id, None)
+        attempt.job_id += "+"
+        self.by_job[attempt.job_id] = attempt
+        self.memory.moved(attempt)
+
     def flush(self, attempts):
         """Send what the windows allow, as one message for each session."""
         batches = {}
@@ -327,6 +363,7 @@
         attempt.ended_at = self.now()
         attempt.timer.cancel()
         self.by_job.pop(attempt.job_id, None)
+        self.memory.released(attempt)
         loop = asyncio.get_running_loop()
         loop.call_later(self.settings.endpoints.keep_answers, self.drop, attempt)
 
@@ -435,4 +472,5 @@
             detail = died.detail
             outcome = Outcome.UNKNOWN if attempt.handed_over else Outcome.NOT_RUN
             self.end(attempt, self.refused(attempt.submit, Reason.ENDPOINT_LOST, outcome, detail))
+        self.memory.engine_died()
         self.daemon.broadcast(control.Loads((self.load(),)))
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/memory/reservations.py
@@ -0,0 +1,105 @@
+"""Reservations of engine memory for parts of prompts larger than an engine.
+
+A reservation is granted or refused at once, never queued, and lapses unless its entry renews
+it: so whatever dies, the memory comes back.
+"""
+
+from persimmonstall.failures import Failure, Reason
+from persimmonstall.memory.ledger import Holding, Use
+from persimmonstall.messages.control import Release, Reserve, Reserved
+
+STEP = "reserve"
+RETRY_SECONDS = 2.0
+
+
+class Reservations:
+    """The reservations on one engine, as holdings of its ledger."""
+
+    def __init__(self, keeper):
+        self.keeper = keeper
+        self.backend = keeper.backend
+        self.handlers = {Reserve: self.on_reserve, Release: self.on_release}
+
+    @property
+    def ledger(self):
+        """The ledger of the engine."""
+        return self.keeper.ledger
+
+    def on_reserve(self, reserve, session):
+        """Grant, renew or refuse a reservation and say so."""
+        reason = self.renew(reserve) if reserve.renew else self.grant(reserve, session)
+        retry = RETRY_SECONDS if reason else 0.0
+        session.send(Reserved(reserve.reservation, reserve.endpoint, reason, retry))
+
+    def renew(self, reserve):
+        """Put off the lapse of a reservation; return the reason of a refusal or ""."""
+        renewed = self.ledger.renew(reserve.reservation, self.backend.now() + reserve.lapse)
+        return "" if renewed else Reason.NOT_FOUND
+
+    def grant(self, reserve, session):
+        """Enter a reservation; return the reason of a refusal or ""."""
+        if reserve.reservation in self.ledger.holdings:
+            return self.renew(reserve)
+        if self.backend.leaving:
+            return Reason.LEAVING
+        if not self.backend.alive:
+            return Reason.ENDPOINT_LOST
+        if not self.ledger.fits(reserve.tokens):
+            return Reason.BUSY
+        self.ledger.add(
+            Holding(
+                name=reserve.reservation,
+                owner=session.peer,
+                use=Use.SEGMENT,
+                base=reserve.tokens,
+                expected=reserve.tokens,
+                most=reserve.tokens,
+                lapse=self.backend.now() + reserve.lapse,
+            )
+        )
+        return ""
+
+    def on_release(self, release, _session):
+        """Free a reservation that its entry gives back."""
+        self.free(release.reservation)
+
+    def expire(self, now):
+        """Free the reservations that were not renewed in time."""
+        for holding in self.ledger.lapsed(now):
+            if holding.use is Use.SEGMENT:
+                self.keeper.daemon.metrics.count("reservations_lapsed")
+                self.free(holding.name)
+
+    def free(self, name):
+        """Take a reservation out and cancel its job."""
+        holding = self.ledger.remove(name)
+        if holding is None or not holding.job_id:
+            return
+        attempt = self.backend.by_job.get(holding.job_id)
+        if attempt and not attempt.ended:
+            self.backend.stop(attempt, Reason.CANCELLED)
+        else:
+            self.backend.spawn(self.backend.cancel_job(holding.job_id))
+
+    def check(self, submit):
+        """Return None when the segment of a `Submit` has its reservation, else a `Failure`."""
+        holding = self.ledger.holdings.get(submit.request_id)
+        length = submit.segment_end - submit.segment_start
+        if holding and not holding.job_id and length <= holding.expected:
+            return None
+        return Failure(Reason.NOT_FOUND, STEP, self.backend.name, "no reservation")
+
+    def promised(self, submit):
+        """Return the reservation that includes room for the output of `submit`, or None."""
+        for ref in submit.segments:
+            holding = self.ledger.by_job.get(ref.job_id)
+            if holding and holding.expected > ref.end - ref.start:
+                return holding
+        return None
+
+    def take_promise(self, submit):
+        """Leave a reservation just its segment: its room for the output is taken up now."""
+        holding = self.promised(submit)
+        for ref in submit.segments if holding else ():
+            if ref.job_id == holding.job_id:
+                self.ledger.expect(holding.name, ref.end - ref.start)
--- /dev/null
+++ b/packages/daemon/tests/test_memory_keeper.py
@@ -0,0 +1,240 @@
+"""The engine's own count goes back to zero whatever is lost, and no stream is cut for memory."""
+
+import asyncio
+from random import Random
+
+import pytest
+
+from persimmonstall.clock import Context
+from persimmonstall.failures import Outcome
+from persimmonstall.messages import control, requests
+from persimmonstall.outside.engine import JobKind
+from persimmonstall.settings import Settings
+from persimmonstall_daemon.endpoint.daemon import EndpointDaemon
+from persimmonstall_daemon.endpoint.engine_backend import EngineBackend
+from persimmonstall_daemon.memory.keeper import MemoryKeeper
+from persimmonstall_daemon.memory.parking import ParkingLot
+from persimmonstall_daemon.memory.reservations import Reservations
+from persimmonstall_daemon.observe.metrics import Metrics
+from persimmonstall_standins.engine import EngineModel
+from persimmonstall_standins.engine_state import EngineSettings
+from persimmonstall_standins.output import expected_output
+from persimmonstall_standins.virtual.loop import run
+from persimmonstall_standins.virtual.network import Fabric
+
+BOUND = 12.0
+"""Seconds after a failure in which the engine's memory is back to zero."""
+
+SLOW_STEP = 2.0
+"""Seconds of an engine step, so that no answer ends by itself during a test."""
+
+
+class Caller:
+    """Stands for an entry's session and collects what it is sent."""
+
+    peer = "entry"
+
+    def __init__(self):
+        self.tokens = {}
+        self.results = {}
+        self.answers = {}
+
+    def send(self, message):
+        if isinstance(message, requests.Chunks):
+            for chunk in message.chunks:
+                have = self.tokens.setdefault(chunk.request_id, [])
+                assert chunk.offset == len(have)
+                have.extend(chunk.tokens)
+        elif isinstance(message, (requests.End, requests.Refused)):
+            self.results[message.request_id] = message
+        elif isinstance(message, control.Reserved):
+            self.answers[message.reservation] = message.reason
+
+
+class Beside:
+    """An endpoint daemon beside an engine."""
+
+    def __init__(self, engine, instance="i1", seed=1):
+        self.engine = engine
+        self.caller = Caller()
+        self.settings = Settings()
+        self.settings.daemon.instance = instance
+        loop = asyncio.get_running_loop()
+        context = Context(loop.time, loop.time, Random(f"{seed}/{loop.time()}"))
+        network = Fabric().network("i1:1")
+        metrics = Metrics(self.settings)
+        self.daemon = EndpointDaemon(self.settings, network, context, metrics, strict=True)
+        self.backend = EngineBackend("e1", engine, self.daemon)
+        self.daemon.add(self.backend)
+
+    async def start(self):
+        await self.daemon.start()
+        await asyncio.sleep(1.0)
+        return self
+
+    def submit(self, name, tokens=1000, **changes):
+        fields = {"max_tokens": 4000, "predicted_tokens": 20, "priority": 5} | changes
+        message = requests.Submit(
+            name, 1, "e1", "o", name.encode(), 600.0, "m", prompt_tokens=tokens, **fields
+        )
+        self.backend.post(message, self.caller)
+
+    def reserve(self, name, tokens, renew=False):
+        self.backend.post(control.Reserve(name, "e1", tokens, 6.0, renew), self.caller)
+
+
+def slow_engine(**changes):
+    return EngineModel("e1", EngineSettings(models=("m",), base_step=SLOW_STEP, **changes))
+
+
+def held(engine):
+    """Return the tokens that the engine counts as held, in its own and in host memory."""
+    return engine.used + sum(export.run.memory for export in engine.exports.values())
+
+
+async def lost_cancel():
+    beside = await Beside(slow_engine()).start()
+    beside.submit("r")
+    await asyncio.sleep(3.0)
+    beside.engine.faults.drop_cancel = True
+    beside.backend.post(requests.Cancel("r", 1), beside.caller)
+    await asyncio.sleep(5.0)
+    beside.engine.faults.drop_cancel = False
+    return beside
+
+
+async def daemon_killed():
+    beside = await Beside(slow_engine()).start()
+    beside.submit("r")
+    await asyncio.sleep(3.0)
+    await beside.daemon.stop()
+    return await Beside(beside.engine, seed=2).start()
+
+
+async def other_instance_gone():
+    first = await Beside(slow_engine(), "i0").start()
+    first.submit("r")
+    await asyncio.sleep(3.0)
+    await first.daemon.stop()
+    second = await Beside(first.engine, seed=2).start()
+    second.backend.memory.listed = lambda: {"i1"}
+    return second
+
+
+async def parked_pair(**faults):
+    """Return a daemon whose engine had to park one of two streams."""
+    beside = await Beside(slow_engine(memory=2140)).start()
+    beside.submit("a")
+    beside.submit("b", priority=9)
+    await asyncio.sleep(1.0)
+    for name, value in faults.items():
+        setattr(beside.engine.faults, name, value)
+    return beside
+
+
+async def cancel_all(beside):
+    for name in ("a", "b"):
+        beside.backend.post(requests.Cancel(name, 1), beside.caller)
+
+
+async def import_half_done():
+    beside = await parked_pair(stall_imports=True)
+    await asyncio.sleep(60.0)
+    beside.backend.post(requests.Cancel("a", 1), beside.caller)
+    await asyncio.sleep(1.0)
+    assert JobKind.IMPORT in {state.kind for state in beside.engine.jobs_now()}
+    await asyncio.sleep(1.0)
+    beside.engine.faults.drop_cancel = True
+    await cancel_all(beside)
+    await asyncio.sleep(4.0)
+    beside.engine.faults.drop_cancel = False
+    return beside
+
+
+async def export_never_collected():
+    beside = await parked_pair(lose_answers=True)
+    await asyncio.sleep(60.0)
+    assert beside.engine.exports
+    beside.engine.faults.lose_answers = False
+    await cancel_all(beside)
+    return beside
+
+
+FAILURES = [
+    lost_cancel,
+    daemon_killed,
+    other_instance_gone,
+    import_half_done,
+    export_never_collected,
+]
+
+
+async def held_after(failure):
+    beside = await failure()
+    await asyncio.sleep(BOUND)
+    return held(beside.engine)
+
+
+@pytest.mark.parametrize("failure", FAILURES, ids=lambda failure: failure.__name__)
+def test_engine_memory_is_back_to_zero(failure):
+    assert run(held_after(failure)) == 0
+
+
+@pytest.mark.parametrize("failure", FAILURES, ids=lambda failure: failure.__name__)
+def test_engine_memory_stays_lost_without_the_comparison(failure, monkeypatch):
+    monkeypatch.setattr(MemoryKeeper, "on_listing", lambda *_: None)
+    monkeypatch.setattr(MemoryKeeper, "free", lambda *_: None)
+    assert run(held_after(failure)) > 0
+
+
+async def owner_paused():
+    """Return (tokens held after the lapse, answer to the late renewal)."""
+    beside = await Beside(EngineModel("e1", EngineSettings(models=("m",)))).start()
+    beside.reserve("long.0", 100_000)
+    await asyncio.sleep(0.1)
+    beside.submit("long.0", 250_000, segment_start=0, segment_end=90_000)
+    await asyncio.sleep(5.0)
+    assert beside.caller.results["long.0"].finish == "prefilled"
+    beside.reserve("long.0", 100_000, renew=True)
+    await asyncio.sleep(3.0)
+    assert beside.engine.used == 90_000
+    await asyncio.sleep(BOUND)
+    beside.reserve("long.0", 100_000, renew=True)
+    await asyncio.sleep(0.1)
+    return beside.engine.used, beside.caller.answers["long.0"]
+
+
+def test_reservation_of_a_paused_owner_lapses(monkeypatch):
+    assert run(owner_paused()) == (0, "not_found")
+    monkeypatch.setattr(Reservations, "expire", lambda *_: None)
+    assert run(owner_paused()) == (90_000, "")
+
+
+async def wrong_guesses(seed):
+    """Run streams that outgrow their guess; return (beside, finishes at the engine)."""
+    random = Random(seed)
+    engine = EngineModel("e1", EngineSettings(models=("m",), memory=4300))
+    beside = await Beside(engine).start()
+    for number in range(12):
+        beside.submit(f"r{number}", random.randint(900, 1100), priority=random.randint(0, 9))
+        await asyncio.sleep(random.random() / 20)
+    await asyncio.sleep(300.0)
+    return beside, {entry.detail for entry in engine.log if entry.event == "finished"}
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_streams_that_outgrow_their_guess_are_parked_and_end_whole(seed):
+    beside, finishes = run(wrong_guesses(seed))
+    assert "parked" in finishes and "out_of_memory" not in finishes
+    for name, result in beside.caller.results.items():
+        if isinstance(result, requests.End):
+            assert tuple(beside.caller.tokens[name]) == expected_output("m", name.encode(), 4000)
+        else:
+            assert result.outcome == Outcome.NOT_RUN
+    assert len(beside.caller.results) == 12
+    assert held(beside.engine) == 0 == beside.backend.memory.ledger.committed
+
+
+def test_streams_are_cut_without_parking(monkeypatch):
+    monkeypatch.setattr(ParkingLot, "relieve", lambda *_: None)
+    assert "out_of_memory" in run(wrong_guesses(0))[1]
