Catalogue and operators' port wired into both daemons

Cause: daemons followed only the table, endpoint daemons nothing. Change: LinkedPeers asks and answers over the daemons' links; a table of handlers (controls) for messages that concern no request; the entry opens the operators' port, alone writes the catalogue and is ready only with a current configuration. Ruled out: pushing every change to all links, since heartbeats carry the version within a second anyway.

--- a/packages/daemon/persimmonstall_daemon/admin/answers.py
+++ b/packages/daemon/persimmonstall_daemon/admin/answers.py
@@ -1,6 +1,7 @@
 """Failures as gRPC status codes with reason, step and peer in the trailing metadata."""
 
 import grpc
+
 from persimmonstall.failures import Reason
 
 STATUS = {
--- a/packages/daemon/persimmonstall_daemon/admin/convert.py
+++ b/packages/daemon/persimmonstall_daemon/admin/convert.py
@@ -1,6 +1,7 @@
 """Conversion between the catalogue's records and the messages of the operators' schema."""
 
 import attrs
+
 from persimmonstall import catalogue
 
 from . import persimmonstall_admin_pb2 as schema
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/admin/entry_view.py
@@ -0,0 +1,62 @@
+"""The fleet as an entry sees it over its links."""
+
+from .view import FleetView, SeenDaemon, SeenEndpoint, SeenVerdict
+
+
+class EntryView(FleetView):
+    """Shows the daemons that `entry` is linked to, their endpoints and the quarantine."""
+
+    def __init__(self, entry):
+        self.entry = entry
+
+    def daemons(self):
+        """Return this daemon and each one it keeps a link to."""
+        return (self.own(), *map(self.seen, self.entry.links.links.values()))
+
+    def own(self):
+        """Return this daemon."""
+        daemon = self.entry.settings.daemon
+        version = self.entry.version
+        return SeenDaemon(daemon.instance, daemon.role, daemon.data_centre, version, 0.0)
+
+    def seen(self, link):
+        """Return the daemon behind a link."""
+        instance = link.instance
+        ago = self.entry.context.now() - link.last_heard if link.ready else -1.0
+        return SeenDaemon(instance.name, instance.role, instance.data_centre, link.version, ago)
+
+    def endpoints(self):
+        """Return the endpoints that linked daemons have reported."""
+        links = self.entry.links
+        found = []
+        for name, instance_name in links.by_endpoint.items():
+            link = links.links.get(instance_name)
+            if link is not None:
+                found.append(self.endpoint(name, link))
+        return tuple(found)
+
+    def endpoint(self, name, link):
+        """Return one endpoint behind a link."""
+        load = link.loads.get(name)
+        return SeenEndpoint(
+            name, link.name, link.instance.data_centre, self.state(name, link, load), load
+        )
+
+    def state(self, name, link, load):
+        """Return the state of an endpoint in a word."""
+        if not link.ready:
+            return "lost"
+        if self.entry.catalogue.get("drain", name):
+            return "draining"
+        return "leaving" if load and load.leaving else "live"
+
+    def verdicts(self):
+        """Return the fingerprints that this entry refuses."""
+        quarantine = getattr(self.entry, "quarantine", None)
+        if quarantine is None:
+            return ()
+        now = self.entry.context.wall()
+        return tuple(
+            SeenVerdict(one.fingerprint, one.crashes, one.expires - now, one.lifted)
+            for one in quarantine.verdicts()
+        )
--- a/packages/daemon/persimmonstall_daemon/admin/fleet.py
+++ b/packages/daemon/persimmonstall_daemon/admin/fleet.py
@@ -1,6 +1,7 @@
 """Calls about endpoints, quarantine, daemons and the answering daemon's settings."""
 
 import attrs
+
 from persimmonstall.catalogue import DrainMark, QuarantineLift
 
 from . import persimmonstall_admin_pb2 as schema
--- a/packages/daemon/persimmonstall_daemon/admin/organisations.py
+++ b/packages/daemon/persimmonstall_daemon/admin/organisations.py
@@ -3,6 +3,7 @@
 import secrets
 
 import attrs
+
 from persimmonstall.failures import Failure, Reason
 
 from . import persimmonstall_admin_pb2 as schema
--- a/packages/daemon/persimmonstall_daemon/admin/server.py
+++ b/packages/daemon/persimmonstall_daemon/admin/server.py
@@ -1,6 +1,7 @@
 """The gRPC server of the operators' port."""
 
 import grpc
+
 from persimmonstall.failures import Failure, Reason
 
 from ..observe import logs
--- a/packages/daemon/persimmonstall_daemon/admin/state.py
+++ b/packages/daemon/persimmonstall_daemon/admin/state.py
@@ -1,6 +1,7 @@
 """What the administration's handlers share, and the steps common to all changes."""
 
 import attrs
+
 from persimmonstall.catalogue import validate
 from persimmonstall.failures import Failure, Reason
 
--- a/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
@@ -16,23 +16,30 @@
 class EndpointDaemon:
     """Owns the sessions with entries and one backend task for each endpoint.
 
-    `network` opens the port, `context` gives clock and random source, `metrics` counts.
+    `network` opens the port, `context` gives clock and random source, `metrics` counts,
+    `follower` holds the catalogue.
     """
 
-    def __init__(self, settings, network, context, metrics, strict=False):
+    def __init__(self, settings, network, context, metrics, follower, strict=False):
         self.settings = settings
         self.network = network
         self.context = context
         self.metrics = metrics
+        self.follower = follower
         self.invariants = Invariants(strict, metrics.violation)
         self.run_id = uuid.UUID(int=context.random.getrandbits(128)).hex
         self.backends = {}
         self.sessions = set()
         self.owners = {}
-        self.version = 0
+        self.controls = {}
         self.listener = None
         self.tasks = []
 
+    @property
+    def version(self):
+        """The version of the catalogue in force here."""
+        return self.follower.version
+
     def add(self, backend):
         """Front one more endpoint; call before `start`."""
         self.backends[backend.name] = backend
@@ -75,9 +82,17 @@
 
     def heard(self, version, session):
         """Note the catalogue version that a peer has."""
+        self.follower.heard(version, session.name)
 
     def control(self, message, session):
-        """Handle a message that concerns no attempt."""
+        """Hand a message that concerns no attempt to its handler in `controls`."""
+        handler = self.controls.get(type(message))
+        if handler:
+            handler(message, session)
+
+    def linked(self):
+        """Return the sessions whose entry has introduced itself."""
+        return [session for session in self.sessions if session.name]
 
     def broadcast(self, message):
         """Send `message` to every entry that is connected."""
--- a/packages/daemon/persimmonstall_daemon/endpoint/session.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/session.py
@@ -14,12 +14,16 @@
 
 
 class Session:
-    """Reads one link until it is lost; `daemon` is the endpoint daemon."""
+    """Reads one link until it is lost; `daemon` is the endpoint daemon.
+
+    `name` is the entry's instance, empty until it has introduced itself.
+    """
 
     def __init__(self, link, daemon):
         self.link = link
         self.daemon = daemon
         self.peer = link.peer
+        self.name = ""
         self.last_heard = daemon.context.now()
 
     def send(self, message):
@@ -59,6 +63,7 @@
             self.to_attempt(message)
         elif isinstance(message, control.Hello):
             self.peer = message.instance
+            self.name = message.instance
             self.daemon.heard(message.config_version, self)
         elif isinstance(message, control.Ping):
             self.daemon.heard(message.config_version, self)
--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -47,6 +47,7 @@
         self.vocabulary = vocabulary
         self.invariants = Invariants(strict, metrics.violation)
         self.run_id = uuid.UUID(int=context.random.getrandbits(128)).hex
+        self.controls = {}
         self.exchanges = Exchanges(metrics)
         self.links = EndpointLinks(self)
         self.pipeline = Pipeline(make_filters(self), Dispatch(self))
@@ -61,7 +62,7 @@
     @property
     def version(self):
         """The version of the catalogue in force here."""
-        return self.follower.current.version
+        return self.follower.version
 
     def hello(self):
         """Return the first message on a link."""
@@ -94,8 +95,8 @@
         """Return whether new connections should come here."""
         if self.leaving:
             return Readiness(False, "leaving")
-        if not self.version:
-            return Readiness(False, "no configuration yet")
+        if not self.follower.ready.is_set():
+            return Readiness(False, "no current configuration yet")
         return Readiness(True)
 
     def place(self, work, avoided):
@@ -134,7 +135,10 @@
         self.follower.heard(version, link.name)
 
     def control(self, message, link):
-        """Handle a message that concerns no request."""
+        """Hand a message that concerns no request to its handler in `controls`."""
+        handler = self.controls.get(type(message))
+        if handler:
+            handler(message, link)
 
     def bug(self, step, error):
         """Count and log an unexpected error."""
--- a/packages/daemon/persimmonstall_daemon/entry/links.py
+++ b/packages/daemon/persimmonstall_daemon/entry/links.py
@@ -18,6 +18,8 @@
         self.link = None
         self.run_id = ""
         self.last_heard = 0.0
+        self.version = 0
+        self.loads = {}
         self.sequence = 0
         self.failures = 0
         self.task = None
@@ -122,18 +124,23 @@
         """Bring the end of an attempt to its request."""
         self.entry.exchanges.deliver(message)
 
+    def learn(self, version, loads):
+        """Note the peer's catalogue version and the loads of its endpoints."""
+        self.version = version
+        self.loads = {load.endpoint: load for load in loads}
+        self.entry.on_loads(self.instance, loads)
+        self.entry.heard(version, self)
+
     def on_hello(self, hello):
         """Take up a daemon that introduced itself."""
         self.failures = 0
         self.run_id = hello.run
-        self.entry.on_loads(self.instance, hello.endpoints)
-        self.entry.heard(hello.config_version, self)
+        self.learn(hello.config_version, hello.endpoints)
         self.entry.exchanges.announce(LinkUp(self.name, hello.run))
 
     def on_pong(self, pong):
         """Take the loads that came with a heartbeat's answer."""
-        self.entry.on_loads(self.instance, pong.endpoints)
-        self.entry.heard(pong.config_version, self)
+        self.learn(pong.config_version, pong.endpoints)
 
     def on_loads(self, loads):
         """Take the loads that came with an answer."""
@@ -169,6 +176,10 @@
         for load in loads:
             self.by_endpoint[load.endpoint] = instance.name
 
+    def linked(self):
+        """Return the links whose peer has introduced itself."""
+        return [link for link in self.links.values() if link.ready]
+
     def of(self, endpoint):
         """Return the link to the daemon that fronts `endpoint`, or None."""
         return self.links.get(self.by_endpoint.get(endpoint))
--- a/packages/daemon/persimmonstall_daemon/roles.py
+++ b/packages/daemon/persimmonstall_daemon/roles.py
@@ -8,12 +8,17 @@
 import aiomisc
 
 from persimmonstall.clock import Context
+from persimmonstall.invariants import Invariants
 from persimmonstall.outside.instances import Instance, InstanceState
 
 from .adapters.connect import connect_engine, connect_platform
 from .adapters.vocabulary import ByteVocabulary
-from .catalogue.follower import CatalogueFollower
-from .catalogue.peers import NoPeers
+from .admin.entry_view import EntryView
+from .admin.server import AdminServer
+from .admin.state import Administration
+from .catalogue import CatalogueFollower, CatalogueStore
+from .catalogue.compaction import CatalogueCompactor
+from .catalogue.sync import LinkedPeers
 from .endpoint.daemon import EndpointDaemon
 from .endpoint.engine_backend import EngineBackend
 from .entry.daemon import EntryDaemon
@@ -53,6 +58,23 @@
         await self.start_role()
         LOG.info("started", address=self.settings.daemon.address)
 
+    def make_follower(self, linked):
+        """Make the catalogue's follower; `linked()` returns the peers with open links."""
+        self.peers = LinkedPeers(self.settings, self.context, linked)
+        self.follower = CatalogueFollower(
+            self.settings,
+            self.platform.table,
+            self.platform.objects,
+            self.context,
+            self.peers,
+            Invariants(on_violation=self.metrics.violation),
+        )
+
+    def follow(self, controls):
+        """Start following; peers' messages arrive through `controls`."""
+        self.peers.register(self.follower, controls)
+        self.spawn(self.follower.run())
+
     def begin_drain(self):
         """Start the graceful shutdown; a second signal changes nothing."""
         if self.draining is None:
@@ -91,10 +113,7 @@
     async def start_role(self):
         """Start the catalogue, the links and the HTTP port."""
         self.platform = connect_platform(self.settings.platform)
-        self.follower = CatalogueFollower(
-            self.settings, self.platform.table, self.platform.objects, self.context, NoPeers()
-        )
-        self.spawn(self.follower.run())
+        self.make_follower(lambda: self.entry.links.linked())
         self.entry = EntryDaemon(
             self.settings,
             self.network,
@@ -104,9 +123,23 @@
             LeastOutstanding(),
             ByteVocabulary(self.settings.callers.token_bytes),
         )
+        self.follow(self.entry.controls)
         self.spawn(self.watch_instances())
         self.http = HttpServer(self.entry)
         await self.http.start()
+        self.admin = AdminServer(self.administration())
+        await self.admin.start()
+
+    def administration(self):
+        """Return what the operators' port works on; it alone writes the catalogue."""
+        platform = self.platform
+        store = CatalogueStore(self.settings, platform.table, self.context, self.follower)
+        compactor = CatalogueCompactor(
+            self.settings, platform.table, platform.objects, self.follower
+        )
+        self.spawn(compactor.run())
+        view = EntryView(self.entry)
+        return Administration(self.settings, self.context, self.follower, store, view)
 
     async def watch_instances(self):
         """Keep links to the endpoint instances of the platform's list."""
@@ -122,7 +155,8 @@
         await self.entry.drain()
 
     async def stop_role(self):
-        """Close the HTTP port and the links."""
+        """Close the ports and the links."""
+        await self.admin.stop()
         await self.http.stop()
         await self.entry.stop()
         await self.platform.close()
@@ -134,7 +168,11 @@
     async def start_role(self):
         """Connect to the back ends and listen for entries."""
         self.platform = connect_platform(self.settings.platform)
-        self.daemon = EndpointDaemon(self.settings, self.network, self.context, self.metrics)
+        self.make_follower(lambda: self.daemon.linked())
+        self.daemon = EndpointDaemon(
+            self.settings, self.network, self.context, self.metrics, self.follower
+        )
+        self.follow(self.daemon.controls)
         for served in self.settings.endpoints.serves:
             self.daemon.add(self.backend(served))
         await self.daemon.start()
--- a/packages/daemon/tests/test_admin_server.py
+++ b/packages/daemon/tests/test_admin_server.py
@@ -9,6 +9,7 @@
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
+
 from persimmonstall_daemon.admin import persimmonstall_admin_pb2 as schema
 from persimmonstall_daemon.admin.operators import hash_key
 from persimmonstall_daemon.admin.persimmonstall_admin_pb2_grpc import AdministrationStub
--- a/packages/standins/persimmonstall_standins/fleet.py
+++ b/packages/standins/persimmonstall_standins/fleet.py
@@ -8,9 +8,12 @@
 
 from persimmonstall.catalogue import Catalogue, Change, Model, Organisation
 from persimmonstall.clock import Context
+from persimmonstall.invariants import Invariants
 from persimmonstall.outside.instances import Instance
 from persimmonstall.settings import Settings
 from persimmonstall_daemon.adapters.vocabulary import ByteVocabulary
+from persimmonstall_daemon.catalogue import CatalogueFollower
+from persimmonstall_daemon.catalogue.sync import LinkedPeers
 from persimmonstall_daemon.endpoint.daemon import EndpointDaemon
 from persimmonstall_daemon.endpoint.engine_backend import EngineBackend
 from persimmonstall_daemon.entry.daemon import EntryDaemon
@@ -20,6 +23,7 @@
 
 from .engine import EngineModel
 from .engine_state import EngineSettings
+from .objects import MemoryObjects
 from .virtual.network import Fabric
 
 SECRET = "caller-secret"
@@ -31,6 +35,13 @@
 
     def __init__(self, current):
         self.current = current
+        self.ready = asyncio.Event()
+        self.ready.set()
+
+    @property
+    def version(self):
+        """The catalogue version in force."""
+        return self.current.version
 
     def heard(self, version, peer):
         """Ignore the version that a peer has."""
@@ -47,7 +58,10 @@
 
 @attrs.define
 class Fleet:
-    """Entries and endpoint daemons on one fabric; `engines` by endpoint name."""
+    """Entries and endpoint daemons on one fabric; `engines` by endpoint name.
+
+    With a `table` they follow the catalogue in it, an instance in `tables` through its own.
+    """
 
     catalogue: Catalogue
     seed: int = 1
@@ -57,6 +71,10 @@
     engines: dict = attrs.field(factory=dict)
     instances: list = attrs.field(factory=list)
     numbers: object = attrs.field(factory=itertools.count)
+    table: object = None
+    tables: dict = attrs.field(factory=dict)
+    objects: MemoryObjects = attrs.field(factory=MemoryObjects)
+    tasks: list = attrs.field(factory=list)
 
     def context(self, salt):
         """Return the clock of the running loop and a seeded random source."""
@@ -72,12 +90,31 @@
         settings.daemon.data_centre = data_centre
         return settings
 
+    def follower(self, settings, context, peers):
+        """Return the follower of a new daemon: of `table` if there is one."""
+        if self.table is None:
+            return FixedFollower(self.catalogue)
+        table = self.tables.get(settings.daemon.instance, self.table)
+        invariants = Invariants(strict=True)
+        return CatalogueFollower(settings, table, self.objects, context, peers, invariants)
+
+    def follow(self, follower, peers, daemon):
+        """Start the follower of a new daemon."""
+        if self.table is not None:
+            peers.register(follower, daemon.controls)
+            self.tasks.append(asyncio.create_task(follower.run()))
+
     async def add_endpoint(self, name, data_centre="dc1", engine=None):
         """Start an endpoint daemon beside one engine; return the daemon."""
         address = f"{name}:1"
         settings = self.settings(name, address, "endpoint", data_centre)
         network = self.fabric.network(address, data_centre)
-        daemon = EndpointDaemon(settings, network, self.context(name), Metrics(settings), True)
+        metrics = Metrics(settings)
+        context = self.context(name)
+        peers = LinkedPeers(settings, context, lambda: daemon.linked())
+        follower = self.follower(settings, context, peers)
+        daemon = EndpointDaemon(settings, network, context, metrics, follower, True)
+        self.follow(follower, peers, daemon)
         self.engines[name] = engine or EngineModel(name, EngineSettings(models=("m",)))
         daemon.add(EngineBackend(name, self.engines[name], daemon))
         await daemon.start()
@@ -89,16 +126,20 @@
         """Start an entry daemon linked to every endpoint daemon; return it."""
         address = f"{name}:1"
         settings = self.settings(name, address, "entry", data_centre)
+        context = self.context(name)
+        peers = LinkedPeers(settings, context, lambda: entry.links.linked())
+        follower = self.follower(settings, context, peers)
         entry = EntryDaemon(
             settings,
             self.fabric.network(address, data_centre),
-            self.context(name),
+            context,
             Metrics(settings),
-            FixedFollower(self.catalogue),
+            follower,
             placer or LeastOutstanding(),
             ByteVocabulary(settings.callers.token_bytes),
             strict=True,
         )
+        self.follow(follower, peers, entry)
         entry.links.set(self.instances)
         self.entries.append(entry)
         await asyncio.sleep(SETTLE_SECONDS)
@@ -128,3 +169,5 @@
             await entry.stop()
         for daemon in self.daemons.values():
             await daemon.stop()
+        for task in self.tasks:
+            task.cancel()
