--- a/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
@@ -11,6 +11,7 @@
 
 STEP = "endpoint"
 DRAIN_POLL_SECONDS = 0.05
+FLUSH_SECONDS = 1.0
 
 
 class EndpointDaemon:
@@ -28,6 +29,7 @@
         self.follower = follower
         self.invariants = Invariants(strict, metrics.violation)
         self.run_id = uuid.UUID(int=context.random.getrandbits(128)).hex
+        self.stopping = False
         self.backends = {}
         self.sessions = set()
         self.owners = {}
@@ -128,10 +130,15 @@
         attempt = getattr(message, "attempt", 0)
         return requests.Refused(request_id, attempt, reason, STEP, peer, outcome)
 
-    async def drain(self):
-        """Take no new work and wait until every attempt has ended and was sent."""
+    def leave(self):
+        """Take no new work from now on and tell the entries."""
+        self.stopping = True
         for backend in self.backends.values():
             self.broadcast(backend.leave())
+
+    async def drain(self):
+        """Take no new work and wait until every attempt has ended and was sent."""
+        self.leave()
         while any(backend.busy() for backend in self.backends.values()):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
@@ -140,5 +147,8 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        for session in list(self.sessions):
+            await session.link.flush(FLUSH_SECONDS)
+            await session.link.close()
         if self.listener:
             await self.listener.close()
--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -7,8 +7,11 @@
 
 from persimmonstall.failures import Failure, Reason
 from persimmonstall.invariants import Invariants
+from persimmonstall.membership import subset_of
 from persimmonstall.messages import control
 
+from ..limits import Budgets, EntryPeers
+from ..membership import Membership
 from ..observe import logs
 from .dispatch import Dispatch
 from .exchange import Exchanges
@@ -18,6 +21,7 @@
 
 LOG = logs.get("entry")
 DRAIN_POLL_SECONDS = 0.05
+TICK_SECONDS = 1.0
 
 
 @attrs.frozen
@@ -31,12 +35,21 @@
 class EntryDaemon:
     """What the filters of one entry share.
 
-    `follower` holds the catalogue, `placer` chooses endpoints, `network` opens links;
-    `strict` raises on a violated invariant.
+    `follower` holds the catalogue, `placer` chooses endpoints, `network` opens links,
+    `instances` is the platform's list; `strict` raises on a violated invariant.
     """
 
     def __init__(
-        self, settings, network, context, metrics, follower, placer, vocabulary, strict=False
+        self,
+        settings,
+        network,
+        context,
+        metrics,
+        follower,
+        placer,
+        vocabulary,
+        instances=None,
+        strict=False,
     ):
         self.settings = settings
         self.network = network
@@ -45,11 +58,17 @@
         self.follower = follower
         self.placer = placer
         self.vocabulary = vocabulary
-        self.invariants = Invariants(strict, metrics.violation)
+        self.invariants = Invariants(strict, self.violated)
         self.run_id = uuid.UUID(int=context.random.getrandbits(128)).hex
         self.controls = {}
         self.exchanges = Exchanges(metrics)
         self.links = EndpointLinks(self)
+        self.membership = Membership(settings, context, self.invariants, metrics, instances)
+        self.membership.subscribe(self.on_members)
+        self.peers = EntryPeers(self)
+        self.budgets = Budgets(
+            settings, context, self.invariants, metrics, self.entry_names, self.peers.send
+        )
         self.pipeline = Pipeline(make_filters(self), Dispatch(self))
         self.leaving = False
         self.active = 0
@@ -71,6 +90,49 @@
             daemon.instance, daemon.role, daemon.data_centre, self.run_id, self.version
         )
 
+    def violated(self, name, detail):
+        """Count and log a violated invariant."""
+        self.metrics.violation(name, detail)
+        LOG.error("invariant violated", invariant=name, detail=detail)
+
+    def entry_names(self):
+        """Return the names of the live entries."""
+        return [instance.name for instance in self.membership.entries()]
+
+    def on_members(self):
+        """Keep links to this entry's subset of the endpoint daemons."""
+        view = self.membership.view
+        daemons = view.present("endpoint")
+        size = self.settings.links.subset
+        name = self.settings.daemon.instance
+        entries = self.membership.entries()
+        self.links.set(subset_of(name, entries, daemons, size, self.served_by(daemons)))
+
+    def served_by(self, daemons):
+        """Return what each endpoint instance serves by the catalogue, as a dict of tuples."""
+        placements = self.catalogue.records["placement"]
+        return {
+            daemon.name: tuple(
+                model
+                for endpoint in daemon.endpoints
+                if endpoint in placements
+                for model in placements[endpoint].models
+            )
+            for daemon in daemons
+        }
+
+    async def start(self):
+        """Accept links of other entries."""
+        await self.peers.start()
+
+    async def tick(self):
+        """Renew budgets, close idle links and take over drain marks until cancelled."""
+        while True:
+            await asyncio.sleep(self.context.jitter(TICK_SECONDS))
+            self.membership.on_drains(self.catalogue.records["drain"])
+            self.budgets.tick(lambda name: self.catalogue.get("organisation", name))
+            self.peers.tick()
+
     async def serve(self, request, sink):
         """Return the `Answer` or `Refusal` of a `CallerRequest`."""
         self.active += 1
@@ -101,16 +163,21 @@
 
     def place(self, work, avoided):
         """Return where the next attempt of `work` goes, or a `Failure`."""
+        avoided = avoided | self.membership.view.leaving
         return self.placer.place(work, avoided, self.context.now())
 
-    def may_retry(self, work, reason):
-        """Whether the retry budget allows another attempt of `work`."""
-        return self.placer.may_retry(work, reason, self.context.now())
+    def retry_delay(self, work, reason, attempt):
+        """Return the seconds before another attempt of `work`, or None for no other one."""
+        return self.placer.retry_delay(work, reason, attempt, self.context.now())
 
     def on_submit(self, work, placed):
         """Note an attempt that was sent."""
         self.placer.on_submit(work, placed, self.context.now())
 
+    def on_first_token(self, work, endpoint):
+        """Note the first output of an attempt."""
+        self.placer.on_first_token(work, endpoint, self.context.now())
+
     def on_attempt_end(self, work, endpoint, result):
         """Note the end of an attempt."""
         self.placer.on_end(work, endpoint, result, self.context.now())
@@ -120,10 +187,12 @@
     def on_loads(self, instance, loads):
         """Take fresh loads of an instance's endpoints."""
         self.links.learn(instance, loads)
+        self.membership.on_loads(instance.name, loads)
         self.placer.on_loads(instance, loads, self.context.now())
 
     def on_leaving(self, instance, endpoints):
         """Stop placing work on endpoints that are leaving."""
+        self.membership.on_leaving(instance.name, endpoints)
         self.placer.on_leaving(endpoints)
 
     def on_link_down(self, instance):
@@ -146,11 +215,17 @@
         LOG.error("bug", step=step, error=repr(error), exc_info=error)
 
     async def drain(self):
-        """Fail the readiness check and wait until every request has ended."""
+        """Fail the readiness check and wait until every request has ended.
+
+        Requests are still taken for a while, until the balancer has noticed.
+        """
         self.leaving = True
+        await self.membership.leave()
+        await asyncio.sleep(self.settings.daemon.linger)
         while self.active:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     async def stop(self):
         """End the links."""
         await self.links.close()
+        await self.peers.close()
--- a/packages/standins/persimmonstall_standins/fleet.py
+++ b/packages/standins/persimmonstall_standins/fleet.py
@@ -17,7 +17,7 @@
 from persimmonstall_daemon.endpoint.daemon import EndpointDaemon
 from persimmonstall_daemon.endpoint.engine_backend import EngineBackend
 from persimmonstall_daemon.entry.daemon import EntryDaemon
-from persimmonstall_daemon.entry.placer import LeastOutstanding
+from persimmonstall_daemon.entry.policy_placer import PolicyPlacer
 from persimmonstall_daemon.entry.request import CallerRequest, NullSink
 from persimmonstall_daemon.observe.metrics import Metrics
 
@@ -135,12 +135,13 @@
             context,
             Metrics(settings),
             follower,
-            placer or LeastOutstanding(),
+            placer or PolicyPlacer(settings, context),
             ByteVocabulary(settings.callers.token_bytes),
             strict=True,
         )
         self.follow(follower, peers, entry)
-        entry.links.set(self.instances)
+        await entry.start()
+        entry.membership.on_list(tuple(self.instances))
         self.entries.append(entry)
         await asyncio.sleep(SETTLE_SECONDS)
         return entry
