--- a/packages/core/persimmonstall/messages/control.py
+++ b/packages/core/persimmonstall/messages/control.py
@@ -23,6 +23,7 @@
     adapters: tuple[str, ...] = ()
     leaving: bool = False
     long_tokens: int = 0
+    segment_tokens: int = 0
 
 
 @attrs.frozen
@@ -70,12 +71,16 @@
 
 @attrs.frozen
 class Reserve:
-    """Ask for memory on an endpoint for a segment of a long prompt; lapses by itself."""
+    """Ask for memory on an endpoint for a segment of a long prompt; lapses by itself.
+
+    `renew` puts off the lapse of a reservation that must still be there.
+    """
 
     reservation: str
     endpoint: str
     tokens: int
     lapse: float
+    renew: bool = False
 
 
 @attrs.frozen
--- a/packages/daemon/persimmonstall_daemon/admin/fleet.py
+++ b/packages/daemon/persimmonstall_daemon/admin/fleet.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 
 import attrs
+
 from persimmonstall.catalogue import DrainMark, QuarantineLift
 
 from . import persimmonstall_admin_pb2 as schema
