Load tool: open-loop mixes against entries, with report and plot

Ruled out: closed-loop callers, which slow down with the system and so hide its delays. Change: plan from a seed, streaming callers over aiohttp, table, JSON and plot; the same short requests alone as the base of the slowdown.

--- a/packages/cli/persimmonstall_cli/commands/__init__.py
+++ b/packages/cli/persimmonstall_cli/commands/__init__.py
@@ -1,7 +1,7 @@
 """The visible list of all subcommands; a new group is a module and a line here."""
 
-from . import config
+from . import config, load
 
-GROUPS = (config,)
+GROUPS = (config, load)
 
 COMMANDS = tuple(command for group in GROUPS for command in group.COMMANDS)
--- /dev/null
+++ b/packages/cli/persimmonstall_cli/commands/load.py
@@ -0,0 +1,78 @@
+"""`load`: send a mix of requests at a rate and report what became of them."""
+
+import asyncio
+import sys
+
+from absl import flags
+
+from persimmonstall.failures import Failure, Reason
+from persimmonstall.settings import Settings, load
+
+from ..command import Command
+from ..load.mix import DEFAULT_MIX
+from ..load.plan import Load
+from ..load.run import run_load
+from ..load.summary import report_of
+
+STEP = "load"
+
+
+def define(values):
+    """Define the flags of `load`."""
+    add = {"flag_values": values}
+    flags.DEFINE_list("url", ["http://127.0.0.1:8000"], "Entries' base URLs.", **add)
+    flags.DEFINE_string("api_key", "", "Caller's key.", **add)
+    flags.DEFINE_string("model", "", "Model to call.", **add)
+    flags.DEFINE_float("rate", 5.0, "Requests a second.", lower_bound=0.001, **add)
+    flags.DEFINE_float("seconds", 20.0, "Time for which requests are sent.", **add)
+    flags.DEFINE_string("mix", DEFAULT_MIX, "Prompt lengths as LOW-HIGH:WEIGHT,...", **add)
+    flags.DEFINE_integer("asked", 4096, "max_tokens that every caller asks for.", **add)
+    flags.DEFINE_float("deadline", 0.0, "Deadline in seconds; 0 for the entry's.", **add)
+    flags.DEFINE_float("stream_share", 1.0, "Share of callers that stream.", **add)
+    flags.DEFINE_integer("seed", 1, "Seed of the arrivals and lengths.", **add)
+    flags.DEFINE_boolean("alone", False, "Send the short requests alone first.", **add)
+    flags.DEFINE_string("plot", None, "File for a plot (png, svg or pdf).", **add)
+    flags.DEFINE_string("settings", None, "Settings file with the length classes.", **add)
+
+
+def send(call):
+    """Send the load; return its report."""
+    values = call.flags
+    settings, problems = load(values.settings) if values.settings else (Settings(), [])
+    if problems:
+        return Failure(Reason.BAD_REQUEST, STEP, detail="\n".join(map(str, problems)))
+    wanted = Load(
+        rate=values.rate,
+        seconds=values.seconds,
+        mix=values.mix,
+        asked=values.asked,
+        deadline=values.deadline,
+        model=values.model,
+        stream_share=values.stream_share,
+        seed=values.seed,
+        token_bytes=settings.callers.token_bytes,
+    )
+    short = settings.lengths.short
+    running = run_load(wanted, values.url, values.api_key, short, values.alone, show_progress)
+    try:
+        results = asyncio.run(running)
+    except ValueError as error:
+        return Failure(Reason.BAD_REQUEST, STEP, detail=f"--mix: cannot read {error}")
+    if values.plot:
+        write_plot(results, values.plot)
+    return report_of(results, settings.lengths, values.deadline)
+
+
+def write_plot(results, path):
+    """Write the plot; the plotting library is loaded only when it is needed."""
+    from ..load.plot import save_plot
+
+    save_plot(results, path)
+
+
+def show_progress(sent, done, planned):
+    """Print how far the load is to standard error."""
+    print(f"sent {sent}, ended {done}, of {planned}", file=sys.stderr)
+
+
+COMMANDS = (Command("load", "Send a mix of requests at a given rate.", send, (), define),)
--- /dev/null
+++ b/packages/cli/persimmonstall_cli/load/caller.py
@@ -0,0 +1,141 @@
+"""One caller: sends a chat completion and reads its answer to the end."""
+
+import asyncio
+import time
+
+import aiohttp
+import attrs
+import orjson
+
+from .plan import prompt_of
+
+DATA = b"data: "
+DONE = b"[DONE]"
+DEADLINE_HEADER = "X-Persimmonstall-Deadline"
+GRACE_SECONDS = 5.0
+"""Time after the deadline for which a caller still waits, to see answers that are late."""
+
+LONGEST_WAIT = 960.0
+"""Seconds that a caller waits without a deadline of its own."""
+
+
+@attrs.define
+class Result:
+    """What became of a request; times in seconds from when it was due to be sent.
+
+    `status` is the HTTP status, 0 when there was no connection; `code` the error's code.
+    `outcome` is "whole", "not_run", "unknown" or "broken" (the answer ended without its end).
+    """
+
+    planned: object
+    status: int = 0
+    code: str = ""
+    outcome: str = "broken"
+    first: float | None = None
+    ended: float = 0.0
+    tokens: int = 0
+    retry_after: float | None = None
+    held: float = 0.0
+    phase: str = "mixed"
+
+    @property
+    def whole(self):
+        """Whether the whole answer arrived."""
+        return self.outcome == "whole"
+
+    @property
+    def between(self):
+        """Mean time between tokens, None for fewer than two."""
+        if self.first is None or self.tokens < 2:
+            return None
+        return (self.ended - self.first) / (self.tokens - 1)
+
+
+class Caller:
+    """Sends planned requests of a `Load` over one aiohttp session."""
+
+    def __init__(self, session, load, key):
+        self.session = session
+        self.load = load
+        self.headers = {"Authorization": f"Bearer {key}"}
+        if load.deadline:
+            self.headers[DEADLINE_HEADER] = f"{load.deadline:g}"
+        self.wait = load.deadline + GRACE_SECONDS if load.deadline else LONGEST_WAIT
+
+    def body(self, planned):
+        """Return the JSON body of a request."""
+        body = {
+            "model": self.load.model,
+            "messages": [{"role": "user", "content": prompt_of(planned, self.load)}],
+            "max_tokens": self.load.asked,
+            "stream": planned.stream,
+        }
+        if planned.stream:
+            body["stream_options"] = {"include_usage": True}
+        return orjson.dumps(body)
+
+    async def call(self, url, planned, due):
+        """Send one request that is due at `due` (monotonic seconds); return its `Result`."""
+        result = Result(planned)
+        result.held = time.monotonic() - due
+        try:
+            async with asyncio.timeout(self.wait):
+                await self.exchange(url, planned, due, result)
+        except (aiohttp.ClientError, TimeoutError, ConnectionError) as error:
+            result.code = result.code or type(error).__name__
+        result.ended = time.monotonic() - due
+        return result
+
+    async def exchange(self, url, planned, due, result):
+        """Send the request and read the answer into `result`."""
+        headers = self.headers | {"Content-Type": "application/json"}
+        path = f"{url}/v1/chat/completions"
+        async with self.session.post(path, data=self.body(planned), headers=headers) as answer:
+            result.status = answer.status
+            if answer.status != 200:
+                note_error(result, await answer.read())
+            elif planned.stream:
+                await read_stream(answer, due, result)
+            else:
+                note_whole(result, await answer.read())
+
+
+async def read_stream(answer, due, result):
+    """Read server-sent events to the end mark."""
+    finished = False
+    async for line in answer.content:
+        if not line.startswith(DATA):
+            continue
+        data = line[len(DATA) :].strip()
+        if data == DONE:
+            result.outcome = "whole" if finished else "broken"
+            return
+        event = orjson.loads(data)
+        if "error" in event:
+            note_error(result, data)
+            return
+        if event.get("usage"):
+            result.tokens = event["usage"]["completion_tokens"]
+        for choice in event["choices"]:
+            if choice.get("delta", {}).get("content") and result.first is None:
+                result.first = time.monotonic() - due
+            finished = finished or choice.get("finish_reason") is not None
+
+
+def note_whole(result, data):
+    """Read an answer that was not streamed."""
+    body = orjson.loads(data)
+    result.tokens = body["usage"]["completion_tokens"]
+    result.outcome = "whole"
+
+
+def note_error(result, data):
+    """Read an error object; another body counts as an unknown outcome."""
+    result.outcome = "unknown"
+    try:
+        error = orjson.loads(data)["error"]
+        result.code = error["code"]
+        result.outcome = error["outcome"]
+        result.retry_after = error.get("retry_after")
+    except (orjson.JSONDecodeError, KeyError, TypeError):
+        result.code = result.code or "malformed_error"
--- /dev/null
+++ b/packages/cli/persimmonstall_cli/load/mix.py
@@ -0,0 +1,57 @@
+"""Mixes of prompt lengths: shares of ranges, lengths spread evenly over their logarithm."""
+
+import math
+
+import attrs
+
+SUFFIXES = {"k": 1_000, "m": 1_000_000}
+
+DEFAULT_MIX = "1k-4k:0.78,4k-32k:0.16,32k-100k:0.04,100k-1m:0.02"
+"""One prompt in fifty is over a hundred thousand tokens."""
+
+
+@attrs.frozen
+class Range:
+    """Prompt lengths from `low` to `high` tokens, drawn with `weight`."""
+
+    low: int
+    high: int
+    weight: float
+
+
+def parse_count(text):
+    """Return a number of tokens; raises ValueError when malformed.
+
+    >>> parse_count("4k"), parse_count("1m"), parse_count("250")
+    (4000, 1000000, 250)
+    """
+    text = text.strip().lower()
+    factor = SUFFIXES.get(text[-1:], 1)
+    value = int(float(text[:-1] if factor > 1 else text) * factor)
+    if value < 1:
+        raise ValueError(text)
+    return value
+
+
+def parse_mix(text):
+    """Return the `Range`s of "LOW-HIGH:WEIGHT,..."; raises ValueError when malformed.
+
+    >>> parse_mix("1k-4k:3,100k:1")[1]
+    Range(low=100000, high=100000, weight=1.0)
+    """
+    ranges = []
+    for part in text.split(","):
+        lengths, _, weight = part.partition(":")
+        low, _, high = lengths.partition("-")
+        made = Range(parse_count(low), parse_count(high or low), float(weight or 1))
+        if made.low > made.high or made.weight <= 0:
+            raise ValueError(part)
+        ranges.append(made)
+    return tuple(ranges)
+
+
+def draw_length(ranges, random):
+    """Return one prompt length in tokens."""
+    chosen = random.choices(ranges, [one.weight for one in ranges])[0]
+    spread = math.log(chosen.high / chosen.low)
+    return round(chosen.low * math.exp(spread * random.random()))
--- /dev/null
+++ b/packages/cli/persimmonstall_cli/load/plan.py
@@ -0,0 +1,65 @@
+"""The plan of a load: every request and when it is sent, from a seed."""
+
+from random import Random
+
+import attrs
+
+from .mix import DEFAULT_MIX, draw_length, parse_mix
+
+
+@attrs.frozen
+class Load:
+    """What to send.
+
+    `rate` is in requests a second for `seconds`; `asked` is the max_tokens that every caller
+    asks for; `deadline` is in seconds, 0 for the entry's default.
+    """
+
+    rate: float = 5.0
+    seconds: float = 20.0
+    mix: str = DEFAULT_MIX
+    asked: int = 4096
+    deadline: float = 0.0
+    model: str = ""
+    stream_share: float = 1.0
+    seed: int = 1
+    token_bytes: float = 4.0
+
+
+@attrs.frozen
+class Planned:
+    """One request: sent `at` seconds from the start with a prompt of `tokens` tokens."""
+
+    number: int
+    at: float
+    tokens: int
+    stream: bool
+
+
+def plan_of(load):
+    """Return the `Planned` requests of a `Load`; arrivals are Poisson and do not wait.
+
+    >>> plan_of(Load(seed=3)) == plan_of(Load(seed=3))
+    True
+    """
+    random = Random(load.seed)
+    ranges = parse_mix(load.mix)
+    planned = []
+    at = random.expovariate(load.rate)
+    while at < load.seconds:
+        tokens = draw_length(ranges, random)
+        stream = random.random() < load.stream_share
+        planned.append(Planned(len(planned), at, tokens, stream))
+        at += random.expovariate(load.rate)
+    return tuple(planned)
+
+
+def prompt_of(planned, load):
+    """Return the text of a prompt, unlike that of any other seed and number.
+
+    >>> len(prompt_of(Planned(1, 0.0, 1000, True), Load()))
+    4000
+    """
+    size = max(1, round(planned.tokens * load.token_bytes))
+    word = f"{load.seed}.{planned.number} "
+    return (word * (size // len(word) + 1))[:size]
--- /dev/null
+++ b/packages/cli/persimmonstall_cli/load/run.py
@@ -0,0 +1,46 @@
+"""Runs a plan against entries: arrivals do not wait for answers."""
+
+import asyncio
+import time
+
+import aiohttp
+
+from .caller import Caller
+from .plan import plan_of
+
+PROGRESS_SECONDS = 2.0
+
+
+async def run_plan(load, planned, urls, key, progress=None):
+    """Return the `Result`s of the planned requests, sent to `urls` in turn."""
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector, read_bufsize=2**20) as session:
+        caller = Caller(session, load, key)
+        start = time.monotonic()
+        tasks = []
+        told = start
+        for one in planned:
+            due = start + one.at
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            url = urls[one.number % len(urls)]
+            tasks.append(asyncio.create_task(caller.call(url, one, due)))
+            if progress and time.monotonic() - told >= PROGRESS_SECONDS:
+                told = time.monotonic()
+                progress(len(tasks), sum(task.done() for task in tasks), len(planned))
+        return await asyncio.gather(*tasks)
+
+
+async def run_load(load, urls, key, short, alone=False, progress=None):
+    """Return all results; with `alone`, the same short requests are first sent by themselves.
+
+    `short` is the longest short prompt in tokens.
+    """
+    planned = plan_of(load)
+    results = []
+    if alone:
+        only = tuple(one for one in planned if one.tokens <= short)
+        for result in await run_plan(load, only, urls, key, progress):
+            result.phase = "alone"
+            results.append(result)
+    results.extend(await run_plan(load, planned, urls, key, progress))
+    return results
--- /dev/null
+++ b/packages/cli/persimmonstall_cli/load/summary.py
@@ -0,0 +1,117 @@
+"""Figures of a load by length class."""
+
+import attrs
+import numpy as np
+
+from persimmonstall.lengths import classify
+
+from ..report import Report
+
+QUANTILES = (50, 95, 99)
+CLASSES = ("short", "medium", "long", "giant")
+
+
+@attrs.frozen
+class ClassSummary:
+    """Figures of one length class in one phase; times in seconds, None without values."""
+
+    phase: str
+    length_class: str
+    sent: int
+    whole: int
+    not_run: int
+    unknown: int
+    broken: int
+    in_time: int
+    first: tuple
+    between: tuple
+    tokens: int
+
+
+def quantiles(values):
+    """Return the 50th, 95th and 99th percentile, None each without values."""
+    found = [value for value in values if value is not None]
+    if not found:
+        return (None,) * len(QUANTILES)
+    return tuple(float(value) for value in np.percentile(found, QUANTILES))
+
+
+def summarise(results, lengths, deadline):
+    """Return the `ClassSummary`s of results; `lengths` is the settings section."""
+    summaries = []
+    for phase in ("alone", "mixed"):
+        for name in CLASSES:
+            chosen = [
+                one
+                for one in results
+                if one.phase == phase and classify(one.planned.tokens, lengths) == name
+            ]
+            if chosen:
+                summaries.append(summary_of(phase, name, chosen, deadline))
+    return summaries
+
+
+def summary_of(phase, name, results, deadline):
+    """Return the `ClassSummary` of results of one class."""
+    whole = [one for one in results if one.whole]
+    return ClassSummary(
+        phase=phase,
+        length_class=name,
+        sent=len(results),
+        whole=len(whole),
+        not_run=count(results, "not_run"),
+        unknown=count(results, "unknown"),
+        broken=count(results, "broken"),
+        in_time=sum(1 for one in whole if not deadline or one.ended <= deadline),
+        first=quantiles(one.first for one in whole),
+        between=quantiles(one.between for one in whole),
+        tokens=sum(one.tokens for one in whole),
+    )
+
+
+def count(results, outcome):
+    """Return how many results have an outcome."""
+    return sum(1 for one in results if one.outcome == outcome)
+
+
+def slowdowns(results):
+    """Return the slowdown of each short request against the same one sent alone.
+
+    It is the ratio of the times to first token, by the request's number.
+    """
+    alone = {one.planned.number: one.first for one in results if one.phase == "alone"}
+    ratios = {}
+    for one in results:
+        base = alone.get(one.planned.number)
+        if one.phase == "mixed" and base and one.first is not None:
+            ratios[one.planned.number] = one.first / base
+    return ratios
+
+
+def report_of(results, lengths, deadline):
+    """Return the printed `Report` of a load."""
+    summaries = summarise(results, lengths, deadline)
+    columns = ("phase", "class", "sent", "whole", "not run", "unknown", "broken", "in time")
+    columns += ("first p50", "first p95", "first p99", "between p95", "tokens")
+    rows = tuple(map(cells, summaries))
+    ratios = quantiles(slowdowns(results).values())
+    codes = sorted({one.code for one in results if one.code})
+    note = "times in seconds; codes: " + (", ".join(codes) or "none")
+    if ratios[0] is not None:
+        worded = ", ".join(f"p{q} {value:.2f}" for q, value in zip(QUANTILES, ratios, strict=True))
+        note += f"\nslowdown of short requests against the same alone: {worded}"
+    data = {
+        "classes": [attrs.asdict(one) for one in summaries],
+        "slowdown": ratios,
+        "codes": codes,
+        "held_back": max((one.held for one in results), default=0.0),
+    }
+    return Report(columns, rows, note, data)
+
+
+def cells(summary):
+    """Return one row of the table."""
+    times = (*summary.first, summary.between[1])
+    worded = tuple("-" if value is None else f"{value:.3f}" for value in times)
+    counts = attrs.astuple(summary)[:8]
+    return (*counts, *worded, summary.tokens)
--- a/packages/daemon/persimmonstall_daemon/admin/entry_view.py
+++ b/packages/daemon/persimmonstall_daemon/admin/entry_view.py
@@ -50,6 +50,10 @@
             return "draining"
         return "leaving" if load and load.leaving else "live"
 
+    def burn(self):
+        """Return the burn counts of this entry."""
+        return self.entry.burn.rows(self.entry.context.now())
+
     def verdicts(self):
         """Return the fingerprints that this entry refuses."""
         quarantine = getattr(self.entry, "quarantine", None)
--- a/packages/daemon/persimmonstall_daemon/membership/leaving.py
+++ b/packages/daemon/persimmonstall_daemon/membership/leaving.py
@@ -20,6 +20,13 @@
         self.drained = frozenset(names)
         self.update()
 
+    async def follow(self, follower):
+        """Take the drain marks of every version that comes into force, until cancelled."""
+        changes = follower.subscribe()
+        while True:
+            self.on_drains(follower.current.records["drain"])
+            await changes.get()
+
     def update(self):
         """Bring every endpoint to what the sources say, and tell the entries of changes."""
         for backend in self.daemon.backends.values():
--- a/packages/daemon/persimmonstall_daemon/roles.py
+++ b/packages/daemon/persimmonstall_daemon/roles.py
@@ -180,6 +180,7 @@
         )
         leaving = Leaving(self.daemon, self.membership)
         self.membership.subscribe(leaving.update)
+        self.spawn(leaving.follow(self.follower))
         self.spawn(self.membership.run())
 
     def backend(self, served):
