--- a/packages/daemon/tests/test_memory_keeper.py
+++ b/packages/daemon/tests/test_memory_keeper.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from persimmonstall.catalogue import Catalogue
 from persimmonstall.clock import Context
 from persimmonstall.failures import Outcome
 from persimmonstall.messages import control, requests
@@ -18,6 +19,7 @@
 from persimmonstall_daemon.observe.metrics import Metrics
 from persimmonstall_standins.engine import EngineModel
 from persimmonstall_standins.engine_state import EngineSettings
+from persimmonstall_standins.fleet import FixedFollower
 from persimmonstall_standins.output import expected_output
 from persimmonstall_standins.virtual.loop import run
 from persimmonstall_standins.virtual.network import Fabric
@@ -63,7 +65,9 @@
         context = Context(loop.time, loop.time, Random(f"{seed}/{loop.time()}"))
         network = Fabric().network("i1:1")
         metrics = Metrics(self.settings)
-        self.daemon = EndpointDaemon(self.settings, network, context, metrics, strict=True)
+        self.daemon = EndpointDaemon(
+            self.settings, network, context, metrics, FixedFollower(Catalogue()), strict=True
+        )
         self.backend = EngineBackend("e1", engine, self.daemon)
         self.daemon.add(self.backend)
 
