--- /dev/null
+++ b/tools/capacity_runs/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements behind docs/CAPACITY.md."""
--- /dev/null
+++ b/tools/capacity_runs/processes.py
@@ -0,0 +1,223 @@
+"""Slopes of real daemons: control traffic, processor share and memory; data-plane cost."""
+
+import asyncio
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+
+import orjson
+import psutil
+
+from persimmonstall_cli.load.plan import Load
+from persimmonstall_cli.load.run import run_load
+from persimmonstall_standins.processes import ProcessSite, status_of, wait_until
+
+from .fit import fit
+
+PEERS = (4, 8, 16, 32)
+ASKED = (25, 100, 200, 400)
+PROMPTS = (1_000, 20_000, 60_000, 120_000)
+SETTLE_SECONDS = 4.0
+WATCH_SECONDS = 8.0
+LOAD_SECONDS = 6.0
+KILOBYTE = 1024.0
+MEGABYTE = KILOBYTE * KILOBYTE
+PEERS_PROGRAM = pathlib.Path(__file__).with_name("peers.py")
+ENGINE_SPEED = 20
+
+
+class Peers:
+    """The process of synthetic peers."""
+
+    def __init__(self, **flags):
+        command = [sys.executable, str(PEERS_PROGRAM)]
+        command += [f"--{name}={value}" for name, value in flags.items()]
+        self.process = subprocess.Popen(
+            command,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            text=True,
+        )
+
+    def report(self):
+        """Return the peers' counts so far; logs between them are passed over."""
+        self.process.stdin.write("\n")
+        self.process.stdin.flush()
+        while True:
+            line = self.process.stdout.readline()
+            if not line:
+                raise RuntimeError("the peers have ended")
+            if line.startswith('{"at"'):
+                return orjson.loads(line)
+
+    def close(self):
+        """End the process."""
+        self.process.kill()
+        self.process.wait()
+        self.process.stdin.close()
+        self.process.stdout.close()
+
+
+def processor_seconds(process):
+    """Return the processor time that a process has used."""
+    times = psutil.Process(process.pid).cpu_times()
+    return times.user + times.system
+
+
+def resident(process):
+    """Return the resident memory of a process in megabytes."""
+    return psutil.Process(process.pid).memory_info().rss / MEGABYTE
+
+
+def wait_for_links(peers, count):
+    """Wait until as many links are open, and a while more."""
+    wait_until(lambda: peers.report()["links"] >= count, what=f"{count} links")
+    time.sleep(SETTLE_SECONDS)
+
+
+def watch(daemon, peers):
+    """Return bytes a second each way, processor share (%) and memory (MB) of a daemon."""
+    before, used = peers.report(), processor_seconds(daemon.process)
+    time.sleep(WATCH_SECONDS)
+    after, spent = peers.report(), processor_seconds(daemon.process) - used
+    seconds = after["at"] - before["at"]
+    return {
+        "received": (after["sent"] - before["sent"]) / seconds / KILOBYTE,
+        "sent": (after["received"] - before["received"]) / seconds / KILOBYTE,
+        "share": 100.0 * spent / seconds,
+        "memory": resident(daemon.process),
+    }
+
+
+def site_of(directory):
+    """Return a site with the platform running."""
+    site = ProcessSite(directory)
+    site.start_platform()
+    return site
+
+
+def entry_with(count, directory):
+    """Measure an idle entry linked to `count` endpoint daemons."""
+    with site_of(directory) as site:
+        entry = site.add_entry("entry")
+        site.configure(entry)
+        peers = Peers(kind="endpoints", count=count, list=site.platform["instances"])
+        try:
+            wait_for_links(peers, count)
+            return watch(entry, peers)
+        finally:
+            peers.close()
+
+
+def endpoint_with(count, directory):
+    """Measure an idle endpoint daemon linked to `count` entries."""
+    with site_of(directory) as site:
+        entry = site.add_entry("entry")
+        site.configure(entry)
+        daemon = site.add_engine_daemon("target")
+        target = daemon.settings["daemon"]["address"]
+        peers = Peers(kind="entries", count=count, target=target)
+        try:
+            wait_for_links(peers, count)
+            return watch(daemon, peers)
+        finally:
+            peers.close()
+
+
+def idle_slopes(role, measure_one):
+    """Return the slopes of an idle daemon by its number of links."""
+    points = []
+    for count in PEERS:
+        with tempfile.TemporaryDirectory() as directory:
+            points.append((count, measure_one(count, directory)))
+    units = {"received": "KB/s", "sent": "KB/s", "share": "% of a core", "memory": "MB"}
+    return [
+        fit(f"{role}: {key}", "processes", unit, "link", [(n, one[key]) for n, one in points])
+        for key, unit in units.items()
+    ]
+
+
+def data_plane():
+    """Return the slopes of processor time per token, by output and by prompt length."""
+    with tempfile.TemporaryDirectory() as directory, site_of(directory) as site:
+        entry = site.add_entry("entry")
+        site.configure(entry)
+        daemons = [site.add_engine_daemon(f"d{n}", speed=ENGINE_SPEED) for n in range(2)]
+        wait_until(lambda: status_of(entry.url + "/readyz") == 200)
+        time.sleep(SETTLE_SECONDS)
+        outputs = [serve_load(site, entry, daemons, 1_000, asked, 12.0) for asked in ASKED]
+        prompts = [serve_load(site, entry, daemons, tokens, 25, 2.0) for tokens in PROMPTS]
+        rest = [in_flight(site, entry, rate) for rate in (2.0, 6.0, 12.0, 20.0)]
+    slopes = []
+    for index, role in ((1, "entry"), (2, "endpoint daemon")):
+        by_output = [(point[0], point[index]) for point in outputs]
+        by_prompt = [(point[3] / 1000.0, point[index]) for point in prompts]
+        name = f"{role}: time of a request"
+        slopes.append(fit(name, "data plane", "ms", "output token", by_output))
+        slopes.append(fit(name, "data plane", "ms", "1,000 prompt tokens", by_prompt))
+    slopes.append(fit("entry: memory", "data plane", "MB", "request in flight", rest))
+    return slopes
+
+
+def serve_load(site, entry, daemons, prompt, asked, rate):
+    """Serve a load; return mean output tokens and ms a request at entry and daemons."""
+    load = Load(
+        rate=rate,
+        seconds=LOAD_SECONDS,
+        mix=f"{prompt}",
+        asked=asked,
+        model=site.model,
+        seed=prompt + asked,
+        deadline=300,
+    )
+    before = [processor_seconds(one.process) for one in (entry, *daemons)]
+    results = asyncio.run(run_load(load, [entry.url], site.key, 4000))
+    spent = [
+        processor_seconds(one.process) - start
+        for one, start in zip((entry, *daemons), before, strict=True)
+    ]
+    whole = [one for one in results if one.whole]
+    if len(whole) < len(results) / 2:
+        raise RuntimeError(f"only {len(whole)} of {len(results)} requests were answered")
+    tokens = sum(one.tokens for one in whole) / len(whole)
+    return tokens, 1e3 * spent[0] / len(whole), 1e3 * sum(spent[1:]) / len(whole), prompt
+
+
+def in_flight(site, entry, rate):
+    """Serve short prompts with long outputs; return the mean in flight and the entry's MB."""
+    load = Load(
+        rate=rate, seconds=LOAD_SECONDS, mix="2k", asked=400, model=site.model, seed=7, deadline=300
+    )
+    results = asyncio.run(run_load(load, [entry.url], site.key, 4000))
+    busy = sum(one.ended for one in results if one.whole)
+    return busy / LOAD_SECONDS, resident(entry.process)
+
+
+def import_memory():
+    """Return the resident memory (MB) after importing each part in a process of its own."""
+    modules = {
+        "interpreter": "sys",
+        "asyncio, uvloop": "asyncio, uvloop",
+        "aiohttp": "aiohttp",
+        "grpc": "grpc",
+        "structlog, orjson, msgspec": "structlog, orjson, msgspec",
+        "all of the daemon": "persimmonstall_daemon.main",
+    }
+    program = "import {}, psutil; print(psutil.Process().memory_info().rss)"
+    sizes = {}
+    for name, module in modules.items():
+        command = [sys.executable, "-c", program.format(module)]
+        answer = subprocess.run(command, check=True, capture_output=True, text=True)
+        sizes[name] = int(answer.stdout) / MEGABYTE
+    return sizes
+
+
+def measure():
+    """Return (slopes, memory of imports) of real daemons."""
+    slopes = idle_slopes("entry", entry_with)
+    slopes += idle_slopes("endpoint daemon", endpoint_with)
+    slopes += data_plane()
+    return slopes, import_memory()
