--- a/packages/core/persimmonstall/claims/__init__.py
+++ b/packages/core/persimmonstall/claims/__init__.py
@@ -1,1 +1,1 @@
-"""At-most-once execution: one row for each idempotency key is the only judge."""
+"""At most once: one row per idempotency key decides who runs non-idempotent work."""
--- /dev/null
+++ b/packages/core/persimmonstall/claims/starting.py
@@ -0,0 +1,192 @@
+"""Winning a generation of a claim: the steps of an endpoint's daemon before the hand-over.
+
+`advance_start` and `advance_give_up` take the last answer of the table and say what to do
+next.  They perform no I/O, so that the daemon, the randomised tests and the model checker
+all run the same decisions.
+"""
+
+import enum
+
+import attrs
+
+from ..failures import Failure, Reason
+from ..outside.table import ABSENT, Committed, Conflict
+from .planning import claim_of
+from .records import Finished, GivenUp, Started
+
+MOST_TRIES = 3
+"""Writes of one kind before the daemon stops trying."""
+
+
+class Phase(enum.StrEnum):
+    """What to do next, or (from WON on) how it ended."""
+
+    WRITE = "write"
+    READ = "read"
+    FENCE = "fence"
+    FENCE_READ = "fence_read"
+    WON = "won"
+    LOST = "lost"
+    FENCED = "fenced"
+    UNSURE = "unsure"
+
+
+FINAL = frozenset((Phase.WON, Phase.LOST, Phase.FENCED, Phase.UNSURE))
+"""Ends of a start: won (hand over), lost (another holds the key), fenced (nobody holds this
+generation and nobody can), unsure (the table's state is not known; nothing is handed over)."""
+
+
+@attrs.frozen
+class Progress:
+    """Where a start or a give-up is.
+
+    `dirty`: an own write of "started" may still take effect.  `row` is the last one seen.
+    """
+
+    phase: Phase = Phase.WRITE
+    tries: int = 1
+    dirty: bool = False
+    row: object = None
+    version: int = ABSENT
+
+    @property
+    def done(self):
+        """Whether nothing remains to be done."""
+        return self.phase in FINAL
+
+    def to(self, phase, **changes):
+        """Return this progress moved on to `phase`."""
+        return attrs.evolve(self, phase=phase, **changes)
+
+
+def version_of(row):
+    """Return the version of a `Row`, `ABSENT` for None."""
+    return ABSENT if row is None else row.version
+
+
+def is_down(answer):
+    """Say whether a commit certainly had no effect because the table is out of reach."""
+    return isinstance(answer, Failure) and answer.reason is Reason.TABLE_DOWN
+
+
+def judge_start(progress, row, ticket, attempt):
+    """Judge a row that was read: is it won, lost or still open?"""
+    claim = claim_of(row)
+    seen = progress.to(progress.phase, row=row)
+    if isinstance(claim, Started) and claim.attempt == attempt:
+        return seen.to(Phase.WON, version=row.version)
+    if version_of(row) != ticket.expected:
+        return seen.to(Phase.FENCED if isinstance(claim, GivenUp) else Phase.LOST)
+    if progress.phase in (Phase.FENCE, Phase.FENCE_READ):
+        return seen.to(Phase.UNSURE)
+    if progress.tries < MOST_TRIES:
+        return seen.to(Phase.WRITE, tries=progress.tries + 1)
+    return seen.to(Phase.FENCE)
+
+
+def advance_start(progress, answer, ticket, attempt):
+    """Return the next `Progress` after the table's `answer` to the last step.
+
+    WRITE asks for the write of "started", READ for a read of the row, FENCE for the write of
+    "given up" and FENCE_READ for a read after that.
+    """
+    if progress.phase is Phase.WRITE:
+        return after_write(progress, answer, ticket, attempt)
+    if progress.phase is Phase.FENCE:
+        return after_fence(progress, answer, ticket, attempt)
+    return after_read(progress, answer, ticket, attempt)
+
+
+def after_write(progress, answer, ticket, attempt):
+    """Judge the answer to the write of "started"."""
+    if isinstance(answer, Committed):
+        return progress.to(Phase.WON, version=answer.versions[0])
+    if isinstance(answer, Conflict):
+        return judge_start(progress, answer.rows[0], ticket, attempt)
+    if is_down(answer):
+        return progress.to(Phase.UNSURE)
+    return progress.to(Phase.READ, dirty=True)
+
+
+def after_read(progress, answer, ticket, attempt):
+    """Judge the answer to a read of the row after an unknown outcome."""
+    if isinstance(answer, Failure):
+        return progress.to(Phase.UNSURE)
+    return judge_start(progress, answer, ticket, attempt)
+
+
+def after_fence(progress, answer, ticket, attempt):
+    """Judge the answer to the write of "given up" by the one who failed to start."""
+    if isinstance(answer, Committed):
+        return progress.to(Phase.FENCED, version=answer.versions[0])
+    if isinstance(answer, Conflict):
+        return judge_start(progress, answer.rows[0], ticket, attempt)
+    if is_down(answer):
+        return progress.to(Phase.UNSURE)
+    return progress.to(Phase.FENCE_READ)
+
+
+class Standing(enum.StrEnum):
+    """What a give-up found out about the key, or what it has to do next."""
+
+    WRITE = "write"
+    READ = "read"
+    NOT_RUN = "not_run"
+    RUNNING = "running"
+    FINISHED = "finished"
+    UNSURE = "unsure"
+
+
+SETTLED = frozenset((Standing.NOT_RUN, Standing.RUNNING, Standing.FINISHED, Standing.UNSURE))
+
+
+@attrs.frozen
+class GiveUp:
+    """Where a give-up is; `row` is the last row seen.
+
+    Once the standing is NOT_RUN, `generation` and `version` are those of the "given up" row.
+    """
+
+    standing: Standing = Standing.WRITE
+    tries: int = 1
+    row: object = None
+    generation: int = 0
+    version: int = ABSENT
+
+    @property
+    def done(self):
+        """Whether nothing remains to be done."""
+        return self.standing in SETTLED
+
+    def to(self, standing, **changes):
+        """Return this give-up moved on to `standing`."""
+        return attrs.evolve(self, standing=standing, **changes)
+
+
+def judge_give_up(give_up, row, ticket):
+    """Judge a row that was read by someone who wants to say "not run"."""
+    claim = claim_of(row)
+    seen = give_up.to(give_up.standing, row=row)
+    if isinstance(claim, Finished):
+        return seen.to(Standing.FINISHED)
+    if isinstance(claim, Started):
+        return seen.to(Standing.RUNNING)
+    if isinstance(claim, GivenUp) and claim.generation >= ticket.generation:
+        return seen.to(Standing.NOT_RUN, generation=claim.generation, version=row.version)
+    if version_of(row) == ticket.expected and give_up.tries < MOST_TRIES:
+        return seen.to(Standing.WRITE, tries=give_up.tries + 1)
+    return seen.to(Standing.UNSURE)
+
+
+def advance_give_up(give_up, answer, ticket):
+    """Return the next `GiveUp` after the table's answer to the write or the read."""
+    if isinstance(answer, Committed):
+        version = answer.versions[0]
+        return give_up.to(Standing.NOT_RUN, generation=ticket.generation, version=version)
+    if isinstance(answer, Conflict):
+        return judge_give_up(give_up, answer.rows[0], ticket)
+    if give_up.standing is Standing.WRITE and not is_down(answer):
+        return give_up.to(Standing.READ)
+    if isinstance(answer, Failure):
+        return give_up.to(Standing.UNSURE)
+    return judge_give_up(give_up, answer, ticket)
--- a/packages/core/persimmonstall/messages/requests.py
+++ b/packages/core/persimmonstall/messages/requests.py
@@ -9,13 +9,15 @@
 class Ticket:
     """Proof needed to run non-idempotent work: the row and generation to be won.
 
-    `body_hash` is the hash of the request body; `row` is the key of the claim's row.
+    `body_hash` is the hash of the request body; `row` is the key of the claim's row and
+    `expected` the version it must be at; `issued` is in Unix seconds.
     """
 
     row: str
     generation: int
     body_hash: str
     expected: int
+    issued: float = 0.0
 
 
 @attrs.frozen
@@ -24,7 +26,8 @@
 
     `deadline` is an absolute time of the local monotonic clock, in seconds.  `blocks` are
     chained hashes of the prompt's full blocks.  `service` is empty for a model's request,
-    else the plain service whose `method` is called with `prompt` as its body.
+    else the plain service whose `method` is called with `prompt` as its body.  `key_made`:
+    the idempotency key was made by the entry, so that no other request can carry it.
     """
 
     request_id: str
@@ -46,6 +49,7 @@
     content_type: str = "application/json"
     idempotent: bool = True
     key: str = ""
+    key_made: bool = False
     body_hash: str = ""
     ticket: Ticket | None = None
 
--- a/packages/core/persimmonstall/settings/schema.py
+++ b/packages/core/persimmonstall/settings/schema.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from ..claims.retention import LONGEST_DEADLINE
 from .option import option
 
 ROLES = ("entry", "endpoint")
@@ -57,7 +58,9 @@
 
     body_bytes: int = option(16_777_216, "Largest request body.", "bytes", low=1024)
     default_deadline: float = option(60.0, "Deadline of a request that names none.", "s", low=0.1)
-    max_deadline: float = option(900.0, "Longest deadline that a request may name.", "s", low=0.1)
+    max_deadline: float = option(
+        900.0, "Longest deadline that a request may name.", "s", low=0.1, high=LONGEST_DEADLINE
+    )
     token_bytes: float = option(4.0, "Bytes of text that count as one token.", "bytes", low=0.5)
     idle_credit: int = option(2048, "Tokens that may wait for a slow caller.", "tokens", low=16)
 
--- /dev/null
+++ b/packages/standins/persimmonstall_standins/specification/claims.py
@@ -0,0 +1,305 @@
+"""Claim, start, give-up, resend and a table whose answers and writes are late or lost.
+
+Two entries send the same key.  The first one's message is delivered to two daemons beside one
+endpoint, and the first entry may renew its ticket and try again.  Every step is taken by the
+product's own decision functions; a crash is a process that takes no further step, a pause is
+one that takes its next step late.  `Rules` are replaced by the tests to refute mutations.
+"""
+
+import functools
+
+import attrs
+from minicheck import Protocol
+
+from persimmonstall.claims import records, settling, starting, writes
+from persimmonstall.claims.planning import Replay, plan
+from persimmonstall.claims.starting import MOST_TRIES, GiveUp, Phase, Progress, Standing
+from persimmonstall.failures import Failure, Outcome, Reason, Refusal
+from persimmonstall.messages.requests import Ticket, Work
+from persimmonstall.outside.table import Committed, Conflict, Row
+
+ROW = "row"
+HASH = "hash"
+WALL = 0.0
+DOWN = Failure(Reason.TABLE_DOWN, "commit", "table")
+UNKNOWN = Failure(Reason.AMBIGUOUS, "commit", "table")
+REFUSAL = Refusal(Reason.PEER_LOST, "dispatch", outcome=Outcome.UNKNOWN)
+FIELDS = ("row", "late", "attempts", "entries", "ran")
+SENT_BY = {"a0": 0, "a0-copy": 0, "a1": 0, "b0": 1}
+"""Entry whose request each attempt serves."""
+
+
+@attrs.frozen
+class Rules:
+    """The decisions under test; the defaults are the product's.
+
+    Starts and give-ups begin with one try left after the first, which bounds the states.
+    """
+
+    advance_start: object = staticmethod(starting.advance_start)
+    advance_give_up: object = staticmethod(starting.advance_give_up)
+    applies: object = staticmethod(lambda row, write: starting.version_of(row) == write.expected)
+    pending: object = staticmethod(lambda version, write: write.expected >= version)
+    first_start: Progress = Progress(tries=MOST_TRIES - 1)
+    first_give_up: GiveUp = GiveUp(tries=MOST_TRIES - 1)
+
+
+@attrs.frozen
+class Attempt:
+    """One delivery at one daemon; `stage`: unsent, start, won, running, abandoning, ended."""
+
+    stage: str = "unsent"
+    ticket: Ticket | None = None
+    progress: Progress = Progress()
+
+
+@attrs.frozen
+class Entry:
+    """One entry; `stage`: idle, waiting, giving_up, told.  `told` is what the caller has."""
+
+    stage: str = "idle"
+    ticket: Ticket | None = None
+    give_up: GiveUp = GiveUp()
+    renewed: bool = False
+    told: str = ""
+
+
+def replaced(values, index, value):
+    """Return the tuple `values` with one item replaced."""
+    return (*values[:index], value, *values[index + 1 :])
+
+
+def written(row, write):
+    """Return the row after an applied write."""
+    return Row(write.table, write.key, starting.version_of(row) + 1, write.value)
+
+
+class ClaimSpecification:
+    """Builds the transition function of the chosen attempts."""
+
+    def __init__(self, names=("a0", "a0-copy", "a1", "b0"), rules=None, down=False):
+        self.names = names
+        self.rules = rules or Rules()
+        self.down = down
+        """Whether calls also fail without effect; a process then only stops, as in a crash."""
+        self.advance_start = functools.lru_cache(None)(self.rules.advance_start)
+        self.advance_give_up = functools.lru_cache(None)(self.rules.advance_give_up)
+
+    def protocol(self):
+        """Return the `Protocol` that `minicheck.check_safety` takes."""
+        attempts = tuple(Attempt() for _ in self.names)
+        initial = (None, frozenset(), attempts, (Entry(), Entry()), ())
+        invariants = {
+            "at_most_once": lambda state: len(state["ran"]) <= 1,
+            "not_run_is_true": self.not_run_is_true,
+            "replay_has_run": self.replay_has_run,
+        }
+        return Protocol("claims", False, FIELDS, initial, self.transitions, invariants)
+
+    def not_run_is_true(self, state):
+        """No attempt of an entry that said "not run" has run."""
+        told = {index for index, entry in enumerate(state["entries"]) if entry.told == "not_run"}
+        return not any(SENT_BY[name] in told for name in state["ran"])
+
+    def replay_has_run(self, state):
+        """A stored answer is told only after a run."""
+        return bool(state["ran"]) or all(entry.told != "answer" for entry in state["entries"])
+
+    def transitions(self, state):
+        """Return every (label, next state)."""
+        found = list(self.late_writes(state))
+        for index, name in enumerate(self.names):
+            found.extend(self.attempt_steps(state, index, name))
+        for index in range(len(state[3])):
+            found.extend(self.entry_steps(state, index))
+        return [(label, self.pruned(after)) for label, after in found]
+
+    def pruned(self, state):
+        """Return the state without late writes that can never take effect any more."""
+        row, late, *rest = state
+        version = starting.version_of(row)
+        possible = frozenset(write for write in late if self.rules.pending(version, write))
+        return (row, possible, *rest)
+
+    def late_writes(self, state):
+        """A write takes effect long after its time-out, or fails its condition."""
+        row, late, *rest = state
+        for write in late:
+            after = written(row, write) if self.rules.applies(row, write) else row
+            yield f"late write {write.expected}", (after, late - {write}, *rest)
+
+    def commits(self, state, write):
+        """Yield (label, row, late, answer) for everything that the table may do."""
+        row, late = state[:2]
+        if self.rules.applies(row, write):
+            after = written(row, write)
+            yield "committed", after, late, Committed((after.version,))
+            yield "answer lost", after, late, UNKNOWN
+            yield "delayed", row, late | {write}, UNKNOWN
+        else:
+            yield "conflict", row, late, Conflict((row,))
+            yield "conflict lost", row, late, UNKNOWN
+        if self.down:
+            yield "down", row, late, DOWN
+
+    def reads(self, state):
+        """Yield (label, answer) for a read."""
+        yield "read", state[0]
+        if self.down:
+            yield "read fails", DOWN
+
+    def with_attempt(self, state, index, attempt, row=None, late=None, ran=None):
+        """Return the state with one attempt, and what it changed, replaced."""
+        return (
+            state[0] if row is None else row,
+            state[1] if late is None else late,
+            replaced(state[2], index, attempt),
+            state[3],
+            state[4] if ran is None else ran,
+        )
+
+    def attempt_steps(self, state, index, name):
+        """Steps of one daemon that has one attempt."""
+        attempt = state[2][index]
+        if attempt.stage == "start":
+            yield from self.start_steps(state, index, name, attempt)
+        elif attempt.stage == "won":
+            yield from self.won_steps(state, index, name, attempt)
+        elif attempt.stage == "running":
+            yield from self.closing_steps(state, index, name, attempt, self.finish_write)
+        elif attempt.stage == "abandoning":
+            yield from self.closing_steps(state, index, name, attempt, self.abandon_write)
+
+    def start_steps(self, state, index, name, attempt):
+        """Contend for the row."""
+        phase = attempt.progress.phase
+        if phase in (Phase.READ, Phase.FENCE_READ):
+            for label, answer in self.reads(state):
+                after = self.advanced(attempt, answer, name)
+                yield f"{name} {phase} {label}", self.with_attempt(state, index, after)
+            return
+        write = writes.start_write(attempt.ticket, name, "endpoint", WALL)
+        if phase is Phase.FENCE:
+            write = writes.give_up_write(attempt.ticket, WALL)
+        for label, row, late, answer in self.commits(state, write):
+            after = self.advanced(attempt, answer, name)
+            moved = self.with_attempt(state, index, after, row, late)
+            yield f"{name} {phase} {label}", moved
+
+    def advanced(self, attempt, answer, name):
+        """Return the attempt after one answer of the table."""
+        progress = self.advance_start(attempt.progress, answer, attempt.ticket, name)
+        stage = "start"
+        if progress.done:
+            stage = "won" if progress.phase is Phase.WON else "ended"
+        version = progress.version if stage == "won" else 0
+        kept = Progress(progress.phase, progress.tries, progress.dirty, None, version)
+        return Attempt("ended") if stage == "ended" else Attempt(stage, attempt.ticket, kept)
+
+    def won_steps(self, state, index, name, attempt):
+        """Hand over, or find the deadline passed and abandon."""
+        running = attrs.evolve(attempt, stage="running")
+        ran = (*state[4], name)
+        yield f"{name} hands over", self.with_attempt(state, index, running, ran=ran)
+        abandoning = attrs.evolve(attempt, stage="abandoning")
+        yield f"{name} is too late", self.with_attempt(state, index, abandoning)
+
+    def finish_write(self, attempt, name):
+        """Return the write of the answer."""
+        answer = records.Answer(200, "")
+        version = attempt.progress.version
+        return writes.finish_write(attempt.ticket, version, name, answer, WALL)
+
+    def abandon_write(self, attempt, _name):
+        """Return the write that takes "started" back."""
+        return writes.abandon_write(attempt.ticket, attempt.progress.version, WALL)
+
+    def closing_steps(self, state, index, name, attempt, make_write):
+        """Store the answer or take "started" back; tried again after an unknown outcome."""
+        write = make_write(attempt, name)
+        for label, row, late, answer in self.commits(state, write):
+            done = isinstance(answer, Committed | Conflict)
+            after = Attempt("ended") if done else attempt
+            moved = self.with_attempt(state, index, after, row, late)
+            yield f"{name} {attempt.stage} {label}", moved
+
+    def entry_steps(self, state, index):
+        """Steps of one entry."""
+        entry = state[3][index]
+        if entry.stage == "idle":
+            yield from self.plan_steps(state, index)
+        elif entry.stage == "waiting":
+            giving = attrs.evolve(entry, stage="giving_up", give_up=self.rules.first_give_up)
+            yield f"entry {index} gives up", self.with_entry(state, index, giving)
+        elif entry.stage == "giving_up":
+            yield from self.give_up_steps(state, index, entry)
+
+    def with_entry(self, state, index, entry, row=None, late=None, attempts=None):
+        """Return the state with one entry, and what it changed, replaced."""
+        return (
+            state[0] if row is None else row,
+            state[1] if late is None else late,
+            state[2] if attempts is None else attempts,
+            replaced(state[3], index, entry),
+            state[4],
+        )
+
+    def plan_steps(self, state, index):
+        """Read the claim and send an attempt, or answer at once."""
+        made = plan(state[0], ROW, "key", HASH, WALL)
+        if isinstance(made, Ticket):
+            entry = Entry("waiting", made)
+            first = "a0" if index == 0 else "b0"
+            attempts = self.sent(state, (first, f"{first}-copy"), made)
+            yield f"entry {index} sends", self.with_entry(state, index, entry, attempts=attempts)
+            return
+        told = "answer" if isinstance(made, Replay) else made.outcome.value
+        yield f"entry {index} tells", self.with_entry(state, index, Entry("told", told=told))
+
+    def sent(self, state, names, ticket):
+        """Return the attempts with `names` started; each may be delivered at any time."""
+        attempts = state[2]
+        for position, name in enumerate(self.names):
+            if name in names:
+                attempts = replaced(attempts, position, Attempt("start", ticket, self.rules.first_start))
+        return attempts
+
+    def give_up_steps(self, state, index, entry):
+        """Write "given up" and judge."""
+        if entry.give_up.done:
+            yield from self.given_up(state, index, entry, entry.give_up, state[0], state[1])
+        elif entry.give_up.standing is Standing.READ:
+            for label, answer in self.reads(state):
+                give_up = self.advance_give_up(entry.give_up, answer, entry.ticket)
+                yield from self.given_up(state, index, entry, give_up, state[0], state[1], label)
+        else:
+            write = writes.give_up_write(entry.ticket, WALL)
+            for label, row, late, answer in self.commits(state, write):
+                give_up = self.advance_give_up(entry.give_up, answer, entry.ticket)
+                yield from self.given_up(state, index, entry, give_up, row, late, label)
+
+    def given_up(self, state, index, entry, give_up, row, late, label=""):
+        """Go on with the give-up, tell the caller, or try again with a new ticket."""
+        label = f"entry {index} give-up {label}"
+        if not give_up.done:
+            after = attrs.evolve(entry, give_up=give_up)
+            yield label, self.with_entry(state, index, after, row, late)
+            return
+        work = work_of(entry.ticket)
+        made = settling.after_give_up(work, REFUSAL, give_up)
+        told = "answer" if isinstance(made, Replay) else made.outcome.value
+        after = Entry("told", told=told)
+        yield f"{label} tells {told}", self.with_entry(state, index, after, row, late)
+        may_renew = index == 0 and not entry.renewed and "a1" in self.names
+        if may_renew and give_up.standing is Standing.NOT_RUN:
+            ticket = settling.next_ticket(entry.ticket, give_up, WALL)
+            again = Entry("waiting", ticket, renewed=True)
+            attempts = self.sent(state, ("a1",), ticket)
+            moved = self.with_entry(state, index, again, row, late, attempts)
+            yield f"{label} renews", moved
+
+
+@functools.lru_cache(None)
+def work_of(ticket):
+    """Return keyed work with `ticket`."""
+    return Work("r", "o", b"", 0.0, 0.0, idempotent=False, key="key", ticket=ticket)
