--- a/packages/standins/persimmonstall_standins/specification/claims.py
+++ b/packages/standins/persimmonstall_standins/specification/claims.py
@@ -261,7 +261,9 @@
         attempts = state[2]
         for position, name in enumerate(self.names):
             if name in names:
-                attempts = replaced(attempts, position, Attempt("start", ticket, self.rules.first_start))
+                attempts = replaced(
+                    attempts, position, Attempt("start", ticket, self.rules.first_start)
+                )
         return attempts
 
     def give_up_steps(self, state, index, entry):
--- /dev/null
+++ b/packages/standins/persimmonstall_standins/specification/fencing.py
@@ -0,0 +1,65 @@
+"""Orders to one engine by the holder of a lease, with lapses, pauses and late orders.
+
+A lease row's version is the fencing number.  A holder that was paused past its lease still
+believes that it holds it; its orders may also be delayed on their way.  An engine that checks
+refuses lower numbers; for one that does not, a new holder first waits out the pause bound,
+after which neither the old holder's belief nor its orders exist any more.
+"""
+
+import attrs
+from minicheck import Protocol
+
+FIELDS = ("fence", "believed", "under_way", "applied", "highest", "orders")
+HOLDERS = 2
+MOST_FENCE = 3
+MOST_ORDERS = 4
+
+
+@attrs.frozen
+class FencingSpecification:
+    """`checks`: the engine refuses old numbers; `waits`: a taker waits out the pause bound."""
+
+    checks: bool = True
+    waits: bool = False
+
+    def protocol(self):
+        """Return the `Protocol` that `minicheck.check_safety` takes."""
+        initial = (0, (0,) * HOLDERS, frozenset(), 0, 0, 0)
+        invariants = {"orders_never_go_back": lambda state: state["applied"] == state["highest"]}
+        return Protocol("fencing", False, FIELDS, initial, self.transitions, invariants)
+
+    def transitions(self, state):
+        """Return every (label, next state)."""
+        return [*self.takeovers(state), *self.orders(state), *self.arrivals(state)]
+
+    def takeovers(self, state):
+        """The lease lapses and some holder takes it with the next number."""
+        fence, believed, under_way, *rest = state
+        if fence == MOST_FENCE:
+            return
+        for holder in range(HOLDERS):
+            kept = (0,) * HOLDERS if self.waits else believed
+            after = (*kept[:holder], fence + 1, *kept[holder + 1 :])
+            travelling = frozenset() if self.waits else under_way
+            yield f"holder {holder} takes the lease", (fence + 1, after, travelling, *rest)
+
+    def orders(self, state):
+        """Each holder that believes in its lease sends an order with its number."""
+        fence, believed, under_way, applied, highest, sent = state
+        if sent == MOST_ORDERS:
+            return
+        for holder, number in enumerate(believed):
+            if number:
+                travelling = under_way | {number}
+                after = (fence, believed, travelling, applied, highest, sent + 1)
+                yield f"holder {holder} orders", after
+
+    def arrivals(self, state):
+        """An order reaches the engine, however late."""
+        fence, believed, under_way, applied, highest, sent = state
+        for number in under_way:
+            rest = under_way - {number}
+            refused = self.checks and number < highest
+            now = applied if refused else number
+            after = (fence, believed, rest, now, max(highest, number), sent)
+            yield f"order {number} arrives", after
--- /dev/null
+++ b/packages/standins/persimmonstall_standins/specification/mutations.py
@@ -0,0 +1,76 @@
+"""Wrong versions of the protocol, each of which the model checker must refute."""
+
+import attrs
+
+from persimmonstall.claims import starting
+from persimmonstall.claims.starting import GiveUp, Phase, Progress, Standing
+
+from .claims import ClaimSpecification, Rules
+from .fencing import FencingSpecification
+
+
+def start_without_read_back(progress, answer, ticket, attempt):
+    """Take an unknown outcome of the start's write for a success."""
+    after = starting.advance_start(progress, answer, ticket, attempt)
+    return after.to(Phase.WON, version=1) if after.phase is Phase.READ else after
+
+
+def give_up_without_read_back(give_up, answer, ticket):
+    """Take an unknown outcome of the give-up's write for a success."""
+    after = starting.advance_give_up(give_up, answer, ticket)
+    return after.to(Standing.NOT_RUN) if after.standing is Standing.READ else after
+
+
+def any_generation(row, write):
+    """Apply a write to any row that nobody has started, whatever its generation."""
+    return starting.version_of(row) >= write.expected and not is_taken(row)
+
+
+def is_taken(row):
+    """Say whether a row is started or finished."""
+    claim = starting.claim_of(row)
+    return isinstance(claim, starting.Started | starting.Finished)
+
+
+def mutations():
+    """Return (name, protocol, invariant that must be refuted)."""
+    one_try = Rules(
+        first_start=Progress(tries=starting.MOST_TRIES),
+        first_give_up=GiveUp(tries=starting.MOST_TRIES),
+    )
+    told_at_once = attrs.evolve(one_try, first_give_up=GiveUp(Standing.NOT_RUN))
+    no_start_read = attrs.evolve(one_try, advance_start=start_without_read_back)
+    no_give_up_read = attrs.evolve(one_try, advance_give_up=give_up_without_read_back)
+    no_generation = attrs.evolve(
+        one_try, applies=any_generation, pending=lambda _version, _write: True
+    )
+    pair = ("a0", "a0-copy")
+    return (
+        ("no read-back of the start", spec(pair, no_start_read), "at_most_once"),
+        ("no read-back of the give-up", spec(pair, no_give_up_read), "not_run_is_true"),
+        ("no given-up row", spec(pair, told_at_once), "not_run_is_true"),
+        ("no generation", spec(pair, no_generation), "not_run_is_true"),
+        ("no fence", FencingSpecification(checks=False).protocol(), "orders_never_go_back"),
+    )
+
+
+def spec(names, rules):
+    """Return the protocol of the claim specification under `rules`."""
+    return ClaimSpecification(names, rules).protocol()
+
+
+def checks():
+    """Return (name, protocol) of everything that must hold."""
+    one_try = Rules(
+        first_start=Progress(tries=starting.MOST_TRIES),
+        first_give_up=GiveUp(tries=starting.MOST_TRIES),
+    )
+    return (
+        ("claims: two daemons beside one endpoint", spec(("a0", "a0-copy"), Rules())),
+        ("claims: resend through another entry", spec(("a0", "b0"), Rules())),
+        ("claims: renewed ticket", spec(("a0", "a1"), Rules())),
+        ("claims: two daemons and a resend", spec(("a0", "a0-copy", "b0"), one_try)),
+        ("claims: table down", ClaimSpecification(("a0", "a0-copy"), one_try, True).protocol()),
+        ("fencing: engine that checks", FencingSpecification().protocol()),
+        ("fencing: pause bound waited out", FencingSpecification(False, True).protocol()),
+    )
--- /dev/null
+++ b/packages/standins/tests/test_specification.py
@@ -0,0 +1,63 @@
+import pytest
+from minicheck import check_safety
+
+from persimmonstall.claims.starting import MOST_TRIES, GiveUp, Progress
+from persimmonstall_standins.specification.claims import ClaimSpecification, Rules
+from persimmonstall_standins.specification.mutations import mutations
+
+MOST_STATES = 100_000
+
+TRACES = {
+    "no read-back of the start": [
+        "entry 0 sends",
+        "a0 write committed",
+        "a0 hands over",
+        "a0-copy write conflict lost",
+        "a0-copy hands over",
+    ],
+    "no read-back of the give-up": [
+        "entry 0 sends",
+        "a0 write committed",
+        "a0 hands over",
+        "entry 0 gives up",
+        "entry 0 give-up conflict lost tells not_run",
+    ],
+    "no given-up row": [
+        "entry 0 sends",
+        "a0 write committed",
+        "a0 hands over",
+        "entry 0 gives up",
+        "entry 0 give-up  tells not_run",
+    ],
+    "no generation": [
+        "entry 0 sends",
+        "entry 0 gives up",
+        "entry 0 give-up committed tells not_run",
+        "a0 write committed",
+        "a0 hands over",
+    ],
+    "no fence": [
+        "holder 0 takes the lease",
+        "holder 1 takes the lease",
+        "holder 0 orders",
+        "holder 1 orders",
+        "order 2 arrives",
+        "order 1 arrives",
+    ],
+}
+
+
+@pytest.mark.parametrize("mutation", mutations(), ids=lambda mutation: mutation[0])
+def test_each_mutation_is_refuted_by_its_trace(mutation):
+    name, protocol, invariant = mutation
+    found = check_safety(protocol, MOST_STATES)["properties"][invariant]
+    assert found["holds"] is False
+    assert [step["label"] for step in found["counterexample"][1:]] == TRACES[name]
+
+
+def test_every_state_of_the_smallest_configuration_is_sound():
+    rules = Rules(first_start=Progress(tries=MOST_TRIES), first_give_up=GiveUp(tries=MOST_TRIES))
+    protocol = ClaimSpecification(("a0", "a0-copy"), rules).protocol()
+    result = check_safety(protocol, MOST_STATES)
+    assert result["exhaustive"]
+    assert all(found["holds"] for found in result["properties"].values())
--- a/tools/check_model.py
+++ b/tools/check_model.py
@@ -1,12 +1,51 @@
-"""Check the specification of the claim protocol by exhaustive search."""
+"""Check the specifications by exhaustive search, and refute each mutation of them."""
 
 import sys
 
+from minicheck import check_safety
+from persimmonstall_standins.specification.mutations import checks, mutations
+
+MOST_STATES = 400_000
+
+
+def check(name, protocol):
+    """Check that every invariant holds in every state; return whether it does."""
+    result = check_safety(protocol, MOST_STATES)
+    properties = result["properties"]
+    wrong = [key for key, found in properties.items() if found["holds"] is not True]
+    print(f"{result['reachable_states']:>8} states  {name}: {verdict(wrong)}")
+    for key in wrong:
+        print_trace(key, properties[key])
+    return not wrong
+
+
+def verdict(wrong):
+    """Return the words for the violated or undecided invariants."""
+    return f"NOT PROVED: {', '.join(wrong)}" if wrong else "holds"
+
+
+def print_trace(invariant, found):
+    """Print the shortest run that violates an invariant."""
+    for step in found["counterexample"] or ():
+        print(f"    {invariant}: {step['label']}")
+
+
+def refute(name, protocol, invariant):
+    """Check that a mutation is refuted; return whether it is."""
+    result = check_safety(protocol, MOST_STATES)
+    found = result["properties"][invariant]
+    refuted = found["holds"] is False
+    steps = len(found["counterexample"]) - 1 if refuted else 0
+    words = f"refuted in {steps} steps" if refuted else "NOT REFUTED"
+    print(f"{result['reachable_states']:>8} states  mutation, {name}: {words} ({invariant})")
+    return refuted
+
 
 def main():
     """Run every check; return the exit code."""
-    print("no specification yet")
-    return 0
+    sound = [check(name, protocol) for name, protocol in checks()]
+    sharp = [refute(*mutation) for mutation in mutations()]
+    return 0 if all(sound + sharp) else 1
 
 
 if __name__ == "__main__":
