--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -1,14 +1,18 @@
 """Runs attempts on one model engine."""
 
 import asyncio
+import contextlib
 import functools
 
 import attrs
 
 from persimmonstall.failures import Outcome, Reason
 from persimmonstall.messages import control, requests
-from persimmonstall.outside.engine import EngineLoad, Finish, Job, Step
+from persimmonstall.outside.engine import CacheEvent, EngineLoad, Finish, Job, JobKind, Step
+from persimmonstall.placement.prefix import PrefixMap
+from persimmonstall.placement.queue import make_hand_over
 
+from ..memory.keeper import MemoryKeeper, tokens_of
 from .attempt import Phase, make_attempt
 from .backend import Backend, Expired, SessionLost
 
@@ -56,10 +60,13 @@
         self.attempts = {}
         self.by_job = {}
         self.reported = EngineLoad(0, 0, 0, 0, 0, 0.0)
+        self.queue = make_hand_over(daemon.settings)
+        self.prefixes = PrefixMap()
         self.tasks = set()
         self.last_step = daemon.context.now()
         self.reader = None
         self.alive = True
+        self.memory = MemoryKeeper(self)
         self.handlers = {
             requests.Submit: self.on_submit,
             requests.Cancel: self.on_cancel,
@@ -72,6 +79,8 @@
             StepsLost: self.on_steps_lost,
             EngineDied: self.on_engine_died,
             EngineLoad: self.on_load,
+            CacheEvent: self.on_cache_event,
+            **self.memory.handlers,
         }
 
     @property
@@ -93,7 +102,9 @@
     async def run(self):
         """Serve until cancelled."""
         self.reader = self.spawn(self.read_steps())
+        self.spawn(self.read_cache_events())
         self.spawn(self.watch())
+        self.spawn(self.memory.run())
         try:
             while True:
                 envelope = await self.inbox.get()
@@ -114,6 +125,18 @@
             return
         self.post(StepsLost("ended"))
 
+    async def read_cache_events(self):
+        """Post the engine's cache events, over a new connection whenever one is lost."""
+        while True:
+            with contextlib.suppress(OSError):
+                async for event in self.engine.cache_events():
+                    self.post(event)
+            await asyncio.sleep(self.daemon.context.jitter(REOPEN_SECONDS))
+
+    def on_cache_event(self, event, _session):
+        """Correct what the engine probably has cached."""
+        self.prefixes.event(self.name, event)
+
     async def watch(self):
         """Poll the engine's load and notice when its steps go silent."""
         endpoints = self.settings.endpoints
@@ -134,30 +157,41 @@
 
     def busy(self):
         """Return the number of attempts not yet ended or not yet wholly sent."""
-        return sum(1 for a in self.attempts.values() if not a.ended or a.undelivered)
+        attempts = sum(1 for a in self.attempts.values() if not a.ended or a.undelivered)
+        return attempts + self.memory.busy()
 
     def load(self):
         """Return the load as known now."""
         running = self.reported
-        waiting = sum(1 for a in self.attempts.values() if a.phase is Phase.WAITING)
+        waiting = len(self.queue.waiting)
+        backlog, long_tokens = self.queue.backlog(self.now())
         return control.EndpointLoad(
             endpoint=self.name,
             running=running.running,
             waiting=running.waiting + waiting,
-            memory_used=running.memory_used,
+            memory_used=max(running.memory_used, self.queue.memory_promised()),
             memory_total=running.memory_total,
-            prefill_backlog=running.prefill_backlog,
+            prefill_backlog=backlog,
             step_seconds=running.step_seconds,
             accepted=self.accepted,
             models=running.models,
             adapters=running.adapters,
             leaving=self.leaving or not self.alive,
+            long_tokens=long_tokens,
+            segment_tokens=self.memory.ledger.segment_tokens(),
         )
 
     def on_load(self, load, _session):
         """Keep the engine's latest load report; a report shows that it is alive."""
-        self.reported = load
         self.alive = True
+        self.take_load(load)
+        self.pump()
+
+    def take_load(self, load):
+        """Keep the engine's report where it is needed."""
+        self.reported = load
+        self.memory.ledger.set_capacity(load.memory_total)
+        self.queue.step_seconds = load.step_seconds or self.queue.step_seconds
 
     def on_submit(self, submit, session):
         """Take a new attempt or refuse it at once."""
@@ -171,6 +205,17 @@
         if not self.alive:
             session.send(self.refused(submit, Reason.ENDPOINT_LOST, Outcome.NOT_RUN))
             return
+        full = self.memory.admit(submit)
+        if full is not None:
+            session.send(self.refused(submit, full.reason, Outcome.NOT_RUN, full.detail))
+            self.send_loads((session,))
+            return
+        at_once = self.memory.promised(submit)
+        waiting = at_once or self.queue.offer(submit, self.cached_tokens(submit), self.now())
+        if not waiting:
+            session.send(self.refused(submit, waiting.reason, Outcome.NOT_RUN, waiting.detail))
+            self.send_loads((session,))
+            return
         window = self.settings.callers.idle_credit
         attempt = make_attempt(submit, session, self.now(), window, self.daemon.run_id)
         self.attempts[key] = attempt
@@ -180,25 +225,55 @@
         loop = asyncio.get_running_loop()
         expire = functools.partial(self.post, Expired(*key))
         attempt.timer = loop.call_later(submit.remaining, expire)
+        if at_once:
+            attempt.priority = submit.priority
+            attempt.chunk_tokens = self.settings.placing.chunk_tokens
+            self.begin(attempt)
+        self.pump()
+
+    def begin(self, attempt):
+        """Start handing an attempt to the engine."""
         attempt.phase = Phase.STARTING
+        self.memory.hold(attempt)
         self.spawn(self.hand_over(attempt))
 
+    def cached_tokens(self, submit):
+        """Return the prompt tokens that the engine probably has cached."""
+        matched = self.prefixes.match(submit.blocks).get(self.name, 0)
+        return min(matched * self.settings.lengths.block, submit.prompt_tokens - 1)
+
+    def pump(self):
+        """Hand over what may start now, and refuse what can no longer end in time."""
+        now = self.now()
+        for waiting in self.queue.hopeless(now):
+            attempt = self.attempts[waiting.key]
+            self.end(attempt, self.refused(attempt.submit, Reason.TOO_LATE, Outcome.NOT_RUN))
+        self.queue.memory_total = self.memory.room_for_streams(self.queue.held)
+        while waiting := self.queue.next(now):
+            attempt = self.attempts[waiting.key]
+            attempt.priority = self.queue.priority(waiting)
+            attempt.chunk_tokens = self.queue.chunk_tokens(waiting)
+            self.begin(attempt)
+
     def job_of(self, attempt):
         """Return the engine job of an attempt."""
         submit = attempt.submit
         return Job(
             job_id=attempt.job_id,
-            owner=self.daemon.run_id,
+            owner=str(self.memory.owner),
             model=submit.model,
             adapter=submit.adapter,
             prompt=submit.prompt,
             prompt_tokens=submit.prompt_tokens,
             max_tokens=submit.max_tokens,
-            reserved_tokens=submit.prompt_tokens + submit.predicted_tokens,
-            priority=submit.priority,
+            reserved_tokens=tokens_of(submit),
+            priority=attempt.priority,
             blocks=submit.blocks,
             resume_from=attempt.outbox.count,
-            chunk_tokens=self.settings.placing.chunk_tokens,
+            chunk_tokens=attempt.chunk_tokens,
+            kind=JobKind.SEGMENT if submit.segment_end else JobKind.GENERATE,
+            start=submit.segment_start,
+            end=submit.segment_end,
             segments=submit.segments,
         )
 
@@ -219,6 +294,7 @@
             return
         if result:
             attempt.phase = Phase.RUNNING
+            self.memory.confirmed(attempt)
             self.last_step = self.now()
             return
         not_run = result.reason in (Reason.NO_MEMORY, Reason.BUSY)
@@ -246,7 +322,7 @@
         """Take one engine step and send what is new, one message for each session."""
         self.last_step = self.now()
         if step.load:
-            self.reported = step.load
+            self.take_load(step.load)
         touched = []
         for output in step.outputs:
             attempt = self.by_job.get(output.job_id)
@@ -255,16 +331,24 @@
             self.take_output(attempt, output)
             touched.append(attempt)
         self.flush(touched)
+        self.memory.relieve()
+        self.pump()
 
     def take_output(self, attempt, output):
         """Add one job's output to its attempt."""
         if output.tokens and not attempt.first_at:
             attempt.first_at = self.now()
             attempt.cached = output.cached
+            self.queue.first_token(attempt.key, attempt.first_at)
+            self.prefixes.record(self.name, attempt.submit.blocks)
         if not attempt.outbox.add(output.offset, output.tokens):
             self.restart(attempt)
             return
-        if output.finish is Finish.NONE:
+        self.memory.grew(attempt)
+        if output.finish in (Finish.NONE, Finish.PARKED):
+            return
+        if output.finish is Finish.PREFILLED:
+            self.settle(attempt, self.whole(attempt, 0, output.finish, attempt.job_id.encode()))
             return
         if output.finish in WHOLE:
             count = attempt.outbox.count
@@ -274,11 +358,16 @@
         detail = str(output.finish)
         self.settle(attempt, self.refused(attempt.submit, reason, Outcome.UNKNOWN, detail))
 
-    def whole(self, attempt, count, finish):
-        """Return the end mark of a whole answer."""
+    def whole(self, attempt, count, finish, body=b""):
+        """Return the end mark of a whole answer; a segment's has its job id as `body`."""
         submit = attempt.submit
         return requests.End(
-            submit.request_id, submit.attempt, count, str(finish), cached=attempt.cached
+            submit.request_id,
+            submit.attempt,
+            count,
+            str(finish),
+            cached=attempt.cached,
+            body=body,
         )
 
     def restart(self, attempt):
@@ -287,13 +376,18 @@
         Some of its output was lost with the connection that carried the steps.
         """
         self.daemon.metrics.count("attempts_restarted")
-        self.by_job.pop(attempt.job_id, None)
         self.spawn(self.cancel_job(attempt.job_id))
-        attempt.job_id += "+"
-        self.by_job[attempt.job_id] = attempt
+        self.rename(attempt)
         attempt.phase = Phase.STARTING
         self.spawn(self.hand_over(attempt))
 
+    def rename(self, attempt):
+        """Give an attempt the name of its next job on the engine."""
+        self.by_job.pop(attempt.job_id, None)
+        attempt.job_id += "+"
+        self.by_job[attempt.job_id] = attempt
+        self.memory.moved(attempt)
+
     def flush(self, attempts):
         """Send what the windows allow, as one message for each session."""
         batches = {}
@@ -326,7 +420,9 @@
         attempt.result = result
         attempt.ended_at = self.now()
         attempt.timer.cancel()
+        self.queue.ended(attempt.key)
         self.by_job.pop(attempt.job_id, None)
+        self.memory.released(attempt)
         loop = asyncio.get_running_loop()
         loop.call_later(self.settings.endpoints.keep_answers, self.drop, attempt)
 
@@ -429,10 +525,12 @@
         if not self.alive:
             return
         self.alive = False
+        self.prefixes.forget(self.name)
         self.daemon.metrics.count("engines_died")
         open_attempts = [a for a in self.attempts.values() if not a.ended]
         for attempt in open_attempts:
             detail = died.detail
             outcome = Outcome.UNKNOWN if attempt.handed_over else Outcome.NOT_RUN
             self.end(attempt, self.refused(attempt.submit, Reason.ENDPOINT_LOST, outcome, detail))
+        self.memory.engine_died()
         self.daemon.broadcast(control.Loads((self.load(),)))
