--- a/packages/core/persimmonstall/claims/starting.py
+++ b/packages/core/persimmonstall/claims/starting.py
@@ -70,7 +70,7 @@
 
 
 def judge_start(progress, row, ticket, attempt):
-    """Judge a row that was read: is it won, lost or still open?"""
+    """Judge whether a row that was read is won, lost or still open."""
     claim = claim_of(row)
     seen = progress.to(progress.phase, row=row)
     if isinstance(claim, Started) and claim.attempt == attempt:
--- a/packages/core/persimmonstall/messages/control.py
+++ b/packages/core/persimmonstall/messages/control.py
@@ -24,6 +24,7 @@
     leaving: bool = False
     long_tokens: int = 0
     segment_tokens: int = 0
+    services: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/packages/core/persimmonstall/placement/view.py
+++ b/packages/core/persimmonstall/placement/view.py
@@ -243,12 +243,12 @@
         if state is None:
             return
         state.take_report(load, now)
-        served = (state.models, state.adapters)
-        if served == (load.models, load.adapters) and load.leaving == state.reported_leaving:
+        served = (state.models, state.adapters, state.services)
+        offered = (load.models, load.adapters, load.services or state.services)
+        if served == offered and load.leaving == state.reported_leaving:
             return
         self.unlist(state)
-        state.models = load.models
-        state.adapters = load.adapters
+        state.models, state.adapters, state.services = offered
         if state.reported_leaving and not load.leaving:
             state.warm_at = now + WARM_SECONDS
         # An endpoint that cannot be used for now, as its engine died, comes back empty.
--- a/packages/daemon/persimmonstall_daemon/claims/keeper.py
+++ b/packages/daemon/persimmonstall_daemon/claims/keeper.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import attrs
+import msgspec
 
 from persimmonstall.claims import records, settling, starting, writes
 from persimmonstall.claims.retention import ticket_expired
@@ -10,7 +11,10 @@
 from persimmonstall.messages.requests import Ticket
 from persimmonstall.outside.table import Committed, Conflict
 
-from .filter import LEAST_TIMEOUT
+from .filter import LEAST_TIMEOUT, TOKENS_TYPE
+
+STEP = settling.STEP
+"""Step of every failure that says that nothing was handed over."""
 
 INLINE_BYTES = 16_384
 """Longest answer kept in the row itself."""
@@ -62,6 +66,7 @@
         self.run = run
         self.starts = 0
         self.dropped = 0
+        self.writing = 0
         self.queue = asyncio.Queue(QUEUED_WRITES)
 
     def time_until(self, deadline):
@@ -79,7 +84,7 @@
         The caller hands over at once after `Won`, without waiting for anything else.
         """
         if ticket is None:
-            return Failure(Reason.BAD_REQUEST, "claim", endpoint, "no ticket")
+            return Failure(Reason.BAD_REQUEST, STEP, endpoint, "no ticket")
         if ticket_expired(ticket.issued, self.context.wall()):
             return settling.too_late(endpoint)
         attempt_id = self.attempt_id(request_id, attempt)
@@ -115,20 +120,58 @@
         if progress.phase is starting.Phase.UNSURE and progress.dirty:
             self.enqueue(QueuedAbandon(ticket, attempt_id))
         reason = REASONS[progress.phase]
-        return Failure(reason, "claim", endpoint, f"start was {progress.phase.value}")
+        return Failure(reason, STEP, endpoint, f"start was {progress.phase.value}")
+
+    @property
+    def pending(self):
+        """Writes that a graceful shutdown has to wait for."""
+        return self.writing + self.queue.qsize()
+
+    async def win(self, attempt, endpoint):
+        """Win the claim of an `Attempt`, if it needs one, just before its hand-over.
+
+        Return True for idempotent work, `Won`, or a `Failure`; the attempt may have ended
+        while the table was asked, and is then abandoned.
+        """
+        submit = attempt.submit
+        if submit.idempotent:
+            return True
+        won = await self.start(
+            submit.ticket, submit.request_id, submit.attempt, endpoint, attempt.deadline
+        )
+        if isinstance(won, Failure):
+            return won
+        if attempt.ended:
+            await self.abandon(won)
+            return Failure(Reason.CANCELLED, STEP, endpoint, "ended before the hand-over")
+        attempt.won = won
+        return won
+
+    async def finish_tokens(self, won, finish, tokens):
+        """Store the output tokens of a whole answer."""
+        body = msgspec.msgpack.encode((str(finish), tuple(tokens)))
+        await self.finish(won, 200, TOKENS_TYPE, body)
 
     async def finish(self, won, status, content_type, body):
         """Store the answer; queued when the table is out of reach."""
         name = "" if len(body) <= INLINE_BYTES else object_name(won.ticket)
         answer = records.Answer(status, content_type, body, name)
         queued = QueuedAnswer(won, answer)
-        if not await self.store(queued):
+        if not await self.counted(self.store(queued)):
             self.enqueue(queued)
 
+    async def counted(self, write):
+        """Await `write` and count it as pending meanwhile."""
+        self.writing += 1
+        try:
+            return await write
+        finally:
+            self.writing -= 1
+
     async def abandon(self, won):
         """Take back a claim whose call certainly did not reach the back end."""
         write = writes.abandon_write(won.ticket, won.version, self.context.wall())
-        answer = await self.table.commit((write,), self.timeout)
+        answer = await self.counted(self.table.commit((write,), self.timeout))
         if isinstance(answer, Failure):
             self.enqueue(QueuedAbandon(won.ticket, won.attempt))
 
@@ -143,7 +186,7 @@
         """Carry out queued writes one after the other, for as long as the daemon lives."""
         while True:
             item = await self.queue.get()
-            while not await self.carry_out(item):
+            while not await self.counted(self.carry_out(item)):
                 await asyncio.sleep(self.context.jitter(RETRY_SECONDS))
 
     async def carry_out(self, item):
--- a/packages/daemon/persimmonstall_daemon/endpoint/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/attempt.py
@@ -23,7 +23,8 @@
     """State of one attempt; `deadline` and `ended_at` are in the local clock's seconds.
 
     `result` is the `End` or `Refused` that ends it.  `session` is None while no entry is
-    attached; `detached_at` tells since when.  `holding` names its entry in the memory ledger.
+    attached; `detached_at` tells since when.  `won` is the claim held for non-idempotent
+    work.  `holding` names its entry in the memory ledger.
     """
 
     submit: Submit
@@ -42,6 +43,7 @@
     chunk_tokens: int = 0
     result_sent: bool = False
     handed_over: bool = False
+    won: object = None
     holding: str = ""
 
     @property
--- a/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
@@ -7,6 +7,7 @@
 from persimmonstall.invariants import Invariants
 from persimmonstall.messages import control, requests
 
+from ..claims import ClaimKeeper
 from .session import Session
 
 STEP = "endpoint"
@@ -18,10 +19,10 @@
     """Owns the sessions with entries and one backend task for each endpoint.
 
     `network` opens the port, `context` gives clock and random source, `metrics` counts,
-    `follower` holds the catalogue.
+    `follower` holds the catalogue, `stores` the platform's table and object store.
     """
 
-    def __init__(self, settings, network, context, metrics, follower, strict=False):
+    def __init__(self, settings, network, context, metrics, follower, stores, strict=False):
         self.settings = settings
         self.network = network
         self.context = context
@@ -30,6 +31,7 @@
         self.invariants = Invariants(strict, metrics.violation)
         self.run_id = uuid.UUID(int=context.random.getrandbits(128)).hex
         self.stopping = False
+        self.claims = ClaimKeeper(settings, stores.table, stores.objects, context, self.run_id)
         self.backends = {}
         self.sessions = set()
         self.owners = {}
@@ -48,6 +50,7 @@
 
     async def start(self):
         """Start the backends and listen."""
+        self.tasks.append(asyncio.create_task(self.claims.run_queue()))
         for backend in self.backends.values():
             self.tasks.append(asyncio.create_task(backend.run()))
         self.listener = await self.network.listen(self.settings.daemon.address, self.accept)
@@ -139,7 +142,7 @@
     async def drain(self):
         """Take no new work and wait until every attempt has ended and was sent."""
         self.leave()
-        while any(backend.busy() for backend in self.backends.values()):
+        while self.claims.pending or any(one.busy() for one in self.backends.values()):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     async def stop(self):
--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -12,6 +12,7 @@
 from persimmonstall.placement.prefix import PrefixMap
 from persimmonstall.placement.queue import make_hand_over
 
+from ..claims import keeper as claims
 from ..memory.keeper import MemoryKeeper, tokens_of
 from .attempt import Phase, make_attempt
 from .backend import Backend, Expired, SessionLost
@@ -45,6 +46,15 @@
     detail: str
 
 
+def certainly_not_run(result):
+    """Say whether a hand-over's result proves that the engine has not run the job."""
+    if result:
+        return False
+    if result.step == claims.STEP or result.detail == "not connected":
+        return True
+    return result.reason in (Reason.NO_MEMORY, Reason.BUSY)
+
+
 class EngineBackend(Backend):
     """Owns the attempts on one engine.
 
@@ -279,6 +289,10 @@
 
     async def hand_over(self, attempt):
         """Hand an attempt to the engine and post the answer."""
+        won = await self.daemon.claims.win(attempt, self.name)
+        if not won:
+            self.post(Submitted(attempt, won))
+            return
         timeout = max(0.0, attempt.deadline - self.now())
         attempt.handed_over = True
         result = await self.engine.submit(self.job_of(attempt), timeout)
@@ -288,6 +302,8 @@
         """Note the engine's answer to a hand-over."""
         attempt = submitted.attempt
         result = submitted.result
+        if certainly_not_run(result) and attempt.won:
+            self.spawn(self.daemon.claims.abandon(attempt.won))
         if attempt.ended:
             if result:
                 self.spawn(self.cancel_job(attempt.job_id))
@@ -297,9 +313,7 @@
             self.memory.confirmed(attempt)
             self.last_step = self.now()
             return
-        not_run = result.reason in (Reason.NO_MEMORY, Reason.BUSY)
-        not_run = not_run or result.detail == "not connected"
-        outcome = Outcome.NOT_RUN if not_run else Outcome.UNKNOWN
+        outcome = Outcome.NOT_RUN if certainly_not_run(result) else Outcome.UNKNOWN
         reason = Reason.BUSY if result.reason is Reason.NO_MEMORY else result.reason
         if outcome is Outcome.UNKNOWN:
             self.spawn(self.cancel_job(attempt.job_id))
@@ -351,6 +365,7 @@
             self.settle(attempt, self.whole(attempt, 0, output.finish, attempt.job_id.encode()))
             return
         if output.finish in WHOLE:
+            self.store_answer(attempt, output.finish)
             count = attempt.outbox.count
             self.settle(attempt, self.whole(attempt, count, output.finish))
             return
@@ -370,11 +385,24 @@
             body=body,
         )
 
+    def store_answer(self, attempt, finish):
+        """Keep the answer of non-idempotent work for resends of its key."""
+        if attempt.won:
+            tokens = attempt.outbox.tokens
+            self.spawn(self.daemon.claims.finish_tokens(attempt.won, finish, tokens))
+
     def restart(self, attempt):
         """Run an attempt again on the same engine from the tokens already received.
 
-        Some of its output was lost with the connection that carried the steps.
+        Some of its output was lost with the connection that carried the steps.  Work that is
+        not idempotent is not handed over a second time.
         """
+        if not attempt.submit.idempotent:
+            detail = "output was lost"
+            refused = self.refused(attempt.submit, Reason.ENDPOINT_LOST, Outcome.UNKNOWN, detail)
+            self.spawn(self.cancel_job(attempt.job_id))
+            self.end(attempt, refused)
+            return
         self.daemon.metrics.count("attempts_restarted")
         self.spawn(self.cancel_job(attempt.job_id))
         self.rename(attempt)
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/endpoint/service_backend.py
@@ -0,0 +1,254 @@
+"""Runs calls on one plain service."""
+
+import asyncio
+import functools
+
+import attrs
+
+from persimmonstall.failures import Outcome, Reason
+from persimmonstall.messages import control, requests
+from persimmonstall.outside.service import ServiceCall, ServiceLoad
+
+from .attempt import Phase, make_attempt
+from .backend import Backend, Expired, SessionLost
+
+STEP = "service"
+BUSY_RETRY_SECONDS = 1.0
+LATE_ANSWER_SECONDS = 30.0
+"""Time after the deadline for which the answer of non-idempotent work is still awaited."""
+
+LOAD_POLL_SECONDS = 1.0
+FINISH = "stop"
+
+
+@attrs.frozen
+class Called:
+    """The service's answer to an attempt, or the failure."""
+
+    attempt: object
+    result: object
+
+
+class ServiceBackend(Backend):
+    """Owns the calls in progress on one instance of the plain service `service`.
+
+    All state is touched only by the task that reads `inbox`; calls run in tasks of their own
+    and post their results back.  A call cannot be cancelled at the service.
+    """
+
+    def __init__(self, name, service, outside, daemon):
+        super().__init__(name)
+        self.service = service
+        self.outside = outside
+        self.daemon = daemon
+        self.attempts = {}
+        self.calling = set()
+        self.reported = ServiceLoad(0, 0, 0)
+        self.alive = True
+        self.tasks = set()
+        self.handlers = {
+            requests.Submit: self.on_submit,
+            requests.Cancel: self.on_cancel,
+            requests.Attach: self.on_attach,
+            SessionLost: self.on_session_lost,
+            Expired: self.on_expired,
+            Called: self.on_called,
+        }
+
+    def spawn(self, coroutine):
+        """Run `coroutine` beside the backend's task and keep a reference to it."""
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def run(self):
+        """Serve until cancelled."""
+        self.spawn(self.watch())
+        try:
+            while True:
+                envelope = await self.inbox.get()
+                handler = self.handlers.get(type(envelope.message))
+                if handler:
+                    handler(envelope.message, envelope.session)
+        finally:
+            for task in list(self.tasks):
+                task.cancel()
+
+    async def watch(self):
+        """Poll the service's load; one that does not answer gets no new calls."""
+        timeout = self.daemon.settings.endpoints.step_silence
+        while True:
+            load = await self.outside.load(timeout)
+            self.alive = bool(load)
+            self.reported = load or self.reported
+            await asyncio.sleep(self.daemon.context.jitter(LOAD_POLL_SECONDS))
+
+    def busy(self):
+        """Return the number of calls that a graceful shutdown has to wait for."""
+        undelivered = sum(1 for attempt in self.attempts.values() if attempt.undelivered)
+        return len(self.calling) + undelivered
+
+    def load(self):
+        """Return the load as known now: the report, or the own calls if these are more."""
+        own = len(self.calling)
+        return control.EndpointLoad(
+            endpoint=self.name,
+            running=max(own, self.reported.active),
+            waiting=self.reported.waiting,
+            memory_used=0,
+            memory_total=0,
+            prefill_backlog=0,
+            step_seconds=0.0,
+            accepted=self.accepted,
+            leaving=self.leaving or not self.alive,
+            services=(self.service,),
+        )
+
+    def on_submit(self, submit, session):
+        """Take a new attempt or refuse it at once."""
+        key = submit.request_id, submit.attempt
+        if key in self.attempts:
+            self.daemon.metrics.count("frames_dropped", tag="repeated_submit")
+            return
+        if self.leaving:
+            session.send(self.refused(submit, Reason.LEAVING, Outcome.NOT_RUN))
+            return
+        attempt = make_attempt(submit, session, self.daemon.context.now(), 0, self.daemon.run_id)
+        self.attempts[key] = attempt
+        self.daemon.claim_owner(key, self)
+        self.accepted += 1
+        expire = functools.partial(self.post, Expired(*key))
+        attempt.timer = asyncio.get_running_loop().call_later(submit.remaining, expire)
+        attempt.phase = Phase.RUNNING
+        self.calling.add(key)
+        self.spawn(self.call(attempt))
+
+    async def call(self, attempt):
+        """Win the claim if the call needs one, hand the call over and post the result."""
+        won = await self.daemon.claims.win(attempt, self.name)
+        if not won or attempt.ended:
+            self.post(Called(attempt, won))
+            return
+        attempt.handed_over = True
+        submit = attempt.submit
+        timeout = max(0.0, attempt.deadline - self.daemon.context.now())
+        if attempt.won:
+            timeout += LATE_ANSWER_SECONDS
+        call = ServiceCall(attempt.job_id, submit.method, submit.prompt, submit.content_type)
+        self.post(Called(attempt, await self.outside.call(call, timeout)))
+
+    def on_called(self, called, _session):
+        """Store the answer of non-idempotent work and send the end of the attempt."""
+        attempt, result = called.attempt, called.result
+        self.calling.discard(attempt.key)
+        if not attempt.handed_over:
+            self.refuse(attempt, Reason.CANCELLED if result else result.reason, Outcome.NOT_RUN)
+        elif result:
+            self.answer(attempt, result)
+        else:
+            self.fail(attempt, result)
+
+    def answer(self, attempt, result):
+        """End an attempt with the service's answer."""
+        if attempt.won:
+            stored = self.daemon.claims.finish(
+                attempt.won, result.status, result.content_type, result.body
+            )
+            self.spawn(stored)
+        submit = attempt.submit
+        end = requests.End(
+            submit.request_id,
+            submit.attempt,
+            0,
+            FINISH,
+            status=result.status,
+            body=result.body,
+            content_type=result.content_type,
+        )
+        self.end(attempt, end)
+
+    def fail(self, attempt, failure):
+        """End an attempt that the service did not answer."""
+        not_run = failure.reason is Reason.BUSY or failure.detail == "not connected"
+        if not_run and attempt.won:
+            self.spawn(self.daemon.claims.abandon(attempt.won))
+        outcome = Outcome.NOT_RUN if not_run else Outcome.UNKNOWN
+        self.refuse(attempt, failure.reason, outcome, failure.detail)
+
+    def refuse(self, attempt, reason, outcome, detail=""):
+        """End an attempt with a refusal."""
+        self.end(attempt, self.refused(attempt.submit, reason, outcome, detail))
+
+    def refused(self, submit, reason, outcome, detail=""):
+        """Return the refusal of an attempt."""
+        return requests.Refused(
+            submit.request_id,
+            submit.attempt,
+            reason,
+            STEP,
+            self.name,
+            outcome,
+            BUSY_RETRY_SECONDS,
+            detail,
+        )
+
+    def end(self, attempt, result):
+        """Give an attempt its result and send it; a result after the first is dropped."""
+        if attempt.ended:
+            return
+        attempt.phase = Phase.ENDED
+        attempt.result = result
+        attempt.timer.cancel()
+        keep = self.daemon.settings.endpoints.keep_answers
+        asyncio.get_running_loop().call_later(keep, self.drop, attempt.key)
+        self.deliver(attempt)
+
+    def deliver(self, attempt):
+        """Send an ended attempt's result to the entry that is attached."""
+        if attempt.session is None or not attempt.ended:
+            return
+        attempt.result_sent = attempt.session.send(attempt.result)
+        attempt.session.send(control.Loads((self.load(),)))
+
+    def drop(self, key):
+        """Forget an ended attempt."""
+        self.attempts.pop(key, None)
+        self.daemon.release_owner(key)
+
+    def find(self, message):
+        """Return the attempt that a message is about, or None."""
+        return self.attempts.get((message.request_id, message.attempt))
+
+    def on_cancel(self, cancel, _session):
+        """End an attempt that its entry no longer wants; the call itself goes on."""
+        attempt = self.find(cancel)
+        if attempt is not None:
+            attempt.session = None
+            self.stop(attempt, Reason.CANCELLED)
+
+    def on_expired(self, expired, _session):
+        """End an attempt whose deadline has passed."""
+        attempt = self.find(expired)
+        if attempt is not None:
+            self.stop(attempt, Reason.DEADLINE)
+
+    def stop(self, attempt, reason):
+        """End an attempt before its answer."""
+        outcome = Outcome.UNKNOWN if attempt.handed_over else Outcome.NOT_RUN
+        self.refuse(attempt, reason, outcome)
+
+    def on_attach(self, attach, session):
+        """Send an attempt's result over a new connection, now or when it is there."""
+        attempt = self.find(attach)
+        if attempt is None:
+            session.send(self.daemon.unknown_attempt(attach))
+            return
+        attempt.session = session
+        self.deliver(attempt)
+
+    def on_session_lost(self, lost, _session):
+        """Keep the attempts of a lost link, so that the entry can attach again."""
+        for attempt in self.attempts.values():
+            if attempt.session is lost.session:
+                attempt.session = None
--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -10,6 +10,7 @@
 from persimmonstall.membership import subset_of
 from persimmonstall.messages import control
 
+from ..claims import ClaimFilter
 from ..limits import Budgets, EntryPeers
 from ..membership import Membership
 from ..observe import logs
@@ -36,7 +37,8 @@
     """What the filters of one entry share.
 
     `follower` holds the catalogue, `placer` chooses endpoints, `network` opens links,
-    `instances` is the platform's list; `strict` raises on a violated invariant.
+    `stores` the platform's table and object store, `instances` its list; `strict` raises on
+    a violated invariant.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         follower,
         placer,
         vocabulary,
+        stores,
         instances=None,
         strict=False,
     ):
@@ -69,6 +72,7 @@
         self.budgets = Budgets(
             settings, context, self.invariants, metrics, self.entry_names, self.peers.send
         )
+        self.claims = ClaimFilter(self, stores.table, stores.objects)
         self.pipeline = Pipeline(make_filters(self), Dispatch(self))
         self.leaving = False
         self.active = 0
--- a/packages/daemon/persimmonstall_daemon/entry/dispatch.py
+++ b/packages/daemon/persimmonstall_daemon/entry/dispatch.py
@@ -75,6 +75,23 @@
                 return result if isinstance(result, Answer) else self.refuse(run, result)
             run.avoided.add(run.endpoint)
             await asyncio.sleep(delay)
+            renewed = await self.renew(run, result)
+            if renewed is not None:
+                return renewed
+
+    async def renew(self, run, result):
+        """Make sure that non-idempotent work was not run, before it is attempted again.
+
+        Return None when it may be, else the `Answer` or `Refusal` that ends the request.
+        """
+        if run.work.idempotent:
+            return None
+        renewed = await self.entry.claims.renew(run.work, self.refuse(run, result))
+        if isinstance(renewed, Answer | Refusal):
+            return renewed
+        run.work = renewed
+        run.handed_over = False
+        return None
 
     def remaining(self, run):
         """Return the seconds left before the deadline."""
@@ -243,7 +260,7 @@
         not_run = getattr(result, "outcome", Outcome.UNKNOWN) == Outcome.NOT_RUN
         not_run = not_run or result.detail == "no link"
         run.handed_over = run.handed_over or not not_run
-        if not run.work.idempotent and not not_run:
+        if not run.work.idempotent and run.tokens:
             return None
         if run.attempt >= self.entry.settings.placing.attempts:
             return None
--- a/packages/daemon/persimmonstall_daemon/entry/filters/classify.py
+++ b/packages/daemon/persimmonstall_daemon/entry/filters/classify.py
@@ -47,7 +47,8 @@
         organisation = catalogue.get("organisation", work.organisation)
         if organisation.services and service.name not in organisation.services:
             return self.refuse(Reason.FORBIDDEN, f"{service.name} is not allowed")
-        idempotent = work.idempotent and work.method not in service.non_idempotent
+        idempotent = work.idempotent and not work.key
+        idempotent = idempotent and work.method not in service.non_idempotent
         fingerprint = self.fingerprint(work.prompt, f"{work.service}/{work.method}")
         return attrs.evolve(work, idempotent=idempotent, fingerprint=fingerprint)
 
--- a/packages/daemon/persimmonstall_daemon/entry/pipeline.py
+++ b/packages/daemon/persimmonstall_daemon/entry/pipeline.py
@@ -10,6 +10,7 @@
 from .filters.classify import Classify
 from .filters.limits import Limits
 from .filters.predict import Predict
+from .request import Answer
 
 
 def make_filters(parts):
@@ -19,6 +20,7 @@
         Classify(parts),
         Predict(parts),
         Limits(parts),
+        parts.claims,
     )
 
 
@@ -35,7 +37,7 @@
         try:
             for step in self.filters:
                 result = await step.admit(request)
-                if isinstance(result, Failure):
+                if isinstance(result, Failure | Answer):
                     return await self.settle(passed, result)
                 passed.append((step, result))
                 request = result
--- a/packages/daemon/persimmonstall_daemon/entry/policy_placer.py
+++ b/packages/daemon/persimmonstall_daemon/entry/policy_placer.py
@@ -4,6 +4,7 @@
 from persimmonstall.placement.length_aware import LengthAware
 from persimmonstall.placement.policy import LeastOutstanding, RandomTwo, RoundRobin
 from persimmonstall.placement.prediction import UsePredictor
+from persimmonstall.placement.services import LeastRunning
 from persimmonstall.placement.view import FleetView
 from persimmonstall.retries.budget import RetryBudget
 from persimmonstall.retries.delays import retry_delay
@@ -35,6 +36,7 @@
         self.settings = settings
         self.context = context
         self.policy = POLICIES[settings.placing.policy]()
+        self.services = LeastRunning()
         # The baselines take every request, as a balancer without knowledge of lengths does.
         self.admits = settings.placing.policy == "length"
         self.view = FleetView(settings)
@@ -48,7 +50,8 @@
         if now - self.looked_at > LOOK_SECONDS:
             self.looked_at = now
             self.view.look_for_late(now)
-        placed = self.policy.place(work, self.view, now, self.context.random, avoided)
+        policy = self.services if work.service else self.policy
+        placed = policy.place(work, self.view, now, self.context.random, avoided)
         if not placed:
             return placed
         if not avoided:
--- a/packages/daemon/persimmonstall_daemon/observe/names.py
+++ b/packages/daemon/persimmonstall_daemon/observe/names.py
@@ -42,6 +42,7 @@
     Entry("attempts_abandoned", Kind.COUNTER, "Attempts whose entry did not come back."),
     Entry("engine_steps_lost", Kind.COUNTER, "Connections for engine steps lost or silent."),
     Entry("engines_died", Kind.COUNTER, "Engines found dead."),
+    Entry("claims_given_up", Kind.COUNTER, "Claims that were given up.", "how it ended"),
     Entry("bugs", Kind.COUNTER, "Unexpected errors; always a bug."),
     Entry("attempts_failed", Kind.COUNTER, "Attempts that ended without an answer.", "reason"),
     Entry("attempts_restarted", Kind.COUNTER, "Attempts run again on the same engine."),
--- a/packages/daemon/persimmonstall_daemon/roles.py
+++ b/packages/daemon/persimmonstall_daemon/roles.py
@@ -10,7 +10,7 @@
 from persimmonstall.clock import Context
 from persimmonstall.invariants import Invariants
 
-from .adapters.connect import connect_engine, connect_platform
+from .adapters.connect import connect_engine, connect_platform, connect_service
 from .adapters.vocabulary import ByteVocabulary
 from .admin.entry_view import EntryView
 from .admin.server import AdminServer
@@ -20,6 +20,7 @@
 from .catalogue.sync import LinkedPeers
 from .endpoint.daemon import EndpointDaemon
 from .endpoint.engine_backend import EngineBackend
+from .endpoint.service_backend import ServiceBackend
 from .entry.daemon import EntryDaemon
 from .entry.http.server import HttpServer
 from .entry.policy_placer import PolicyPlacer
@@ -122,6 +123,7 @@
             self.follower,
             PolicyPlacer(self.settings, self.clock),
             ByteVocabulary(self.settings.callers.token_bytes),
+            self.platform,
             self.platform.instances,
         )
         self.follow(self.entry.controls)
@@ -164,7 +166,7 @@
         self.platform = connect_platform(self.settings.platform)
         self.make_follower(lambda: self.daemon.linked())
         self.daemon = EndpointDaemon(
-            self.settings, self.network, self.clock, self.metrics, self.follower
+            self.settings, self.network, self.clock, self.metrics, self.follower, self.platform
         )
         self.follow(self.daemon.controls)
         for served in self.settings.endpoints.serves:
@@ -183,9 +185,12 @@
         self.spawn(self.membership.run())
 
     def backend(self, served):
-        """Return the backend of one `name=engine@URL` setting."""
+        """Return the backend of a `name=engine@URL` or `name=service:NAME@URL` setting."""
         name, _, rest = served.partition("=")
-        _kind, _, url = rest.partition("@")
+        kind, _, url = rest.partition("@")
+        kind, _, service = kind.partition(":")
+        if kind == "service":
+            return ServiceBackend(name, service, connect_service(url, name), self.daemon)
         return EngineBackend(name, connect_engine(url, name), self.daemon)
 
     async def drain_role(self):
--- a/packages/daemon/tests/test_memory_keeper.py
+++ b/packages/daemon/tests/test_memory_keeper.py
@@ -19,8 +19,10 @@
 from persimmonstall_daemon.observe.metrics import Metrics
 from persimmonstall_standins.engine import EngineModel
 from persimmonstall_standins.engine_state import EngineSettings
-from persimmonstall_standins.fleet import FixedFollower
+from persimmonstall_standins.fleet import FixedFollower, Stores
+from persimmonstall_standins.objects import MemoryObjects
 from persimmonstall_standins.output import expected_output
+from persimmonstall_standins.table import MemoryTable
 from persimmonstall_standins.virtual.loop import run
 from persimmonstall_standins.virtual.network import Fabric
 
@@ -66,7 +68,13 @@
         network = Fabric().network("i1:1")
         metrics = Metrics(self.settings)
         self.daemon = EndpointDaemon(
-            self.settings, network, context, metrics, FixedFollower(Catalogue()), strict=True
+            self.settings,
+            network,
+            context,
+            metrics,
+            FixedFollower(Catalogue()),
+            Stores(MemoryTable(), MemoryObjects()),
+            strict=True,
         )
         self.backend = EngineBackend("e1", engine, self.daemon)
         self.daemon.add(self.backend)
--- a/packages/standins/persimmonstall_standins/fleet.py
+++ b/packages/standins/persimmonstall_standins/fleet.py
@@ -16,6 +16,7 @@
 from persimmonstall_daemon.catalogue.sync import LinkedPeers
 from persimmonstall_daemon.endpoint.daemon import EndpointDaemon
 from persimmonstall_daemon.endpoint.engine_backend import EngineBackend
+from persimmonstall_daemon.endpoint.service_backend import ServiceBackend
 from persimmonstall_daemon.entry.daemon import EntryDaemon
 from persimmonstall_daemon.entry.policy_placer import PolicyPlacer
 from persimmonstall_daemon.entry.request import CallerRequest, NullSink
@@ -24,12 +25,22 @@
 from .engine import EngineModel
 from .engine_state import EngineSettings
 from .objects import MemoryObjects
+from .service import ServiceModel
+from .table import MemoryTable
 from .virtual.network import Fabric
 
 SECRET = "caller-secret"
 SETTLE_SECONDS = 2.0
 
 
+@attrs.frozen
+class Stores:
+    """The platform's table and object store."""
+
+    table: object
+    objects: object
+
+
 class FixedFollower:
     """Holds one catalogue and hears of no other."""
 
@@ -61,6 +72,7 @@
     """Entries and endpoint daemons on one fabric; `engines` by endpoint name.
 
     With a `table` they follow the catalogue in it, an instance in `tables` through its own.
+    `claims` is the table for claims when there is no other; `services` by endpoint name.
     """
 
     catalogue: Catalogue
@@ -74,6 +86,8 @@
     table: object = None
     tables: dict = attrs.field(factory=dict)
     objects: MemoryObjects = attrs.field(factory=MemoryObjects)
+    claims: MemoryTable = attrs.field(factory=MemoryTable)
+    services: dict = attrs.field(factory=dict)
     tasks: list = attrs.field(factory=list)
 
     def context(self, salt):
@@ -104,8 +118,28 @@
             peers.register(follower, daemon.controls)
             self.tasks.append(asyncio.create_task(follower.run()))
 
+    def stores(self, name):
+        """Return the table and object store as the instance `name` sees them."""
+        return Stores(self.tables.get(name, self.table or self.claims), self.objects)
+
     async def add_endpoint(self, name, data_centre="dc1", engine=None):
         """Start an endpoint daemon beside one engine; return the daemon."""
+        self.engines[name] = engine or EngineModel(name, EngineSettings(models=("m",)))
+        return await self.add_daemon(
+            name, data_centre, lambda daemon: EngineBackend(name, self.engines[name], daemon)
+        )
+
+    async def add_service(self, name, service, data_centre="dc1", outside=None):
+        """Start an endpoint daemon beside an instance of a plain service; return the daemon."""
+        self.services[name] = outside or ServiceModel(name)
+        return await self.add_daemon(
+            name,
+            data_centre,
+            lambda daemon: ServiceBackend(name, service, self.services[name], daemon),
+        )
+
+    async def add_daemon(self, name, data_centre, backend_of):
+        """Start an endpoint daemon with the backend that `backend_of` makes for it."""
         address = f"{name}:1"
         settings = self.settings(name, address, "endpoint", data_centre)
         network = self.fabric.network(address, data_centre)
@@ -113,10 +147,10 @@
         context = self.context(name)
         peers = LinkedPeers(settings, context, lambda: daemon.linked())
         follower = self.follower(settings, context, peers)
-        daemon = EndpointDaemon(settings, network, context, metrics, follower, True)
+        stores = self.stores(name)
+        daemon = EndpointDaemon(settings, network, context, metrics, follower, stores, True)
         self.follow(follower, peers, daemon)
-        self.engines[name] = engine or EngineModel(name, EngineSettings(models=("m",)))
-        daemon.add(EngineBackend(name, self.engines[name], daemon))
+        daemon.add(backend_of(daemon))
         await daemon.start()
         self.daemons[name] = daemon
         self.instances.append(Instance(name, "endpoint", address, data_centre))
@@ -137,6 +171,7 @@
             follower,
             placer or PolicyPlacer(settings, context),
             ByteVocabulary(settings.callers.token_bytes),
+            self.stores(name),
             strict=True,
         )
         self.follow(follower, peers, entry)
--- a/packages/standins/persimmonstall_standins/specification/claims.py
+++ b/packages/standins/persimmonstall_standins/specification/claims.py
@@ -25,6 +25,8 @@
 UNKNOWN = Failure(Reason.AMBIGUOUS, "commit", "table")
 REFUSAL = Refusal(Reason.PEER_LOST, "dispatch", outcome=Outcome.UNKNOWN)
 FIELDS = ("row", "late", "attempts", "entries", "ran")
+ONE_RETRY_START = Progress(tries=MOST_TRIES - 1)
+ONE_RETRY_GIVE_UP = GiveUp(tries=MOST_TRIES - 1)
 SENT_BY = {"a0": 0, "a0-copy": 0, "a1": 0, "b0": 1}
 """Entry whose request each attempt serves."""
 
@@ -40,8 +42,8 @@
     advance_give_up: object = staticmethod(starting.advance_give_up)
     applies: object = staticmethod(lambda row, write: starting.version_of(row) == write.expected)
     pending: object = staticmethod(lambda version, write: write.expected >= version)
-    first_start: Progress = Progress(tries=MOST_TRIES - 1)
-    first_give_up: GiveUp = GiveUp(tries=MOST_TRIES - 1)
+    first_start: Progress = ONE_RETRY_START
+    first_give_up: GiveUp = ONE_RETRY_GIVE_UP
 
 
 @attrs.frozen
@@ -50,7 +52,7 @@
 
     stage: str = "unsent"
     ticket: Ticket | None = None
-    progress: Progress = Progress()
+    progress: Progress = attrs.field(factory=Progress)
 
 
 @attrs.frozen
@@ -59,7 +61,7 @@
 
     stage: str = "idle"
     ticket: Ticket | None = None
-    give_up: GiveUp = GiveUp()
+    give_up: GiveUp = attrs.field(factory=GiveUp)
     renewed: bool = False
     told: str = ""
 
@@ -97,12 +99,12 @@
         return Protocol("claims", False, FIELDS, initial, self.transitions, invariants)
 
     def not_run_is_true(self, state):
-        """No attempt of an entry that said "not run" has run."""
+        """Say whether no attempt of an entry that told "not run" has run."""
         told = {index for index, entry in enumerate(state["entries"]) if entry.told == "not_run"}
         return not any(SENT_BY[name] in told for name in state["ran"])
 
     def replay_has_run(self, state):
-        """A stored answer is told only after a run."""
+        """Say whether a stored answer is told only after a run."""
         return bool(state["ran"]) or all(entry.told != "answer" for entry in state["entries"])
 
     def transitions(self, state):
@@ -122,7 +124,7 @@
         return (row, possible, *rest)
 
     def late_writes(self, state):
-        """A write takes effect long after its time-out, or fails its condition."""
+        """Let a write take effect long after its time-out, or fail its condition."""
         row, late, *rest = state
         for write in late:
             after = written(row, write) if self.rules.applies(row, write) else row
@@ -159,7 +161,7 @@
         )
 
     def attempt_steps(self, state, index, name):
-        """Steps of one daemon that has one attempt."""
+        """Yield the steps of one daemon that has one attempt."""
         attempt = state[2][index]
         if attempt.stage == "start":
             yield from self.start_steps(state, index, name, attempt)
@@ -224,7 +226,7 @@
             yield f"{name} {attempt.stage} {label}", moved
 
     def entry_steps(self, state, index):
-        """Steps of one entry."""
+        """Yield the steps of one entry."""
         entry = state[3][index]
         if entry.stage == "idle":
             yield from self.plan_steps(state, index)
--- a/packages/standins/persimmonstall_standins/specification/fencing.py
+++ b/packages/standins/persimmonstall_standins/specification/fencing.py
@@ -33,7 +33,7 @@
         return [*self.takeovers(state), *self.orders(state), *self.arrivals(state)]
 
     def takeovers(self, state):
-        """The lease lapses and some holder takes it with the next number."""
+        """Let the lease lapse and some holder take it with the next number."""
         fence, believed, under_way, *rest = state
         if fence == MOST_FENCE:
             return
@@ -55,7 +55,7 @@
                 yield f"holder {holder} orders", after
 
     def arrivals(self, state):
-        """An order reaches the engine, however late."""
+        """Let an order reach the engine, however late."""
         fence, believed, under_way, applied, highest, sent = state
         for number in under_way:
             rest = under_way - {number}
