--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -1,15 +1,19 @@
 """Runs attempts on one model engine."""
 
 import asyncio
+import contextlib
 import functools
 
 import attrs
 
 from persimmonstall.failures import Outcome, Reason
+from persimmonstall.memory.spans import base_of, tokens_of
 from persimmonstall.messages import control, requests
-from persimmonstall.outside.engine import EngineLoad, Finish, Job, JobKind, Step
+from persimmonstall.outside.engine import CacheEvent, EngineLoad, Finish, Job, JobKind, Step
+from persimmonstall.placement.prefix import PrefixMap
+from persimmonstall.placement.queue import make_hand_over
 
-from ..memory.keeper import MemoryKeeper, tokens_of
+from ..memory.keeper import MemoryKeeper
 from .attempt import Phase, make_attempt
 from .backend import Backend, Expired, SessionLost
 
@@ -57,11 +61,14 @@
         self.attempts = {}
         self.by_job = {}
         self.reported = EngineLoad(0, 0, 0, 0, 0, 0.0)
+        self.queue = make_hand_over(daemon.settings)
+        self.prefixes = PrefixMap()
         self.tasks = set()
         self.last_step = daemon.context.now()
         self.reader = None
         self.alive = True
         self.memory = MemoryKeeper(self)
+        self.queue.has_room = self.memory.has_room
         self.handlers = {
             requests.Submit: self.on_submit,
             requests.Cancel: self.on_cancel,
@@ -74,6 +81,7 @@
             StepsLost: self.on_steps_lost,
             EngineDied: self.on_engine_died,
             EngineLoad: self.on_load,
+            CacheEvent: self.on_cache_event,
             **self.memory.handlers,
         }
 
@@ -96,6 +104,7 @@
     async def run(self):
         """Serve until cancelled."""
         self.reader = self.spawn(self.read_steps())
+        self.spawn(self.read_cache_events())
         self.spawn(self.watch())
         self.spawn(self.memory.run())
         try:
@@ -118,6 +127,18 @@
             return
         self.post(StepsLost("ended"))
 
+    async def read_cache_events(self):
+        """Post the engine's cache events, over a new connection whenever one is lost."""
+        while True:
+            with contextlib.suppress(OSError):
+                async for event in self.engine.cache_events():
+                    self.post(event)
+            await asyncio.sleep(self.daemon.context.jitter(REOPEN_SECONDS))
+
+    def on_cache_event(self, event, _session):
+        """Correct what the engine probably has cached."""
+        self.prefixes.event(self.name, event)
+
     async def watch(self):
         """Poll the engine's load and notice when its steps go silent."""
         endpoints = self.settings.endpoints
@@ -144,30 +165,40 @@
     def load(self):
         """Return the load as known now."""
         running = self.reported
-        waiting = sum(1 for a in self.attempts.values() if a.phase is Phase.WAITING)
+        waiting = len(self.queue.waiting)
+        backlog, long_tokens = self.queue.backlog(self.now())
         return control.EndpointLoad(
             endpoint=self.name,
             running=running.running,
             waiting=running.waiting + waiting,
-            memory_used=running.memory_used,
+            memory_used=max(running.memory_used, self.memory_promised()),
             memory_total=running.memory_total,
-            prefill_backlog=running.prefill_backlog,
+            prefill_backlog=backlog,
             step_seconds=running.step_seconds,
             accepted=self.accepted,
             models=running.models,
             adapters=running.adapters,
             leaving=self.leaving or not self.alive,
+            long_tokens=long_tokens,
         )
 
+    def memory_promised(self):
+        """Return the memory of all holdings and of the attempts that wait, in tokens."""
+        waiting = sum(waiting.memory for waiting in self.queue.waiting.values())
+        return self.memory.ledger.committed + waiting
+
     def on_load(self, load, _session):
         """Keep the engine's latest load report; a report shows that it is alive."""
-        self.take_load(load)
         self.alive = True
+        self.take_load(load)
+        self.pump()
 
     def take_load(self, load):
-        """Keep a load report and the size of the engine's memory."""
+        """Keep the engine's report where it is needed."""
         self.reported = load
+        self.queue.memory_total = load.memory_total
         self.memory.ledger.set_capacity(load.memory_total)
+        self.queue.step_seconds = load.step_seconds or self.queue.step_seconds
 
     def on_submit(self, submit, session):
         """Take a new attempt or refuse it at once."""
@@ -182,9 +213,11 @@
             session.send(self.refused(submit, Reason.ENDPOINT_LOST, Outcome.NOT_RUN))
             return
         full = self.memory.admit(submit)
-        if full is not None:
-            refused = self.refused(submit, full.reason, Outcome.NOT_RUN, full.detail)
-            session.send(refused)
+        if full is None:
+            full = self.queue.offer(submit, self.cached_tokens(submit), self.now())
+        if not full:
+            session.send(self.refused(submit, full.reason, Outcome.NOT_RUN, full.detail))
+            self.send_loads((session,))
             return
         window = self.settings.callers.idle_credit
         attempt = make_attempt(submit, session, self.now(), window, self.daemon.run_id)
@@ -195,9 +228,26 @@
         loop = asyncio.get_running_loop()
         expire = functools.partial(self.post, Expired(*key))
         attempt.timer = loop.call_later(submit.remaining, expire)
-        attempt.phase = Phase.STARTING
-        self.memory.hold(attempt)
-        self.spawn(self.hand_over(attempt))
+        self.pump()
+
+    def cached_tokens(self, submit):
+        """Return the prompt tokens that the engine probably has cached."""
+        matched = self.prefixes.match(submit.blocks).get(self.name, 0)
+        return min(matched * self.settings.lengths.block, submit.prompt_tokens - 1)
+
+    def pump(self):
+        """Hand over what may start now, and refuse what can no longer end in time."""
+        now = self.now()
+        for waiting in self.queue.hopeless(now):
+            attempt = self.attempts[waiting.key]
+            self.end(attempt, self.refused(attempt.submit, Reason.TOO_LATE, Outcome.NOT_RUN))
+        while waiting := self.queue.next(now):
+            attempt = self.attempts[waiting.key]
+            attempt.phase = Phase.STARTING
+            attempt.priority = self.queue.priority(waiting)
+            attempt.chunk_tokens = self.queue.chunk_tokens(waiting)
+            self.memory.hold(attempt)
+            self.spawn(self.hand_over(attempt))
 
     def job_of(self, attempt):
         """Return the engine job of an attempt."""
@@ -210,11 +260,11 @@
             prompt=submit.prompt,
             prompt_tokens=submit.prompt_tokens,
             max_tokens=submit.max_tokens,
-            reserved_tokens=tokens_of(submit),
-            priority=submit.priority,
+            reserved_tokens=tokens_of(submit) or base_of(submit),
+            priority=attempt.priority,
             blocks=submit.blocks,
             resume_from=attempt.outbox.count,
-            chunk_tokens=self.settings.placing.chunk_tokens,
+            chunk_tokens=attempt.chunk_tokens,
             kind=JobKind.SEGMENT if submit.segment_end else JobKind.GENERATE,
             start=submit.segment_start,
             end=submit.segment_end,
@@ -276,12 +326,15 @@
             touched.append(attempt)
         self.flush(touched)
         self.memory.relieve()
+        self.pump()
 
     def take_output(self, attempt, output):
         """Add one job's output to its attempt."""
         if output.tokens and not attempt.first_at:
             attempt.first_at = self.now()
             attempt.cached = output.cached
+            self.queue.first_token(attempt.key, attempt.first_at)
+            self.prefixes.record(self.name, attempt.submit.blocks)
         if not attempt.outbox.add(output.offset, output.tokens):
             self.restart(attempt)
             return
@@ -289,6 +342,7 @@
         if output.finish in (Finish.NONE, Finish.PARKED):
             return
         if output.finish is Finish.PREFILLED:
+            self.queue.first_token(attempt.key, self.now())
             self.settle(attempt, self.whole(attempt, 0, output.finish, attempt.job_id.encode()))
             return
         if output.finish in WHOLE:
@@ -361,6 +415,7 @@
         attempt.result = result
         attempt.ended_at = self.now()
         attempt.timer.cancel()
+        self.queue.ended(attempt.key)
         self.by_job.pop(attempt.job_id, None)
         self.memory.released(attempt)
         loop = asyncio.get_running_loop()
@@ -465,6 +520,7 @@
         if not self.alive:
             return
         self.alive = False
+        self.prefixes.forget(self.name)
         self.daemon.metrics.count("engines_died")
         open_attempts = [a for a in self.attempts.values() if not a.ended]
         for attempt in open_attempts:
--- a/packages/daemon/persimmonstall_daemon/entry/pipeline.py
+++ b/packages/daemon/persimmonstall_daemon/entry/pipeline.py
@@ -8,6 +8,8 @@
 
 from .filters.authenticate import Authenticate
 from .filters.classify import Classify
+from .filters.limits import Limits
+from .filters.predict import Predict
 
 
 def make_filters(parts):
@@ -15,6 +17,8 @@
     return (
         Authenticate(parts),
         Classify(parts),
+        Predict(parts),
+        Limits(parts),
     )
 
 
--- a/packages/daemon/persimmonstall_daemon/memory/keeper.py
+++ b/packages/daemon/persimmonstall_daemon/memory/keeper.py
@@ -11,6 +11,7 @@
 from persimmonstall.failures import Failure, Reason
 from persimmonstall.memory.ledger import Holding, Ledger, Use
 from persimmonstall.memory.reconcile import Owner, Reconciler
+from persimmonstall.memory.spans import base_of, tokens_of
 
 from .parking import ParkingLot
 from .reservations import Reservations
@@ -69,16 +70,21 @@
     # What the backend tells.
 
     def admit(self, submit):
-        """Return None when there is room for an attempt, else a `Failure`: not run."""
+        """Return None when an attempt can ever have room here, else a `Failure`: not run."""
         if submit.segment_end:
             return self.reservations.check(submit)
         wanted = tokens_of(submit)
         if not self.ledger.possible(wanted):
             detail = f"{wanted} tokens; the engine holds {self.ledger.capacity}"
             return Failure(Reason.NO_MEMORY, STEP, self.backend.name, detail)
-        if self.reservations.promised(submit) or self.ledger.fits(wanted):
-            return None
-        return Failure(Reason.BUSY, STEP, self.backend.name, "memory is full")
+        return None
+
+    def has_room(self, waiting):
+        """Return whether a waiting attempt fits now; a segment's memory is reserved."""
+        submit = waiting.submit
+        if submit.segment_end or self.reservations.promised(submit):
+            return True
+        return self.ledger.fits(waiting.memory)
 
     def hold(self, attempt):
         """Enter the holding of an admitted attempt, before the engine is told."""
@@ -181,13 +187,3 @@
             self.backend.restart(attempt)
         else:
             self.ledger.remove(holding.name)
-
-
-def base_of(submit):
-    """Return the tokens of a prompt that the engine itself has to hold."""
-    return submit.prompt_tokens - max((ref.end for ref in submit.segments), default=0)
-
-
-def tokens_of(submit):
-    """Return the tokens of memory that an attempt is expected to reach."""
-    return base_of(submit) + max(submit.predicted_tokens, len(submit.relayed))
--- a/packages/daemon/persimmonstall_daemon/roles.py
+++ b/packages/daemon/persimmonstall_daemon/roles.py
@@ -8,7 +8,6 @@
 import aiomisc
 
 from persimmonstall.clock import Context
-from persimmonstall.outside.instances import Instance, InstanceState
 
 from .adapters.connect import connect_engine, connect_platform
 from .adapters.vocabulary import ByteVocabulary
@@ -18,7 +17,8 @@
 from .endpoint.engine_backend import EngineBackend
 from .entry.daemon import EntryDaemon
 from .entry.http.server import HttpServer
-from .entry.placer import LeastOutstanding
+from .entry.policy_placer import PolicyPlacer
+from .membership import Leaving, Membership
 from .network import GrpcNetwork
 from .observe import logs
 from .observe.metrics import Metrics
@@ -33,7 +33,7 @@
         super().__init__()
         self.settings = settings
         seed = settings.daemon.seed or None
-        self.context = Context(random=random.Random(seed))
+        self.clock = Context(random=random.Random(seed))
         self.metrics = Metrics(settings)
         self.network = GrpcNetwork(settings.security)
         self.drained = asyncio.Event()
@@ -92,31 +92,25 @@
         """Start the catalogue, the links and the HTTP port."""
         self.platform = connect_platform(self.settings.platform)
         self.follower = CatalogueFollower(
-            self.settings, self.platform.table, self.platform.objects, self.context, NoPeers()
+            self.settings, self.platform.table, self.platform.objects, self.clock, NoPeers()
         )
         self.spawn(self.follower.run())
         self.entry = EntryDaemon(
             self.settings,
             self.network,
-            self.context,
+            self.clock,
             self.metrics,
             self.follower,
-            LeastOutstanding(),
+            PolicyPlacer(self.settings, self.clock),
             ByteVocabulary(self.settings.callers.token_bytes),
+            self.platform.instances,
         )
-        self.spawn(self.watch_instances())
+        await self.entry.start()
+        self.spawn(self.entry.membership.run())
+        self.spawn(self.entry.tick())
         self.http = HttpServer(self.entry)
         await self.http.start()
 
-    async def watch_instances(self):
-        """Keep links to the endpoint instances of the platform's list."""
-        platform = self.settings.platform
-        while True:
-            found = await self.platform.instances.list(platform.timeout)
-            if found:
-                self.entry.links.set([one for one in found if one.role == "endpoint"])
-            await asyncio.sleep(self.context.jitter(platform.list_poll))
-
     async def drain_role(self):
         """Let all requests end while the readiness check fails."""
         await self.entry.drain()
@@ -134,11 +128,21 @@
     async def start_role(self):
         """Connect to the back ends and listen for entries."""
         self.platform = connect_platform(self.settings.platform)
-        self.daemon = EndpointDaemon(self.settings, self.network, self.context, self.metrics)
+        self.daemon = EndpointDaemon(self.settings, self.network, self.clock, self.metrics)
         for served in self.settings.endpoints.serves:
             self.daemon.add(self.backend(served))
         await self.daemon.start()
-        self.spawn(self.register())
+        self.membership = Membership(
+            self.settings,
+            self.clock,
+            self.daemon.invariants,
+            self.metrics,
+            self.platform.instances,
+            self.daemon.backends,
+        )
+        leaving = Leaving(self.daemon, self.membership)
+        self.membership.subscribe(leaving.update)
+        self.spawn(self.membership.run())
 
     def backend(self, served):
         """Return the backend of one `name=engine@URL` setting."""
@@ -146,27 +150,10 @@
         _kind, _, url = rest.partition("@")
         return EngineBackend(name, connect_engine(url, name), self.daemon)
 
-    async def register(self):
-        """Announce this instance to the platform's list until the daemon stops."""
-        daemon = self.settings.daemon
-        names = tuple(self.daemon.backends)
-        while True:
-            state = InstanceState.LEAVING if self.draining else InstanceState.LIVE
-            instance = Instance(
-                daemon.instance,
-                daemon.role,
-                daemon.address,
-                daemon.data_centre,
-                daemon.region,
-                state,
-                names,
-            )
-            platform = self.settings.platform
-            await self.platform.instances.register(instance, platform.timeout)
-            await asyncio.sleep(self.context.jitter(platform.list_poll))
-
     async def drain_role(self):
         """Take no new work and let all streams end."""
+        self.daemon.leave()
+        await self.membership.leave()
         await self.daemon.drain()
 
     async def stop_role(self):
