--- a/packages/core/persimmonstall/messages/control.py
+++ b/packages/core/persimmonstall/messages/control.py
@@ -23,7 +23,6 @@
     adapters: tuple[str, ...] = ()
     leaving: bool = False
     long_tokens: int = 0
-    segment_tokens: int = 0
 
 
 @attrs.frozen
--- a/packages/core/persimmonstall/placement/queue.py
+++ b/packages/core/persimmonstall/placement/queue.py
@@ -9,6 +9,7 @@
 
 from ..failures import Failure, Reason
 from ..lengths import LONG_CLASSES
+from ..memory.spans import prompt_span, tokens_of
 from .cost import PRIOR_STEP_SECONDS, Cost, weighted_tokens
 from .due import due_time, engine_priority
 
@@ -64,7 +65,8 @@
     """Attempts that wait for one engine, and those that it prefills.
 
     `settings` are the whole settings; `step_seconds` and `memory_total` are kept up to date
-    by the owner from the engine's reports.
+    by the owner from the engine's reports, and its memory ledger is asked by `has_room`
+    whether a waiting attempt fits.
     """
 
     def __init__(self, settings):
@@ -77,6 +79,7 @@
         self.memory_total = 0
         self.step_seconds = PRIOR_STEP_SECONDS
         self.busy_since = 0.0
+        self.has_room = self.room_by_promises
 
     @abc.abstractmethod
     def offer(self, submit, cached, now):
@@ -103,14 +106,15 @@
 
     def measure(self, submit, cached, now):
         """Return `Waiting` with the estimates of one attempt."""
-        uncached = max(1, submit.prompt_tokens - cached)
-        tokens = weighted_tokens(uncached, submit.prompt_tokens)
+        start, end = prompt_span(submit)
+        uncached = max(1, end - max(start, cached))
+        tokens = weighted_tokens(uncached, end)
         left = max(1, submit.predicted_tokens - len(submit.relayed))
         prefill = tokens * self.cost.seconds_per_token
         decode = left * self.step_seconds
         deadline = now + submit.remaining
         due = due_time(now, prefill, deadline - decode, submit.priority)
-        memory = submit.prompt_tokens + submit.predicted_tokens
+        memory = tokens_of(submit)
         long = submit.length_class in LONG_CLASSES
         return Waiting(submit, now, deadline, prefill + decode, tokens, memory, due, long)
 
@@ -161,9 +165,11 @@
         done = (now - waiting.started) / self.cost.seconds_per_token
         return max(0.1 * waiting.tokens, waiting.tokens - done)
 
-    def memory_promised(self):
-        """Return the memory of all attempts here, waiting ones included, in tokens."""
-        return self.held + sum(waiting.memory for waiting in self.waiting.values())
+    def room_by_promises(self, waiting):
+        """Return whether what was promised leaves room; an idle engine may always try."""
+        if not self.memory_total or not self.started:
+            return True
+        return self.held + waiting.memory <= MEMORY_SHARE * self.memory_total
 
 
 class FirstCome(HandOver):
@@ -261,10 +267,8 @@
         return sum(other.long == waiting.long for other in self.prefilling.values()) < limit
 
     def fits(self, waiting):
-        """Return whether the engine's memory has room; an idle engine may always try."""
-        if not self.memory_total or not self.started:
-            return True
-        return self.held + waiting.memory <= MEMORY_SHARE * self.memory_total
+        """Return whether the engine's memory has room."""
+        return self.has_room(waiting)
 
     def leaves_room(self, waiting, now):
         """Return whether `waiting` does not take the memory that an overdue long prompt needs."""
