--- /dev/null
+++ b/packages/cli/persimmonstall_cli/client.py
@@ -0,0 +1,126 @@
+"""Calls of the operators' port, with failures as `Failure` values."""
+
+import ipaddress
+import os
+import pathlib
+
+import attrs
+import grpc
+
+from persimmonstall.failures import Failure, Reason
+from persimmonstall_daemon.admin.persimmonstall_admin_pb2_grpc import AdministrationStub
+
+from .command import usage_failure
+
+SERVER_VARIABLE = "PERSIMMONSTALL_SERVER"
+KEY_VARIABLE = "PERSIMMONSTALL_KEY"
+DEFAULT_SERVER = "127.0.0.1:9000"
+PREFIX = "persimmonstall-"
+STATUS_REASONS = {
+    grpc.StatusCode.UNAVAILABLE: Reason.PEER_LOST,
+    grpc.StatusCode.DEADLINE_EXCEEDED: Reason.AMBIGUOUS,
+    grpc.StatusCode.CANCELLED: Reason.CANCELLED,
+}
+"""Reason of a failure that the daemon did not answer itself."""
+
+
+@attrs.frozen
+class Access:
+    """Where and how to call: address, key, and PEM authority (None: plaintext)."""
+
+    server: str
+    key: str
+    authority: bytes | None
+    timeout: float
+
+
+def access_of(flags):
+    """Return the `Access` that a command's flags and the environment give, or a `Failure`."""
+    server = flags.server or os.environ.get(SERVER_VARIABLE, DEFAULT_SERVER)
+    try:
+        key = read(flags.key_file) or os.environ.get(KEY_VARIABLE, "").encode()
+        authority = read(flags.authority)
+    except OSError as error:
+        return usage_failure(str(error))
+    if not key:
+        return usage_failure(f"no operator's key: give --key_file or set {KEY_VARIABLE}")
+    if authority is None and not flags.plaintext and not is_loopback(server):
+        return usage_failure(f"{server} is another machine: give --authority, or --plaintext")
+    return Access(server, key.decode("ascii", "replace").strip(), authority, flags.timeout)
+
+
+def read(path):
+    """Return the content of a file, None for no path; raises OSError."""
+    return pathlib.Path(path).read_bytes() if path else None
+
+
+def is_loopback(server):
+    """Return whether an "IP:port" is on this machine.
+
+    >>> is_loopback("127.0.0.1:9000"), is_loopback("10.1.1.1:9000")
+    (True, False)
+    """
+    host = server.rpartition(":")[0].strip("[]")
+    try:
+        return ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        return host == "localhost"
+
+
+class Client:
+    """An open channel to one entry's operators' port; use it as a context manager."""
+
+    def __init__(self, access):
+        self.access = access
+        if access.authority is None:
+            self.channel = grpc.insecure_channel(access.server)
+        else:
+            credentials = grpc.ssl_channel_credentials(access.authority)
+            self.channel = grpc.secure_channel(access.server, credentials)
+        self.stub = AdministrationStub(self.channel)
+        self.metadata = (("authorization", f"Bearer {access.key}"),)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_error):
+        self.channel.close()
+
+    def call(self, name, request):
+        """Return the answer of the call `name`, or a `Failure`."""
+        try:
+            method = getattr(self.stub, name)
+            return method(request, metadata=self.metadata, timeout=self.access.timeout)
+        except grpc.RpcError as error:
+            return failure_of(error, name, self.access.server)
+
+    def stream(self, name, request):
+        """Yield the answers of the streaming call `name`; a `Failure` ends them."""
+        try:
+            yield from getattr(self.stub, name)(request, metadata=self.metadata)
+        except grpc.RpcError as error:
+            yield failure_of(error, name, self.access.server)
+
+
+def failure_of(error, step, server):
+    """Return the `Failure` that a gRPC error stands for."""
+    trailing = dict(error.trailing_metadata() or ())
+    reason = trailing.get(PREFIX + "reason")
+    if reason is None:
+        known = STATUS_REASONS.get(error.code(), Reason.INTERNAL)
+        return Failure(known, step, server, error.details() or str(error.code()))
+    peer = trailing.get(PREFIX + "peer") or server
+    return Failure(Reason(reason), trailing.get(PREFIX + "step", step), peer, error.details())
+
+
+def pages(client, name, request):
+    """Yield the entries of all pages of a list call; a `Failure` ends them."""
+    while True:
+        page = client.call(name, request)
+        if isinstance(page, Failure):
+            yield page
+            return
+        yield from page.entries
+        if not page.next_page_token:
+            return
+        request.page_token = page.next_page_token
--- /dev/null
+++ b/packages/cli/persimmonstall_cli/commands/fleet.py
@@ -0,0 +1,195 @@
+"""`endpoint`, `quarantine`, `daemon`, `status`, `config show` and `watch`."""
+
+from absl import flags
+
+from persimmonstall.failures import Failure, Reason
+from persimmonstall_daemon.admin import persimmonstall_admin_pb2 as schema
+
+from ..client import Client, access_of, pages
+from ..command import Command
+from ..editing import PAGE_SIZE, changed, connected, define_edit, edit_of, send, table
+from ..report import Report, fields
+
+ENDPOINT_COLUMNS = (
+    "name",
+    "instance",
+    "data_centre",
+    "state",
+    "running",
+    "waiting",
+    "memory_used",
+    "memory_total",
+    "models",
+)
+DAEMON_COLUMNS = ("instance", "role", "data_centre", "version", "heard_ago")
+VERDICT_COLUMNS = ("fingerprint", "crashes", "expires_in", "lifted")
+EVENT_COLUMNS = ("version", "kind", "name", "record", "call_id", "at", "gap")
+
+
+def row_of(columns):
+    """Return the function that makes a row of an entry's fields."""
+
+    def row(entry):
+        values = (getattr(entry, name) for name in columns)
+        return tuple(one if isinstance(one, (str, int, float)) else tuple(one) for one in values)
+
+    return row
+
+
+def lister(call_name, columns):
+    """Return the handler that lists what a call gives."""
+
+    @connected
+    def handle(call, client):
+        return table(client, call_name, columns, row_of(columns))
+
+    return handle
+
+
+def find(client, call_name, field, value):
+    """Return the entry of a list call whose `field` is `value`, None, or a `Failure`."""
+    for entry in pages(client, call_name, schema.ListRequest(page_size=PAGE_SIZE)):
+        if isinstance(entry, Failure) or getattr(entry, field) == value:
+            return entry
+    return None
+
+
+def draining(call_name):
+    """Return the handler that drains an endpoint or ends that."""
+
+    @connected
+    def handle(call, client):
+        name = call.arguments[0]
+        entry = find(client, "ListEndpoints", "name", name)
+        if isinstance(entry, Failure):
+            return entry
+        version = entry.drain_version if entry else 0
+        if entry is None and call.flags.expected_version is None:
+            detail = f"no endpoint {name!r} is known there; --expected_version overrides this"
+            return Failure(Reason.NOT_FOUND, call_name, client.access.server, detail)
+        request = schema.EndpointRequest(name=name, edit=edit_of(call, version))
+        return changed(send(client, call_name, request))
+
+    return handle
+
+
+@connected
+def lift(call, client):
+    """Refuse the content FINGERPRINT no longer."""
+    fingerprint = call.arguments[0]
+    entry = find(client, "ListQuarantine", "fingerprint", fingerprint)
+    if isinstance(entry, Failure):
+        return entry
+    version = entry.lift_version if entry else 0
+    request = schema.LiftQuarantineRequest(fingerprint=fingerprint, edit=edit_of(call, version))
+    return changed(send(client, "LiftQuarantine", request))
+
+
+@connected
+def configuration(call, client):
+    """Show the settings of the answering daemon."""
+    answer = client.call("GetConfiguration", schema.GetConfigurationRequest())
+    if isinstance(answer, Failure):
+        return answer
+    columns = ("section", "option", "value", "unit", "is_default")
+    return Report(columns, tuple(map(row_of(columns), answer.options)))
+
+
+@connected
+def status(call, client):
+    """Show the version in force, daemons behind it and endpoints by state."""
+    version = client.call("GetVersion", schema.GetVersionRequest())
+    if isinstance(version, Failure):
+        return version
+    daemons = table(client, "ListDaemons", DAEMON_COLUMNS, lambda one: one)
+    endpoints = table(client, "ListEndpoints", ENDPOINT_COLUMNS, lambda one: one)
+    for answer in (daemons, endpoints):
+        if isinstance(answer, Failure):
+            return answer
+    return fields(
+        {
+            "instance": version.instance,
+            "version": version.version,
+            "newest": version.newest,
+            "daemons": len(daemons.rows),
+            "behind": tuple(one.instance for one in daemons.rows if behind(one, version)),
+            "lost": tuple(one.instance for one in daemons.rows if one.heard_ago < 0),
+            "endpoints": len(endpoints.rows),
+            "not_live": tuple(f"{one.name}:{one.state}" for one in endpoints.rows if dark(one)),
+        }
+    )
+
+
+def behind(daemon, version):
+    """Return whether a daemon that is heard from has an older version in force."""
+    return daemon.heard_ago >= 0 and daemon.version < version.newest
+
+
+def dark(endpoint):
+    """Return whether an endpoint takes no work."""
+    return endpoint.state != "live"
+
+
+def define_watch(values):
+    """Define the flags of `watch`."""
+    flags.DEFINE_integer(
+        "since", 0, "Start after this version; 0 starts with the next.", flag_values=values
+    )
+
+
+def watch(call):
+    """Yield every change as it comes into force."""
+    access = access_of(call.flags)
+    if isinstance(access, Failure):
+        yield access
+        return
+    with Client(access) as client:
+        for event in client.stream("Watch", schema.WatchRequest(since=call.flags.since)):
+            yield event if isinstance(event, Failure) else event_report(event)
+
+
+def event_report(event):
+    """Return one line for a change."""
+    row = row_of(EVENT_COLUMNS)(event)
+    data = dict(zip(EVENT_COLUMNS, row, strict=True))
+    if event.gap:
+        return Report((), ((f"changes before {event.version} are no longer kept",),), "", data)
+    text = event.record or "deleted"
+    return Report((), ((event.version, event.kind, event.name, text),), "", data)
+
+
+NAME = ("NAME",)
+
+COMMANDS = (
+    Command("status", "Show versions, daemons and endpoints in short.", status),
+    Command("endpoint list", "List endpoints.", lister("ListEndpoints", ENDPOINT_COLUMNS)),
+    Command(
+        "endpoint drain", "Give it no new work.", draining("DrainEndpoint"), NAME, define_edit
+    ),
+    Command(
+        "endpoint undrain",
+        "Give it work again.",
+        draining("UndrainEndpoint"),
+        NAME,
+        define_edit,
+    ),
+    Command(
+        "quarantine list",
+        "List refused content.",
+        lister("ListQuarantine", VERDICT_COLUMNS),
+    ),
+    Command(
+        "quarantine lift",
+        "Accept content again.",
+        lift,
+        ("FINGERPRINT",),
+        define_edit,
+    ),
+    Command(
+        "daemon list",
+        "List daemons with the version in force.",
+        lister("ListDaemons", DAEMON_COLUMNS),
+    ),
+    Command("config show", "Show the daemon's settings.", configuration),
+    Command("watch", "Print changes as they come into force.", watch, (), define_watch),
+)
--- /dev/null
+++ b/packages/cli/persimmonstall_cli/commands/organisations.py
@@ -0,0 +1,192 @@
+"""`organisation ...` and `key ...`: customers, their limits and their keys."""
+
+from absl import flags
+
+from persimmonstall.failures import Failure
+from persimmonstall_daemon.admin import persimmonstall_admin_pb2 as schema
+
+from ..command import Command
+from ..editing import changed, connected, define_edit, edit_of, send, table
+from ..report import fields
+
+LISTS = ("models", "adapters", "services")
+COLUMNS = (
+    "name",
+    "state",
+    "requests/s",
+    "tokens/s",
+    "concurrency",
+    "priority",
+    "models",
+    "keys",
+    "version",
+)
+
+
+def define_limits(values):
+    """Define the flags of an organisation's limits."""
+    define_edit(values)
+    flags.DEFINE_float(
+        "requests_per_second", None, "Requests a second; 0 for no limit.", flag_values=values
+    )
+    flags.DEFINE_float(
+        "tokens_per_second", None, "Tokens a second; 0 for no limit.", flag_values=values
+    )
+    flags.DEFINE_integer(
+        "concurrency", None, "Requests at a time; 0 for no limit.", flag_values=values
+    )
+    flags.DEFINE_integer("priority", None, "0 (first) to 9 (last).", flag_values=values)
+    for name in LISTS:
+        flags.DEFINE_list(name, None, f"Allowed {name}, comma separated.", flag_values=values)
+
+
+def fill(message, values):
+    """Set the fields of an organisation that flags were given for."""
+    for name in ("requests_per_second", "tokens_per_second", "concurrency", "priority"):
+        value = getattr(values, name)
+        if value is not None:
+            setattr(message, name, value)
+    for name in LISTS:
+        value = getattr(values, name)
+        if value is not None:
+            getattr(message, name)[:] = value
+
+
+@connected
+def create(call, client):
+    """Create NAME with the limits of the flags."""
+    message = schema.Organisation(name=call.arguments[0], priority=5)
+    fill(message, call.flags)
+    request = schema.SetOrganisationRequest(organisation=message, edit=edit_of(call, 0))
+    return changed(send(client, "CreateOrganisation", request))
+
+
+def reader(client, name):
+    """Return an organisation's entry, or a `Failure`."""
+    return client.call("GetOrganisation", schema.GetRequest(name=name))
+
+
+@connected
+def change(call, client):
+    """Change what flags were given for."""
+    entry = reader(client, call.arguments[0])
+    if isinstance(entry, Failure):
+        return entry
+    fill(entry.organisation, call.flags)
+    edit = edit_of(call, entry.version)
+    request = schema.SetOrganisationRequest(organisation=entry.organisation, edit=edit)
+    return changed(send(client, "ChangeOrganisation", request))
+
+
+def suspension(suspended):
+    """Return the handler that suspends an organisation or resumes it."""
+
+    @connected
+    def handle(call, client):
+        entry = reader(client, call.arguments[0])
+        if isinstance(entry, Failure):
+            return entry
+        request = schema.SuspendOrganisationRequest(
+            name=call.arguments[0], suspended=suspended, edit=edit_of(call, entry.version)
+        )
+        return changed(send(client, "SuspendOrganisation", request))
+
+    return handle
+
+
+@connected
+def delete(call, client):
+    """Delete NAME and its keys."""
+    entry = reader(client, call.arguments[0])
+    if isinstance(entry, Failure):
+        return entry
+    request = schema.DeleteRequest(name=call.arguments[0], edit=edit_of(call, entry.version))
+    return changed(send(client, "DeleteOrganisation", request))
+
+
+@connected
+def show(call, client):
+    """Show NAME."""
+    entry = reader(client, call.arguments[0])
+    if isinstance(entry, Failure):
+        return entry
+    return fields(dict(zip(COLUMNS, row(entry), strict=True)))
+
+
+@connected
+def listing(call, client):
+    """List all organisations."""
+    return table(client, "ListOrganisations", COLUMNS, row)
+
+
+def row(entry):
+    """Return the cells of an organisation's entry."""
+    one = entry.organisation
+    return (
+        one.name,
+        "suspended" if one.suspended else "active",
+        one.requests_per_second,
+        one.tokens_per_second,
+        one.concurrency,
+        one.priority,
+        tuple(one.models) or ("all",),
+        tuple(entry.key_ids),
+        entry.version,
+    )
+
+
+def issuing(call_name):
+    """Return the handler that makes a key by the call `call_name`."""
+
+    @connected
+    def handle(call, client):
+        entry = reader(client, call.arguments[0])
+        if isinstance(entry, Failure):
+            return entry
+        request = schema.KeyRequest(
+            organisation=call.arguments[0], edit=edit_of(call, entry.version)
+        )
+        return issued(send(client, call_name, request))
+
+    return handle
+
+
+def issued(answer):
+    """Return the report of a new key, or a `Failure`."""
+    if isinstance(answer, Failure):
+        return answer
+    note = "The key is shown this once; only its hash is kept."
+    if answer.repeated:
+        note = "This call had made the key before and its answer was lost: rotate the key."
+    return fields({"key": answer.key, "key_id": answer.key_id, "version": answer.version}, note)
+
+
+@connected
+def revoke(call, client):
+    """Remove the key KEY_ID of ORGANISATION."""
+    organisation, key_id = call.arguments
+    entry = reader(client, organisation)
+    if isinstance(entry, Failure):
+        return entry
+    request = schema.RevokeKeyRequest(
+        organisation=organisation, key_id=key_id, edit=edit_of(call, entry.version)
+    )
+    return changed(send(client, "RevokeKey", request))
+
+
+NAME = ("NAME",)
+
+COMMANDS = (
+    Command("organisation create", "Create an organisation.", create, NAME, define_limits),
+    Command("organisation change", "Change its limits.", change, NAME, define_limits),
+    Command("organisation suspend", "Refuse its calls.", suspension(True), NAME, define_edit),
+    Command("organisation resume", "Let it call again.", suspension(False), NAME, define_edit),
+    Command("organisation delete", "Delete it and its keys.", delete, NAME, define_edit),
+    Command("organisation show", "Show one organisation.", show, NAME),
+    Command("organisation list", "List all organisations.", listing),
+    Command("key create", "Add a key.", issuing("CreateKey"), ("ORGANISATION",), define_edit),
+    Command(
+        "key rotate", "Replace all keys.", issuing("RotateKey"), ("ORGANISATION",), define_edit
+    ),
+    Command("key revoke", "Remove a key.", revoke, ("ORGANISATION", "KEY_ID"), define_edit),
+)
