--- /dev/null
+++ b/packages/daemon/tests/claims_storm.py
@@ -0,0 +1,261 @@
+"""Whole daemons under random faults on virtual time, for the proofs of "at most once".
+
+Runs are counted in the logs of the stand-in service and engines.  Two daemons, which share one
+service, can be paused while they wait for the table, killed and started anew.
+"""
+
+import asyncio
+import hashlib
+from collections import Counter
+from random import Random
+
+import attrs
+
+from persimmonstall.catalogue import Change, Service
+from persimmonstall.failures import Outcome
+from persimmonstall.outside.table import Table
+from persimmonstall_daemon.entry.request import Answer
+from persimmonstall_standins.fleet import SECRET, Fleet, small_catalogue
+from persimmonstall_standins.service import ServiceModel, ServiceSettings
+
+DEADLINE = 6.0
+ANSWER_SLACK = 0.2
+QUIET_SECONDS = 60.0
+ENTRIES = 3
+DAEMONS = 3
+
+
+class GatedTable(Table):
+    """The table as one daemon sees it; a closed gate pauses the daemon before and after."""
+
+    def __init__(self, table):
+        self.table = table
+        self.gate = asyncio.Event()
+        self.gate.set()
+
+    async def gated(self, call):
+        await self.gate.wait()
+        result = await call()
+        await self.gate.wait()
+        return result
+
+    async def read(self, table, key, timeout):
+        return await self.gated(lambda: self.table.read(table, key, timeout))
+
+    async def scan(self, table, prefix, after, limit, timeout):
+        return await self.gated(lambda: self.table.scan(table, prefix, after, limit, timeout))
+
+    async def commit(self, writes, timeout):
+        return await self.gated(lambda: self.table.commit(writes, timeout))
+
+
+@attrs.define
+class Send:
+    """One request as its caller saw it."""
+
+    request_id: str
+    key: str
+    took: float
+    result: object
+
+
+@attrs.define
+class Storm:
+    """One randomised run; `sends` and `faults` are what happened."""
+
+    seed: int
+    random: Random = None
+    fleet: Fleet = None
+    sends: list = attrs.field(factory=list)
+    faults: Counter = attrs.field(factory=Counter)
+    replaced: list = attrs.field(factory=list)
+
+    async def start(self):
+        """Start entries and daemons around two services, one of them fronted twice."""
+        self.random = Random(self.seed)
+        catalogue = small_catalogue(hashlib.sha256(SECRET.encode()).hexdigest())
+        catalogue.apply(Change(3, "service", "records", Service("records", ("file",))))
+        self.fleet = Fleet(catalogue, seed=self.seed)
+        shared = ServiceModel("s0", ServiceSettings(seed=self.seed))
+        alone = ServiceModel("s2", ServiceSettings(seed=self.seed))
+        for name, outside in (("s0", shared), ("s1", shared), ("s2", alone)):
+            self.fleet.tables[name] = GatedTable(self.fleet.claims)
+            await self.fleet.add_service(name, "records", outside=outside)
+        for number in range(ENTRIES):
+            await self.fleet.add_entry(f"entry{number}")
+
+    @property
+    def services(self):
+        """The services, each once."""
+        return {id(service): service for service in self.fleet.services.values()}.values()
+
+    async def run(self, seconds):
+        """Send keyed calls for `seconds` while faults come and go, then let all end."""
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + seconds
+        tasks = [asyncio.create_task(self.fault_until(ends)) for _ in range(2)]
+        number = 0
+        while loop.time() < ends:
+            number += 1
+            tasks.append(asyncio.create_task(self.caller(number)))
+            await asyncio.sleep(self.random.expovariate(4.0))
+        await asyncio.gather(*tasks)
+        await asyncio.sleep(QUIET_SECONDS)
+
+    async def caller(self, number):
+        """Send one key, and again through other entries, also while it is in flight."""
+        method = self.random.choice(("file", "file", "read"))
+        key = f"k{number}" if method == "file" and self.random.random() < 0.8 else ""
+        for _ in range(4):
+            sending = [self.send(number, key, method)]
+            if key and self.random.random() < 0.3:
+                sending.append(self.send(number, key, method))
+            results = await asyncio.gather(*sending)
+            if not key or any(isinstance(result, Answer) for result in results):
+                return
+            await asyncio.sleep(self.random.uniform(0.1, 3.0))
+
+    async def send(self, number, key, method):
+        """Send one request through a random entry and keep what came of it."""
+        entry = self.random.choice(self.fleet.entries)
+        changes = {"service": "records", "method": method, "model": "", "max_tokens": 0}
+        deadline = self.random.uniform(0.5, DEADLINE)
+        request = self.fleet.request(number, 2, key=key, deadline=deadline, **changes)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        result = await entry.serve(request, None)
+        took = loop.time() - began
+        assert took <= deadline + ANSWER_SLACK, (self.seed, took, deadline, result)
+        self.sends.append(Send(request.request_id, key, took, result))
+        return result
+
+    async def fault_until(self, ends):
+        """Let one fault after the other come and go."""
+        kinds = (
+            self.table_fault,
+            self.link_fault,
+            self.pause,
+            self.service_fault,
+            self.service_death,
+            self.restart,
+        )
+        while asyncio.get_running_loop().time() < ends:
+            await asyncio.sleep(self.random.uniform(0.1, 1.5))
+            kind = self.random.choice(kinds)
+            self.faults[kind.__name__] += 1
+            await kind(self.random.uniform(0.05, 6.0))
+
+    async def table_fault(self, seconds):
+        """Let the table be down, slow, lose answers or apply writes late."""
+        name, value = self.random.choice(
+            (
+                ("down", True),
+                ("delay", self.random.uniform(0.1, 2.0)),
+                ("lose_answers", True),
+                ("apply_late", self.random.uniform(0.1, 8.0)),
+                ("serve_old", True),
+            )
+        )
+        faults = self.fleet.claims.faults
+        before = type(faults)()
+        setattr(faults, name, value)
+        await asyncio.sleep(seconds)
+        setattr(faults, name, getattr(before, name))
+
+    async def link_fault(self, seconds):
+        """Cut an entry and a daemon apart, in one direction or both, or silence their link."""
+        pair = [f"entry{self.random.randrange(ENTRIES)}:1", f"s{self.random.randrange(DAEMONS)}:1"]
+        self.random.shuffle(pair)
+        if self.random.random() < 0.3:
+            self.fleet.fabric.silence(*pair)
+            return
+        self.fleet.fabric.cut(*pair, both=self.random.random() < 0.5)
+        await asyncio.sleep(seconds)
+        self.fleet.fabric.heal(*pair)
+
+    async def pause(self, seconds):
+        """Pause a daemon at its next step with the table."""
+        gate = self.fleet.tables[f"s{self.random.randrange(DAEMONS)}"].gate
+        gate.clear()
+        await asyncio.sleep(seconds)
+        gate.set()
+
+    async def service_fault(self, seconds):
+        """Let a service answer late, refuse, or run calls without ever answering."""
+        faults = self.random.choice(list(self.services)).faults
+        name, value = self.random.choice(
+            (("answer_delay", seconds), ("refuse", True), ("silent", True))
+        )
+        setattr(faults, name, value)
+        await asyncio.sleep(seconds)
+        setattr(faults, name, type(value)())
+
+    async def service_death(self, seconds):
+        """Kill a service and start it again."""
+        service = self.random.choice(list(self.services))
+        if service.dead:
+            return
+        service.die()
+        await asyncio.sleep(seconds)
+        service.restart()
+
+    async def restart(self, seconds):
+        """Cut a daemon off for good and start a new one in its place.
+
+        The old one goes on with what it was sent, as after a pause.
+        """
+        name = f"s{self.random.randrange(DAEMONS)}"
+        old = self.fleet.daemons.pop(name, None)
+        if old is None:
+            return
+        self.fleet.fabric.kill(f"{name}:1")
+        old.listener = None
+        self.replaced.append(old)
+        await asyncio.sleep(seconds)
+        outside = self.fleet.services[name]
+        self.fleet.instances[:] = [one for one in self.fleet.instances if one.name != name]
+        await self.fleet.add_service(name, "records", outside=outside)
+
+    def violations(self):
+        """Return everything that contradicts the services' own logs."""
+        ran = [run for service in self.services for run in service.runs]
+        by_request = Counter(run.call_id.split("/")[1] for run in ran)
+        by_key = Counter()
+        key_of = {send.request_id: send.key or send.request_id for send in self.sends}
+        filed = {run.call_id for run in ran if run.method == "file"}
+        for call_id in filed:
+            by_key[key_of[call_id.split("/")[1]]] += 1
+        found = [f"{key} ran {count} times" for key, count in by_key.items() if count > 1]
+        for send in self.sends:
+            found.extend(self.check_send(send, by_request, by_key))
+        return found
+
+    def check_send(self, send, by_request, by_key):
+        """Yield what is wrong about one send."""
+        if isinstance(send.result, Answer):
+            if send.key and by_key[send.key] != 1:
+                yield f"{send.request_id} has an answer without a run"
+        elif send.result.outcome is Outcome.NOT_RUN and by_request[send.request_id]:
+            yield f"{send.request_id} was told not_run and ran: {send.result}"
+
+    def summary(self):
+        """Return what happened, for the log of the run."""
+        ends = Counter(outcome_of(send.result) for send in self.sends)
+        ran = sum(len(service.runs) for service in self.services)
+        return f"seed {self.seed}: {len(self.sends)} sends {dict(ends)}, {ran} runs, {self.faults}"
+
+
+def outcome_of(result):
+    """Return the word for what a caller was told."""
+    return "answer" if isinstance(result, Answer) else str(result.outcome)
+
+
+async def storm(seed, seconds):
+    """Run one storm; return it after all has ended."""
+    made = Storm(seed)
+    await made.start()
+    await made.run(seconds)
+    await made.fleet.stop()
+    for daemon in made.replaced:
+        await daemon.stop()
+    return made
