Experiments in virtual time; chunks sized from the measured time of steps

Ruled out: the engine's own budget. Change: a step's room for prompt tokens is learned from steps with and without prefill; a prompt alone gets all of it, half of it stays for others beside a long one.

--- a/packages/core/persimmonstall/placement/length_aware.py
+++ b/packages/core/persimmonstall/placement/length_aware.py
@@ -18,8 +18,8 @@
 CONTENTION = 2.0
 """Factor on the prefill of a short prompt beside a long one, which takes half of each step."""
 
-LONG_VISIT_SECONDS = 0.5
-"""Cost of taking a short prompt to an endpoint that holds a long one, in seconds."""
+OTHERS_WEIGHT = 0.3
+"""Weight of the time that a request's prefill takes from each answer under way."""
 
 MEMORY_SECONDS = 30.0
 """Cost of lacking a whole engine's memory, in seconds."""
@@ -130,10 +130,14 @@
     def score(self, state, matched, now):
         """Return the score of a placement in seconds; the lowest one wins."""
         prefill = weighted_tokens(self.uncached(matched), self.tokens) + self.ahead(state)
+        own = weighted_tokens(self.uncached(matched), self.tokens) * self.seconds_per_token
         score = prefill * self.token_seconds(state) + self.output * state.step_seconds
+        # What is prefilled while the answer is generated delays its tokens.
+        generation = self.output * state.step_seconds
+        score += min(generation, state.ahead * self.seconds_per_token)
+        # The prefill delays the tokens of every answer that is being generated.
+        score += OTHERS_WEIGHT * own * state.running
         score += 2.0 * state.delay + RUNNING_SECONDS * state.running
-        if self.short and state.long_ahead > 0.0:
-            score += LONG_VISIT_SECONDS
         lacking = self.tokens + self.output - state.memory_free
         if lacking > 0 and state.memory_total:
             score += MEMORY_SECONDS * lacking / state.memory_total
--- a/packages/core/persimmonstall/placement/queue.py
+++ b/packages/core/persimmonstall/placement/queue.py
@@ -11,28 +11,20 @@
 from ..lengths import LONG_CLASSES
 from .cost import PRIOR_STEP_SECONDS, Cost, weighted_tokens
 from .due import due_time, engine_priority
+from .steps import StepTimes
 
 STEP = "queue"
 
 MOST_WAITING = 512
 """Attempts that may wait at one endpoint."""
 
-LONG_PREFILLS = 1
-"""Long prompts that are prefilled at once: more would only delay each other."""
-
-SHORT_PREFILLS = 2
-"""Other prompts that are prefilled at once: the second one fills the step of the first's end."""
-
 SHORT_MEMORY_SHARE = 0.25
 """Share of the memory left to short work while an overdue long prompt waits for memory."""
 
 MEMORY_SHARE = 0.97
 """Share of the engine's memory that is promised to attempts."""
 
-STEP_SHARE = 0.9
-"""Share of the objective between tokens that one step may take."""
-
-LEAST_CHUNK = 128
+LEAST_CHUNK = 256
 """Smallest chunk of a prefill, in tokens."""
 
 
@@ -53,6 +45,7 @@
     long: bool
     gone: bool = False
     started: float = 0.0
+    chunk: int = 0
 
     @property
     def key(self):
@@ -77,6 +70,8 @@
         self.memory_total = 0
         self.step_seconds = PRIOR_STEP_SECONDS
         self.busy_since = 0.0
+        self.steps = StepTimes()
+        self.last_step = 0.0
 
     @abc.abstractmethod
     def offer(self, submit, cached, now):
@@ -99,7 +94,13 @@
 
     @abc.abstractmethod
     def chunk_tokens(self, waiting):
-        """Return the prompt tokens to prefill in one step."""
+        """Return the prompt tokens of `waiting` to prefill in one step; 0: none for now."""
+
+    def step_taken(self, now):
+        """Note the end of a step of the engine, and learn from its time."""
+        tokens = sum(waiting.chunk for waiting in self.prefilling.values())
+        self.steps.observe(now - self.last_step, tokens)
+        self.last_step = now
 
     def measure(self, submit, cached, now):
         """Return `Waiting` with the estimates of one attempt."""
@@ -119,6 +120,7 @@
         self.waiting.pop(waiting.key, None)
         waiting.gone = True
         waiting.started = now
+        waiting.chunk = self.chunk_tokens(waiting)
         if not self.prefilling:
             self.busy_since = now
         self.started[waiting.key] = waiting
@@ -245,7 +247,11 @@
         heads = [head for head in (self.head(self.short), self.head(self.long)) if head]
         heads.sort(key=lambda waiting: waiting.due)
         for waiting in heads:
-            if self.has_slot(waiting) and self.fits(waiting) and self.leaves_room(waiting, now):
+            if (
+                self.chunk_tokens(waiting)
+                and self.fits(waiting)
+                and self.leaves_room(waiting, now)
+            ):
                 return self.start(waiting, now)
         return None
 
@@ -255,11 +261,6 @@
             heapq.heappop(heap)
         return heap[0][2] if heap else None
 
-    def has_slot(self, waiting):
-        """Return whether another prefill of this kind may run at once."""
-        limit = LONG_PREFILLS if waiting.long else SHORT_PREFILLS
-        return sum(other.long == waiting.long for other in self.prefilling.values()) < limit
-
     def fits(self, waiting):
         """Return whether the engine's memory has room; an idle engine may always try."""
         if not self.memory_total or not self.started:
@@ -304,13 +305,22 @@
         return engine_priority(waiting.due, 0.0)
 
     def chunk_tokens(self, waiting):
-        """Return the chunk with which steps stay within the objective between tokens."""
-        most = self.settings.placing.chunk_tokens
-        if len(self.started) <= 1:
-            return most
-        budget = STEP_SHARE * self.settings.objectives.between_tokens
-        fitting = int(budget / self.cost.seconds_per_token / (SHORT_PREFILLS + LONG_PREFILLS))
-        return max(LEAST_CHUNK, min(most, fitting))
+        """Return the chunk that keeps steps within the objective between tokens.
+
+        Beside long prompts half of a step is left to the others, whose prefills come and go.
+        """
+        room = self.steps.room(self.settings.objectives.between_tokens)
+        room = max(LEAST_CHUNK, room // 2 if waiting.long or self.long_prefills() else room)
+        limit = 2 * room if waiting.long else room
+        taken = sum(
+            other.chunk for other in self.prefilling.values() if other.long == waiting.long
+        )
+        fitting = min(self.settings.placing.chunk_tokens, room, limit - taken)
+        return fitting if fitting >= LEAST_CHUNK else 0
+
+    def long_prefills(self):
+        """Return whether a long prompt is being prefilled."""
+        return any(other.long for other in self.prefilling.values())
 
 
 def make_hand_over(settings):
--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -230,7 +230,7 @@
             attempt = self.attempts[waiting.key]
             attempt.phase = Phase.STARTING
             attempt.priority = self.queue.priority(waiting)
-            attempt.chunk_tokens = self.queue.chunk_tokens(waiting)
+            attempt.chunk_tokens = waiting.chunk
             self.spawn(self.hand_over(attempt))
 
     def job_of(self, attempt):
@@ -295,6 +295,7 @@
     def on_step(self, step, _session):
         """Take one engine step and send what is new, one message for each session."""
         self.last_step = self.now()
+        self.queue.step_taken(self.last_step)
         if step.load:
             self.take_load(step.load)
         touched = []
--- /dev/null
+++ b/packages/standins/persimmonstall_standins/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on a fleet in virtual time: mixes of requests, faults and their figures."""
--- /dev/null
+++ b/packages/standins/persimmonstall_standins/experiment/figures.py
@@ -0,0 +1,109 @@
+"""Figures of a run: what the users measure, worked out from its records."""
+
+import statistics
+
+import attrs
+
+CLASSES = ("short", "medium", "long", "giant")
+FIRST_TOKEN = 0.46
+"""Objective for the first token of a short prompt, in seconds."""
+
+
+@attrs.frozen
+class Figures:
+    """Figures of one run or, as medians, of several with different seeds.
+
+    `first` maps a class to the (p50, p95, p99) of its time to first token in seconds;
+    `slowdown` is the p50 and p95 of short requests' time to the end against the same requests
+    alone, `first_slowdown` that of their first token; `goodput` is in tokens a second.
+    """
+
+    requests: float
+    first: dict
+    slowdown: tuple
+    first_slowdown: tuple
+    first_in_time: float
+    in_time: float
+    long_in_time: float
+    goodput: float
+    refused: float
+    failed: float
+    wasted: float
+    gap_p95: float
+
+
+def quantile(values, share):
+    """Return the quantile of a list by the nearest rank, 0 for an empty one.
+
+    >>> quantile([3, 1, 2], 0.5), quantile([], 0.5)
+    (2, 0.0)
+    """
+    if not values:
+        return 0.0
+    ranked = sorted(values)
+    return ranked[min(len(ranked) - 1, int(share * len(ranked)))]
+
+
+def share(part, whole):
+    """Return part / whole, 1 when there is nothing."""
+    return part / whole if whole else 1.0
+
+
+def in_time(record):
+    """Return whether a request got its whole answer within its deadline."""
+    return record.outcome == "whole" and record.end <= record.deadline + 0.1
+
+
+def figures_of(result):
+    """Return the `Figures` of one run; requests of the warm-up are left out."""
+    plan = result.plan
+    records = [record for record in result.records if record.at >= plan.warm_up]
+    whole = [record for record in records if record.outcome == "whole"]
+    refused = [record for record in records if not record.first and record.outcome != "whole"]
+    admitted = [record for record in records if record not in set(refused)]
+    long = [record for record in admitted if record.length_class in ("long", "giant")]
+    short = [record for record in whole if record.length_class == "short"]
+    shorts = [record for record in records if record.length_class == "short"]
+    good = [record for record in records if in_time(record)]
+    needed = sum(r.tokens - r.cached for r in result.records if r.outcome == "whole")
+    first = {
+        kind: tuple(
+            quantile([r.first for r in whole if r.length_class == kind], part)
+            for part in (0.5, 0.95, 0.99)
+        )
+        for kind in CLASSES
+    }
+    slowdowns = [record.end / record.alone_end for record in short]
+    firsts = [record.first / record.alone_first for record in short]
+    quick = [record for record in short if record.first <= FIRST_TOKEN]
+    return Figures(
+        requests=len(records),
+        first=first,
+        slowdown=(quantile(slowdowns, 0.5), quantile(slowdowns, 0.95)),
+        first_slowdown=(quantile(firsts, 0.5), quantile(firsts, 0.95)),
+        first_in_time=share(len(quick), len(shorts)),
+        in_time=share(len([r for r in admitted if in_time(r)]), len(admitted)),
+        long_in_time=share(len([r for r in long if in_time(r)]), len(long)),
+        goodput=sum(record.tokens + record.count for record in good) / plan.seconds,
+        refused=share(len(refused), len(records)) if records else 0.0,
+        failed=share(len(admitted) - len(whole), len(records)) if records else 0.0,
+        wasted=max(0.0, 1.0 - share(needed, result.prefilled)),
+        gap_p95=gap_quantile(result.gaps, 0.95),
+    )
+
+
+def gap_quantile(gaps, part):
+    """Return a quantile of the times between tokens in milliseconds."""
+    total = sum(gaps.values())
+    seen = 0
+    for gap in sorted(gaps):
+        seen += gaps[gap]
+        if seen >= part * total:
+            return float(gap)
+    return 0.0
+
+
+def summary(several, value):
+    """Return (median, lowest, highest) of `value(figures)` over several runs."""
+    values = [value(figures) for figures in several]
+    return statistics.median(values), min(values), max(values)
--- /dev/null
+++ b/packages/standins/persimmonstall_standins/experiment/mix.py
@@ -0,0 +1,202 @@
+"""Mixes of requests as the two users send them, drawn from a seed.
+
+Lengths are in tokens, times in seconds.
+"""
+
+import math
+from random import Random
+
+import attrs
+from persimmonstall.lengths import LengthClass, classify
+from persimmonstall.settings import Settings
+
+from ..engine_state import EngineSettings
+from ..output import natural_length, seed_of
+
+LONG_SHARE = 0.02
+"""Share of prompts that are longer than `LONG_TOKENS`."""
+
+LONG_TOKENS = 100_000
+SHORTEST = 1_000
+LONG_SHARE_DEVIATIONS = 2.0537
+"""Standard normal quantile of 1 - LONG_SHARE."""
+
+ORGANISATION_WEIGHTS = (30, 22, 14, 8, 6, 5, 5, 4, 3, 3)
+"""Shares of the ten organisations: a few are large."""
+
+PREFIX_BLOCKS = 1
+"""Blocks of the instructions that the requests of an organisation share."""
+
+PREFIX_SHARE = 0.5
+"""Share of requests that begin with their organisation's instructions."""
+
+REPEAT_SHARE = 0.15
+"""Share of requests that ask something more about a recent prompt."""
+
+RECENT = 50
+"""Prompts that may be asked about again."""
+
+TOKEN_BYTES = 4
+QUESTION_TOKENS = 64
+
+
+@attrs.frozen
+class Mix:
+    """One user's load: the median prompt, its asks, deadlines by class and network delays.
+
+    `remote_delay` is one way between data centres, `client_delay` one way to the callers.
+    """
+
+    name: str
+    median: int
+    asked: int
+    deadlines: dict
+    remote_delay: float
+    client_delay: float
+
+
+CAIRO = Mix(
+    "cairo",
+    median=5_000,
+    asked=8_192,
+    deadlines={"short": 20.0, "medium": 60.0, "long": 150.0, "giant": 300.0},
+    remote_delay=0.0005,
+    client_delay=0.003,
+)
+"""Nilerecord in Cairo: summaries, reconciliations and gazettes."""
+
+AMMAN = Mix(
+    "amman",
+    median=2_500,
+    asked=4_096,
+    deadlines={"short": 12.0, "medium": 40.0, "long": 150.0, "giant": 300.0},
+    remote_delay=0.0015,
+    client_delay=0.001,
+)
+"""Tarabeesh in Amman: short replies, garages' notes and fleet contracts."""
+
+MIXES = {mix.name: mix for mix in (CAIRO, AMMAN)}
+
+
+@attrs.frozen
+class Arrival:
+    """One request of a trace; `fresh` are the tokens that no earlier prompt shares."""
+
+    number: int
+    at: float
+    organisation: int
+    tokens: int
+    fresh: int
+    prompt: object
+    asked: int
+    deadline: float
+    length_class: LengthClass
+    output: int
+
+
+@attrs.frozen
+class Prompt:
+    """Recipe of a prompt, so that the bytes exist only while the request runs."""
+
+    prefix: int
+    body: int
+    tokens: int
+    question: int = 0
+
+    def make(self):
+        """Return the prompt's bytes: shared instructions, the text, and a question."""
+        block = EngineSettings().block * TOKEN_BYTES
+        head = b"" if self.prefix < 0 else f"o{self.prefix:07d}".encode() * (block // 8)
+        text = f"{self.body:08d}".encode() * (self.tokens * TOKEN_BYTES // 8)
+        whole = (head + text)[: self.tokens * TOKEN_BYTES]
+        if self.question:
+            whole += f"q{self.question:07d}".encode() * (QUESTION_TOKENS * TOKEN_BYTES // 8)
+        return whole
+
+
+def cost_of(fresh, tokens, output, engine, objective):
+    """Return the engine time of a request at full load, in seconds.
+
+    At full load every engine runs steps as long as the `objective` between tokens allows;
+    the part of each step that is not its base carries prefill and streams.
+    """
+    start = tokens - fresh
+    prefill = fresh / engine.prefill_rate
+    prefill += engine.attention_cost * (tokens**2 - start**2) / 2
+    carried = prefill + output * engine.stream_step
+    return carried / (1.0 - engine.base_step / objective)
+
+
+def alone_seconds(tokens, output, engine):
+    """Return (time to first token, time to the end) of a request alone on an idle engine."""
+    first = engine.latency
+    position = 0
+    while position < tokens:
+        take = min(engine.chunk_tokens, tokens - position)
+        first += engine.base_step + take / engine.prefill_rate
+        first += engine.attention_cost * take * (position + take / 2)
+        position += take
+    return first, first + (output - 1) * (engine.base_step + engine.stream_step)
+
+
+def draw_length(random, median, longest):
+    """Return a prompt length: log-normal, with `LONG_SHARE` over `LONG_TOKENS`."""
+    sigma = math.log(LONG_TOKENS / median) / LONG_SHARE_DEVIATIONS
+    while True:
+        tokens = int(random.lognormvariate(math.log(median), sigma))
+        if SHORTEST <= tokens <= longest:
+            return tokens
+
+
+def draw_prompt(random, number, organisation, mix, longest, recent):
+    """Return the `Prompt` of one request and its fresh tokens."""
+    if recent and random.random() < REPEAT_SHARE:
+        again = random.choice(recent)
+        prompt = attrs.evolve(again, question=number + 1)
+        return prompt, QUESTION_TOKENS + again.tokens % EngineSettings().block
+    prefix = organisation if random.random() < PREFIX_SHARE else -1
+    prompt = Prompt(prefix, number, draw_length(random, mix.median, longest))
+    shared = PREFIX_BLOCKS * EngineSettings().block if prefix >= 0 else 0
+    return prompt, max(1, prompt.tokens - shared)
+
+
+def make_trace(mix, seed, seconds, load, engines, longest):
+    """Return the `Arrival`s of `seconds` at `load` (1.0 is full) on `engines` engines."""
+    random = Random(f"{seed}/{mix.name}")
+    engine = EngineSettings()
+    settings = Settings()
+    recent = []
+    drawn = []
+    total = 0.0
+    needed = load * engines * seconds
+    while total < needed:
+        number = len(drawn)
+        weights = ORGANISATION_WEIGHTS
+        organisation = random.choices(range(len(weights)), weights)[0]
+        prompt, fresh = draw_prompt(random, number, organisation, mix, longest, recent)
+        recent = [*recent[-RECENT:], attrs.evolve(prompt, question=0)]
+        tokens = prompt.tokens + (QUESTION_TOKENS if prompt.question else 0)
+        output = min(mix.asked, natural_length(seed_of("m", "", prompt.make())))
+        total += cost_of(fresh, tokens, output, engine, settings.objectives.between_tokens)
+        drawn.append((organisation, prompt, tokens, fresh, output))
+    times = sorted(random.random() * seconds for _ in drawn)
+    arrivals = []
+    for number, (at, item) in enumerate(zip(times, drawn, strict=True)):
+        organisation, prompt, tokens, fresh, output = item
+        kind = classify(tokens, settings.lengths)
+        deadline = mix.deadlines[kind]
+        arrivals.append(
+            Arrival(
+                number,
+                at,
+                organisation,
+                tokens,
+                fresh,
+                prompt,
+                mix.asked,
+                deadline,
+                kind,
+                output,
+            )
+        )
+    return arrivals
