Keep part of the endpoints for short prompts; estimate times from the mean use

Cause: at 85 percent load short prompts shared every engine with medium and long prefills, and admission judged times by the 0.9 quantile of the output, so that requests which would have ended in time were refused. Change: 30 percent of the endpoints (short_share) are kept for short prompts, others go there only when it gains 5 s; times use the mean, memory the quantile.

--- a/packages/core/persimmonstall/placement/length_aware.py
+++ b/packages/core/persimmonstall/placement/length_aware.py
@@ -7,6 +7,7 @@
 from ..lengths import LONG_CLASSES, LengthClass
 from .cost import weighted_tokens
 from .policy import Placed, Policy, no_endpoint
+from .prediction import EXPECTED_SHARE
 from .view import WARM_SECONDS
 
 MOST_SCORED = 24
@@ -21,6 +22,9 @@
 OTHERS_WEIGHT = 0.3
 """Weight of the time that a request's prefill takes from each answer under way."""
 
+KEPT_SECONDS = 5.0
+"""Cost of taking another than a short prompt to an endpoint kept for short ones, in seconds."""
+
 MEMORY_SECONDS = 30.0
 """Cost of lacking a whole engine's memory, in seconds."""
 
@@ -57,6 +61,8 @@
             if state.name in avoid or not state.slowness.may_use(now):
                 continue
             score = sized.score(state, matches.get(state.name, 0), now)
+            if not sized.short and state in pool.kept:
+                score += KEPT_SECONDS
             score *= 1.0 + JITTER * random.random()
             if score < best_score:
                 best = state
@@ -96,7 +102,7 @@
     long: bool
     short: bool
     tokens: int
-    output: int
+    output: float
     block: int
     seconds_per_token: float
 
@@ -108,7 +114,7 @@
             long,
             work.length_class == LengthClass.SHORT,
             work.prompt_tokens,
-            work.predicted_tokens,
+            EXPECTED_SHARE * work.predicted_tokens,
             view.settings.lengths.block,
             view.cost(work.model).seconds_per_token,
         )
@@ -138,7 +144,7 @@
         # The prefill delays the tokens of every answer that is being generated.
         score += OTHERS_WEIGHT * own * state.running
         score += 2.0 * state.delay + RUNNING_SECONDS * state.running
-        lacking = self.tokens + self.output - state.memory_free
+        lacking = self.tokens + self.work.predicted_tokens - state.memory_free
         if lacking > 0 and state.memory_total:
             score += MEMORY_SECONDS * lacking / state.memory_total
         if now < state.warm_at:
--- a/packages/core/persimmonstall/placement/prediction.py
+++ b/packages/core/persimmonstall/placement/prediction.py
@@ -27,6 +27,9 @@
 COLD_TOKENS = 256
 """Prediction before anything is known, as callers ask for far more than they use."""
 
+EXPECTED_SHARE = 0.6
+"""Mean use as a share of the predicted quantile; times are estimated from the mean."""
+
 QUANTILE = 0.9
 """Share of requests whose use should be at most the prediction."""
 
--- a/packages/core/persimmonstall/placement/queue.py
+++ b/packages/core/persimmonstall/placement/queue.py
@@ -11,6 +11,7 @@
 from ..lengths import LONG_CLASSES
 from .cost import PRIOR_STEP_SECONDS, Cost, weighted_tokens
 from .due import due_time, engine_priority
+from .prediction import EXPECTED_SHARE
 from .steps import StepTimes
 
 STEP = "queue"
@@ -108,7 +109,7 @@
         tokens = weighted_tokens(uncached, submit.prompt_tokens)
         left = max(1, submit.predicted_tokens - len(submit.relayed))
         prefill = tokens * self.cost.seconds_per_token
-        decode = left * self.step_seconds
+        decode = EXPECTED_SHARE * left * self.step_seconds
         deadline = now + submit.remaining
         due = due_time(now, prefill, deadline - decode, submit.priority)
         memory = submit.prompt_tokens + submit.predicted_tokens
--- a/packages/core/persimmonstall/settings/schema.py
+++ b/packages/core/persimmonstall/settings/schema.py
@@ -100,6 +100,9 @@
     long_share: float = option(
         0.6, "Share of endpoints that long prompts may hold.", low=0, high=1
     )
+    short_share: float = option(
+        0.3, "Share of endpoints that are kept for short prompts.", low=0, high=1
+    )
 
 
 @attrs.define
--- a/packages/core/tests/test_limits.py
+++ b/packages/core/tests/test_limits.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import pytest
+
 from persimmonstall.catalogue.records import Organisation
 from persimmonstall.invariants import Invariants
 from persimmonstall.limits import FairShare, Keeper, Limiter
--- a/packages/core/tests/test_membership.py
+++ b/packages/core/tests/test_membership.py
@@ -1,6 +1,7 @@
 from collections import Counter
 
 import pytest
+
 from persimmonstall.invariants import Invariants
 from persimmonstall.membership import View, subset_of
 from persimmonstall.membership.subset import assign
--- a/packages/core/tests/test_memory_ledger.py
+++ b/packages/core/tests/test_memory_ledger.py
@@ -3,6 +3,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+
 from persimmonstall.invariants import Invariants
 from persimmonstall.memory import parking
 from persimmonstall.memory.ledger import Holding, Ledger, Use
