--- a/packages/core/persimmonstall/placement/length_aware.py
+++ b/packages/core/persimmonstall/placement/length_aware.py
@@ -7,6 +7,7 @@
 from ..lengths import LONG_CLASSES, LengthClass
 from .cost import weighted_tokens
 from .policy import Placed, Policy, no_endpoint
+from .prediction import EXPECTED_SHARE
 from .view import WARM_SECONDS
 
 MOST_SCORED = 24
@@ -18,8 +19,11 @@
 CONTENTION = 2.0
 """Factor on the prefill of a short prompt beside a long one, which takes half of each step."""
 
-LONG_VISIT_SECONDS = 0.5
-"""Cost of taking a short prompt to an endpoint that holds a long one, in seconds."""
+OTHERS_WEIGHT = 0.3
+"""Weight of the time that a request's prefill takes from each answer under way."""
+
+KEPT_SECONDS = 5.0
+"""Cost of taking another than a short prompt to an endpoint kept for short ones, in seconds."""
 
 MEMORY_SECONDS = 30.0
 """Cost of lacking a whole engine's memory, in seconds."""
@@ -57,6 +61,8 @@
             if state.name in avoid or not state.slowness.may_use(now):
                 continue
             score = sized.score(state, matches.get(state.name, 0), now)
+            if not sized.short and state in pool.kept:
+                score += KEPT_SECONDS
             score *= 1.0 + JITTER * random.random()
             if score < best_score:
                 best = state
@@ -96,7 +102,7 @@
     long: bool
     short: bool
     tokens: int
-    output: int
+    output: float
     block: int
     seconds_per_token: float
 
@@ -108,7 +114,7 @@
             long,
             work.length_class == LengthClass.SHORT,
             work.prompt_tokens,
-            work.predicted_tokens,
+            EXPECTED_SHARE * work.predicted_tokens,
             view.settings.lengths.block,
             view.cost(work.model).seconds_per_token,
         )
@@ -130,11 +136,15 @@
     def score(self, state, matched, now):
         """Return the score of a placement in seconds; the lowest one wins."""
         prefill = weighted_tokens(self.uncached(matched), self.tokens) + self.ahead(state)
+        own = weighted_tokens(self.uncached(matched), self.tokens) * self.seconds_per_token
         score = prefill * self.token_seconds(state) + self.output * state.step_seconds
+        # What is prefilled while the answer is generated delays its tokens.
+        generation = self.output * state.step_seconds
+        score += min(generation, state.ahead * self.seconds_per_token)
+        # The prefill delays the tokens of every answer that is being generated.
+        score += OTHERS_WEIGHT * own * state.running
         score += 2.0 * state.delay + RUNNING_SECONDS * state.running
-        if self.short and state.long_ahead > 0.0:
-            score += LONG_VISIT_SECONDS
-        lacking = self.tokens + self.output - state.memory_free
+        lacking = self.tokens + self.work.predicted_tokens - state.memory_free
         if lacking > 0 and state.memory_total:
             score += MEMORY_SECONDS * lacking / state.memory_total
         if now < state.warm_at:
