--- a/packages/core/persimmonstall/placement/cost.py
+++ b/packages/core/persimmonstall/placement/cost.py
@@ -30,7 +30,7 @@
 
 @attrs.define
 class Cost:
-    """Prefill speed of the fleet as seen in first tokens; one for each model.
+    """Prefill speed of one engine under its load, measured where it runs.
 
     >>> cost = Cost()
     >>> cost.observe(50_000.0, 10.0)
@@ -50,7 +50,3 @@
             self.tokens *= 0.5
             self.seconds *= 0.5
         self.seconds_per_token = self.seconds / self.tokens
-
-    def prefill(self, uncached, prompt_tokens):
-        """Return the seconds that an otherwise idle engine needs to the first token."""
-        return weighted_tokens(uncached, prompt_tokens) * self.seconds_per_token
--- a/packages/core/persimmonstall/placement/policy.py
+++ b/packages/core/persimmonstall/placement/policy.py
@@ -5,6 +5,7 @@
 import attrs
 
 from ..failures import Failure, Reason
+from .cost import weighted_tokens
 
 STEP = "place"
 
@@ -54,9 +55,8 @@
 
 def plainly(work, view, state):
     """Return `Placed` at `state` with no regard to prefix caches."""
-    cost = view.cost(work.model)
-    expected = cost.prefill(work.prompt_tokens, work.prompt_tokens)
-    wait = state.ahead * cost.seconds_per_token
+    expected = weighted_tokens(work.prompt_tokens, work.prompt_tokens) * state.token_seconds
+    wait = state.ahead * state.token_seconds
     service = expected + work.predicted_tokens * state.step_seconds
     return Placed(
         state.name,
--- a/packages/core/persimmonstall/placement/queue.py
+++ b/packages/core/persimmonstall/placement/queue.py
@@ -8,7 +8,8 @@
 import attrs
 
 from ..failures import Failure, Reason
-from ..lengths import LONG_CLASSES
+from ..lengths import LONG_CLASSES, LengthClass
+from ..memory.spans import prompt_span, tokens_of
 from .cost import PRIOR_STEP_SECONDS, Cost, weighted_tokens
 from .due import due_time, engine_priority
 from .prediction import EXPECTED_SHARE
@@ -25,7 +26,12 @@
 MEMORY_SHARE = 0.97
 """Share of the engine's memory that is promised to attempts."""
 
-LEAST_CHUNK = 256
+LONG_PART = 0.6
+MEDIUM_PART = 0.5
+SHORT_PART = 0.5
+"""Parts of a step's room for prompt tokens that one prompt of a class may take."""
+
+LEAST_CHUNK = 128
 """Smallest chunk of a prefill, in tokens."""
 
 
@@ -58,7 +64,8 @@
     """Attempts that wait for one engine, and those that it prefills.
 
     `settings` are the whole settings; `step_seconds` and `memory_total` are kept up to date
-    by the owner from the engine's reports.
+    by the owner from the engine's reports, and its memory ledger is asked by `has_room`
+    whether a waiting attempt fits.
     """
 
     def __init__(self, settings):
@@ -73,6 +80,7 @@
         self.busy_since = 0.0
         self.steps = StepTimes()
         self.last_step = 0.0
+        self.has_room = self.room_by_promises
 
     @abc.abstractmethod
     def offer(self, submit, cached, now):
@@ -105,14 +113,15 @@
 
     def measure(self, submit, cached, now):
         """Return `Waiting` with the estimates of one attempt."""
-        uncached = max(1, submit.prompt_tokens - cached)
-        tokens = weighted_tokens(uncached, submit.prompt_tokens)
+        start, end = prompt_span(submit)
+        uncached = max(1, end - max(start, cached))
+        tokens = weighted_tokens(uncached, end)
         left = max(1, submit.predicted_tokens - len(submit.relayed))
         prefill = tokens * self.cost.seconds_per_token
         decode = EXPECTED_SHARE * left * self.step_seconds
         deadline = now + submit.remaining
         due = due_time(now, prefill, deadline - decode, submit.priority)
-        memory = submit.prompt_tokens + submit.predicted_tokens
+        memory = tokens_of(submit)
         long = submit.length_class in LONG_CLASSES
         return Waiting(submit, now, deadline, prefill + decode, tokens, memory, due, long)
 
@@ -164,9 +173,11 @@
         done = (now - waiting.started) / self.cost.seconds_per_token
         return max(0.1 * waiting.tokens, waiting.tokens - done)
 
-    def memory_promised(self):
-        """Return the memory of all attempts here, waiting ones included, in tokens."""
-        return self.held + sum(waiting.memory for waiting in self.waiting.values())
+    def room_by_promises(self, waiting):
+        """Return whether what was promised leaves room; an idle engine may always try."""
+        if not self.memory_total or not self.started:
+            return True
+        return self.held + waiting.memory <= MEMORY_SHARE * self.memory_total
 
 
 class FirstCome(HandOver):
@@ -263,10 +274,8 @@
         return heap[0][2] if heap else None
 
     def fits(self, waiting):
-        """Return whether the engine's memory has room; an idle engine may always try."""
-        if not self.memory_total or not self.started:
-            return True
-        return self.held + waiting.memory <= MEMORY_SHARE * self.memory_total
+        """Return whether the engine's memory has room."""
+        return self.has_room(waiting)
 
     def leaves_room(self, waiting, now):
         """Return whether `waiting` does not take the memory that an overdue long prompt needs."""
@@ -306,22 +315,28 @@
         return engine_priority(waiting.due, 0.0)
 
     def chunk_tokens(self, waiting):
-        """Return the chunk that keeps steps within the objective between tokens.
+        """Return the chunk that keeps steps near the objective between tokens, 0 for no slot.
 
-        Beside long prompts half of a step is left to the others, whose prefills come and go.
+        Each class has its own part of a step, so that no class waits for the end of another's
+        prefill; a class alone may take more.
         """
-        room = self.steps.room(self.settings.objectives.between_tokens)
-        room = max(LEAST_CHUNK, room // 2 if waiting.long or self.long_prefills() else room)
-        limit = 2 * room if waiting.long else room
-        taken = sum(
-            other.chunk for other in self.prefilling.values() if other.long == waiting.long
-        )
-        fitting = min(self.settings.placing.chunk_tokens, room, limit - taken)
-        return fitting if fitting >= LEAST_CHUNK else 0
-
-    def long_prefills(self):
-        """Return whether a long prompt is being prefilled."""
-        return any(other.long for other in self.prefilling.values())
+        room = max(LEAST_CHUNK, self.steps.room(self.settings.objectives.between_tokens))
+        kind = waiting.submit.length_class
+        taken = {other.submit.length_class for other in self.prefilling.values()}
+        if waiting.long:
+            part = 0 if taken & LONG_CLASSES else LONG_PART
+        elif kind == LengthClass.MEDIUM:
+            part = self.part_of(kind, MEDIUM_PART, bool(taken & LONG_CLASSES))
+        else:
+            part = self.part_of(kind, SHORT_PART, bool(taken - {LengthClass.SHORT}))
+        chunk = min(self.settings.placing.chunk_tokens, int(part * room))
+        return chunk if chunk >= LEAST_CHUNK else 0
+
+    def part_of(self, kind, part, shared):
+        """Return the part of a step for one more prompt of a class, alone or in a shared step."""
+        running = sum(other.submit.length_class == kind for other in self.prefilling.values())
+        most = 1 if shared else 2
+        return part if running < most else 0
 
 
 def make_hand_over(settings):
--- a/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
@@ -11,28 +11,37 @@
 
 STEP = "endpoint"
 DRAIN_POLL_SECONDS = 0.05
+FLUSH_SECONDS = 1.0
 
 
 class EndpointDaemon:
     """Owns the sessions with entries and one backend task for each endpoint.
 
-    `network` opens the port, `context` gives clock and random source, `metrics` counts.
+    `network` opens the port, `context` gives clock and random source, `metrics` counts,
+    `follower` holds the catalogue.
     """
 
-    def __init__(self, settings, network, context, metrics, strict=False):
+    def __init__(self, settings, network, context, metrics, follower, strict=False):
         self.settings = settings
         self.network = network
         self.context = context
         self.metrics = metrics
+        self.follower = follower
         self.invariants = Invariants(strict, metrics.violation)
         self.run_id = uuid.UUID(int=context.random.getrandbits(128)).hex
+        self.stopping = False
         self.backends = {}
         self.sessions = set()
         self.owners = {}
-        self.version = 0
+        self.controls = {}
         self.listener = None
         self.tasks = []
 
+    @property
+    def version(self):
+        """The version of the catalogue in force here."""
+        return self.follower.version
+
     def add(self, backend):
         """Front one more endpoint; call before `start`."""
         self.backends[backend.name] = backend
@@ -75,9 +84,17 @@
 
     def heard(self, version, session):
         """Note the catalogue version that a peer has."""
+        self.follower.heard(version, session.name)
 
     def control(self, message, session):
-        """Handle a message that concerns no attempt."""
+        """Hand a message that concerns no attempt to its handler in `controls`."""
+        handler = self.controls.get(type(message))
+        if handler:
+            handler(message, session)
+
+    def linked(self):
+        """Return the sessions whose entry has introduced itself."""
+        return [session for session in self.sessions if session.name]
 
     def broadcast(self, message):
         """Send `message` to every entry that is connected."""
@@ -113,10 +130,15 @@
         attempt = getattr(message, "attempt", 0)
         return requests.Refused(request_id, attempt, reason, STEP, peer, outcome)
 
-    async def drain(self):
-        """Take no new work and wait until every attempt has ended and was sent."""
+    def leave(self):
+        """Take no new work from now on and tell the entries."""
+        self.stopping = True
         for backend in self.backends.values():
             self.broadcast(backend.leave())
+
+    async def drain(self):
+        """Take no new work and wait until every attempt has ended and was sent."""
+        self.leave()
         while any(backend.busy() for backend in self.backends.values()):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
@@ -125,5 +147,8 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        for session in list(self.sessions):
+            await session.link.flush(FLUSH_SECONDS)
+            await session.link.close()
         if self.listener:
             await self.listener.close()
--- a/packages/daemon/persimmonstall_daemon/entry/pipeline.py
+++ b/packages/daemon/persimmonstall_daemon/entry/pipeline.py
@@ -8,6 +8,7 @@
 
 from .filters.authenticate import Authenticate
 from .filters.classify import Classify
+from .filters.limits import Limits
 from .filters.predict import Predict
 
 
@@ -17,6 +18,7 @@
         Authenticate(parts),
         Classify(parts),
         Predict(parts),
+        Limits(parts),
     )
 
 
--- a/packages/daemon/persimmonstall_daemon/roles.py
+++ b/packages/daemon/persimmonstall_daemon/roles.py
@@ -8,17 +8,22 @@
 import aiomisc
 
 from persimmonstall.clock import Context
-from persimmonstall.outside.instances import Instance, InstanceState
+from persimmonstall.invariants import Invariants
 
 from .adapters.connect import connect_engine, connect_platform
 from .adapters.vocabulary import ByteVocabulary
-from .catalogue.follower import CatalogueFollower
-from .catalogue.peers import NoPeers
+from .admin.entry_view import EntryView
+from .admin.server import AdminServer
+from .admin.state import Administration
+from .catalogue import CatalogueFollower, CatalogueStore
+from .catalogue.compaction import CatalogueCompactor
+from .catalogue.sync import LinkedPeers
 from .endpoint.daemon import EndpointDaemon
 from .endpoint.engine_backend import EngineBackend
 from .entry.daemon import EntryDaemon
 from .entry.http.server import HttpServer
 from .entry.policy_placer import PolicyPlacer
+from .membership import Leaving, Membership
 from .network import GrpcNetwork
 from .observe import logs
 from .observe.metrics import Metrics
@@ -33,7 +38,7 @@
         super().__init__()
         self.settings = settings
         seed = settings.daemon.seed or None
-        self.context = Context(random=random.Random(seed))
+        self.clock = Context(random=random.Random(seed))
         self.metrics = Metrics(settings)
         self.network = GrpcNetwork(settings.security)
         self.drained = asyncio.Event()
@@ -53,6 +58,23 @@
         await self.start_role()
         LOG.info("started", address=self.settings.daemon.address)
 
+    def make_follower(self, linked):
+        """Make the catalogue's follower; `linked()` returns the peers with open links."""
+        self.peers = LinkedPeers(self.settings, self.clock, linked)
+        self.follower = CatalogueFollower(
+            self.settings,
+            self.platform.table,
+            self.platform.objects,
+            self.clock,
+            self.peers,
+            Invariants(on_violation=self.metrics.violation),
+        )
+
+    def follow(self, controls):
+        """Start following; peers' messages arrive through `controls`."""
+        self.peers.register(self.follower, controls)
+        self.spawn(self.follower.run())
+
     def begin_drain(self):
         """Start the graceful shutdown; a second signal changes nothing."""
         if self.draining is None:
@@ -91,38 +113,44 @@
     async def start_role(self):
         """Start the catalogue, the links and the HTTP port."""
         self.platform = connect_platform(self.settings.platform)
-        self.follower = CatalogueFollower(
-            self.settings, self.platform.table, self.platform.objects, self.context, NoPeers()
-        )
-        self.spawn(self.follower.run())
+        self.make_follower(lambda: self.entry.links.linked())
         self.entry = EntryDaemon(
             self.settings,
             self.network,
-            self.context,
+            self.clock,
             self.metrics,
             self.follower,
-            PolicyPlacer(self.settings, self.context),
+            PolicyPlacer(self.settings, self.clock),
             ByteVocabulary(self.settings.callers.token_bytes),
+            self.platform.instances,
         )
-        self.spawn(self.watch_instances())
+        self.follow(self.entry.controls)
+        await self.entry.start()
+        self.spawn(self.entry.membership.run())
+        self.spawn(self.entry.tick())
         self.http = HttpServer(self.entry)
         await self.http.start()
-
-    async def watch_instances(self):
-        """Keep links to the endpoint instances of the platform's list."""
-        platform = self.settings.platform
-        while True:
-            found = await self.platform.instances.list(platform.timeout)
-            if found:
-                self.entry.links.set([one for one in found if one.role == "endpoint"])
-            await asyncio.sleep(self.context.jitter(platform.list_poll))
+        self.admin = AdminServer(self.administration())
+        await self.admin.start()
+
+    def administration(self):
+        """Return what the operators' port works on; it alone writes the catalogue."""
+        platform = self.platform
+        store = CatalogueStore(self.settings, platform.table, self.clock, self.follower)
+        compactor = CatalogueCompactor(
+            self.settings, platform.table, platform.objects, self.follower
+        )
+        self.spawn(compactor.run())
+        view = EntryView(self.entry)
+        return Administration(self.settings, self.clock, self.follower, store, view)
 
     async def drain_role(self):
         """Let all requests end while the readiness check fails."""
         await self.entry.drain()
 
     async def stop_role(self):
-        """Close the HTTP port and the links."""
+        """Close the ports and the links."""
+        await self.admin.stop()
         await self.http.stop()
         await self.entry.stop()
         await self.platform.close()
@@ -134,11 +162,25 @@
     async def start_role(self):
         """Connect to the back ends and listen for entries."""
         self.platform = connect_platform(self.settings.platform)
-        self.daemon = EndpointDaemon(self.settings, self.network, self.context, self.metrics)
+        self.make_follower(lambda: self.daemon.linked())
+        self.daemon = EndpointDaemon(
+            self.settings, self.network, self.clock, self.metrics, self.follower
+        )
+        self.follow(self.daemon.controls)
         for served in self.settings.endpoints.serves:
             self.daemon.add(self.backend(served))
         await self.daemon.start()
-        self.spawn(self.register())
+        self.membership = Membership(
+            self.settings,
+            self.clock,
+            self.daemon.invariants,
+            self.metrics,
+            self.platform.instances,
+            self.daemon.backends,
+        )
+        leaving = Leaving(self.daemon, self.membership)
+        self.membership.subscribe(leaving.update)
+        self.spawn(self.membership.run())
 
     def backend(self, served):
         """Return the backend of one `name=engine@URL` setting."""
@@ -146,27 +188,10 @@
         _kind, _, url = rest.partition("@")
         return EngineBackend(name, connect_engine(url, name), self.daemon)
 
-    async def register(self):
-        """Announce this instance to the platform's list until the daemon stops."""
-        daemon = self.settings.daemon
-        names = tuple(self.daemon.backends)
-        while True:
-            state = InstanceState.LEAVING if self.draining else InstanceState.LIVE
-            instance = Instance(
-                daemon.instance,
-                daemon.role,
-                daemon.address,
-                daemon.data_centre,
-                daemon.region,
-                state,
-                names,
-            )
-            platform = self.settings.platform
-            await self.platform.instances.register(instance, platform.timeout)
-            await asyncio.sleep(self.context.jitter(platform.list_poll))
-
     async def drain_role(self):
         """Take no new work and let all streams end."""
+        self.daemon.leave()
+        await self.membership.leave()
         await self.daemon.drain()
 
     async def stop_role(self):
--- a/packages/standins/persimmonstall_standins/experiment/run.py
+++ b/packages/standins/persimmonstall_standins/experiment/run.py
@@ -58,6 +58,7 @@
     count: int = 0
     cached: int = 0
     attempts: int = 0
+    endpoint: str = ""
 
 
 @attrs.frozen
@@ -215,6 +216,7 @@
                 outcome.count if whole else 0,
                 outcome.cached if whole else 0,
                 outcome.attempts if whole else 0,
+                outcome.endpoint if whole else "",
             )
         )
 
