--- a/packages/core/persimmonstall/placement/length_aware.py
+++ b/packages/core/persimmonstall/placement/length_aware.py
@@ -22,7 +22,7 @@
 OTHERS_WEIGHT = 0.3
 """Weight of the time that a request's prefill takes from each answer under way."""
 
-KEPT_SECONDS = 5.0
+KEPT_SECONDS = 15.0
 """Cost of taking another than a short prompt to an endpoint kept for short ones, in seconds."""
 
 MEMORY_SECONDS = 30.0
@@ -104,7 +104,6 @@
     tokens: int
     output: float
     block: int
-    seconds_per_token: float
 
     @classmethod
     def of(cls, work, view, long):
@@ -116,7 +115,6 @@
             work.prompt_tokens,
             EXPECTED_SHARE * work.predicted_tokens,
             view.settings.lengths.block,
-            view.cost(work.model).seconds_per_token,
         )
 
     def uncached(self, matched):
@@ -130,17 +128,17 @@
     def token_seconds(self, state):
         """Return the time of one prompt token, longer beside a long prefill."""
         if self.long or state.long_ahead <= 0.0:
-            return self.seconds_per_token
-        return CONTENTION * self.seconds_per_token
+            return state.token_seconds
+        return CONTENTION * state.token_seconds
 
     def score(self, state, matched, now):
         """Return the score of a placement in seconds; the lowest one wins."""
         prefill = weighted_tokens(self.uncached(matched), self.tokens) + self.ahead(state)
-        own = weighted_tokens(self.uncached(matched), self.tokens) * self.seconds_per_token
+        own = weighted_tokens(self.uncached(matched), self.tokens) * state.token_seconds
         score = prefill * self.token_seconds(state) + self.output * state.step_seconds
         # What is prefilled while the answer is generated delays its tokens.
         generation = self.output * state.step_seconds
-        score += min(generation, state.ahead * self.seconds_per_token)
+        score += min(generation, state.ahead * state.token_seconds)
         # The prefill delays the tokens of every answer that is being generated.
         score += OTHERS_WEIGHT * own * state.running
         score += 2.0 * state.delay + RUNNING_SECONDS * state.running
