Endpoints that were not tried yet are tried; being faster than expected is no merit

Cause: with light load one of three endpoints got every request: an endpoint whose first answers came faster than the estimate scored up to 22% better, and one that never ran was assumed to step at 20 ms against 15 ms measured elsewhere, so that it was never tried. Ruled out: more random jitter, which blurs the choice under load. Change: the slowness factor never goes below 1; an untried endpoint counts as fast.

--- a/packages/core/persimmonstall/placement/length_aware.py
+++ b/packages/core/persimmonstall/placement/length_aware.py
@@ -147,7 +147,9 @@
             score += MEMORY_SECONDS * lacking / state.memory_total
         if now < state.warm_at:
             score *= 1.0 + COLD_FACTOR * (state.warm_at - now) / WARM_SECONDS
-        return score * state.slowness.ratio
+        # Being faster than expected is no reason to prefer an endpoint: the others would never
+        # be tried, and their estimates never corrected.
+        return score * max(1.0, state.slowness.ratio)
 
     def placed(self, state, matched):
         """Return `Placed` at `state` with the estimated times there."""
--- a/packages/core/persimmonstall/placement/view.py
+++ b/packages/core/persimmonstall/placement/view.py
@@ -14,6 +14,9 @@
 from .prefix import PrefixMap
 from .slow import Slowness
 
+UNTRIED_STEP_SECONDS = PRIOR_STEP_SECONDS / 2
+"""Step time assumed of an endpoint that has not run yet, low so that it is tried."""
+
 REPORT_LAG_SECONDS = 0.05
 """Age of a load report when it leaves the endpoint's daemon."""
 
@@ -55,7 +58,7 @@
     lost: bool = False
     warm_at: float = 0.0
     slowness: Slowness = attrs.field(factory=Slowness)
-    step_seconds: float = PRIOR_STEP_SECONDS
+    step_seconds: float = UNTRIED_STEP_SECONDS
     token_seconds: float = PRIOR_SECONDS_PER_TOKEN
     memory_total: int = 0
     reported_running: int = 0
