--- a/packages/core/persimmonstall/placement/view.py
+++ b/packages/core/persimmonstall/placement/view.py
@@ -10,19 +10,19 @@
 import attrs
 
 from ..lengths import LONG_CLASSES
-from .cost import PRIOR_STEP_SECONDS, Cost, weighted_tokens
+from .cost import PRIOR_SECONDS_PER_TOKEN, PRIOR_STEP_SECONDS, weighted_tokens
 from .prefix import PrefixMap
 from .slow import Slowness
 
+UNTRIED_STEP_SECONDS = PRIOR_STEP_SECONDS / 2
+"""Step time assumed of an endpoint that has not run yet, low so that it is tried."""
+
 REPORT_LAG_SECONDS = 0.05
 """Age of a load report when it leaves the endpoint's daemon."""
 
 WARM_SECONDS = 10.0
 """Time over which an endpoint that came back is given its full share again."""
 
-LEAST_LEARN_TOKENS = 500.0
-"""Smallest prefill from which the speed of engines is learned."""
-
 
 @attrs.define(eq=False)
 class Flight:
@@ -34,8 +34,6 @@
     memory: int
     sent_at: float
     expected: float
-    ahead: float
-    model: str = ""
     in_report: bool = False
     answered: bool = False
 
@@ -60,7 +58,8 @@
     lost: bool = False
     warm_at: float = 0.0
     slowness: Slowness = attrs.field(factory=Slowness)
-    step_seconds: float = PRIOR_STEP_SECONDS
+    step_seconds: float = UNTRIED_STEP_SECONDS
+    token_seconds: float = PRIOR_SECONDS_PER_TOKEN
     memory_total: int = 0
     reported_running: int = 0
     reported_memory: int = 0
@@ -140,6 +139,8 @@
         self.memory_total = load.memory_total
         if load.step_seconds > 0.0:
             self.step_seconds = load.step_seconds
+        if load.token_seconds > 0.0:
+            self.token_seconds = load.token_seconds
         self.refresh()
 
 
@@ -147,11 +148,13 @@
 class Pool:
     """The usable endpoints of one model, model with adapter, or service.
 
-    `roomy` are those that may hold long prompts, the same ones at every entry.
+    `roomy` are those that may hold long prompts, `kept` those that are kept for short ones;
+    both are the same at every entry.
     """
 
     members: list = attrs.field(factory=list)
     roomy: list = attrs.field(factory=list)
+    kept: frozenset = frozenset()
 
 
 def pool_key(work):
@@ -183,16 +186,8 @@
         self.endpoints = {}
         self.pools = {}
         self.flights = {}
-        self.costs = {}
         self.prefixes = PrefixMap()
 
-    def cost(self, model):
-        """Return the `Cost` of `model`."""
-        found = self.costs.get(model)
-        if found is None:
-            found = self.costs[model] = Cost()
-        return found
-
     def join(self, name, data_centre="", delay=0.0, services=(), now=0.0):
         """Add an endpoint, or take back one that was lost; return its `EndpointState`."""
         state = self.endpoints.get(name)
@@ -285,10 +280,12 @@
             self.choose_roomy(pool)
 
     def choose_roomy(self, pool):
-        """Choose the members that may hold long prompts."""
-        share = self.settings.placing.long_share
-        count = max(1, round(share * len(pool.members)))
-        pool.roomy = pool.members[:count]
+        """Choose the members that may hold long prompts and those kept for short ones."""
+        placing = self.settings.placing
+        count = len(pool.members)
+        pool.roomy = pool.members[: max(1, round(placing.long_share * count))]
+        kept = min(round(placing.short_share * count), count - 1)
+        pool.kept = frozenset(pool.members[count - kept :] if kept > 0 else ())
 
     def pool(self, work):
         """Return the `Pool` that can serve `work`, or None."""
@@ -302,9 +299,7 @@
         tokens = weighted_tokens(placed.uncached, work.prompt_tokens)
         memory = work.prompt_tokens + work.predicted_tokens
         long = work.length_class in LONG_CLASSES
-        flight = Flight(
-            state, tokens, long, memory, now, placed.expected, placed.ahead, work.model
-        )
+        flight = Flight(state, tokens, long, memory, now, placed.expected)
         self.flights[work.request_id, placed.endpoint] = flight
         state.add(flight)
         state.slowness.used(now)
@@ -312,7 +307,7 @@
             self.prefixes.record(state.name, work.blocks)
 
     def first_token(self, request_id, endpoint, now):
-        """Note the first output of an attempt, and learn from how long it took."""
+        """Note the first output of an attempt, and learn whether its endpoint is slow."""
         flight = self.flights.get((request_id, endpoint))
         if flight is None or flight.answered:
             return
@@ -321,9 +316,6 @@
         state.refresh()
         observed = max(0.0, now - flight.sent_at - 2.0 * state.delay)
         state.slowness.observe(observed, flight.expected, now)
-        work = flight.tokens + flight.ahead
-        if work >= LEAST_LEARN_TOKENS and not state.slowness.eased:
-            self.cost(flight.model).observe(work, observed)
 
     def ended(self, request_id, endpoint):
         """Stop counting an attempt, however it ended."""
--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -190,6 +190,7 @@
             adapters=running.adapters,
             leaving=self.leaving or not self.alive,
             long_tokens=long_tokens,
+            token_seconds=self.queue.cost.seconds_per_token,
         )
 
     def memory_promised(self):
@@ -255,7 +256,7 @@
             attempt = self.attempts[waiting.key]
             attempt.phase = Phase.STARTING
             attempt.priority = self.queue.priority(waiting)
-            attempt.chunk_tokens = self.queue.chunk_tokens(waiting)
+            attempt.chunk_tokens = waiting.chunk
             self.memory.hold(attempt)
             self.spawn(self.hand_over(attempt))
 
@@ -329,6 +330,7 @@
     def on_step(self, step, _session):
         """Take one engine step and send what is new, one message for each session."""
         self.last_step = self.now()
+        self.queue.step_taken(self.last_step)
         if step.load:
             self.take_load(step.load)
         touched = []
