--- a/packages/core/persimmonstall/messages/control.py
+++ b/packages/core/persimmonstall/messages/control.py
@@ -102,15 +102,41 @@
     endpoint: str
 
 
+LAST_LIFE = -1
+"""Stands for the last life of an endpoint, whose number the reporter does not know."""
+
+
+@attrs.frozen
+class Crash:
+    """One crash of an endpoint, as far as it concerns one content.
+
+    `run` identifies the process of the endpoint's daemon and `life` numbers the endpoint's
+    lives under it.  `attempts` are the attempts of the content that were in flight, `offset`
+    the output tokens that it had reached.  `presumed`: only the link to the daemon was lost.
+    """
+
+    endpoint: str
+    run: str
+    life: int
+    attempts: tuple[str, ...] = ()
+    offset: int = 0
+    presumed: bool = False
+
+
 @attrs.frozen
 class Verdict:
-    """What is known about a content fingerprint that was in flight at engine crashes."""
+    """What is known about a content fingerprint that was in flight at crashes.
+
+    `expires` is in Unix seconds.  `revision` grows whenever a suspicion is cleared; `cleared`
+    counts the crashes voided that way.  `lift` is the operators' lift it was recorded under.
+    """
 
     fingerprint: str
-    crashes: int
-    expires: float
-    lifted: bool = False
+    crashes: tuple[Crash, ...] = ()
+    expires: float = 0.0
     revision: int = 0
+    cleared: int = 0
+    lift: int = 0
 
 
 @attrs.frozen
--- a/packages/core/persimmonstall/quarantine/__init__.py
+++ b/packages/core/persimmonstall/quarantine/__init__.py
@@ -1,1 +1,6 @@
-"""Content that crashes engines: suspects run apart, the guilty are refused."""
+"""Content that crashes endpoints: suspects, which run apart, and quarantine."""
+
+from .book import Book, Standing
+from .crashes import count_crashes
+
+__all__ = ["Book", "Standing", "count_crashes"]
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/quarantine/filter.py
@@ -0,0 +1,78 @@
+"""Refuses quarantined content and decides where suspects run."""
+
+from persimmonstall.failures import Failure, Outcome, Reason, Refusal
+from persimmonstall.messages.control import LAST_LIFE
+from persimmonstall.quarantine import Standing
+from persimmonstall.quarantine.trial import NEWS_SECONDS, trial_endpoint
+
+from ..entry.filter import Filter
+from ..entry.request import Answer
+
+
+class QuarantineFilter(Filter):
+    """The entry's side; `keeper` is its `QuarantineKeeper`.
+
+    `last_seen` maps each pool of endpoints to when each of them was last usable, so that a
+    trial does not move on at once when its endpoint is lost.
+    """
+
+    name = "quarantine"
+
+    def __init__(self, parts, keeper):
+        self.parts = parts
+        self.keeper = keeper
+        self.last_seen = {}
+
+    async def admit(self, work):
+        """Return the work, or the `Refusal` of quarantined content."""
+        if self.keeper.refused(work.fingerprint):
+            return self.refusal()
+        return work
+
+    async def settle(self, work, outcome):
+        """Clear the suspicion against content that has a whole answer."""
+        if isinstance(outcome, Answer) and not outcome.stored:
+            self.keeper.passed(work.fingerprint)
+        return outcome
+
+    def refusal(self, outcome=Outcome.NOT_RUN):
+        """Return the refusal of quarantined content; sending it again is pointless."""
+        detail = "this content was in flight at several crashes of endpoints"
+        instance = self.parts.settings.daemon.instance
+        return Refusal(Reason.QUARANTINED, self.name, instance, detail, outcome)
+
+    def is_suspect(self, work):
+        """Whether an attempt of `work` has to run apart from other suspects."""
+        return self.keeper.standing(work.fingerprint) is Standing.SUSPECT
+
+    def look(self, pools):
+        """Note which endpoints are usable now; `pools` maps keys to endpoint names."""
+        now = self.parts.context.now()
+        for key, names in pools.items():
+            seen = self.last_seen.setdefault(key, {})
+            seen.update(dict.fromkeys(names, now))
+            for name in [name for name, at in seen.items() if now - at >= NEWS_SECONDS]:
+                del seen[name]
+
+    def confine(self, work, key, names):
+        """Return the names that an attempt of `work` must avoid, or a `Failure`.
+
+        `names` are the usable endpoints of its pool `key`.  Only suspects are confined.
+        """
+        standing = self.keeper.standing(work.fingerprint)
+        if standing is Standing.QUARANTINED:
+            return self.refusal()
+        if standing is Standing.CLEAN:
+            return frozenset()
+        self.look({key: names})
+        verdict = self.keeper.verdict(work.fingerprint)
+        chosen = trial_endpoint(verdict, self.last_seen[key], self.parts.context.now())
+        if chosen not in names:
+            detail = "suspected content waits for news of an endpoint"
+            return Failure(Reason.BUSY, self.name, chosen or "", detail)
+        return frozenset(names) - {chosen}
+
+    def lost(self, work, endpoint, run, attempt, offset):
+        """Presume a crash: the link to the daemon `run` was lost with an attempt in flight."""
+        place = ((f"{work.request_id}/{attempt}",), offset)
+        self.keeper.crashed({work.fingerprint: place}, endpoint, run, LAST_LIFE, presumed=True)
