--- a/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
@@ -8,6 +8,7 @@
 from persimmonstall.messages import control, requests
 
 from ..claims import ClaimKeeper
+from ..quarantine import QuarantineKeeper
 from .session import Session
 
 STEP = "endpoint"
@@ -32,10 +33,20 @@
         self.run_id = uuid.UUID(int=context.random.getrandbits(128)).hex
         self.stopping = False
         self.claims = ClaimKeeper(settings, stores.table, stores.objects, context, self.run_id)
+        self.quarantine = QuarantineKeeper(
+            settings,
+            stores.table,
+            context,
+            metrics,
+            self.invariants,
+            follower,
+            self.linked,
+        )
         self.backends = {}
         self.sessions = set()
         self.owners = {}
         self.controls = {}
+        self.quarantine.register(self.controls)
         self.listener = None
         self.tasks = []
 
@@ -50,7 +61,8 @@
 
     async def start(self):
         """Start the backends and listen."""
-        self.tasks.append(asyncio.create_task(self.claims.run_queue()))
+        for coroutine in (self.claims.run_queue(), self.quarantine.run()):
+            self.tasks.append(asyncio.create_task(coroutine))
         for backend in self.backends.values():
             self.tasks.append(asyncio.create_task(backend.run()))
         self.listener = await self.network.listen(self.settings.daemon.address, self.accept)
--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -17,6 +17,7 @@
 from ..memory.keeper import MemoryKeeper
 from .attempt import Phase, make_attempt
 from .backend import Backend, Expired, SessionLost
+from .trials import TrialEnded, Trials
 
 STEP = "engine"
 WHOLE = frozenset((Finish.STOP, Finish.LENGTH))
@@ -40,6 +41,14 @@
     detail: str
 
 
+@attrs.frozen
+class JobsSeen:
+    """The engine's own list of jobs after a lost connection, and what it should have."""
+
+    expected: frozenset
+    present: frozenset
+
+
 @attrs.frozen
 class EngineDied:
     """The engine does not answer on a new connection either."""
@@ -78,6 +87,7 @@
         self.reader = None
         self.alive = True
         self.memory = MemoryKeeper(self)
+        self.trials = Trials(self)
         self.queue.has_room = self.memory.has_room
         self.handlers = {
             requests.Submit: self.on_submit,
@@ -92,6 +102,8 @@
             EngineDied: self.on_engine_died,
             EngineLoad: self.on_load,
             CacheEvent: self.on_cache_event,
+            JobsSeen: self.on_jobs_seen,
+            TrialEnded: self.trials.on_ended,
             **self.memory.handlers,
         }
 
@@ -212,6 +224,14 @@
         self.queue.step_seconds = load.step_seconds or self.queue.step_seconds
 
     def on_submit(self, submit, session):
+        """Take a new attempt or refuse it at once; suspects run one after the other."""
+        refusal = self.trials.refusal(submit, session)
+        if refusal is not None:
+            session.send(refusal)
+        elif not self.trials.postponed(submit, session):
+            self.take(submit, session)
+
+    def take(self, submit, session):
         """Take a new attempt or refuse it at once."""
         key = submit.request_id, submit.attempt
         if key in self.attempts:
@@ -233,6 +253,7 @@
         window = self.settings.callers.idle_credit
         attempt = make_attempt(submit, session, self.now(), window, self.daemon.run_id)
         self.attempts[key] = attempt
+        self.trials.taken(attempt)
         self.by_job[attempt.job_id] = attempt
         self.daemon.claim_owner(key, self)
         self.accepted += 1
@@ -361,6 +382,7 @@
             self.queue.first_token(attempt.key, self.now())
             self.settle(attempt, self.whole(attempt, 0, output.finish, attempt.job_id.encode()))
             return
+        self.trials.passed(attempt, output.finish in WHOLE)
         if output.finish in WHOLE:
             self.store_answer(attempt, output.finish)
             count = attempt.outbox.count
@@ -445,6 +467,7 @@
         attempt.result = result
         attempt.ended_at = self.now()
         attempt.timer.cancel()
+        self.trials.ended(attempt)
         self.queue.ended(attempt.key)
         self.by_job.pop(attempt.job_id, None)
         self.memory.released(attempt)
@@ -470,6 +493,8 @@
     def on_cancel(self, cancel, _session):
         """Stop an attempt that its entry no longer wants."""
         attempt = self.find(cancel)
+        if attempt is None:
+            self.trials.cancelled(cancel)
         if attempt is None or attempt.ended:
             return
         attempt.session = None
@@ -543,8 +568,18 @@
     async def reopen(self):
         """Read steps again after a short pause."""
         await asyncio.sleep(self.daemon.context.jitter(REOPEN_SECONDS))
+        expected = frozenset(attempt.job_id for attempt in self.running())
+        jobs = await self.engine.jobs(self.settings.endpoints.step_silence / 2)
+        if isinstance(jobs, tuple):
+            self.post(JobsSeen(expected, frozenset(job.job_id for job in jobs)))
         await self.read_steps()
 
+    def on_jobs_seen(self, seen, _session):
+        """Find out whether the engine was started anew meanwhile, without its jobs."""
+        still = seen.expected & {attempt.job_id for attempt in self.running()}
+        if still and not seen.expected & seen.present:
+            self.on_engine_died(EngineDied("started anew"), None)
+
     def on_engine_died(self, died, _session):
         """Refuse everything that was running, so that the entries can go elsewhere."""
         if not self.alive:
@@ -552,6 +587,7 @@
         self.alive = False
         self.prefixes.forget(self.name)
         self.daemon.metrics.count("engines_died")
+        self.trials.engine_died()
         open_attempts = [a for a in self.attempts.values() if not a.ended]
         for attempt in open_attempts:
             detail = died.detail
--- a/packages/daemon/persimmonstall_daemon/endpoint/session.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/session.py
@@ -65,6 +65,7 @@
             self.peer = message.instance
             self.name = message.instance
             self.daemon.heard(message.config_version, self)
+            self.daemon.quarantine.greet(self)
         elif isinstance(message, control.Ping):
             self.daemon.heard(message.config_version, self)
             self.send(self.daemon.pong(message.sequence))
--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -15,6 +15,7 @@
 from ..limits import Budgets, EntryPeers
 from ..membership import Membership
 from ..observe import logs
+from ..quarantine import QuarantineFilter, QuarantineKeeper
 from .dispatch import Dispatch
 from .exchange import Exchanges
 from .filters.authenticate import find_organisation
@@ -75,6 +76,18 @@
             settings, context, self.invariants, metrics, self.entry_names, self.peers.send
         )
         self.claims = ClaimFilter(self, stores.table, stores.objects)
+        self.quarantine = QuarantineKeeper(
+            settings,
+            stores.table,
+            context,
+            metrics,
+            self.invariants,
+            follower,
+            self.links.linked,
+        )
+        self.quarantine.register(self.controls)
+        self.suspects = QuarantineFilter(self, self.quarantine)
+        self.tasks = []
         self.pipeline = Pipeline(make_filters(self), Dispatch(self))
         self.leaving = False
         self.active = 0
@@ -128,8 +141,10 @@
         }
 
     async def start(self):
-        """Accept links of other entries."""
+        """Accept links of other entries and keep up with the quarantine."""
         await self.peers.start()
+        for coroutine in (self.quarantine.run(), self.suspects.run()):
+            self.tasks.append(asyncio.create_task(coroutine))
 
     async def tick(self):
         """Renew budgets, close idle links and take over drain marks until cancelled."""
@@ -171,7 +186,10 @@
 
     def place(self, work, avoided):
         """Return where the next attempt of `work` goes, or a `Failure`."""
-        avoided = avoided | self.membership.view.leaving
+        leaving = self.membership.view.leaving
+        avoided = self.suspects.confine(work, frozenset(avoided), leaving)
+        if isinstance(avoided, Failure):
+            return avoided
         return self.placer.place(work, avoided, self.context.now())
 
     def retry_delay(self, work, reason, attempt):
@@ -198,6 +216,12 @@
         self.membership.on_loads(instance.name, loads)
         self.placer.on_loads(instance, loads, self.context.now())
 
+    def on_hello(self, hello, link):
+        """Tell a daemon that introduced itself what it should know; it is alive."""
+        names = [load.endpoint for load in hello.endpoints]
+        self.quarantine.came_back(names, hello.run)
+        self.quarantine.greet(link)
+
     def on_leaving(self, instance, endpoints):
         """Stop placing work on endpoints that are leaving."""
         self.membership.on_leaving(instance.name, endpoints)
@@ -234,6 +258,8 @@
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     async def stop(self):
-        """End the links."""
+        """End the tasks and the links."""
+        for task in self.tasks:
+            task.cancel()
         await self.links.close()
         await self.peers.close()
--- a/packages/daemon/persimmonstall_daemon/entry/dispatch.py
+++ b/packages/daemon/persimmonstall_daemon/entry/dispatch.py
@@ -69,6 +69,8 @@
                 return self.refuse(run, placed)
             sent = self.submit(run, placed)
             result = await self.relay(run) if sent else self.lost(run, "no link")
+            if sent:
+                self.note_loss(run, result)
             self.entry.on_attempt_end(run.work, run.endpoint, result)
             delay = self.delay_before_next(run, result)
             if delay is None:
@@ -79,6 +81,13 @@
             if renewed is not None:
                 return renewed
 
+    def note_loss(self, run, result):
+        """Presume a crash when the daemon was lost with an attempt for a model in flight."""
+        lost = isinstance(result, Failure) and result.reason is Reason.PEER_LOST
+        if lost and not run.work.service:
+            offset = len(run.tokens)
+            self.entry.suspects.lost(run.work, run.endpoint, run.peer_run, run.attempt, offset)
+
     async def renew(self, run, result):
         """Make sure that non-idempotent work was not run, before it is attempted again.
 
@@ -135,6 +144,7 @@
             content_type=work.content_type,
             idempotent=work.idempotent,
             ticket=work.ticket,
+            suspect=self.entry.suspects.is_suspect(work),
             relayed=tuple(run.tokens),
         )
 
@@ -275,6 +285,8 @@
         if run.handed_over or run.tokens:
             outcome = Outcome.UNKNOWN
         retry_after = getattr(result, "retry_after", 0) or RETRY_AFTER_SECONDS
+        if reason is Reason.QUARANTINED:
+            retry_after = None
         failure = Failure(reason, result.step, result.peer, result.detail)
         return refuse(failure, retry_after, Outcome(outcome), run.work.key)
 
--- a/packages/daemon/persimmonstall_daemon/entry/filters/classify.py
+++ b/packages/daemon/persimmonstall_daemon/entry/filters/classify.py
@@ -75,7 +75,7 @@
             predicted_tokens=wanted,
             length_class=classify(length, lengths),
             blocks=chain_blocks(work.prompt, block_bytes, work.model + work.adapter),
-            fingerprint=self.fingerprint(work.prompt, model.name),
+            fingerprint=self.fingerprint(work.prompt, ""),
         )
 
     def fingerprint(self, prompt, scope):
--- a/packages/daemon/persimmonstall_daemon/entry/links.py
+++ b/packages/daemon/persimmonstall_daemon/entry/links.py
@@ -135,6 +135,7 @@
         """Take up a daemon that introduced itself."""
         self.failures = 0
         self.run_id = hello.run
+        self.entry.on_hello(hello, self)
         self.entry.membership.on_hello(hello)
         self.learn(hello.config_version, hello.endpoints)
         self.entry.exchanges.announce(LinkUp(self.name, hello.run))
--- a/packages/daemon/persimmonstall_daemon/entry/pipeline.py
+++ b/packages/daemon/persimmonstall_daemon/entry/pipeline.py
@@ -19,6 +19,7 @@
     return (
         Authenticate(parts),
         Classify(parts),
+        parts.suspects,
         Predict(parts),
         Limits(parts),
         Account(parts),
--- a/packages/daemon/persimmonstall_daemon/entry/placer.py
+++ b/packages/daemon/persimmonstall_daemon/entry/placer.py
@@ -13,6 +13,14 @@
         The `Placed` is that of `persimmonstall.placement.policy`.
         """
 
+    @abc.abstractmethod
+    def pool_of(self, work):
+        """Return the key of the pool of endpoints that serve `work`."""
+
+    @abc.abstractmethod
+    def pools(self):
+        """Return the names of the usable endpoints by pool key."""
+
     @abc.abstractmethod
     def retry_delay(self, work, reason, attempt, now):
         """Return the seconds before another attempt after `attempt` ones, None for no other."""
--- a/packages/daemon/persimmonstall_daemon/entry/policy_placer.py
+++ b/packages/daemon/persimmonstall_daemon/entry/policy_placer.py
@@ -5,7 +5,7 @@
 from persimmonstall.placement.policy import LeastOutstanding, RandomTwo, RoundRobin
 from persimmonstall.placement.prediction import UsePredictor
 from persimmonstall.placement.services import LeastRunning
-from persimmonstall.placement.view import FleetView
+from persimmonstall.placement.view import FleetView, pool_key
 from persimmonstall.retries.budget import RetryBudget
 from persimmonstall.retries.delays import retry_delay
 
@@ -61,6 +61,15 @@
         refusal = admit(work, placed, now, self.context.random)
         return placed if refusal is None else refusal
 
+    def pool_of(self, work):
+        """Return the key of the pool of endpoints that serve `work`."""
+        return pool_key(work)
+
+    def pools(self):
+        """Return the names of the usable endpoints by pool key."""
+        pools = self.view.pools
+        return {key: [one.name for one in pool.members] for key, pool in pools.items()}
+
     def retry_delay(self, work, reason, attempt, now):
         """Return the seconds before another attempt, or None for no other one."""
         left = work.deadline - now
--- a/packages/daemon/persimmonstall_daemon/quarantine/filter.py
+++ b/packages/daemon/persimmonstall_daemon/quarantine/filter.py
@@ -1,5 +1,7 @@
 """Refuses quarantined content and decides where suspects run."""
 
+import asyncio
+
 from persimmonstall.failures import Failure, Outcome, Reason, Refusal
 from persimmonstall.messages.control import LAST_LIFE
 from persimmonstall.quarantine import Standing
@@ -8,6 +10,9 @@
 from ..entry.filter import Filter
 from ..entry.request import Answer
 
+LOOK_SECONDS = 1.0
+"""Mean time between two looks at which endpoints are usable."""
+
 
 class QuarantineFilter(Filter):
     """The entry's side; `keeper` is its `QuarantineKeeper`.
@@ -41,6 +46,12 @@
         instance = self.parts.settings.daemon.instance
         return Refusal(Reason.QUARANTINED, self.name, instance, detail, outcome)
 
+    async def run(self):
+        """Keep up with which endpoints are usable until cancelled."""
+        while True:
+            self.look(self.parts.placer.pools())
+            await asyncio.sleep(self.parts.context.jitter(LOOK_SECONDS))
+
     def is_suspect(self, work):
         """Whether an attempt of `work` has to run apart from other suspects."""
         return self.keeper.standing(work.fingerprint) is Standing.SUSPECT
@@ -54,16 +65,18 @@
             for name in [name for name, at in seen.items() if now - at >= NEWS_SECONDS]:
                 del seen[name]
 
-    def confine(self, work, key, names):
+    def confine(self, work, avoided, leaving):
         """Return the names that an attempt of `work` must avoid, or a `Failure`.
 
-        `names` are the usable endpoints of its pool `key`.  Only suspects are confined.
+        Work that is not suspected only avoids `avoided` and `leaving`.
         """
         standing = self.keeper.standing(work.fingerprint)
         if standing is Standing.QUARANTINED:
             return self.refusal()
         if standing is Standing.CLEAN:
-            return frozenset()
+            return avoided | leaving
+        key = self.parts.placer.pool_of(work)
+        names = frozenset(self.parts.placer.pools().get(key, ())) - leaving
         self.look({key: names})
         verdict = self.keeper.verdict(work.fingerprint)
         chosen = trial_endpoint(verdict, self.last_seen[key], self.parts.context.now())
--- /dev/null
+++ b/packages/daemon/tests/test_quarantine.py
@@ -0,0 +1,167 @@
+import asyncio
+import hashlib
+
+import pytest
+
+from persimmonstall.catalogue import Change, QuarantineLift
+from persimmonstall.failures import Reason
+from persimmonstall_daemon.entry.request import Answer, CallerRequest, NullSink
+from persimmonstall_daemon.quarantine import QuarantineKeeper
+from persimmonstall_standins.fleet import SECRET, Fleet, small_catalogue
+from persimmonstall_standins.virtual.loop import run
+
+POISON = b"CRASH-ENGINE" * 300
+ENGINES = 5
+BACK_SECONDS = 5.0
+
+
+class Bench:
+    """Two entries and engines that come back a while after they crashed."""
+
+    async def start(self):
+        catalogue = small_catalogue(hashlib.sha256(SECRET.encode()).hexdigest())
+        self.fleet = Fleet(catalogue)
+        for number in range(ENGINES):
+            await self.fleet.add_endpoint(f"e{number}")
+        self.entries = [await self.fleet.add_entry(f"entry{number}") for number in range(2)]
+        self.reviving = asyncio.create_task(self.revive())
+        return self
+
+    async def revive(self):
+        while True:
+            await asyncio.sleep(0.1)
+            for engine in self.fleet.engines.values():
+                if engine.dead:
+                    await asyncio.sleep(BACK_SECONDS)
+                    engine.restart()
+
+    def crashes(self):
+        logs = [engine.log for engine in self.fleet.engines.values()]
+        return sum(1 for log in logs for line in log if line.event == "crashed")
+
+    async def poison(self, entry, name, deadline=60.0):
+        request = CallerRequest(
+            request_id=name,
+            secret=SECRET,
+            prompt=POISON,
+            body_hash="",
+            arrived=asyncio.get_running_loop().time(),
+            model="m",
+            max_tokens=100,
+            deadline=deadline,
+        )
+        return await entry.serve(request, NullSink())
+
+    async def stop(self):
+        self.reviving.cancel()
+        await self.fleet.stop()
+
+
+@pytest.fixture
+def on_bench():
+    def start(scenario):
+        async def main():
+            bench = await Bench().start()
+            result = await scenario(bench)
+            await bench.stop()
+            return result
+
+        return run(main())
+
+    return start
+
+
+async def resend_everywhere(bench):
+    """Send the poison again and again, through both entries in turn and from two callers."""
+    results = []
+    for number in range(6):
+        entry = bench.entries[number % 2]
+        results.append(await bench.poison(entry, f"p{number}"))
+        await asyncio.sleep(0.5)
+    return results, bench.crashes()
+
+
+def test_content_that_crashes_engines_costs_two_and_is_refused_everywhere(on_bench):
+    results, crashes = on_bench(resend_everywhere)
+    assert crashes == 2
+    assert {result.reason for result in results} == {Reason.QUARANTINED}
+    assert all(result.retry_after is None for result in results)
+
+
+def test_without_the_keeper_each_resend_costs_engines(on_bench, monkeypatch):
+    monkeypatch.setattr(QuarantineKeeper, "crashed", lambda *_, **__: None)
+    _, crashes = on_bench(resend_everywhere)
+    assert crashes > 2
+
+
+def test_innocents_in_the_batch_complete(on_bench):
+    async def scenario(bench):
+        asked = [bench.fleet.ask(bench.entries[n % 2], 55 + n, 1000) for n in range(20)]
+        asked = [asyncio.ensure_future(one) for one in asked]
+        await asyncio.sleep(0.3)
+        refused = await bench.poison(bench.entries[0], "p")
+        answers = await asyncio.gather(*asked)
+        return refused, answers, bench.crashes(), bench.entries[1].quarantine.verdicts()
+
+    refused, answers, crashes, listed = on_bench(scenario)
+    assert refused.reason is Reason.QUARANTINED
+    assert crashes == 2
+    assert all(isinstance(answer, Answer) for answer in answers)
+    assert len(listed) == 1
+
+
+def test_engine_and_daemon_lost_together_count(on_bench):
+    async def scenario(bench):
+        results = []
+        for number in range(3):
+            asked = asyncio.ensure_future(bench.poison(bench.entries[0], f"p{number}"))
+            while not asked.done():
+                await asyncio.sleep(0.01)
+                for name, engine in bench.fleet.engines.items():
+                    if engine.dead:
+                        bench.fleet.fabric.kill(f"{name}:1")
+            results.append(await asked)
+        return results, bench.crashes()
+
+    results, crashes = on_bench(scenario)
+    assert crashes == 2
+    assert results[-1].reason is Reason.QUARANTINED
+
+
+def test_verdicts_travel_while_the_table_is_down(on_bench):
+    async def scenario(bench):
+        bench.fleet.claims.faults.down = True
+        return await resend_everywhere(bench)
+
+    results, crashes = on_bench(scenario)
+    assert crashes == 2
+    assert results[-1].reason is Reason.QUARANTINED
+
+
+def test_verdict_survives_the_replacement_of_all_daemons_in_the_table(on_bench):
+    async def scenario(bench):
+        await bench.poison(bench.entries[0], "p0")
+        await asyncio.sleep(5.0)
+        entry = await bench.fleet.add_entry("entry9")
+        return await bench.poison(entry, "p1"), bench.crashes()
+
+    result, crashes = on_bench(scenario)
+    assert result.reason is Reason.QUARANTINED
+    assert crashes == 2
+
+
+def test_lifted_content_is_served_until_it_crashes_again(on_bench):
+    async def scenario(bench):
+        await bench.poison(bench.entries[0], "p0")
+        verdict = bench.entries[0].quarantine.verdicts()[0]
+        catalogue = bench.fleet.catalogue
+        lift = QuarantineLift(verdict.fingerprint, 1)
+        catalogue.apply(Change(catalogue.version + 1, "lift", verdict.fingerprint, lift))
+        listed = bench.entries[0].quarantine.verdicts()
+        await asyncio.sleep(20.0)
+        await bench.poison(bench.entries[1], "p1")
+        return listed, bench.crashes()
+
+    listed, crashes = on_bench(scenario)
+    assert listed == []
+    assert crashes == 4
