--- a/packages/core/persimmonstall/quarantine/book.py
+++ b/packages/core/persimmonstall/quarantine/book.py
@@ -22,7 +22,7 @@
 MOST_VERDICTS = 10_000
 """Verdicts kept; suspicions that expire first are dropped first, quarantines last."""
 
-PASSED_TOKENS = 64
+PASSED_TOKENS = 8
 """Output tokens beyond the place of a crash after which the content did not cause it."""
 
 
--- a/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
@@ -41,6 +41,7 @@
             self.invariants,
             follower,
             self.linked,
+            self.run_id,
         )
         self.backends = {}
         self.sessions = set()
--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -568,11 +568,14 @@
     async def reopen(self):
         """Read steps again after a short pause."""
         await asyncio.sleep(self.daemon.context.jitter(REOPEN_SECONDS))
-        expected = frozenset(attempt.job_id for attempt in self.running())
+        self.spawn(self.look_for_jobs(frozenset(one.job_id for one in self.running())))
+        await self.read_steps()
+
+    async def look_for_jobs(self, expected):
+        """Post which jobs the engine still has."""
         jobs = await self.engine.jobs(self.settings.endpoints.step_silence / 2)
         if isinstance(jobs, tuple):
             self.post(JobsSeen(expected, frozenset(job.job_id for job in jobs)))
-        await self.read_steps()
 
     def on_jobs_seen(self, seen, _session):
         """Find out whether the engine was started anew meanwhile, without its jobs."""
--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -84,6 +84,7 @@
             self.invariants,
             follower,
             self.links.linked,
+            self.run_id,
         )
         self.quarantine.register(self.controls)
         self.suspects = QuarantineFilter(self, self.quarantine)
--- a/packages/daemon/persimmonstall_daemon/quarantine/filter.py
+++ b/packages/daemon/persimmonstall_daemon/quarantine/filter.py
@@ -50,7 +50,7 @@
         """Keep up with which endpoints are usable until cancelled."""
         while True:
             self.look(self.parts.placer.pools())
-            await asyncio.sleep(self.parts.context.jitter(LOOK_SECONDS))
+            await asyncio.sleep(self.keeper.context.jitter(LOOK_SECONDS))
 
     def is_suspect(self, work):
         """Whether an attempt of `work` has to run apart from other suspects."""
--- a/packages/daemon/persimmonstall_daemon/quarantine/keeper.py
+++ b/packages/daemon/persimmonstall_daemon/quarantine/keeper.py
@@ -1,10 +1,12 @@
 """Keeps a daemon's verdicts and spreads them: over every link at once, and by the table."""
 
 import asyncio
+from random import Random
 
 import attrs
 import msgspec
 
+from persimmonstall.clock import Context
 from persimmonstall.failures import Failure
 from persimmonstall.messages.control import Crash, Verdict, Verdicts
 from persimmonstall.outside.table import ABSENT, Conflict, Write
@@ -35,12 +37,15 @@
 
 
 class QuarantineKeeper:
-    """Owns the `Book` of one daemon; `linked()` returns the open links to other daemons."""
+    """Owns the `Book` of one daemon; `linked()` returns the open links to other daemons.
 
-    def __init__(self, settings, table, context, metrics, invariants, follower, linked):
+    `run` identifies the daemon's process and seeds the jitter.
+    """
+
+    def __init__(self, settings, table, context, metrics, invariants, follower, linked, run):
         self.timeout = settings.platform.timeout
         self.table = table
-        self.context = context
+        self.context = Context(context.now, context.wall, Random(run))
         self.metrics = metrics
         self.follower = follower
         self.linked = linked
