--- a/packages/core/persimmonstall/messages/control.py
+++ b/packages/core/persimmonstall/messages/control.py
@@ -23,6 +23,7 @@
     adapters: tuple[str, ...] = ()
     leaving: bool = False
     long_tokens: int = 0
+    segment_tokens: int = 0
 
 
 @attrs.frozen
--- a/packages/core/persimmonstall/placement/queue.py
+++ b/packages/core/persimmonstall/placement/queue.py
@@ -65,8 +65,7 @@
     """Attempts that wait for one engine, and those that it prefills.
 
     `settings` are the whole settings; `step_seconds` and `memory_total` are kept up to date
-    by the owner from the engine's reports, and its memory ledger is asked by `has_room`
-    whether a waiting attempt fits.
+    by the owner from the engine's reports.
     """
 
     def __init__(self, settings):
@@ -79,7 +78,6 @@
         self.memory_total = 0
         self.step_seconds = PRIOR_STEP_SECONDS
         self.busy_since = 0.0
-        self.has_room = self.room_by_promises
 
     @abc.abstractmethod
     def offer(self, submit, cached, now):
@@ -165,11 +163,9 @@
         done = (now - waiting.started) / self.cost.seconds_per_token
         return max(0.1 * waiting.tokens, waiting.tokens - done)
 
-    def room_by_promises(self, waiting):
-        """Return whether what was promised leaves room; an idle engine may always try."""
-        if not self.memory_total or not self.started:
-            return True
-        return self.held + waiting.memory <= MEMORY_SHARE * self.memory_total
+    def memory_waiting(self):
+        """Return the memory that the waiting attempts will need, in tokens."""
+        return sum(waiting.memory for waiting in self.waiting.values())
 
 
 class FirstCome(HandOver):
@@ -267,8 +263,10 @@
         return sum(other.long == waiting.long for other in self.prefilling.values()) < limit
 
     def fits(self, waiting):
-        """Return whether the engine's memory has room."""
-        return self.has_room(waiting)
+        """Return whether the engine's memory has room; an idle engine may always try."""
+        if not self.memory_total or not self.started:
+            return True
+        return self.held + waiting.memory <= MEMORY_SHARE * self.memory_total
 
     def leaves_room(self, waiting, now):
         """Return whether `waiting` does not take the memory that an overdue long prompt needs."""
--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -17,6 +17,7 @@
 from .exchange import Exchanges
 from .filters.authenticate import find_organisation
 from .links import EndpointLinks
+from .long_prompts import DispatchBySize, LongDispatch
 from .pipeline import Pipeline, make_filters
 
 LOG = logs.get("entry")
@@ -60,6 +61,7 @@
         self.vocabulary = vocabulary
         self.invariants = Invariants(strict, self.violated)
         self.run_id = uuid.UUID(int=context.random.getrandbits(128)).hex
+        self.controls = {}
         self.exchanges = Exchanges(metrics)
         self.links = EndpointLinks(self)
         self.membership = Membership(settings, context, self.invariants, metrics, instances)
@@ -68,7 +70,9 @@
         self.budgets = Budgets(
             settings, context, self.invariants, metrics, self.entry_names, self.peers.send
         )
-        self.pipeline = Pipeline(make_filters(self), Dispatch(self))
+        self.long_prompts = LongDispatch(self)
+        by_size = DispatchBySize(Dispatch(self), self.long_prompts)
+        self.pipeline = Pipeline(make_filters(self), by_size)
         self.leaving = False
         self.active = 0
 
@@ -80,7 +84,7 @@
     @property
     def version(self):
         """The version of the catalogue in force here."""
-        return self.follower.current.version
+        return self.follower.version
 
     def hello(self):
         """Return the first message on a link."""
@@ -156,8 +160,8 @@
         """Return whether new connections should come here."""
         if self.leaving:
             return Readiness(False, "leaving")
-        if not self.version:
-            return Readiness(False, "no configuration yet")
+        if not self.follower.ready.is_set():
+            return Readiness(False, "no current configuration yet")
         return Readiness(True)
 
     def place(self, work, avoided):
@@ -186,6 +190,7 @@
     def on_loads(self, instance, loads):
         """Take fresh loads of an instance's endpoints."""
         self.links.learn(instance, loads)
+        self.long_prompts.on_loads(loads)
         self.membership.on_loads(instance.name, loads)
         self.placer.on_loads(instance, loads, self.context.now())
 
@@ -203,7 +208,10 @@
         self.follower.heard(version, link.name)
 
     def control(self, message, link):
-        """Handle a message that concerns no request."""
+        """Hand a message that concerns no request to its handler in `controls`."""
+        handler = self.controls.get(type(message))
+        if handler:
+            handler(message, link)
 
     def bug(self, step, error):
         """Count and log an unexpected error."""
--- a/packages/daemon/persimmonstall_daemon/memory/keeper.py
+++ b/packages/daemon/persimmonstall_daemon/memory/keeper.py
@@ -70,7 +70,7 @@
     # What the backend tells.
 
     def admit(self, submit):
-        """Return None when an attempt can ever have room here, else a `Failure`: not run."""
+        """Return None when there is room for an attempt, else a `Failure`: not run."""
         if submit.segment_end:
             return self.reservations.check(submit)
         wanted = tokens_of(submit)
@@ -79,12 +79,21 @@
             return Failure(Reason.NO_MEMORY, STEP, self.backend.name, detail)
         return None
 
-    def has_room(self, waiting):
-        """Return whether a waiting attempt fits now; a segment's memory is reserved."""
-        submit = waiting.submit
-        if submit.segment_end or self.reservations.promised(submit):
-            return True
-        return self.ledger.fits(waiting.memory)
+    def promised(self, submit):
+        """Whether room for the output of an attempt was reserved, so that it need not wait."""
+        return self.reservations.promised(submit) is not None
+
+    def room_for_streams(self, held):
+        """Return the memory that streams of `held` expected tokens and more may share.
+
+        Segments, parked streams that come next, unowned memory and guesses that were raised
+        are taken off the engine's memory.
+        """
+        ledger = self.ledger
+        if not ledger.capacity:
+            return 0
+        other = ledger.committed - held + ledger.unowned + ledger.next_parked()
+        return max(1, ledger.capacity - max(0, other))
 
     def hold(self, attempt):
         """Enter the holding of an admitted attempt, before the engine is told."""
