--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -140,17 +140,22 @@
 
     async def watch(self):
         """Poll the engine's load and notice when its steps go silent."""
-        endpoints = self.settings.endpoints
         while True:
-            load = await self.engine.load(endpoints.step_silence / 2)
-            if load:
-                self.post(load)
-            silent = self.now() - self.last_step > endpoints.step_silence
-            if silent and self.running():
-                self.post(StepsLost("silent"))
-            if not load and (silent or load.detail == "not connected"):
-                self.post(EngineDied(load.detail))
-            await asyncio.sleep(self.daemon.context.jitter(endpoints.step_silence / 3))
+            await self.probe()
+            silence = self.settings.endpoints.step_silence
+            await asyncio.sleep(self.daemon.context.jitter(silence / 3))
+
+    async def probe(self):
+        """Ask for the engine's load once, and post what that shows."""
+        endpoints = self.settings.endpoints
+        load = await self.engine.load(endpoints.step_silence / 2)
+        if load:
+            self.post(load)
+        silent = self.now() - self.last_step > endpoints.step_silence
+        if silent and self.running():
+            self.post(StepsLost("silent"))
+        if not load and (silent or load.detail == "not connected"):
+            self.post(EngineDied(load.detail))
 
     def running(self):
         """Return the attempts that the engine should be working on."""
@@ -513,8 +518,12 @@
             self.stop(attempt, Reason.CANCELLED)
 
     def on_steps_lost(self, lost, _session):
-        """Open a new connection for the engine's steps; gaps restart their attempts."""
+        """Open a new connection for the engine's steps; gaps restart their attempts.
+
+        The engine is asked at once whether it is still there.
+        """
         self.daemon.metrics.count("engine_steps_lost")
+        self.spawn(self.probe())
         self.last_step = self.now()
         if self.reader:
             self.reader.cancel()
--- a/packages/daemon/persimmonstall_daemon/entry/long_prompts.py
+++ b/packages/daemon/persimmonstall_daemon/entry/long_prompts.py
@@ -178,7 +178,7 @@
                 if delay is None:
                     return result if result else self.refuse(run, result)
                 self.cancel(run)
-                await self.confirm(run, division)
+                await self.confirm(run, division, delay)
         finally:
             del self.divisions[request_id]
             self.give_back(division)
@@ -249,15 +249,16 @@
             detail="a part of the prompt is lost",
         )
 
-    async def confirm(self, run, division):
-        """Find out which parts are left after a failed attempt."""
+    async def confirm(self, run, division, delay):
+        """Find out which parts are left after a failed attempt; takes at least `delay`."""
         if division.prompt is None:
             return
         asked = self.now()
         self.renew(division)
         held = {part.reservation for part in division.prompt.in_state(PartState.HELD)}
-        while self.now() < asked + ANSWER_SECONDS:
-            if all(division.heard.get(name, 0.0) > asked for name in held):
+        while self.now() < asked + max(delay, ANSWER_SECONDS):
+            answered = all(division.heard.get(name, 0.0) > asked for name in held)
+            if answered and self.now() >= asked + delay:
                 return
             await self.step(run, division)
             if division.prompt is None:
