--- a/packages/core/persimmonstall/settings/schema.py
+++ b/packages/core/persimmonstall/settings/schema.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from ..claims.retention import LONGEST_DEADLINE
 from .option import option
 
 ROLES = ("entry", "endpoint")
@@ -60,7 +61,9 @@
 
     body_bytes: int = option(16_777_216, "Largest request body.", "bytes", low=1024)
     default_deadline: float = option(60.0, "Deadline of a request that names none.", "s", low=0.1)
-    max_deadline: float = option(900.0, "Longest deadline that a request may name.", "s", low=0.1)
+    max_deadline: float = option(
+        900.0, "Longest deadline that a request may name.", "s", low=0.1, high=LONGEST_DEADLINE
+    )
     reply_margin: float = option(0.05, "Time kept back to answer before the deadline.", "s", low=0)
     token_bytes: float = option(4.0, "Bytes of text that count as one token.", "bytes", low=0.5)
     idle_credit: int = option(2048, "Tokens that may wait for a slow caller.", "tokens", low=16)
@@ -103,6 +106,9 @@
     long_share: float = option(
         0.6, "Share of endpoints that long prompts may hold.", low=0, high=1
     )
+    short_share: float = option(
+        0.3, "Share of endpoints that are kept for short prompts.", low=0, high=1
+    )
 
 
 @attrs.define
