--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -19,6 +19,7 @@
 from .exchange import Exchanges
 from .filters.authenticate import find_organisation
 from .links import EndpointLinks
+from .long_prompts import DispatchBySize, LongDispatch
 from .pipeline import Pipeline, make_filters
 
 LOG = logs.get("entry")
@@ -75,7 +76,9 @@
             settings, context, self.invariants, metrics, self.entry_names, self.peers.send
         )
         self.claims = ClaimFilter(self, stores.table, stores.objects)
-        self.pipeline = Pipeline(make_filters(self), Dispatch(self))
+        self.long_prompts = LongDispatch(self)
+        by_size = DispatchBySize(Dispatch(self), self.long_prompts)
+        self.pipeline = Pipeline(make_filters(self), by_size)
         self.leaving = False
         self.active = 0
 
@@ -195,6 +198,7 @@
     def on_loads(self, instance, loads):
         """Take fresh loads of an instance's endpoints."""
         self.links.learn(instance, loads)
+        self.long_prompts.on_loads(loads)
         self.membership.on_loads(instance.name, loads)
         self.placer.on_loads(instance, loads, self.context.now())
 
--- a/packages/daemon/persimmonstall_daemon/entry/dispatch.py
+++ b/packages/daemon/persimmonstall_daemon/entry/dispatch.py
@@ -22,7 +22,10 @@
 
 @attrs.define
 class Run:
-    """One request on its way: its exchange, the current attempt and what was tried."""
+    """One request on its way: its exchange, the current attempt and what was tried.
+
+    `segments` refer to the parts of a prompt that is larger than an engine.
+    """
 
     work: object
     sink: object
@@ -35,6 +38,7 @@
     first_at: float = 0.0
     answering: int = 0
     credited: int = 0
+    segments: tuple = ()
 
     @property
     def tokens(self):
@@ -108,9 +112,13 @@
             return False
         run.exchange.instance = link.name
         run.peer_run = link.run_id
-        self.entry.on_submit(run.work, placed)
+        self.count(run, placed)
         return link.send(self.submit_of(run, placed))
 
+    def count(self, run, placed):
+        """Count an attempt on the endpoint where it was placed."""
+        self.entry.on_submit(run.work, placed)
+
     def submit_of(self, run, placed):
         """Return the message that hands an attempt over."""
         work = run.work
@@ -136,6 +144,7 @@
             idempotent=work.idempotent,
             ticket=work.ticket,
             relayed=tuple(run.tokens),
+            segments=run.segments,
         )
 
     async def relay(self, run):
