Daemon list asks daemons without an open link for their version

Cause: an operator saw the version in force only in daemons that the answering entry is linked to, so not in the other entries (seen with real processes: 3 of 4 daemons listed). After: all five daemons of the fleet test are listed.

--- a/packages/daemon/persimmonstall_daemon/admin/entry_view.py
+++ b/packages/daemon/persimmonstall_daemon/admin/entry_view.py
@@ -1,5 +1,6 @@
 """The fleet as an entry sees it over its links."""
 
+from .probe import probe
 from .view import FleetView, SeenDaemon, SeenEndpoint, SeenVerdict
 
 
@@ -9,9 +10,18 @@
     def __init__(self, entry):
         self.entry = entry
 
-    def daemons(self):
-        """Return this daemon and each one it keeps a link to."""
-        return (self.own(), *map(self.seen, self.entry.links.links.values()))
+    async def daemons(self):
+        """Return this daemon, those it keeps a link to, and the others by asking them."""
+        linked = tuple(map(self.seen, self.entry.links.links.values()))
+        asked = await probe(self.entry.network, self.entry.settings, self.unlinked())
+        return (self.own(), *linked, *asked)
+
+    def unlinked(self):
+        """Return the listed instances that this entry keeps no link to."""
+        view = self.entry.membership.view
+        known = {self.entry.settings.daemon.instance, *self.entry.links.links}
+        listed = (*view.members("entry"), *view.members("endpoint"))
+        return [instance for instance in listed if instance.name not in known]
 
     def own(self):
         """Return this daemon."""
--- a/packages/daemon/persimmonstall_daemon/admin/fleet.py
+++ b/packages/daemon/persimmonstall_daemon/admin/fleet.py
@@ -71,7 +71,7 @@
 
 async def list_daemons(state, request):
     """List the daemons that this one knows and the version in force in each."""
-    seen = {one.instance: one for one in state.view.daemons()}
+    seen = {one.instance: one for one in await state.view.daemons()}
     page = page_of(seen, request)
     entries = [schema.DaemonState(**attrs.asdict(seen[name])) for name in page.names]
     return schema.ListDaemonsResponse(entries=entries, next_page_token=page.token)
--- a/packages/daemon/persimmonstall_daemon/admin/view.py
+++ b/packages/daemon/persimmonstall_daemon/admin/view.py
@@ -41,8 +41,8 @@
     """Lists what this daemon knows; nothing here reads the table."""
 
     @abc.abstractmethod
-    def daemons(self):
-        """Return a `SeenDaemon` for each daemon known, this one included."""
+    async def daemons(self):
+        """Return a `SeenDaemon` for each daemon known, this one included; may ask them."""
 
     @abc.abstractmethod
     def endpoints(self):
@@ -56,7 +56,7 @@
 class EmptyView(FleetView):
     """A daemon that knows of no fleet."""
 
-    def daemons(self):
+    async def daemons(self):
         """Return no daemon."""
         return ()
 
--- a/packages/daemon/tests/test_catalogue_fleet.py
+++ b/packages/daemon/tests/test_catalogue_fleet.py
@@ -5,6 +5,8 @@
 import pytest
 
 from persimmonstall.catalogue import DrainMark, Model
+from persimmonstall.outside.instances import Instance
+from persimmonstall_daemon.admin.entry_view import EntryView
 from persimmonstall_daemon.catalogue import CatalogueStore
 from persimmonstall_standins.faults import StoreFaults
 from persimmonstall_standins.fleet import Fleet
@@ -76,6 +78,12 @@
         answer = await scenario.store().change(Model("m"), 0, "a")
         await asyncio.sleep(IN_FORCE_SECONDS)
         assert scenario.versions() == [answer.version] * 5
+        entry = scenario.fleet.entries[0]
+        other = Instance("n1", "entry", "n1:1", "dc1")
+        entry.membership.on_list((*scenario.fleet.instances, other))
+        seen = await EntryView(entry).daemons()
+        assert {one.instance for one in seen} == {*ENTRIES, *ENDPOINTS}
+        assert {one.version for one in seen} == {answer.version}
 
     on_table(body)
 
