--- /dev/null
+++ b/packages/core/persimmonstall/orders/desired.py
@@ -0,0 +1,53 @@
+"""What the catalogue wants an endpoint to serve."""
+
+import attrs
+
+
+@attrs.frozen
+class Artifact:
+    """A version of a model's or an adapter's weights."""
+
+    name: str
+    version: str
+
+    def __str__(self):
+        return f"{self.name}@{self.version}"
+
+
+@attrs.frozen
+class Desired:
+    """Models, adapters and role that an engine shall have."""
+
+    models: frozenset[Artifact] = frozenset()
+    adapters: frozenset[Artifact] = frozenset()
+    role: str = "mixed"
+    fence_checked: bool = True
+
+
+def desired_of(catalogue, endpoint):
+    """Return the `Desired` state of an endpoint, None when no placement names it.
+
+    A model or adapter that was deleted from the catalogue is no longer wanted.
+
+    >>> from ..catalogue import Catalogue, Change, Model, Placement
+    >>> catalogue = Catalogue()
+    >>> _ = catalogue.apply(Change(1, "model", "m", Model("m", version="2")))
+    >>> _ = catalogue.apply(Change(2, "placement", "e", Placement("e", models=("m", "x"))))
+    >>> [str(one) for one in desired_of(catalogue, "e").models]
+    ['m@2']
+    """
+    placement = catalogue.get("placement", endpoint)
+    if placement is None:
+        return None
+    return Desired(
+        artifacts(catalogue.records["model"], placement.models),
+        artifacts(catalogue.records["adapter"], placement.adapters),
+        placement.role,
+        placement.fence_checked,
+    )
+
+
+def artifacts(records, names):
+    """Return the present versions of the named records."""
+    known = [records[name] for name in names if name in records]
+    return frozenset(Artifact(one.name, one.version) for one in known)
--- /dev/null
+++ b/packages/core/persimmonstall/orders/plan.py
@@ -0,0 +1,109 @@
+"""The next order that brings an engine nearer to what it shall serve.
+
+A new version is loaded beside the old one, new work goes to the new one, and the old one is
+unloaded once nothing runs on it, so that a rollout cuts no stream.
+"""
+
+import attrs
+
+from ..outside.engine import OrderAction
+from .desired import Artifact
+
+VERSION_MARK = "@"
+
+
+@attrs.frozen
+class Loaded:
+    """What an engine reports to have."""
+
+    models: frozenset[Artifact] = frozenset()
+    adapters: frozenset[Artifact] = frozenset()
+    role: str = "mixed"
+
+
+@attrs.frozen
+class OrderStep:
+    """One order without its fencing number."""
+
+    action: OrderAction
+    name: str
+    version: str = ""
+
+    @property
+    def loads(self):
+        """Whether the order makes the engine fetch weights."""
+        return self.action in (OrderAction.LOAD_MODEL, OrderAction.LOAD_ADAPTER)
+
+
+def loaded_of(load):
+    """Return the `Loaded` state in an engine's load report.
+
+    >>> from ..outside.engine import EngineLoad
+    >>> report = EngineLoad(0, 0, 0, 0, 0, 0.0, models=("m", "m@1"))
+    >>> [str(one) for one in loaded_of(report).models]
+    ['m@1']
+    """
+    return Loaded(parse(load.models), parse(load.adapters), load.role)
+
+
+def parse(names):
+    """Return the artifacts among reported names."""
+    pairs = (name.rpartition(VERSION_MARK) for name in names if VERSION_MARK in name)
+    return frozenset(Artifact(name, version) for name, _, version in pairs)
+
+
+def next_step(desired, loaded, in_use):
+    """Return the next `OrderStep`, or None when nothing is left that may be done now.
+
+    `in_use` holds the artifacts that unfinished work runs on; those are not unloaded.
+    Models go before their adapters, loading before unloading.
+
+    >>> from .desired import Desired
+    >>> old, new = Artifact("m", "1"), Artifact("m", "2")
+    >>> next_step(Desired(frozenset({new})), Loaded(frozenset({old})), {old}).action
+    <OrderAction.LOAD_MODEL: 'load_model'>
+    >>> next_step(Desired(frozenset({new})), Loaded(frozenset({old, new})), {old}) is None
+    True
+    """
+    for step in missing(desired, loaded):
+        return step
+    for action, artifact in unwanted(desired, loaded):
+        if artifact not in in_use:
+            return OrderStep(action, artifact.name, artifact.version)
+    return None
+
+
+def missing(desired, loaded):
+    """Yield the orders that add what the engine lacks."""
+    for artifact in ordered(desired.models - loaded.models):
+        yield OrderStep(OrderAction.LOAD_MODEL, artifact.name, artifact.version)
+    for artifact in ordered(desired.adapters - loaded.adapters):
+        yield OrderStep(OrderAction.LOAD_ADAPTER, artifact.name, artifact.version)
+    if desired.role != loaded.role:
+        yield OrderStep(OrderAction.SET_ROLE, desired.role)
+
+
+def unwanted(desired, loaded):
+    """Yield the order and artifact for each thing that the engine has too much."""
+    for artifact in ordered(loaded.adapters - desired.adapters):
+        yield OrderAction.UNLOAD_ADAPTER, artifact
+    for artifact in ordered(loaded.models - desired.models):
+        yield OrderAction.UNLOAD_MODEL, artifact
+
+
+def ordered(artifacts):
+    """Return artifacts in a fixed order."""
+    return sorted(artifacts, key=str)
+
+
+def version_for(name, desired, loaded):
+    """Return the version that new work on `name` runs on, "" when none is loaded.
+
+    >>> old, new = Artifact("m", "1"), Artifact("m", "2")
+    >>> version_for("m", {new}, {old}), version_for("m", {new}, {old, new})
+    ('1', '2')
+    """
+    here = [one for one in ordered(loaded) if one.name == name]
+    wanted = [one for one in here if one in desired]
+    chosen = wanted or here
+    return chosen[-1].version if chosen else ""
--- a/packages/core/persimmonstall/settings/schema.py
+++ b/packages/core/persimmonstall/settings/schema.py
@@ -130,6 +130,26 @@
     )
 
 
+@attrs.define
+class Orders:
+    """Orders to engines: load models and adapters, change the role."""
+
+    poll: float = option(2.0, "Time between comparisons with the engine.", "s", low=0.05)
+    lease: float = option(10.0, "Length of the lease to order an engine.", "s", low=0.1)
+    pause_bound: float = option(
+        20.0,
+        "Longest pause of a daemon; waited out for engines that ignore fencing numbers.",
+        "s",
+        low=0,
+    )
+    timeout: float = option(1.0, "Time until an engine accepts an order.", "s", low=0.01)
+    load_timeout: float = option(
+        120.0, "Time after which a load that is not seen is ordered again.", "s", low=0.1
+    )
+    backoff_base: float = option(1.0, "First delay after the weight store refused.", "s", low=0.01)
+    backoff_cap: float = option(30.0, "Longest such delay.", "s", low=0.01)
+
+
 @attrs.define
 class Security:
     """Keys and certificates; files are read again when they change."""
@@ -174,6 +194,7 @@
     "links": Links,
     "placing": Placing,
     "limits": Limits,
+    "orders": Orders,
     "security": Security,
     "observe": Observe,
     "objectives": Objectives,
@@ -193,6 +214,7 @@
     links: Links = attrs.field(factory=Links)
     placing: Placing = attrs.field(factory=Placing)
     limits: Limits = attrs.field(factory=Limits)
+    orders: Orders = attrs.field(factory=Orders)
     security: Security = attrs.field(factory=Security)
     observe: Observe = attrs.field(factory=Observe)
     objectives: Objectives = attrs.field(factory=Objectives)
