Orders to engines: keeper beside the endpoint, lease with fencing, weight store, rollout

Cause: operators' placement and versions had no effect on engines. Change: the endpoint daemon compares each engine's report with the catalogue and sends one order at a time under a lease with a fencing number; for engines that ignore the number a taker waits the lease and the pause bound; every order is read back and repaired; loads need a grant of the weight store, asked for with back-off and jitter; a new version is loaded beside the old one, work keeps the version that it began with, and the old one goes when nothing runs on it. Ruled out: holding the lease all the time (600 renewals every few seconds are several hundred writes); a lease by wall clock (daemons share none). Proof: test_orders_keeper.py, 11 cases; without the pause bound and repair a late order stays in effect (fences 2, 1), without tracking a rollout cancels streams, without back-off 40 engines make more than three times the requests.

--- a/packages/daemon/persimmonstall_daemon/endpoint/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/attempt.py
@@ -24,6 +24,7 @@
 
     `result` is the `End` or `Refused` that ends it.  `session` is None while no entry is
     attached; `detached_at` tells since when.  `holding` names its entry in the memory ledger.
+    `version` and `adapter_version` are those of the weights that it runs on, once chosen.
     """
 
     submit: Submit
@@ -43,6 +44,8 @@
     result_sent: bool = False
     handed_over: bool = False
     holding: str = ""
+    version: str = ""
+    adapter_version: str = ""
 
     @property
     def key(self):
--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -9,16 +9,19 @@
 from persimmonstall.failures import Outcome, Reason
 from persimmonstall.memory.spans import base_of, tokens_of
 from persimmonstall.messages import control, requests
+from persimmonstall.orders import Artifact
 from persimmonstall.outside.engine import CacheEvent, EngineLoad, Finish, Job, JobKind, Step
 from persimmonstall.placement.prefix import PrefixMap
 from persimmonstall.placement.queue import make_hand_over
 
 from ..memory.keeper import MemoryKeeper
+from ..orders.versions import Versions
 from .attempt import Phase, make_attempt
 from .backend import Backend, Expired, SessionLost
 
 STEP = "engine"
 WHOLE = frozenset((Finish.STOP, Finish.LENGTH))
+NOT_STARTED = (Reason.NO_MEMORY, Reason.BUSY, Reason.UNKNOWN_MODEL)
 CANCEL_TRIES = 3
 BUSY_RETRY_SECONDS = 1.0
 REOPEN_SECONDS = 0.2
@@ -68,6 +71,7 @@
         self.reader = None
         self.alive = True
         self.memory = MemoryKeeper(self)
+        self.versions = Versions()
         self.queue.has_room = self.memory.has_room
         self.handlers = {
             requests.Submit: self.on_submit,
@@ -176,8 +180,8 @@
             prefill_backlog=backlog,
             step_seconds=running.step_seconds,
             accepted=self.accepted,
-            models=running.models,
-            adapters=running.adapters,
+            models=self.versions.shown(running.models, "models"),
+            adapters=self.versions.shown(running.adapters, "adapters"),
             leaving=self.leaving or not self.alive,
             long_tokens=long_tokens,
         )
@@ -250,8 +254,11 @@
             self.spawn(self.hand_over(attempt))
 
     def job_of(self, attempt):
-        """Return the engine job of an attempt."""
+        """Return the engine job of an attempt, on the weights that it began with."""
         submit = attempt.submit
+        attempt.version = attempt.version or self.versions.model(submit.model)
+        if submit.adapter and not attempt.adapter_version:
+            attempt.adapter_version = self.versions.adapter(submit.adapter)
         return Job(
             job_id=attempt.job_id,
             owner=str(self.memory.owner),
@@ -269,8 +276,18 @@
             start=submit.segment_start,
             end=submit.segment_end,
             segments=submit.segments,
+            version=attempt.version,
         )
 
+    def artifacts_in_use(self):
+        """Return the versions of weights that unfinished attempts run on."""
+        found = set()
+        for attempt in self.attempts.values():
+            if not attempt.ended:
+                found.add(Artifact(attempt.submit.model, attempt.version))
+                found.add(Artifact(attempt.submit.adapter, attempt.adapter_version))
+        return found
+
     async def hand_over(self, attempt):
         """Hand an attempt to the engine and post the answer."""
         timeout = max(0.0, attempt.deadline - self.now())
@@ -291,10 +308,10 @@
             self.memory.confirmed(attempt)
             self.last_step = self.now()
             return
-        not_run = result.reason in (Reason.NO_MEMORY, Reason.BUSY)
+        not_run = result.reason in NOT_STARTED
         not_run = not_run or result.detail == "not connected"
         outcome = Outcome.NOT_RUN if not_run else Outcome.UNKNOWN
-        reason = Reason.BUSY if result.reason is Reason.NO_MEMORY else result.reason
+        reason = Reason.BUSY if result.reason in NOT_STARTED else result.reason
         if outcome is Outcome.UNKNOWN:
             self.spawn(self.cancel_job(attempt.job_id))
         self.end(attempt, self.refused(attempt.submit, reason, outcome, result.detail))
--- a/packages/daemon/persimmonstall_daemon/observe/names.py
+++ b/packages/daemon/persimmonstall_daemon/observe/names.py
@@ -42,6 +42,8 @@
     Entry("attempts_abandoned", Kind.COUNTER, "Attempts whose entry did not come back."),
     Entry("engine_steps_lost", Kind.COUNTER, "Connections for engine steps lost or silent."),
     Entry("engines_died", Kind.COUNTER, "Engines found dead."),
+    Entry("orders", Kind.COUNTER, "Orders sent to engines.", "action"),
+    Entry("orders_repeated", Kind.COUNTER, "Orders sent again since no effect was seen."),
     Entry("bugs", Kind.COUNTER, "Unexpected errors; always a bug."),
     Entry("attempts_failed", Kind.COUNTER, "Attempts that ended without an answer.", "reason"),
     Entry("attempts_restarted", Kind.COUNTER, "Attempts run again on the same engine."),
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/orders/weights.py
@@ -0,0 +1,62 @@
+"""Grants of the rate-limited weight store, asked for with back-off and jitter."""
+
+from persimmonstall.failures import Failure
+
+
+class WeightFetches:
+    """Holds at most one grant for one engine; refusals double the delay up to a cap.
+
+    After a new version every engine asks at about the same time: the first delay is random
+    too, and the store's refusals spread the rest.
+    """
+
+    def __init__(self, settings, context, weights, holder):
+        self.settings = settings
+        self.context = context
+        self.weights = weights
+        self.holder = holder
+        self.artifact = ""
+        self.grant = None
+        self.refused = 0
+        self.not_before = 0.0
+
+    async def acquire(self, artifact):
+        """Return whether `artifact` may be fetched now."""
+        if artifact != self.artifact:
+            await self.finish()
+            self.artifact = artifact
+            self.not_before = self.context.now() + self.spread(self.settings.orders.backoff_base)
+        if self.grant is not None:
+            return True
+        if self.context.now() < self.not_before:
+            return False
+        answer = await self.weights.request(artifact, self.holder, self.timeout)
+        if isinstance(answer, Failure):
+            self.back_off()
+            return False
+        self.grant = answer
+        self.refused = 0
+        return True
+
+    @property
+    def timeout(self):
+        """Time for one call, in seconds."""
+        return self.settings.platform.timeout
+
+    def back_off(self):
+        """Put the next request off."""
+        orders = self.settings.orders
+        longest = min(orders.backoff_cap, orders.backoff_base * 2.0 ** min(self.refused, 16))
+        self.refused += 1
+        self.not_before = self.context.now() + self.spread(longest)
+
+    def spread(self, longest):
+        """Return a random delay of up to `longest` seconds."""
+        return longest * self.context.random.random()
+
+    async def finish(self):
+        """Give the grant back; one whose answer is lost lapses by itself."""
+        grant, self.grant = self.grant, None
+        self.artifact = ""
+        if grant is not None:
+            await self.weights.finish(grant.grant, self.timeout)
--- a/packages/daemon/persimmonstall_daemon/roles.py
+++ b/packages/daemon/persimmonstall_daemon/roles.py
@@ -27,6 +27,7 @@
 from .network import GrpcNetwork
 from .observe import logs
 from .observe.metrics import Metrics
+from .orders import OrderKeeper
 
 LOG = logs.get("daemon")
 
@@ -170,6 +171,7 @@
         for served in self.settings.endpoints.serves:
             self.daemon.add(self.backend(served))
         await self.daemon.start()
+        self.keep_orders()
         self.membership = Membership(
             self.settings,
             self.clock,
@@ -183,6 +185,14 @@
         self.spawn(leaving.follow(self.follower))
         self.spawn(self.membership.run())
 
+    def keep_orders(self):
+        """Bring each engine to what the catalogue wants it to serve."""
+        platform = self.platform
+        for backend in self.daemon.backends.values():
+            if isinstance(backend, EngineBackend):
+                keeper = OrderKeeper(backend, platform.table, platform.weights, self.follower)
+                self.spawn(keeper.run())
+
     def backend(self, served):
         """Return the backend of one `name=engine@URL` setting."""
         name, _, rest = served.partition("=")
--- /dev/null
+++ b/packages/daemon/tests/test_orders_keeper.py
@@ -0,0 +1,238 @@
+"""Orders to engines on virtual time: leases, fencing, repair, weight store and rollout."""
+
+import asyncio
+from random import Random
+
+import attrs
+import pytest
+
+from persimmonstall.catalogue import Adapter, Catalogue, Change, Model, Placement
+from persimmonstall.catalogue.snapshot import kind_of
+from persimmonstall.clock import Context
+from persimmonstall.settings import Settings
+from persimmonstall_daemon.entry.request import Answer
+from persimmonstall_daemon.observe.metrics import Metrics
+from persimmonstall_daemon.orders import OrderKeeper, Versions
+from persimmonstall_standins.engine import EngineModel
+from persimmonstall_standins.engine_state import EngineSettings
+from persimmonstall_standins.table import MemoryTable
+from persimmonstall_standins.virtual.loop import run
+from persimmonstall_standins.weights import MemoryWeights, WeightLimits
+
+LEASE_AND_PAUSE = 30.0
+
+
+class Held:
+    """A catalogue that a test changes, as a follower shows it."""
+
+    def __init__(self, catalogue=None):
+        self.current = catalogue or Catalogue()
+        self.queues = []
+
+    def subscribe(self):
+        self.queues.append(asyncio.Queue())
+        return self.queues[-1]
+
+    def unsubscribe(self, queue):
+        self.queues.remove(queue)
+
+    def put(self, *records):
+        for record in records:
+            version = self.current.version + 1
+            self.current.apply(Change(version, kind_of(record), record.name, record))
+        for queue in self.queues:
+            queue.put_nowait(None)
+
+
+class SlowOrders:
+    """An engine seen by a daemon that pauses for `pause` seconds just before an order."""
+
+    def __init__(self, engine, pause):
+        self.engine = engine
+        self.pause = pause
+        self.load = engine.load
+
+    async def order(self, order, timeout):
+        await asyncio.sleep(self.pause)
+        return await self.engine.order(order, timeout)
+
+
+class Beside:
+    """One daemon run beside an engine, reduced to what orders need of it."""
+
+    def __init__(self, site, run_id, engine, follower=None):
+        loop = asyncio.get_running_loop()
+        self.settings = site.settings
+        self.context = Context(loop.time, loop.time, Random(run_id))
+        self.metrics = Metrics(site.settings)
+        self.run_id = run_id
+        self.daemon = self
+        self.name = "e"
+        self.engine = engine
+        self.versions = Versions()
+        self.in_use = set()
+        follower = follower or site.follower
+        self.keeper = OrderKeeper(self, site.table, site.weights, follower)
+        self.task = asyncio.create_task(self.keeper.run())
+
+    def artifacts_in_use(self):
+        return self.in_use
+
+
+class Site:
+    def __init__(self, check_fence=True, grants=2):
+        self.settings = Settings()
+        self.table = MemoryTable()
+        self.weights = MemoryWeights(WeightLimits(grants=grants, lapse=60.0))
+        self.follower = Held()
+        self.engine = EngineModel("e", EngineSettings(models=("m",), check_fence=check_fence))
+
+
+def test_an_engine_is_brought_to_what_the_catalogue_wants():
+    async def main():
+        site = Site()
+        beside = Beside(site, "a", site.engine)
+        site.follower.put(Model("m", version="2"), Adapter("x", "m"))
+        site.follower.put(Placement("e", ("m",), ("x",), "decode"))
+        await asyncio.sleep(60.0)
+        artifacts = site.engine.artifacts
+        assert (artifacts.models, artifacts.adapters) == ({("m", "2")}, {("x", "1")})
+        assert artifacts.role == "decode" and not site.weights.holders
+        reads = site.table.meter.total["reads"]
+        await asyncio.sleep(60.0)
+        assert site.table.meter.total["reads"] == reads, "an engine in order costs no reads"
+        beside.task.cancel()
+
+    run(main())
+
+
+async def paused_holder(check_fence, pause_bound, repair=True):
+    """Run an old daemon that pauses inside an order and a new one that takes over.
+
+    Return the fencing numbers of the orders in the order of their arrival, and the role.
+    """
+    site = Site(check_fence)
+    site.settings.orders.pause_bound = pause_bound
+    follower = Held()
+    for held in (site.follower, follower):
+        held.put(Model("m"), Placement("e", ("m",), (), "prefill", fence_checked=check_fence))
+    old = Beside(site, "old", SlowOrders(site.engine, 15.0))
+    await asyncio.sleep(0.5)
+    follower.put(Placement("e", ("m",), (), "decode", fence_checked=check_fence))
+    new = Beside(site, "new", site.engine, follower)
+    await asyncio.sleep(14.0)
+    old.keeper.reconcile = lambda: asyncio.sleep(1.0)
+    if not repair:
+        new.keeper.reconcile = lambda: asyncio.sleep(1.0)
+    await asyncio.sleep(60.0)
+    for beside in (old, new):
+        beside.task.cancel()
+    fences = [int(line.detail.split()[-1]) for line in site.engine.log if line.event == "ordered"]
+    return fences, site.engine.artifacts.role
+
+
+def test_a_paused_holder_of_an_engine_that_ignores_the_fence_comes_before_its_successor():
+    fences, role = run(paused_holder(check_fence=False, pause_bound=20.0))
+    assert fences == sorted(fences) and fences[-1] == 2 and role == "decode"
+
+
+def test_without_the_pause_bound_its_order_comes_late_and_without_repair_stays():
+    fences, role = run(paused_holder(check_fence=False, pause_bound=0.0, repair=False))
+    assert fences == [2, 1] and role == "prefill"
+
+
+def test_reading_back_repairs_a_late_order():
+    fences, role = run(paused_holder(check_fence=False, pause_bound=0.0))
+    assert fences == [2, 1, 2] or fences == [2, 1, 3]
+    assert role == "decode"
+
+
+def test_an_engine_that_checks_the_fence_refuses_the_late_order():
+    fences, role = run(paused_holder(check_fence=True, pause_bound=0.0, repair=False))
+    assert fences == [2] and role == "decode"
+
+
+@pytest.mark.parametrize("fault", ["lose_answers", "apply_late", "down"])
+def test_orders_go_on_after_faults_of_the_table(fault):
+    async def main():
+        site = Site()
+        setattr(site.table.faults, fault, True)
+        beside = Beside(site, "a", site.engine)
+        site.follower.put(Model("m"), Placement("e", ("m",), (), "decode"))
+        await asyncio.sleep(30.0)
+        setattr(site.table.faults, fault, False)
+        await asyncio.sleep(30.0)
+        assert site.engine.artifacts.role == "decode"
+        beside.task.cancel()
+
+    run(main())
+
+
+async def load_everywhere(backoff, count=40):
+    site = Site(grants=2)
+    site.settings.orders.backoff_base = backoff
+    site.settings.orders.backoff_cap = 30.0 if backoff else 0.0
+    site.follower.put(Model("m", version="2"), Placement("e", ("m",)))
+    engines = [EngineModel(f"e{n}", EngineSettings(models=("m",))) for n in range(count)]
+    besides = [Beside(site, f"run{n}", engine) for n, engine in enumerate(engines)]
+    await asyncio.sleep(900.0)
+    for beside in besides:
+        beside.task.cancel()
+    return site, [engine.artifacts.models for engine in engines]
+
+
+def test_a_new_version_does_not_stampede_to_the_weight_store():
+    site, models = run(load_everywhere(1.0))
+    assert site.weights.most_at_once <= 2
+    assert all(one == {("m", "2")} for one in models)
+    calm = site.weights.meter.total["writes"]
+    site, _ = run(load_everywhere(0.0))
+    assert site.weights.meter.total["writes"] > 3 * calm
+
+
+async def roll_out(fleet, entry, tracked):
+    """Change a model's version under streams; return their answers and what was loaded."""
+    held = Held(fleet.catalogue)
+    table, weights = MemoryTable(), MemoryWeights()
+    held.put(*(Placement(name, ("m",)) for name in fleet.daemons))
+    keepers = []
+    for daemon in fleet.daemons.values():
+        for backend in daemon.backends.values():
+            if not tracked:
+                backend.artifacts_in_use = set
+            keepers.append(OrderKeeper(backend, table, weights, held))
+    tasks = [asyncio.create_task(keeper.run()) for keeper in keepers]
+    await asyncio.sleep(3.0)
+    asks = []
+    for number in range(40):
+        asks.append(asyncio.create_task(fleet.ask(entry, number, 2000, max_tokens=2000)))
+        await asyncio.sleep(1.0)
+        if number == 5:
+            held.put(attrs.evolve(held.current.get("model", "m"), version="2"))
+    answers = await asyncio.gather(*asks)
+    await asyncio.sleep(60.0)
+    for task in tasks:
+        task.cancel()
+    loaded = [engine.artifacts.models for engine in fleet.engines.values()]
+    cut = sum(
+        line.event == "finished" and "cancelled" in line.detail
+        for engine in fleet.engines.values()
+        for line in engine.log
+    )
+    return answers, loaded, cut
+
+
+def test_a_rollout_cuts_no_stream(on_fleet):
+    async def scenario(fleet, entry):
+        return await roll_out(fleet, entry, tracked=True)
+
+    answers, loaded, cut = on_fleet(scenario)
+    assert all(isinstance(answer, Answer) for answer in answers)
+    assert loaded == [{("m", "2")}] * 3 and cut == 0
+
+
+def test_without_tracking_what_runs_a_rollout_cuts_streams(on_fleet):
+    async def scenario(fleet, entry):
+        return await roll_out(fleet, entry, tracked=False)
+
+    assert on_fleet(scenario)[2] > 0
--- a/packages/standins/persimmonstall_standins/experiment/mix.py
+++ b/packages/standins/persimmonstall_standins/experiment/mix.py
@@ -7,6 +7,7 @@
 from random import Random
 
 import attrs
+
 from persimmonstall.lengths import LengthClass, classify
 from persimmonstall.settings import Settings
 
--- a/packages/standins/persimmonstall_standins/experiment/run.py
+++ b/packages/standins/persimmonstall_standins/experiment/run.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 import attrs
+
 from persimmonstall.catalogue import Catalogue, Change, Model, Organisation
 from persimmonstall_daemon.entry.request import Answer, CallerRequest, Sink
 
--- a/tools/check_model.py
+++ b/tools/check_model.py
@@ -3,6 +3,7 @@
 import sys
 
 from minicheck import check_safety
+
 from persimmonstall_standins.specification.mutations import checks, mutations
 
 MOST_STATES = 400_000
