--- a/packages/core/persimmonstall/placement/queue.py
+++ b/packages/core/persimmonstall/placement/queue.py
@@ -8,7 +8,7 @@
 import attrs
 
 from ..failures import Failure, Reason
-from ..lengths import LONG_CLASSES
+from ..lengths import LONG_CLASSES, LengthClass
 from ..memory.spans import prompt_span, tokens_of
 from .cost import PRIOR_STEP_SECONDS, Cost, weighted_tokens
 from .due import due_time, engine_priority
@@ -26,7 +26,12 @@
 MEMORY_SHARE = 0.97
 """Share of the engine's memory that is promised to attempts."""
 
-LEAST_CHUNK = 256
+LONG_PART = 0.6
+MEDIUM_PART = 0.5
+SHORT_PART = 0.5
+"""Parts of a step's room for prompt tokens that one prompt of a class may take."""
+
+LEAST_CHUNK = 128
 """Smallest chunk of a prefill, in tokens."""
 
 
@@ -73,9 +78,9 @@
         self.memory_total = 0
         self.step_seconds = PRIOR_STEP_SECONDS
         self.busy_since = 0.0
-        self.has_room = self.room_by_promises
         self.steps = StepTimes()
         self.last_step = 0.0
+        self.has_room = self.room_by_promises
 
     @abc.abstractmethod
     def offer(self, submit, cached, now):
@@ -310,22 +315,28 @@
         return engine_priority(waiting.due, 0.0)
 
     def chunk_tokens(self, waiting):
-        """Return the chunk that keeps steps within the objective between tokens.
+        """Return the chunk that keeps steps near the objective between tokens, 0 for no slot.
 
-        Beside long prompts half of a step is left to the others, whose prefills come and go.
+        Each class has its own part of a step, so that no class waits for the end of another's
+        prefill; a class alone may take more.
         """
-        room = self.steps.room(self.settings.objectives.between_tokens)
-        room = max(LEAST_CHUNK, room // 2 if waiting.long or self.long_prefills() else room)
-        limit = 2 * room if waiting.long else room
-        taken = sum(
-            other.chunk for other in self.prefilling.values() if other.long == waiting.long
-        )
-        fitting = min(self.settings.placing.chunk_tokens, room, limit - taken)
-        return fitting if fitting >= LEAST_CHUNK else 0
-
-    def long_prefills(self):
-        """Return whether a long prompt is being prefilled."""
-        return any(other.long for other in self.prefilling.values())
+        room = max(LEAST_CHUNK, self.steps.room(self.settings.objectives.between_tokens))
+        kind = waiting.submit.length_class
+        taken = {other.submit.length_class for other in self.prefilling.values()}
+        if waiting.long:
+            part = 0 if taken & LONG_CLASSES else LONG_PART
+        elif kind == LengthClass.MEDIUM:
+            part = self.part_of(kind, MEDIUM_PART, bool(taken & LONG_CLASSES))
+        else:
+            part = self.part_of(kind, SHORT_PART, bool(taken - {LengthClass.SHORT}))
+        chunk = min(self.settings.placing.chunk_tokens, int(part * room))
+        return chunk if chunk >= LEAST_CHUNK else 0
+
+    def part_of(self, kind, part, shared):
+        """Return the part of a step for one more prompt of a class, alone or in a shared step."""
+        running = sum(other.submit.length_class == kind for other in self.prefilling.values())
+        most = 1 if shared else 2
+        return part if running < most else 0
 
 
 def make_hand_over(settings):
--- a/packages/core/persimmonstall/placement/view.py
+++ b/packages/core/persimmonstall/placement/view.py
@@ -10,7 +10,7 @@
 import attrs
 
 from ..lengths import LONG_CLASSES
-from .cost import PRIOR_STEP_SECONDS, Cost, weighted_tokens
+from .cost import PRIOR_SECONDS_PER_TOKEN, PRIOR_STEP_SECONDS, weighted_tokens
 from .prefix import PrefixMap
 from .slow import Slowness
 
@@ -20,9 +20,6 @@
 WARM_SECONDS = 10.0
 """Time over which an endpoint that came back is given its full share again."""
 
-LEAST_LEARN_TOKENS = 500.0
-"""Smallest prefill from which the speed of engines is learned."""
-
 
 @attrs.define(eq=False)
 class Flight:
@@ -34,8 +31,6 @@
     memory: int
     sent_at: float
     expected: float
-    ahead: float
-    model: str = ""
     in_report: bool = False
     answered: bool = False
 
@@ -61,6 +56,7 @@
     warm_at: float = 0.0
     slowness: Slowness = attrs.field(factory=Slowness)
     step_seconds: float = PRIOR_STEP_SECONDS
+    token_seconds: float = PRIOR_SECONDS_PER_TOKEN
     memory_total: int = 0
     reported_running: int = 0
     reported_memory: int = 0
@@ -140,6 +136,8 @@
         self.memory_total = load.memory_total
         if load.step_seconds > 0.0:
             self.step_seconds = load.step_seconds
+        if load.token_seconds > 0.0:
+            self.token_seconds = load.token_seconds
         self.refresh()
 
 
@@ -185,16 +183,8 @@
         self.endpoints = {}
         self.pools = {}
         self.flights = {}
-        self.costs = {}
         self.prefixes = PrefixMap()
 
-    def cost(self, model):
-        """Return the `Cost` of `model`."""
-        found = self.costs.get(model)
-        if found is None:
-            found = self.costs[model] = Cost()
-        return found
-
     def join(self, name, data_centre="", delay=0.0, services=(), now=0.0):
         """Add an endpoint, or take back one that was lost; return its `EndpointState`."""
         state = self.endpoints.get(name)
@@ -306,9 +296,7 @@
         tokens = weighted_tokens(placed.uncached, work.prompt_tokens)
         memory = work.prompt_tokens + work.predicted_tokens
         long = work.length_class in LONG_CLASSES
-        flight = Flight(
-            state, tokens, long, memory, now, placed.expected, placed.ahead, work.model
-        )
+        flight = Flight(state, tokens, long, memory, now, placed.expected)
         self.flights[work.request_id, placed.endpoint] = flight
         state.add(flight)
         state.slowness.used(now)
@@ -316,7 +304,7 @@
             self.prefixes.record(state.name, work.blocks)
 
     def first_token(self, request_id, endpoint, now):
-        """Note the first output of an attempt, and learn from how long it took."""
+        """Note the first output of an attempt, and learn whether its endpoint is slow."""
         flight = self.flights.get((request_id, endpoint))
         if flight is None or flight.answered:
             return
@@ -325,9 +313,6 @@
         state.refresh()
         observed = max(0.0, now - flight.sent_at - 2.0 * state.delay)
         state.slowness.observe(observed, flight.expected, now)
-        work = flight.tokens + flight.ahead
-        if work >= LEAST_LEARN_TOKENS and not state.slowness.eased:
-            self.cost(flight.model).observe(work, observed)
 
     def ended(self, request_id, endpoint):
         """Stop counting an attempt, however it ended."""
--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -184,6 +184,7 @@
             adapters=self.versions.shown(running.adapters, "adapters"),
             leaving=self.leaving or not self.alive,
             long_tokens=long_tokens,
+            token_seconds=self.queue.cost.seconds_per_token,
         )
 
     def memory_promised(self):
--- a/packages/standins/persimmonstall_standins/experiment/run.py
+++ b/packages/standins/persimmonstall_standins/experiment/run.py
@@ -59,6 +59,7 @@
     count: int = 0
     cached: int = 0
     attempts: int = 0
+    endpoint: str = ""
 
 
 @attrs.frozen
@@ -216,6 +217,7 @@
                 outcome.count if whole else 0,
                 outcome.cached if whole else 0,
                 outcome.attempts if whole else 0,
+                outcome.endpoint if whole else "",
             )
         )
 
