--- a/packages/core/persimmonstall/outside/engine.py
+++ b/packages/core/persimmonstall/outside/engine.py
@@ -167,7 +167,8 @@
     async def submit(self, job, timeout):
         """Start `Job`: True, or a `Failure`.
 
-        NO_MEMORY, BUSY and UNKNOWN_MODEL: certainly not started."""
+        NO_MEMORY, BUSY and UNKNOWN_MODEL: certainly not started.
+        """
 
     @abc.abstractmethod
     async def cancel(self, job_id, timeout):
