--- a/packages/core/persimmonstall/memory/long_prompt.py
+++ b/packages/core/persimmonstall/memory/long_prompt.py
@@ -65,11 +65,12 @@
 
 @attrs.frozen
 class Refused:
-    """Command: the reservation was refused; everything reserved before has been released."""
+    """The reservation was refused; `released` tells whether everything was given back."""
 
     endpoint: str
     reason: str
     retry_after: float
+    released: bool = True
 
 
 class LongPrompt:
@@ -140,10 +141,13 @@
         return []
 
     def on_first_answer(self, part, answer, now):
-        """Go on after a grant; after a refusal give back everything."""
+        """Go on after a grant; after a refusal give back everything not yet prefilled."""
         if not answer.reason:
             part.state = PartState.RESERVED
             return self.advance(now)
+        if self.in_state(PartState.HELD) or self.in_state(PartState.PREFILLING):
+            part.state = PartState.LOST
+            return [Refused(part.endpoint, answer.reason, answer.retry_after, released=False)]
         part.state = PartState.PLANNED
         refused = Refused(part.endpoint, answer.reason, answer.retry_after)
         return [*self.release(), refused]
--- a/packages/daemon/persimmonstall_daemon/endpoint/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/attempt.py
@@ -24,7 +24,8 @@
 
     `result` is the `End` or `Refused` that ends it.  `session` is None while no entry is
     attached; `detached_at` tells since when.  `won` is the claim held for non-idempotent
-    work.  `holding` names its entry in the memory ledger.
+    work.  `holding` names its entry in the memory ledger.  `version` and `adapter_version`
+    are those of the weights that it runs on, once chosen.
     """
 
     submit: Submit
@@ -45,6 +46,8 @@
     handed_over: bool = False
     won: object = None
     holding: str = ""
+    version: str = ""
+    adapter_version: str = ""
 
     @property
     def key(self):
--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -9,18 +9,21 @@
 from persimmonstall.failures import Outcome, Reason
 from persimmonstall.memory.spans import base_of, tokens_of
 from persimmonstall.messages import control, requests
+from persimmonstall.orders import Artifact
 from persimmonstall.outside.engine import CacheEvent, EngineLoad, Finish, Job, JobKind, Step
 from persimmonstall.placement.prefix import PrefixMap
 from persimmonstall.placement.queue import make_hand_over
 
 from ..claims import keeper as claims
 from ..memory.keeper import MemoryKeeper
+from ..orders.versions import Versions
 from .attempt import Phase, make_attempt
 from .backend import Backend, Expired, SessionLost
 from .trials import TrialEnded, Trials
 
 STEP = "engine"
 WHOLE = frozenset((Finish.STOP, Finish.LENGTH))
+NOT_STARTED = (Reason.NO_MEMORY, Reason.BUSY, Reason.UNKNOWN_MODEL)
 CANCEL_TRIES = 3
 BUSY_RETRY_SECONDS = 1.0
 REOPEN_SECONDS = 0.2
@@ -62,7 +65,7 @@
         return False
     if result.step == claims.STEP or result.detail == "not connected":
         return True
-    return result.reason in (Reason.NO_MEMORY, Reason.BUSY)
+    return result.reason in NOT_STARTED
 
 
 class EngineBackend(Backend):
@@ -88,6 +91,7 @@
         self.alive = True
         self.memory = MemoryKeeper(self)
         self.trials = Trials(self)
+        self.versions = Versions()
         self.queue.has_room = self.memory.has_room
         self.handlers = {
             requests.Submit: self.on_submit,
@@ -163,17 +167,22 @@
 
     async def watch(self):
         """Poll the engine's load and notice when its steps go silent."""
-        endpoints = self.settings.endpoints
         while True:
-            load = await self.engine.load(endpoints.step_silence / 2)
-            if load:
-                self.post(load)
-            silent = self.now() - self.last_step > endpoints.step_silence
-            if silent and self.running():
-                self.post(StepsLost("silent"))
-            if not load and (silent or load.detail == "not connected"):
-                self.post(EngineDied(load.detail))
-            await asyncio.sleep(self.daemon.context.jitter(endpoints.step_silence / 3))
+            await self.probe()
+            silence = self.settings.endpoints.step_silence
+            await asyncio.sleep(self.daemon.context.jitter(silence / 3))
+
+    async def probe(self):
+        """Ask for the engine's load once, and post what that shows."""
+        endpoints = self.settings.endpoints
+        load = await self.engine.load(endpoints.step_silence / 2)
+        if load:
+            self.post(load)
+        silent = self.now() - self.last_step > endpoints.step_silence
+        if silent and self.running():
+            self.post(StepsLost("silent"))
+        if not load and (silent or load.detail == "not connected"):
+            self.post(EngineDied(load.detail))
 
     def running(self):
         """Return the attempts that the engine should be working on."""
@@ -198,8 +207,8 @@
             prefill_backlog=backlog,
             step_seconds=running.step_seconds,
             accepted=self.accepted,
-            models=running.models,
-            adapters=running.adapters,
+            models=self.versions.shown(running.models, "models"),
+            adapters=self.versions.shown(running.adapters, "adapters"),
             leaving=self.leaving or not self.alive,
             long_tokens=long_tokens,
             token_seconds=self.queue.cost.seconds_per_token,
@@ -282,8 +291,11 @@
             self.spawn(self.hand_over(attempt))
 
     def job_of(self, attempt):
-        """Return the engine job of an attempt."""
+        """Return the engine job of an attempt, on the weights that it began with."""
         submit = attempt.submit
+        attempt.version = attempt.version or self.versions.model(submit.model)
+        if submit.adapter and not attempt.adapter_version:
+            attempt.adapter_version = self.versions.adapter(submit.adapter)
         return Job(
             job_id=attempt.job_id,
             owner=str(self.memory.owner),
@@ -301,8 +313,18 @@
             start=submit.segment_start,
             end=submit.segment_end,
             segments=submit.segments,
+            version=attempt.version,
         )
 
+    def artifacts_in_use(self):
+        """Return the versions of weights that unfinished attempts run on."""
+        found = set()
+        for attempt in self.attempts.values():
+            if not attempt.ended:
+                found.add(Artifact(attempt.submit.model, attempt.version))
+                found.add(Artifact(attempt.submit.adapter, attempt.adapter_version))
+        return found
+
     async def hand_over(self, attempt):
         """Hand an attempt to the engine and post the answer."""
         won = await self.daemon.claims.win(attempt, self.name)
@@ -325,16 +347,22 @@
                 self.spawn(self.cancel_job(attempt.job_id))
             return
         if result:
-            attempt.phase = Phase.RUNNING
-            self.memory.confirmed(attempt)
-            self.last_step = self.now()
+            self.note_running(attempt)
+            return
+        if attempt.phase is Phase.RUNNING and not certainly_not_run(result):
             return
         outcome = Outcome.NOT_RUN if certainly_not_run(result) else Outcome.UNKNOWN
-        reason = Reason.BUSY if result.reason is Reason.NO_MEMORY else result.reason
+        reason = Reason.BUSY if result.reason in NOT_STARTED else result.reason
         if outcome is Outcome.UNKNOWN:
             self.spawn(self.cancel_job(attempt.job_id))
         self.end(attempt, self.refused(attempt.submit, reason, outcome, result.detail))
 
+    def note_running(self, attempt):
+        """Note that the engine has the job of an attempt."""
+        attempt.phase = Phase.RUNNING
+        self.memory.confirmed(attempt)
+        self.last_step = self.now()
+
     def refused(self, submit, reason, outcome, detail=""):
         """Return the refusal of an attempt."""
         return requests.Refused(
@@ -367,6 +395,9 @@
 
     def take_output(self, attempt, output):
         """Add one job's output to its attempt."""
+        if attempt.phase is Phase.STARTING:
+            # The engine's answer to the hand-over is late or lost, but the job runs.
+            self.note_running(attempt)
         if output.tokens and not attempt.first_at:
             attempt.first_at = self.now()
             attempt.cached = output.cached
@@ -558,8 +589,12 @@
             self.stop(attempt, Reason.CANCELLED)
 
     def on_steps_lost(self, lost, _session):
-        """Open a new connection for the engine's steps; gaps restart their attempts."""
+        """Open a new connection for the engine's steps; gaps restart their attempts.
+
+        The engine is asked at once whether it is still there.
+        """
         self.daemon.metrics.count("engine_steps_lost")
+        self.spawn(self.probe())
         self.last_step = self.now()
         if self.reader:
             self.reader.cancel()
--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -20,6 +20,7 @@
 from .exchange import Exchanges
 from .filters.authenticate import find_organisation
 from .links import EndpointLinks
+from .long_prompts import DispatchBySize, LongDispatch
 from .pipeline import Pipeline, make_filters
 
 LOG = logs.get("entry")
@@ -89,7 +90,9 @@
         self.quarantine.register(self.controls)
         self.suspects = QuarantineFilter(self, self.quarantine)
         self.tasks = []
-        self.pipeline = Pipeline(make_filters(self), Dispatch(self))
+        self.long_prompts = LongDispatch(self)
+        by_size = DispatchBySize(Dispatch(self), self.long_prompts)
+        self.pipeline = Pipeline(make_filters(self), by_size)
         self.leaving = False
         self.active = 0
 
@@ -214,6 +217,7 @@
     def on_loads(self, instance, loads):
         """Take fresh loads of an instance's endpoints."""
         self.links.learn(instance, loads)
+        self.long_prompts.on_loads(loads)
         self.membership.on_loads(instance.name, loads)
         self.placer.on_loads(instance, loads, self.context.now())
 
