Quarantine of content that crashes endpoints

Cause: a request that crashes each endpoint that runs it was placed again and again. Ruled out: counting attempts (a resend is a new request), a table row before every prompt (the table's budget), draining an engine for each suspect (minutes for long answers). Output beyond the place of a crash clears a suspicion.

--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -407,13 +407,13 @@
             self.restart(attempt)
             return
         self.memory.grew(attempt)
+        self.trials.passed(attempt, output.finish in WHOLE)
         if output.finish in (Finish.NONE, Finish.PARKED):
             return
         if output.finish is Finish.PREFILLED:
             self.queue.first_token(attempt.key, self.now())
             self.settle(attempt, self.whole(attempt, 0, output.finish, attempt.job_id.encode()))
             return
-        self.trials.passed(attempt, output.finish in WHOLE)
         if output.finish in WHOLE:
             self.store_answer(attempt, output.finish)
             count = attempt.outbox.count
--- a/packages/daemon/persimmonstall_daemon/entry/dispatch.py
+++ b/packages/daemon/persimmonstall_daemon/entry/dispatch.py
@@ -81,7 +81,7 @@
                 return result if isinstance(result, Answer) else self.refuse(run, result)
             run.avoided.add(run.endpoint)
             await asyncio.sleep(delay)
-            renewed = await self.renew(run, result)
+            renewed = await self.renew_claim(run, result)
             if renewed is not None:
                 return renewed
 
@@ -92,7 +92,7 @@
             offset = len(run.tokens)
             self.entry.suspects.lost(run.work, run.endpoint, run.peer_run, run.attempt, offset)
 
-    async def renew(self, run, result):
+    async def renew_claim(self, run, result):
         """Make sure that non-idempotent work was not run, before it is attempted again.
 
         Return None when it may be, else the `Answer` or `Refusal` that ends the request.
--- a/packages/daemon/persimmonstall_daemon/entry/long_prompts.py
+++ b/packages/daemon/persimmonstall_daemon/entry/long_prompts.py
@@ -177,6 +177,9 @@
                 delay = self.delay_before_next(run, result)
                 if delay is None:
                     return result if result else self.refuse(run, result)
+                renewed = await self.renew_claim(run, result)
+                if renewed is not None:
+                    return renewed
                 self.cancel(run)
                 await self.confirm(run, division, delay)
         finally:
@@ -189,6 +192,8 @@
         while True:
             if self.remaining(run) <= 0:
                 return Failure(Reason.DEADLINE, STEP, detail="no room in time")
+            if self.entry.quarantine.refused(run.work.fingerprint):
+                return self.entry.suspects.refusal()
             if division.prompt is None:
                 failure = await self.begin(run, division)
                 if failure is not None:
@@ -417,6 +422,7 @@
             priority=work.priority,
             length_class=work.length_class,
             fingerprint=work.fingerprint,
+            suspect=self.entry.suspects.is_suspect(work),
             segment_start=part.share.start,
             segment_end=part.share.end,
         )
