--- a/packages/daemon/tests/test_long_prompts.py
+++ b/packages/daemon/tests/test_long_prompts.py
@@ -86,7 +86,7 @@
 
 def test_share_of_engines_for_long_prompts_is_kept(on_fleet):
     async def scenario(fleet, entry):
-        request, asked = ask(fleet, entry)
+        _, asked = ask(fleet, entry)
         return await asked
 
     refused = on_fleet(scenario, engines=4)
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -9,15 +9,15 @@
 import subprocess
 import sys
 
-from persimmonstall_standins.processes import Deployment, Layout, end
+from persimmonstall_standins.processes import MODEL, Deployment, Layout, end
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DIRECTORY = ROOT / "var" / "demo"
 STATE = DIRECTORY / "running.json"
 MARKER = "persimmonstall"
-SPEED = 3.0
+SPEED = 4.0
 """Factor by which the stand-in engines' time runs faster than real time."""
-LOAD_FLAGS = ("--requests=1000", "--rate=25", "--seed=7", "--deadline=120")
+LOAD_FLAGS = ("--rate=30", "--seconds=32", "--seed=7", "--deadline=36", "--alone")
 
 
 def interrupt(_number, _frame):
@@ -54,16 +54,16 @@
 
 def run_load(deployment):
     """Send the mixed load through both entries and print its report."""
-    print(f"engine time runs {SPEED:g} times faster than real time; times below are engine time")
+    print(f"the engines run {SPEED:g} times faster than modelled; times below are real time")
     command = [
         sys.executable,
         "-m",
         "persimmonstall_cli.main",
         "load",
         *LOAD_FLAGS,
-        f"--time_scale={SPEED:g}",
-        "--entries=" + ",".join(deployment.http.values()),
-        f"--key={deployment.caller_key}",
+        "--url=" + ",".join(deployment.http.values()),
+        f"--api_key={deployment.caller_key}",
+        f"--model={MODEL}",
         f"--plot={DIRECTORY / 'load.svg'}",
     ]
     return subprocess.run(command, check=False).returncode
