--- a/packages/cli/persimmonstall_cli/commands/__init__.py
+++ b/packages/cli/persimmonstall_cli/commands/__init__.py
@@ -1,6 +1,6 @@
 """The visible list of all subcommands; a new group is a module and a line here."""
 
-from . import config, fleet, keys, organisations, records
+from . import config, fleet, keys, load, organisations, records
 
 GROUPS = (
     config,
@@ -8,6 +8,7 @@
     organisations,
     records,
     keys,
+    load,
 )
 
 COMMANDS = tuple(command for group in GROUPS for command in group.COMMANDS)
--- a/packages/core/persimmonstall/messages/control.py
+++ b/packages/core/persimmonstall/messages/control.py
@@ -8,7 +8,7 @@
     """State of one endpoint as its daemon knows it; tokens and seconds.
 
     `accepted` counts the work accepted so far, so that a reader can tell which of its own
-    submissions the report includes.
+    submissions the report includes.  `token_seconds` is the measured time of one prompt token.
     """
 
     endpoint: str
@@ -23,6 +23,8 @@
     adapters: tuple[str, ...] = ()
     leaving: bool = False
     long_tokens: int = 0
+    token_seconds: float = 0.0
+    services: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -5,11 +5,13 @@
 
 import attrs
 
+from persimmonstall.burn import BurnRecorder
 from persimmonstall.failures import Failure, Reason
 from persimmonstall.invariants import Invariants
 from persimmonstall.membership import subset_of
 from persimmonstall.messages import control
 
+from ..claims import ClaimFilter
 from ..limits import Budgets, EntryPeers
 from ..membership import Membership
 from ..observe import logs
@@ -37,7 +39,8 @@
     """What the filters of one entry share.
 
     `follower` holds the catalogue, `placer` chooses endpoints, `network` opens links,
-    `instances` is the platform's list; `strict` raises on a violated invariant.
+    `stores` the platform's table and object store, `instances` its list; `strict` raises on
+    a violated invariant.
     """
 
     def __init__(
@@ -49,6 +52,7 @@
         follower,
         placer,
         vocabulary,
+        stores,
         instances=None,
         strict=False,
     ):
@@ -66,11 +70,13 @@
         self.links = EndpointLinks(self)
         self.membership = Membership(settings, context, self.invariants, metrics, instances)
         self.membership.subscribe(self.on_members)
+        self.burn = BurnRecorder(settings)
         self.peers = EntryPeers(self)
         self.budgets = Budgets(
             settings, context, self.invariants, metrics, self.entry_names, self.peers.send
         )
         self.long_prompts = LongDispatch(self)
+        self.claims = ClaimFilter(self, stores.table, stores.objects)
         by_size = DispatchBySize(Dispatch(self), self.long_prompts)
         self.pipeline = Pipeline(make_filters(self), by_size)
         self.leaving = False
@@ -135,6 +141,8 @@
             self.membership.on_drains(self.catalogue.records["drain"])
             self.budgets.tick(lambda name: self.catalogue.get("organisation", name))
             self.peers.tick()
+            self.burn.evict(self.context.now())
+            self.metrics.gauge("in_flight", self.active)
 
     async def serve(self, request, sink):
         """Return the `Answer` or `Refusal` of a `CallerRequest`."""
--- a/packages/standins/persimmonstall_standins/experiment/run.py
+++ b/packages/standins/persimmonstall_standins/experiment/run.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 import attrs
+
 from persimmonstall.catalogue import Catalogue, Change, Model, Organisation
 from persimmonstall_daemon.entry.request import Answer, CallerRequest, Sink
 
@@ -58,6 +59,7 @@
     count: int = 0
     cached: int = 0
     attempts: int = 0
+    endpoint: str = ""
 
 
 @attrs.frozen
@@ -215,6 +217,7 @@
                 outcome.count if whole else 0,
                 outcome.cached if whole else 0,
                 outcome.attempts if whole else 0,
+                outcome.endpoint if whole else "",
             )
         )
 
