--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -75,8 +75,8 @@
         self.budgets = Budgets(
             settings, context, self.invariants, metrics, self.entry_names, self.peers.send
         )
-        self.long_prompts = LongDispatch(self)
         self.claims = ClaimFilter(self, stores.table, stores.objects)
+        self.long_prompts = LongDispatch(self)
         by_size = DispatchBySize(Dispatch(self), self.long_prompts)
         self.pipeline = Pipeline(make_filters(self), by_size)
         self.leaving = False
