--- a/packages/daemon/persimmonstall_daemon/membership/task.py
+++ b/packages/daemon/persimmonstall_daemon/membership/task.py
@@ -11,6 +11,9 @@
 
 LOG = logs.get("membership")
 
+FRESH_POLLS = 3
+"""Polls after which a list that could not be read again is no longer relied on."""
+
 
 class Membership:
     """The view of one daemon; `instances` is the platform's `InstanceList`.
@@ -124,6 +127,13 @@
         if before != self.view.leaving:
             self.changed()
 
+    def listed_names(self):
+        """Return the names of the other instances on the list; None if not read lately."""
+        freshness = FRESH_POLLS * self.settings.platform.list_poll
+        if self.listed_at is None or self.context.now() - self.listed_at > freshness:
+            return None
+        return set(self.view.peers)
+
     def entries(self):
         """Return the live entries as `Instance`s, this daemon included if it is one."""
         found = self.view.members("entry")
