--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)))
 export PATH := $(abspath $(VENV))/bin:$(PATH)
 
-.PHONY: setup demo up down test format lint check-proto check-model doctest pytest soak measure bench capacity proto
+.PHONY: setup demo up down test format lint check-proto check-reference reference check-model doctest pytest soak measure bench capacity proto
 
 setup: $(STAMP)
 
@@ -30,7 +30,7 @@
 down: setup
 	$(PYTHON) tools/demo.py down
 
-test: lint check-proto doctest pytest check-model
+test: lint check-proto check-reference doctest pytest check-model
 
 format: setup
 	$(PYTHON) -m ruff format packages tools
@@ -46,6 +46,12 @@
 check-proto: setup
 	$(PYTHON) tools/generate.py --check
 
+reference: setup
+	$(PYTHON) tools/reference.py
+
+check-reference: setup
+	$(PYTHON) tools/reference.py --check
+
 doctest: setup
 	$(PYTHON) -m pytest --doctest-modules --ignore-glob='*/tests/*' packages/core/persimmonstall packages/cli/persimmonstall_cli
 
--- a/packages/daemon/tests/test_orders_keeper.py
+++ b/packages/daemon/tests/test_orders_keeper.py
@@ -227,7 +227,7 @@
         return await roll_out(fleet, entry, tracked=True)
 
     answers, loaded, cut = on_fleet(scenario)
-    assert all(isinstance(answer, Answer) for answer in answers)
+    assert [one for one in answers if not isinstance(one, Answer)] == []
     assert loaded == [{("m", "2")}] * 3 and cut == 0
 
 
