--- a/packages/core/persimmonstall/placement/length_aware.py
+++ b/packages/core/persimmonstall/placement/length_aware.py
@@ -22,7 +22,7 @@
 OTHERS_WEIGHT = 0.3
 """Weight of the time that a request's prefill takes from each answer under way."""
 
-KEPT_SECONDS = 15.0
+KEPT_SECONDS = 60.0
 """Cost of taking another than a short prompt to an endpoint kept for short ones, in seconds."""
 
 MEMORY_SECONDS = 30.0
