--- a/packages/core/persimmonstall/placement/view.py
+++ b/packages/core/persimmonstall/placement/view.py
@@ -14,6 +14,9 @@
 from .prefix import PrefixMap
 from .slow import Slowness
 
+UNTRIED_STEP_SECONDS = PRIOR_STEP_SECONDS / 2
+"""Step time assumed of an endpoint that has not run yet, low so that it is tried."""
+
 REPORT_LAG_SECONDS = 0.05
 """Age of a load report when it leaves the endpoint's daemon."""
 
@@ -55,7 +58,7 @@
     lost: bool = False
     warm_at: float = 0.0
     slowness: Slowness = attrs.field(factory=Slowness)
-    step_seconds: float = PRIOR_STEP_SECONDS
+    step_seconds: float = UNTRIED_STEP_SECONDS
     token_seconds: float = PRIOR_SECONDS_PER_TOKEN
     memory_total: int = 0
     reported_running: int = 0
@@ -235,12 +238,12 @@
         if state is None:
             return
         state.take_report(load, now)
-        served = (state.models, state.adapters)
-        if served == (load.models, load.adapters) and load.leaving == state.reported_leaving:
+        served = (state.models, state.adapters, state.services)
+        offered = (load.models, load.adapters, load.services or state.services)
+        if served == offered and load.leaving == state.reported_leaving:
             return
         self.unlist(state)
-        state.models = load.models
-        state.adapters = load.adapters
+        state.models, state.adapters, state.services = offered
         if state.reported_leaving and not load.leaving:
             state.warm_at = now + WARM_SECONDS
         # An endpoint that cannot be used for now, as its engine died, comes back empty.
