--- a/packages/core/persimmonstall/placement/due.py
+++ b/packages/core/persimmonstall/placement/due.py
@@ -5,7 +5,7 @@
 long work becomes due in turn and cannot be passed for ever: neither starves.
 """
 
-PATIENCE = 4.0
+PATIENCE = 12.0
 """Multiple of its service time that work of middle priority may wait before it is due."""
 
 LEAST_PATIENCE_SECONDS = 0.1
--- a/packages/core/persimmonstall/placement/length_aware.py
+++ b/packages/core/persimmonstall/placement/length_aware.py
@@ -22,8 +22,9 @@
 OTHERS_WEIGHT = 0.3
 """Weight of the time that a request's prefill takes from each answer under way."""
 
-KEPT_SECONDS = 60.0
-"""Cost of taking another than a short prompt to an endpoint kept for short ones, in seconds."""
+KEPT_SHARE = 0.9
+"""Cost of taking another than a short prompt to an endpoint kept for short ones, as a share
+of the request's time left: it goes there rather than miss its deadline elsewhere."""
 
 MEMORY_SECONDS = 30.0
 """Cost of lacking a whole engine's memory, in seconds."""
@@ -62,7 +63,7 @@
                 continue
             score = sized.score(state, matches.get(state.name, 0), now)
             if not sized.short and state in pool.kept:
-                score += KEPT_SECONDS
+                score += KEPT_SHARE * (work.deadline - now)
             score *= 1.0 + JITTER * random.random()
             if score < best_score:
                 best = state
--- a/packages/standins/persimmonstall_standins/experiment/mix.py
+++ b/packages/standins/persimmonstall_standins/experiment/mix.py
@@ -46,6 +46,7 @@
     """One user's load: the median prompt, its asks, deadlines by class and network delays.
 
     `remote_delay` is one way between data centres, `client_delay` one way to the callers.
+    `short_share` is the setting of that name with which the user runs the fleet.
     """
 
     name: str
@@ -54,6 +55,7 @@
     deadlines: dict
     remote_delay: float
     client_delay: float
+    short_share: float
 
 
 CAIRO = Mix(
@@ -63,6 +65,7 @@
     deadlines={"short": 30.0, "medium": 60.0, "long": 150.0, "giant": 300.0},
     remote_delay=0.0005,
     client_delay=0.003,
+    short_share=0.15,
 )
 """Nilerecord in Cairo: summaries, reconciliations and gazettes."""
 
@@ -73,6 +76,7 @@
     deadlines={"short": 25.0, "medium": 40.0, "long": 150.0, "giant": 300.0},
     remote_delay=0.0015,
     client_delay=0.001,
+    short_share=0.3,
 )
 """Tarabeesh in Amman: short replies, garages' notes and fleet contracts."""
 
--- a/packages/standins/persimmonstall_standins/experiment/run.py
+++ b/packages/standins/persimmonstall_standins/experiment/run.py
@@ -106,11 +106,13 @@
     """A fleet whose daemons all use one placement policy."""
 
     policy = "length"
+    short_share = 0.25
 
     def settings(self, name, address, role, data_centre):
         """Return the settings of one daemon."""
         settings = super().settings(name, address, role, data_centre)
         settings.placing.policy = self.policy
+        settings.placing.short_share = self.short_share
         return settings
 
 
@@ -165,6 +167,7 @@
         fabric = Fabric(remote_delay=self.mix.remote_delay)
         self.fleet = ExperimentFleet(make_catalogue(), self.plan.seed, fabric)
         self.fleet.policy = self.plan.policy
+        self.fleet.short_share = self.mix.short_share
         for number in range(self.plan.engines):
             engine = CountingEngine(f"e{number}", EngineSettings(models=("m",), seed=number))
             data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
