--- a/packages/core/persimmonstall/outside/engine.py
+++ b/packages/core/persimmonstall/outside/engine.py
@@ -165,7 +165,10 @@
 
     @abc.abstractmethod
     async def submit(self, job, timeout):
-        """Start `Job`: True, or a `Failure` (NO_MEMORY and BUSY: certainly not started)."""
+        """Start `Job`: True, or a `Failure`.
+
+        NO_MEMORY, BUSY and UNKNOWN_MODEL: certainly not started.
+        """
 
     @abc.abstractmethod
     async def cancel(self, job_id, timeout):
