--- a/packages/standins/persimmonstall_standins/experiment/figures.py
+++ b/packages/standins/persimmonstall_standins/experiment/figures.py
@@ -64,7 +64,12 @@
     long = [record for record in admitted if record.length_class in ("long", "giant")]
     short = [record for record in whole if record.length_class == "short"]
     shorts = [record for record in records if record.length_class == "short"]
-    good = [record for record in records if in_time(record)]
+    last = plan.warm_up + plan.seconds
+    good = [
+        record
+        for record in result.records
+        if in_time(record) and plan.warm_up <= record.at + record.end < last
+    ]
     needed = sum(r.tokens - r.cached for r in result.records if r.outcome == "whole")
     first = {
         kind: tuple(
--- a/packages/standins/persimmonstall_standins/experiment/run.py
+++ b/packages/standins/persimmonstall_standins/experiment/run.py
@@ -142,6 +142,7 @@
         self.gaps = Counter()
         self.records = []
         self.lost_entries = set()
+        self.entry_lost = asyncio.Event()
 
     async def run(self):
         """Return the `Result`."""
@@ -196,10 +197,34 @@
             deadline=arrival.deadline,
         )
         sink = TimedSink(loop.time, self.gaps)
-        outcome = await self.entry_of(arrival).serve(request, sink)
+        outcome = await self.serve(self.entry_of(arrival), request, sink)
+        if outcome is None:
+            outcome = await self.resend(arrival, request, sink)
         await asyncio.sleep(self.mix.client_delay)
         self.record(arrival, arrived, sink, outcome, loop.time())
 
+    async def serve(self, entry, request, sink):
+        """Return the outcome at `entry`, or None when the entry is lost on the way."""
+        asked = asyncio.ensure_future(entry.serve(request, sink))
+        lost = asyncio.ensure_future(self.entry_lost.wait())
+        at_risk = {asked, lost} if entry is self.fleet.entries[-1] else {asked}
+        await asyncio.wait(at_risk, return_when=asyncio.FIRST_COMPLETED)
+        lost.cancel()
+        if asked.done():
+            return asked.result()
+        asked.cancel()
+        return None
+
+    async def resend(self, arrival, request, sink):
+        """Send a request again through another entry, as callers do when cut off."""
+        now = asyncio.get_running_loop().time()
+        left = request.arrived + request.deadline - now
+        again = attrs.evolve(
+            request, request_id=f"{request.request_id}-again", arrived=now, deadline=left
+        )
+        sink.first = 0.0
+        return await self.entry_of(arrival).serve(again, sink)
+
     def record(self, arrival, arrived, sink, outcome, now):
         """Keep what became of a request."""
         delay = self.mix.client_delay
@@ -263,12 +288,14 @@
         for address in self.lost_addresses():
             self.fleet.fabric.isolate(address)
         self.lost_entries.add(self.fleet.entries[-1])
+        self.entry_lost.set()
 
     def regain_data_centre(self):
         """Join the data centre again."""
         for address in self.lost_addresses():
             self.fleet.fabric.rejoin(address)
         self.lost_entries.clear()
+        self.entry_lost.clear()
 
 
 def run_plan(plan):
