--- a/packages/standins/persimmonstall_standins/experiment/run.py
+++ b/packages/standins/persimmonstall_standins/experiment/run.py
@@ -106,11 +106,13 @@
     """A fleet whose daemons all use one placement policy."""
 
     policy = "length"
+    short_share = 0.25
 
     def settings(self, name, address, role, data_centre):
         """Return the settings of one daemon."""
         settings = super().settings(name, address, role, data_centre)
         settings.placing.policy = self.policy
+        settings.placing.short_share = self.short_share
         return settings
 
 
@@ -140,6 +142,7 @@
         self.gaps = Counter()
         self.records = []
         self.lost_entries = set()
+        self.entry_lost = asyncio.Event()
 
     async def run(self):
         """Return the `Result`."""
@@ -165,6 +168,7 @@
         fabric = Fabric(remote_delay=self.mix.remote_delay)
         self.fleet = ExperimentFleet(make_catalogue(), self.plan.seed, fabric)
         self.fleet.policy = self.plan.policy
+        self.fleet.short_share = self.mix.short_share
         for number in range(self.plan.engines):
             engine = CountingEngine(f"e{number}", EngineSettings(models=("m",), seed=number))
             data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
@@ -193,10 +197,34 @@
             deadline=arrival.deadline,
         )
         sink = TimedSink(loop.time, self.gaps)
-        outcome = await self.entry_of(arrival).serve(request, sink)
+        outcome = await self.serve(self.entry_of(arrival), request, sink)
+        if outcome is None:
+            outcome = await self.resend(arrival, request, sink)
         await asyncio.sleep(self.mix.client_delay)
         self.record(arrival, arrived, sink, outcome, loop.time())
 
+    async def serve(self, entry, request, sink):
+        """Return the outcome at `entry`, or None when the entry is lost on the way."""
+        asked = asyncio.ensure_future(entry.serve(request, sink))
+        lost = asyncio.ensure_future(self.entry_lost.wait())
+        at_risk = {asked, lost} if entry is self.fleet.entries[-1] else {asked}
+        await asyncio.wait(at_risk, return_when=asyncio.FIRST_COMPLETED)
+        lost.cancel()
+        if asked.done():
+            return asked.result()
+        asked.cancel()
+        return None
+
+    async def resend(self, arrival, request, sink):
+        """Send a request again through another entry, as callers do when cut off."""
+        now = asyncio.get_running_loop().time()
+        left = request.arrived + request.deadline - now
+        again = attrs.evolve(
+            request, request_id=f"{request.request_id}-again", arrived=now, deadline=left
+        )
+        sink.first = 0.0
+        return await self.entry_of(arrival).serve(again, sink)
+
     def record(self, arrival, arrived, sink, outcome, now):
         """Keep what became of a request."""
         delay = self.mix.client_delay
@@ -260,12 +288,14 @@
         for address in self.lost_addresses():
             self.fleet.fabric.isolate(address)
         self.lost_entries.add(self.fleet.entries[-1])
+        self.entry_lost.set()
 
     def regain_data_centre(self):
         """Join the data centre again."""
         for address in self.lost_addresses():
             self.fleet.fabric.rejoin(address)
         self.lost_entries.clear()
+        self.entry_lost.clear()
 
 
 def run_plan(plan):
