--- a/packages/daemon/persimmonstall_daemon/roles.py
+++ b/packages/daemon/persimmonstall_daemon/roles.py
@@ -184,16 +184,22 @@
         )
         leaving = Leaving(self.daemon, self.membership)
         self.membership.subscribe(leaving.update)
+        for backend in self.engines():
+            backend.memory.listed = self.membership.listed_names
         self.spawn(leaving.follow(self.follower))
         self.spawn(self.membership.run())
 
     def keep_orders(self):
         """Bring each engine to what the catalogue wants it to serve."""
         platform = self.platform
-        for backend in self.daemon.backends.values():
-            if isinstance(backend, EngineBackend):
-                keeper = OrderKeeper(backend, platform.table, platform.weights, self.follower)
-                self.spawn(keeper.run())
+        for backend in self.engines():
+            keeper = OrderKeeper(backend, platform.table, platform.weights, self.follower)
+            self.spawn(keeper.run())
+
+    def engines(self):
+        """Return the backends that are model engines."""
+        backends = self.daemon.backends.values()
+        return [backend for backend in backends if isinstance(backend, EngineBackend)]
 
     def backend(self, served):
         """Return the backend of a `name=engine@URL` or `name=service:NAME@URL` setting."""
