--- a/packages/cli/persimmonstall_cli/commands/__init__.py
+++ b/packages/cli/persimmonstall_cli/commands/__init__.py
@@ -1,7 +1,14 @@
 """The visible list of all subcommands; a new group is a module and a line here."""
 
-from . import config, load
+from . import config, fleet, keys, load, organisations, records
 
-GROUPS = (config, load)
+GROUPS = (
+    config,
+    fleet,
+    organisations,
+    records,
+    keys,
+    load,
+)
 
 COMMANDS = tuple(command for group in GROUPS for command in group.COMMANDS)
--- a/packages/core/persimmonstall/messages/control.py
+++ b/packages/core/persimmonstall/messages/control.py
@@ -8,7 +8,7 @@
     """State of one endpoint as its daemon knows it; tokens and seconds.
 
     `accepted` counts the work accepted so far, so that a reader can tell which of its own
-    submissions the report includes.
+    submissions the report includes.  `token_seconds` is the measured time of one prompt token.
     """
 
     endpoint: str
@@ -23,7 +23,8 @@
     adapters: tuple[str, ...] = ()
     leaving: bool = False
     long_tokens: int = 0
-    segment_tokens: int = 0
+    token_seconds: float = 0.0
+    services: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -101,15 +102,41 @@
     endpoint: str
 
 
+LAST_LIFE = -1
+"""Stands for the last life of an endpoint, whose number the reporter does not know."""
+
+
+@attrs.frozen
+class Crash:
+    """One crash of an endpoint, as far as it concerns one content.
+
+    `run` identifies the process of the endpoint's daemon and `life` numbers the endpoint's
+    lives under it.  `attempts` are the attempts of the content that were in flight, `offset`
+    the output tokens that it had reached.  `presumed`: only the link to the daemon was lost.
+    """
+
+    endpoint: str
+    run: str
+    life: int
+    attempts: tuple[str, ...] = ()
+    offset: int = 0
+    presumed: bool = False
+
+
 @attrs.frozen
 class Verdict:
-    """What is known about a content fingerprint that was in flight at engine crashes."""
+    """What is known about a content fingerprint that was in flight at crashes.
+
+    `expires` is in Unix seconds.  `revision` grows whenever a suspicion is cleared; `cleared`
+    counts the crashes voided that way.  `lift` is the operators' lift it was recorded under.
+    """
 
     fingerprint: str
-    crashes: int
-    expires: float
-    lifted: bool = False
+    crashes: tuple[Crash, ...] = ()
+    expires: float = 0.0
     revision: int = 0
+    cleared: int = 0
+    lift: int = 0
 
 
 @attrs.frozen
--- a/packages/core/persimmonstall/placement/queue.py
+++ b/packages/core/persimmonstall/placement/queue.py
@@ -8,29 +8,28 @@
 import attrs
 
 from ..failures import Failure, Reason
-from ..lengths import LONG_CLASSES
+from ..lengths import LONG_CLASSES, LengthClass
+from ..memory.spans import prompt_span, tokens_of
 from .cost import PRIOR_STEP_SECONDS, Cost, weighted_tokens
 from .due import due_time, engine_priority
+from .prediction import EXPECTED_SHARE
+from .steps import StepTimes
 
 STEP = "queue"
 
 MOST_WAITING = 512
 """Attempts that may wait at one endpoint."""
 
-LONG_PREFILLS = 1
-"""Long prompts that are prefilled at once: more would only delay each other."""
-
-SHORT_PREFILLS = 2
-"""Other prompts that are prefilled at once: the second one fills the step of the first's end."""
-
 SHORT_MEMORY_SHARE = 0.25
 """Share of the memory left to short work while an overdue long prompt waits for memory."""
 
 MEMORY_SHARE = 0.97
 """Share of the engine's memory that is promised to attempts."""
 
-STEP_SHARE = 0.9
-"""Share of the objective between tokens that one step may take."""
+LONG_PART = 0.8
+MEDIUM_PART = 0.5
+SHORT_PART = 0.5
+"""Parts of a step's room for prompt tokens that one prompt of a class may take."""
 
 LEAST_CHUNK = 128
 """Smallest chunk of a prefill, in tokens."""
@@ -53,6 +52,7 @@
     long: bool
     gone: bool = False
     started: float = 0.0
+    chunk: int = 0
 
     @property
     def key(self):
@@ -64,7 +64,8 @@
     """Attempts that wait for one engine, and those that it prefills.
 
     `settings` are the whole settings; `step_seconds` and `memory_total` are kept up to date
-    by the owner from the engine's reports.
+    by the owner from the engine's reports, and its memory ledger is asked by `has_room`
+    whether a waiting attempt fits.
     """
 
     def __init__(self, settings):
@@ -77,6 +78,9 @@
         self.memory_total = 0
         self.step_seconds = PRIOR_STEP_SECONDS
         self.busy_since = 0.0
+        self.steps = StepTimes()
+        self.last_step = None
+        self.has_room = self.room_by_promises
 
     @abc.abstractmethod
     def offer(self, submit, cached, now):
@@ -99,18 +103,27 @@
 
     @abc.abstractmethod
     def chunk_tokens(self, waiting):
-        """Return the prompt tokens to prefill in one step."""
+        """Return the prompt tokens of `waiting` to prefill in one step; 0: none for now."""
+
+    def step_taken(self, now):
+        """Note the end of a step of the engine, and learn from its time."""
+        tokens = sum(waiting.chunk for waiting in self.prefilling.values())
+        if self.last_step is not None:
+            self.steps.observe(now - self.last_step, tokens)
+        # The time until the next step says nothing when the engine has nothing to do.
+        self.last_step = now if self.started else None
 
     def measure(self, submit, cached, now):
         """Return `Waiting` with the estimates of one attempt."""
-        uncached = max(1, submit.prompt_tokens - cached)
-        tokens = weighted_tokens(uncached, submit.prompt_tokens)
+        start, end = prompt_span(submit)
+        uncached = max(1, end - max(start, cached))
+        tokens = weighted_tokens(uncached, end)
         left = max(1, submit.predicted_tokens - len(submit.relayed))
         prefill = tokens * self.cost.seconds_per_token
-        decode = left * self.step_seconds
+        decode = EXPECTED_SHARE * left * self.step_seconds
         deadline = now + submit.remaining
         due = due_time(now, prefill, deadline - decode, submit.priority)
-        memory = submit.prompt_tokens + submit.predicted_tokens
+        memory = tokens_of(submit)
         long = submit.length_class in LONG_CLASSES
         return Waiting(submit, now, deadline, prefill + decode, tokens, memory, due, long)
 
@@ -119,6 +132,7 @@
         self.waiting.pop(waiting.key, None)
         waiting.gone = True
         waiting.started = now
+        waiting.chunk = self.chunk_tokens(waiting)
         if not self.prefilling:
             self.busy_since = now
         self.started[waiting.key] = waiting
@@ -161,9 +175,11 @@
         done = (now - waiting.started) / self.cost.seconds_per_token
         return max(0.1 * waiting.tokens, waiting.tokens - done)
 
-    def memory_promised(self):
-        """Return the memory of all attempts here, waiting ones included, in tokens."""
-        return self.held + sum(waiting.memory for waiting in self.waiting.values())
+    def room_by_promises(self, waiting):
+        """Return whether what was promised leaves room; an idle engine may always try."""
+        if not self.memory_total or not self.started:
+            return True
+        return self.held + waiting.memory <= MEMORY_SHARE * self.memory_total
 
 
 class FirstCome(HandOver):
@@ -245,7 +261,11 @@
         heads = [head for head in (self.head(self.short), self.head(self.long)) if head]
         heads.sort(key=lambda waiting: waiting.due)
         for waiting in heads:
-            if self.has_slot(waiting) and self.fits(waiting) and self.leaves_room(waiting, now):
+            if (
+                self.chunk_tokens(waiting)
+                and self.fits(waiting)
+                and self.leaves_room(waiting, now)
+            ):
                 return self.start(waiting, now)
         return None
 
@@ -255,16 +275,9 @@
             heapq.heappop(heap)
         return heap[0][2] if heap else None
 
-    def has_slot(self, waiting):
-        """Return whether another prefill of this kind may run at once."""
-        limit = LONG_PREFILLS if waiting.long else SHORT_PREFILLS
-        return sum(other.long == waiting.long for other in self.prefilling.values()) < limit
-
     def fits(self, waiting):
-        """Return whether the engine's memory has room; an idle engine may always try."""
-        if not self.memory_total or not self.started:
-            return True
-        return self.held + waiting.memory <= MEMORY_SHARE * self.memory_total
+        """Return whether the engine's memory has room."""
+        return self.has_room(waiting)
 
     def leaves_room(self, waiting, now):
         """Return whether `waiting` does not take the memory that an overdue long prompt needs."""
@@ -304,13 +317,30 @@
         return engine_priority(waiting.due, 0.0)
 
     def chunk_tokens(self, waiting):
-        """Return the chunk with which steps stay within the objective between tokens."""
-        most = self.settings.placing.chunk_tokens
-        if len(self.started) <= 1:
-            return most
-        budget = STEP_SHARE * self.settings.objectives.between_tokens
-        fitting = int(budget / self.cost.seconds_per_token / (SHORT_PREFILLS + LONG_PREFILLS))
-        return max(LEAST_CHUNK, min(most, fitting))
+        """Return the chunk that keeps steps near the objective between tokens, 0 for no slot.
+
+        Each class has its own part of a step, so that no class waits for the end of another's
+        prefill; a class alone may take more.
+        """
+        room = max(LEAST_CHUNK, self.steps.room(self.settings.objectives.between_tokens))
+        kind = waiting.submit.length_class
+        taken = {other.submit.length_class for other in self.prefilling.values()}
+        if waiting.long:
+            part = 0 if taken & LONG_CLASSES else LONG_PART
+        elif kind == LengthClass.MEDIUM:
+            part = self.part_of(kind, MEDIUM_PART, bool(taken & LONG_CLASSES))
+        else:
+            part = self.part_of(kind, SHORT_PART, bool(taken - {LengthClass.SHORT}))
+        chunk = min(self.settings.placing.chunk_tokens, int(part * room))
+        if not self.prefilling:
+            return max(LEAST_CHUNK, chunk)
+        return chunk if chunk >= LEAST_CHUNK else 0
+
+    def part_of(self, kind, part, shared):
+        """Return the part of a step for one more prompt of a class, alone or in a shared step."""
+        running = sum(other.submit.length_class == kind for other in self.prefilling.values())
+        most = 1 if shared else 2
+        return part if running < most else 0
 
 
 def make_hand_over(settings):
--- a/packages/core/persimmonstall/settings/schema.py
+++ b/packages/core/persimmonstall/settings/schema.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from ..claims.retention import LONGEST_DEADLINE
 from .option import option
 
 ROLES = ("entry", "endpoint")
@@ -60,7 +61,9 @@
 
     body_bytes: int = option(16_777_216, "Largest request body.", "bytes", low=1024)
     default_deadline: float = option(60.0, "Deadline of a request that names none.", "s", low=0.1)
-    max_deadline: float = option(900.0, "Longest deadline that a request may name.", "s", low=0.1)
+    max_deadline: float = option(
+        900.0, "Longest deadline that a request may name.", "s", low=0.1, high=LONGEST_DEADLINE
+    )
     reply_margin: float = option(0.05, "Time kept back to answer before the deadline.", "s", low=0)
     token_bytes: float = option(4.0, "Bytes of text that count as one token.", "bytes", low=0.5)
     idle_credit: int = option(2048, "Tokens that may wait for a slow caller.", "tokens", low=16)
@@ -103,6 +106,9 @@
     long_share: float = option(
         0.6, "Share of endpoints that long prompts may hold.", low=0, high=1
     )
+    short_share: float = option(
+        0.25, "Share of endpoints that are kept for short prompts.", low=0, high=1
+    )
 
 
 @attrs.define
@@ -124,6 +130,26 @@
     )
 
 
+@attrs.define
+class Orders:
+    """Orders to engines: load models and adapters, change the role."""
+
+    poll: float = option(2.0, "Time between comparisons with the engine.", "s", low=0.05)
+    lease: float = option(10.0, "Length of the lease to order an engine.", "s", low=0.1)
+    pause_bound: float = option(
+        20.0,
+        "Longest pause of a daemon; waited out for engines that ignore fencing numbers.",
+        "s",
+        low=0,
+    )
+    timeout: float = option(1.0, "Time until an engine accepts an order.", "s", low=0.01)
+    load_timeout: float = option(
+        120.0, "Time after which a load that is not seen is ordered again.", "s", low=0.1
+    )
+    backoff_base: float = option(1.0, "First delay after the weight store refused.", "s", low=0.01)
+    backoff_cap: float = option(30.0, "Longest such delay.", "s", low=0.01)
+
+
 @attrs.define
 class Security:
     """Keys and certificates; files are read again when they change."""
@@ -174,6 +200,7 @@
     "links": Links,
     "placing": Placing,
     "limits": Limits,
+    "orders": Orders,
     "security": Security,
     "observe": Observe,
     "objectives": Objectives,
@@ -193,6 +220,7 @@
     links: Links = attrs.field(factory=Links)
     placing: Placing = attrs.field(factory=Placing)
     limits: Limits = attrs.field(factory=Limits)
+    orders: Orders = attrs.field(factory=Orders)
     security: Security = attrs.field(factory=Security)
     observe: Observe = attrs.field(factory=Observe)
     objectives: Objectives = attrs.field(factory=Objectives)
--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -7,17 +7,23 @@
 import attrs
 
 from persimmonstall.failures import Outcome, Reason
+from persimmonstall.memory.spans import base_of, tokens_of
 from persimmonstall.messages import control, requests
+from persimmonstall.orders import Artifact
 from persimmonstall.outside.engine import CacheEvent, EngineLoad, Finish, Job, JobKind, Step
 from persimmonstall.placement.prefix import PrefixMap
 from persimmonstall.placement.queue import make_hand_over
 
-from ..memory.keeper import MemoryKeeper, tokens_of
+from ..claims import keeper as claims
+from ..memory.keeper import MemoryKeeper
+from ..orders.versions import Versions
 from .attempt import Phase, make_attempt
 from .backend import Backend, Expired, SessionLost
+from .trials import TrialEnded, Trials
 
 STEP = "engine"
 WHOLE = frozenset((Finish.STOP, Finish.LENGTH))
+NOT_STARTED = (Reason.NO_MEMORY, Reason.BUSY, Reason.UNKNOWN_MODEL)
 CANCEL_TRIES = 3
 BUSY_RETRY_SECONDS = 1.0
 REOPEN_SECONDS = 0.2
@@ -38,6 +44,14 @@
     detail: str
 
 
+@attrs.frozen
+class JobsSeen:
+    """The engine's own list of jobs after a lost connection, and what it should have."""
+
+    expected: frozenset
+    present: frozenset
+
+
 @attrs.frozen
 class EngineDied:
     """The engine does not answer on a new connection either."""
@@ -45,6 +59,15 @@
     detail: str
 
 
+def certainly_not_run(result):
+    """Say whether a hand-over's result proves that the engine has not run the job."""
+    if result:
+        return False
+    if result.step == claims.STEP or result.detail == "not connected":
+        return True
+    return result.reason in NOT_STARTED
+
+
 class EngineBackend(Backend):
     """Owns the attempts on one engine.
 
@@ -67,6 +90,9 @@
         self.reader = None
         self.alive = True
         self.memory = MemoryKeeper(self)
+        self.trials = Trials(self)
+        self.versions = Versions()
+        self.queue.has_room = self.memory.has_room
         self.handlers = {
             requests.Submit: self.on_submit,
             requests.Cancel: self.on_cancel,
@@ -80,6 +106,8 @@
             EngineDied: self.on_engine_died,
             EngineLoad: self.on_load,
             CacheEvent: self.on_cache_event,
+            JobsSeen: self.on_jobs_seen,
+            TrialEnded: self.trials.on_ended,
             **self.memory.handlers,
         }
 
@@ -139,17 +167,22 @@
 
     async def watch(self):
         """Poll the engine's load and notice when its steps go silent."""
-        endpoints = self.settings.endpoints
         while True:
-            load = await self.engine.load(endpoints.step_silence / 2)
-            if load:
-                self.post(load)
-            silent = self.now() - self.last_step > endpoints.step_silence
-            if silent and self.running():
-                self.post(StepsLost("silent"))
-            if not load and (silent or load.detail == "not connected"):
-                self.post(EngineDied(load.detail))
-            await asyncio.sleep(self.daemon.context.jitter(endpoints.step_silence / 3))
+            await self.probe()
+            silence = self.settings.endpoints.step_silence
+            await asyncio.sleep(self.daemon.context.jitter(silence / 3))
+
+    async def probe(self):
+        """Ask for the engine's load once, and post what that shows."""
+        endpoints = self.settings.endpoints
+        load = await self.engine.load(endpoints.step_silence / 2)
+        if load:
+            self.post(load)
+        silent = self.now() - self.last_step > endpoints.step_silence
+        if silent and self.running():
+            self.post(StepsLost("silent"))
+        if not load and (silent or load.detail == "not connected"):
+            self.post(EngineDied(load.detail))
 
     def running(self):
         """Return the attempts that the engine should be working on."""
@@ -169,18 +202,23 @@
             endpoint=self.name,
             running=running.running,
             waiting=running.waiting + waiting,
-            memory_used=max(running.memory_used, self.queue.memory_promised()),
+            memory_used=max(running.memory_used, self.memory_promised()),
             memory_total=running.memory_total,
             prefill_backlog=backlog,
             step_seconds=running.step_seconds,
             accepted=self.accepted,
-            models=running.models,
-            adapters=running.adapters,
+            models=self.versions.shown(running.models, "models"),
+            adapters=self.versions.shown(running.adapters, "adapters"),
             leaving=self.leaving or not self.alive,
             long_tokens=long_tokens,
-            segment_tokens=self.memory.ledger.segment_tokens(),
+            token_seconds=self.queue.cost.seconds_per_token,
         )
 
+    def memory_promised(self):
+        """Return the memory of all holdings and of the attempts that wait, in tokens."""
+        waiting = sum(waiting.memory for waiting in self.queue.waiting.values())
+        return self.memory.ledger.committed + waiting
+
     def on_load(self, load, _session):
         """Keep the engine's latest load report; a report shows that it is alive."""
         self.alive = True
@@ -190,10 +228,19 @@
     def take_load(self, load):
         """Keep the engine's report where it is needed."""
         self.reported = load
+        self.queue.memory_total = load.memory_total
         self.memory.ledger.set_capacity(load.memory_total)
         self.queue.step_seconds = load.step_seconds or self.queue.step_seconds
 
     def on_submit(self, submit, session):
+        """Take a new attempt or refuse it at once; suspects run one after the other."""
+        refusal = self.trials.refusal(submit, session)
+        if refusal is not None:
+            session.send(refusal)
+        elif not self.trials.postponed(submit, session):
+            self.take(submit, session)
+
+    def take(self, submit, session):
         """Take a new attempt or refuse it at once."""
         key = submit.request_id, submit.attempt
         if key in self.attempts:
@@ -206,37 +253,24 @@
             session.send(self.refused(submit, Reason.ENDPOINT_LOST, Outcome.NOT_RUN))
             return
         full = self.memory.admit(submit)
-        if full is not None:
+        if full is None:
+            full = self.queue.offer(submit, self.cached_tokens(submit), self.now())
+        if not full:
             session.send(self.refused(submit, full.reason, Outcome.NOT_RUN, full.detail))
             self.send_loads((session,))
             return
-        at_once = self.memory.promised(submit)
-        waiting = at_once or self.queue.offer(submit, self.cached_tokens(submit), self.now())
-        if not waiting:
-            session.send(self.refused(submit, waiting.reason, Outcome.NOT_RUN, waiting.detail))
-            self.send_loads((session,))
-            return
         window = self.settings.callers.idle_credit
         attempt = make_attempt(submit, session, self.now(), window, self.daemon.run_id)
         self.attempts[key] = attempt
+        self.trials.taken(attempt)
         self.by_job[attempt.job_id] = attempt
         self.daemon.claim_owner(key, self)
         self.accepted += 1
         loop = asyncio.get_running_loop()
         expire = functools.partial(self.post, Expired(*key))
         attempt.timer = loop.call_later(submit.remaining, expire)
-        if at_once:
-            attempt.priority = submit.priority
-            attempt.chunk_tokens = self.settings.placing.chunk_tokens
-            self.begin(attempt)
         self.pump()
 
-    def begin(self, attempt):
-        """Start handing an attempt to the engine."""
-        attempt.phase = Phase.STARTING
-        self.memory.hold(attempt)
-        self.spawn(self.hand_over(attempt))
-
     def cached_tokens(self, submit):
         """Return the prompt tokens that the engine probably has cached."""
         matched = self.prefixes.match(submit.blocks).get(self.name, 0)
@@ -248,16 +282,20 @@
         for waiting in self.queue.hopeless(now):
             attempt = self.attempts[waiting.key]
             self.end(attempt, self.refused(attempt.submit, Reason.TOO_LATE, Outcome.NOT_RUN))
-        self.queue.memory_total = self.memory.room_for_streams(self.queue.held)
         while waiting := self.queue.next(now):
             attempt = self.attempts[waiting.key]
+            attempt.phase = Phase.STARTING
             attempt.priority = self.queue.priority(waiting)
-            attempt.chunk_tokens = self.queue.chunk_tokens(waiting)
-            self.begin(attempt)
+            attempt.chunk_tokens = waiting.chunk
+            self.memory.hold(attempt)
+            self.spawn(self.hand_over(attempt))
 
     def job_of(self, attempt):
-        """Return the engine job of an attempt."""
+        """Return the engine job of an attempt, on the weights that it began with."""
         submit = attempt.submit
+        attempt.version = attempt.version or self.versions.model(submit.model)
+        if submit.adapter and not attempt.adapter_version:
+            attempt.adapter_version = self.versions.adapter(submit.adapter)
         return Job(
             job_id=attempt.job_id,
             owner=str(self.memory.owner),
@@ -266,7 +304,7 @@
             prompt=submit.prompt,
             prompt_tokens=submit.prompt_tokens,
             max_tokens=submit.max_tokens,
-            reserved_tokens=tokens_of(submit),
+            reserved_tokens=tokens_of(submit) or base_of(submit),
             priority=attempt.priority,
             blocks=submit.blocks,
             resume_from=attempt.outbox.count,
@@ -275,10 +313,24 @@
             start=submit.segment_start,
             end=submit.segment_end,
             segments=submit.segments,
+            version=attempt.version,
         )
 
+    def artifacts_in_use(self):
+        """Return the versions of weights that unfinished attempts run on."""
+        found = set()
+        for attempt in self.attempts.values():
+            if not attempt.ended:
+                found.add(Artifact(attempt.submit.model, attempt.version))
+                found.add(Artifact(attempt.submit.adapter, attempt.adapter_version))
+        return found
+
     async def hand_over(self, attempt):
         """Hand an attempt to the engine and post the answer."""
+        won = await self.daemon.claims.win(attempt, self.name)
+        if not won:
+            self.post(Submitted(attempt, won))
+            return
         timeout = max(0.0, attempt.deadline - self.now())
         attempt.handed_over = True
         result = await self.engine.submit(self.job_of(attempt), timeout)
@@ -288,23 +340,29 @@
         """Note the engine's answer to a hand-over."""
         attempt = submitted.attempt
         result = submitted.result
+        if certainly_not_run(result) and attempt.won:
+            self.spawn(self.daemon.claims.abandon(attempt.won))
         if attempt.ended:
             if result:
                 self.spawn(self.cancel_job(attempt.job_id))
             return
         if result:
-            attempt.phase = Phase.RUNNING
-            self.memory.confirmed(attempt)
-            self.last_step = self.now()
+            self.note_running(attempt)
             return
-        not_run = result.reason in (Reason.NO_MEMORY, Reason.BUSY)
-        not_run = not_run or result.detail == "not connected"
-        outcome = Outcome.NOT_RUN if not_run else Outcome.UNKNOWN
-        reason = Reason.BUSY if result.reason is Reason.NO_MEMORY else result.reason
+        if attempt.phase is Phase.RUNNING and not certainly_not_run(result):
+            return
+        outcome = Outcome.NOT_RUN if certainly_not_run(result) else Outcome.UNKNOWN
+        reason = Reason.BUSY if result.reason in NOT_STARTED else result.reason
         if outcome is Outcome.UNKNOWN:
             self.spawn(self.cancel_job(attempt.job_id))
         self.end(attempt, self.refused(attempt.submit, reason, outcome, result.detail))
 
+    def note_running(self, attempt):
+        """Note that the engine has the job of an attempt."""
+        attempt.phase = Phase.RUNNING
+        self.memory.confirmed(attempt)
+        self.last_step = self.now()
+
     def refused(self, submit, reason, outcome, detail=""):
         """Return the refusal of an attempt."""
         return requests.Refused(
@@ -321,6 +379,7 @@
     def on_step(self, step, _session):
         """Take one engine step and send what is new, one message for each session."""
         self.last_step = self.now()
+        self.queue.step_taken(self.last_step)
         if step.load:
             self.take_load(step.load)
         touched = []
@@ -336,6 +395,9 @@
 
     def take_output(self, attempt, output):
         """Add one job's output to its attempt."""
+        if attempt.phase is Phase.STARTING:
+            # The engine's answer to the hand-over is late or lost, but the job runs.
+            self.note_running(attempt)
         if output.tokens and not attempt.first_at:
             attempt.first_at = self.now()
             attempt.cached = output.cached
@@ -345,12 +407,15 @@
             self.restart(attempt)
             return
         self.memory.grew(attempt)
+        self.trials.passed(attempt, output.finish in WHOLE)
         if output.finish in (Finish.NONE, Finish.PARKED):
             return
         if output.finish is Finish.PREFILLED:
+            self.queue.first_token(attempt.key, self.now())
             self.settle(attempt, self.whole(attempt, 0, output.finish, attempt.job_id.encode()))
             return
         if output.finish in WHOLE:
+            self.store_answer(attempt, output.finish)
             count = attempt.outbox.count
             self.settle(attempt, self.whole(attempt, count, output.finish))
             return
@@ -370,11 +435,24 @@
             body=body,
         )
 
+    def store_answer(self, attempt, finish):
+        """Keep the answer of non-idempotent work for resends of its key."""
+        if attempt.won:
+            tokens = attempt.outbox.tokens
+            self.spawn(self.daemon.claims.finish_tokens(attempt.won, finish, tokens))
+
     def restart(self, attempt):
         """Run an attempt again on the same engine from the tokens already received.
 
-        Some of its output was lost with the connection that carried the steps.
+        Some of its output was lost with the connection that carried the steps.  Work that is
+        not idempotent is not handed over a second time.
         """
+        if not attempt.submit.idempotent:
+            detail = "output was lost"
+            refused = self.refused(attempt.submit, Reason.ENDPOINT_LOST, Outcome.UNKNOWN, detail)
+            self.spawn(self.cancel_job(attempt.job_id))
+            self.end(attempt, refused)
+            return
         self.daemon.metrics.count("attempts_restarted")
         self.spawn(self.cancel_job(attempt.job_id))
         self.rename(attempt)
@@ -420,6 +498,7 @@
         attempt.result = result
         attempt.ended_at = self.now()
         attempt.timer.cancel()
+        self.trials.ended(attempt)
         self.queue.ended(attempt.key)
         self.by_job.pop(attempt.job_id, None)
         self.memory.released(attempt)
@@ -445,6 +524,8 @@
     def on_cancel(self, cancel, _session):
         """Stop an attempt that its entry no longer wants."""
         attempt = self.find(cancel)
+        if attempt is None:
+            self.trials.cancelled(cancel)
         if attempt is None or attempt.ended:
             return
         attempt.session = None
@@ -508,8 +589,12 @@
             self.stop(attempt, Reason.CANCELLED)
 
     def on_steps_lost(self, lost, _session):
-        """Open a new connection for the engine's steps; gaps restart their attempts."""
+        """Open a new connection for the engine's steps; gaps restart their attempts.
+
+        The engine is asked at once whether it is still there.
+        """
         self.daemon.metrics.count("engine_steps_lost")
+        self.spawn(self.probe())
         self.last_step = self.now()
         if self.reader:
             self.reader.cancel()
@@ -518,8 +603,21 @@
     async def reopen(self):
         """Read steps again after a short pause."""
         await asyncio.sleep(self.daemon.context.jitter(REOPEN_SECONDS))
+        self.spawn(self.look_for_jobs(frozenset(one.job_id for one in self.running())))
         await self.read_steps()
 
+    async def look_for_jobs(self, expected):
+        """Post which jobs the engine still has."""
+        jobs = await self.engine.jobs(self.settings.endpoints.step_silence / 2)
+        if isinstance(jobs, tuple):
+            self.post(JobsSeen(expected, frozenset(job.job_id for job in jobs)))
+
+    def on_jobs_seen(self, seen, _session):
+        """Find out whether the engine was started anew meanwhile, without its jobs."""
+        still = seen.expected & {attempt.job_id for attempt in self.running()}
+        if still and not seen.expected & seen.present:
+            self.on_engine_died(EngineDied("started anew"), None)
+
     def on_engine_died(self, died, _session):
         """Refuse everything that was running, so that the entries can go elsewhere."""
         if not self.alive:
@@ -527,6 +625,7 @@
         self.alive = False
         self.prefixes.forget(self.name)
         self.daemon.metrics.count("engines_died")
+        self.trials.engine_died()
         open_attempts = [a for a in self.attempts.values() if not a.ended]
         for attempt in open_attempts:
             detail = died.detail
--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -11,13 +11,16 @@
 from persimmonstall.membership import subset_of
 from persimmonstall.messages import control
 
+from ..claims import ClaimFilter
 from ..limits import Budgets, EntryPeers
 from ..membership import Membership
 from ..observe import logs
+from ..quarantine import QuarantineFilter, QuarantineKeeper
 from .dispatch import Dispatch
 from .exchange import Exchanges
 from .filters.authenticate import find_organisation
 from .links import EndpointLinks
+from .long_prompts import DispatchBySize, LongDispatch
 from .pipeline import Pipeline, make_filters
 
 LOG = logs.get("entry")
@@ -37,7 +40,8 @@
     """What the filters of one entry share.
 
     `follower` holds the catalogue, `placer` chooses endpoints, `network` opens links,
-    `instances` is the platform's list; `strict` raises on a violated invariant.
+    `stores` the platform's table and object store, `instances` its list; `strict` raises on
+    a violated invariant.
     """
 
     def __init__(
@@ -49,6 +53,7 @@
         follower,
         placer,
         vocabulary,
+        stores,
         instances=None,
         strict=False,
     ):
@@ -71,7 +76,23 @@
         self.budgets = Budgets(
             settings, context, self.invariants, metrics, self.entry_names, self.peers.send
         )
-        self.pipeline = Pipeline(make_filters(self), Dispatch(self))
+        self.claims = ClaimFilter(self, stores.table, stores.objects)
+        self.quarantine = QuarantineKeeper(
+            settings,
+            stores.table,
+            context,
+            metrics,
+            self.invariants,
+            follower,
+            self.links.linked,
+            self.run_id,
+        )
+        self.quarantine.register(self.controls)
+        self.suspects = QuarantineFilter(self, self.quarantine)
+        self.tasks = []
+        self.long_prompts = LongDispatch(self)
+        by_size = DispatchBySize(Dispatch(self), self.long_prompts)
+        self.pipeline = Pipeline(make_filters(self), by_size)
         self.leaving = False
         self.active = 0
 
@@ -124,8 +145,10 @@
         }
 
     async def start(self):
-        """Accept links of other entries."""
+        """Accept links of other entries and keep up with the quarantine."""
         await self.peers.start()
+        for coroutine in (self.quarantine.run(), self.suspects.run()):
+            self.tasks.append(asyncio.create_task(coroutine))
 
     async def tick(self):
         """Renew budgets, close idle links and take over drain marks until cancelled."""
@@ -167,7 +190,10 @@
 
     def place(self, work, avoided):
         """Return where the next attempt of `work` goes, or a `Failure`."""
-        avoided = avoided | self.membership.view.leaving
+        leaving = self.membership.view.leaving
+        avoided = self.suspects.confine(work, frozenset(avoided), leaving)
+        if isinstance(avoided, Failure):
+            return avoided
         return self.placer.place(work, avoided, self.context.now())
 
     def retry_delay(self, work, reason, attempt):
@@ -191,9 +217,16 @@
     def on_loads(self, instance, loads):
         """Take fresh loads of an instance's endpoints."""
         self.links.learn(instance, loads)
+        self.long_prompts.on_loads(loads)
         self.membership.on_loads(instance.name, loads)
         self.placer.on_loads(instance, loads, self.context.now())
 
+    def on_hello(self, hello, link):
+        """Tell a daemon that introduced itself what it should know; it is alive."""
+        names = [load.endpoint for load in hello.endpoints]
+        self.quarantine.came_back(names, hello.run)
+        self.quarantine.greet(link)
+
     def on_leaving(self, instance, endpoints):
         """Stop placing work on endpoints that are leaving."""
         self.membership.on_leaving(instance.name, endpoints)
@@ -230,6 +263,8 @@
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     async def stop(self):
-        """End the links."""
+        """End the tasks and the links."""
+        for task in self.tasks:
+            task.cancel()
         await self.links.close()
         await self.peers.close()
--- a/packages/daemon/persimmonstall_daemon/entry/dispatch.py
+++ b/packages/daemon/persimmonstall_daemon/entry/dispatch.py
@@ -22,7 +22,10 @@
 
 @attrs.define
 class Run:
-    """One request on its way: its exchange, the current attempt and what was tried."""
+    """One request on its way: its exchange, the current attempt and what was tried.
+
+    `segments` refer to the parts of a prompt that is larger than an engine.
+    """
 
     work: object
     sink: object
@@ -35,6 +38,7 @@
     first_at: float = 0.0
     answering: int = 0
     credited: int = 0
+    segments: tuple = ()
 
     @property
     def tokens(self):
@@ -69,12 +73,38 @@
                 return self.refuse(run, placed)
             sent = self.submit(run, placed)
             result = await self.relay(run) if sent else self.lost(run, "no link")
+            if sent:
+                self.note_loss(run, result)
             self.entry.on_attempt_end(run.work, run.endpoint, result)
             delay = self.delay_before_next(run, result)
             if delay is None:
                 return result if isinstance(result, Answer) else self.refuse(run, result)
             run.avoided.add(run.endpoint)
             await asyncio.sleep(delay)
+            renewed = await self.renew_claim(run, result)
+            if renewed is not None:
+                return renewed
+
+    def note_loss(self, run, result):
+        """Presume a crash when the daemon was lost with an attempt for a model in flight."""
+        lost = isinstance(result, Failure) and result.reason is Reason.PEER_LOST
+        if lost and not run.work.service:
+            offset = len(run.tokens)
+            self.entry.suspects.lost(run.work, run.endpoint, run.peer_run, run.attempt, offset)
+
+    async def renew_claim(self, run, result):
+        """Make sure that non-idempotent work was not run, before it is attempted again.
+
+        Return None when it may be, else the `Answer` or `Refusal` that ends the request.
+        """
+        if run.work.idempotent:
+            return None
+        renewed = await self.entry.claims.renew(run.work, self.refuse(run, result))
+        if isinstance(renewed, Answer | Refusal):
+            return renewed
+        run.work = renewed
+        run.handed_over = False
+        return None
 
     def remaining(self, run):
         """Return the seconds left before the deadline."""
@@ -91,9 +121,13 @@
             return False
         run.exchange.instance = link.name
         run.peer_run = link.run_id
-        self.entry.on_submit(run.work, placed)
+        self.count(run, placed)
         return link.send(self.submit_of(run, placed))
 
+    def count(self, run, placed):
+        """Count an attempt on the endpoint where it was placed."""
+        self.entry.on_submit(run.work, placed)
+
     def submit_of(self, run, placed):
         """Return the message that hands an attempt over."""
         work = run.work
@@ -118,7 +152,9 @@
             content_type=work.content_type,
             idempotent=work.idempotent,
             ticket=work.ticket,
+            suspect=self.entry.suspects.is_suspect(work),
             relayed=tuple(run.tokens),
+            segments=run.segments,
         )
 
     async def relay(self, run):
@@ -243,7 +279,7 @@
         not_run = getattr(result, "outcome", Outcome.UNKNOWN) == Outcome.NOT_RUN
         not_run = not_run or result.detail == "no link"
         run.handed_over = run.handed_over or not not_run
-        if not run.work.idempotent and not not_run:
+        if not run.work.idempotent and run.tokens:
             return None
         if run.attempt >= self.entry.settings.placing.attempts:
             return None
@@ -258,6 +294,8 @@
         if run.handed_over or run.tokens:
             outcome = Outcome.UNKNOWN
         retry_after = getattr(result, "retry_after", 0) or RETRY_AFTER_SECONDS
+        if reason is Reason.QUARANTINED:
+            retry_after = None
         failure = Failure(reason, result.step, result.peer, result.detail)
         return refuse(failure, retry_after, Outcome(outcome), run.work.key)
 
--- a/packages/daemon/persimmonstall_daemon/entry/filters/classify.py
+++ b/packages/daemon/persimmonstall_daemon/entry/filters/classify.py
@@ -47,7 +47,8 @@
         organisation = catalogue.get("organisation", work.organisation)
         if organisation.services and service.name not in organisation.services:
             return self.refuse(Reason.FORBIDDEN, f"{service.name} is not allowed")
-        idempotent = work.idempotent and work.method not in service.non_idempotent
+        idempotent = work.idempotent and not work.key
+        idempotent = idempotent and work.method not in service.non_idempotent
         fingerprint = self.fingerprint(work.prompt, f"{work.service}/{work.method}")
         return attrs.evolve(work, idempotent=idempotent, fingerprint=fingerprint)
 
@@ -74,7 +75,7 @@
             predicted_tokens=wanted,
             length_class=classify(length, lengths),
             blocks=chain_blocks(work.prompt, block_bytes, work.model + work.adapter),
-            fingerprint=self.fingerprint(work.prompt, model.name),
+            fingerprint=self.fingerprint(work.prompt, ""),
         )
 
     def fingerprint(self, prompt, scope):
--- a/packages/daemon/persimmonstall_daemon/entry/policy_placer.py
+++ b/packages/daemon/persimmonstall_daemon/entry/policy_placer.py
@@ -4,7 +4,8 @@
 from persimmonstall.placement.length_aware import LengthAware
 from persimmonstall.placement.policy import LeastOutstanding, RandomTwo, RoundRobin
 from persimmonstall.placement.prediction import UsePredictor
-from persimmonstall.placement.view import FleetView
+from persimmonstall.placement.services import LeastRunning
+from persimmonstall.placement.view import FleetView, pool_key
 from persimmonstall.retries.budget import RetryBudget
 from persimmonstall.retries.delays import retry_delay
 
@@ -35,6 +36,7 @@
         self.settings = settings
         self.context = context
         self.policy = POLICIES[settings.placing.policy]()
+        self.services = LeastRunning()
         # The baselines take every request, as a balancer without knowledge of lengths does.
         self.admits = settings.placing.policy == "length"
         self.view = FleetView(settings)
@@ -48,7 +50,8 @@
         if now - self.looked_at > LOOK_SECONDS:
             self.looked_at = now
             self.view.look_for_late(now)
-        placed = self.policy.place(work, self.view, now, self.context.random, avoided)
+        policy = self.services if work.service else self.policy
+        placed = policy.place(work, self.view, now, self.context.random, avoided)
         if not placed:
             return placed
         if not avoided:
@@ -58,6 +61,15 @@
         refusal = admit(work, placed, now, self.context.random)
         return placed if refusal is None else refusal
 
+    def pool_of(self, work):
+        """Return the key of the pool of endpoints that serve `work`."""
+        return pool_key(work)
+
+    def pools(self):
+        """Return the names of the usable endpoints by pool key."""
+        pools = self.view.pools
+        return {key: [one.name for one in pool.members] for key, pool in pools.items()}
+
     def retry_delay(self, work, reason, attempt, now):
         """Return the seconds before another attempt, or None for no other one."""
         left = work.deadline - now
--- a/packages/daemon/persimmonstall_daemon/roles.py
+++ b/packages/daemon/persimmonstall_daemon/roles.py
@@ -10,7 +10,7 @@
 from persimmonstall.clock import Context
 from persimmonstall.invariants import Invariants
 
-from .adapters.connect import connect_engine, connect_platform
+from .adapters.connect import connect_engine, connect_platform, connect_service
 from .adapters.vocabulary import ByteVocabulary
 from .admin.entry_view import EntryView
 from .admin.server import AdminServer
@@ -20,6 +20,7 @@
 from .catalogue.sync import LinkedPeers
 from .endpoint.daemon import EndpointDaemon
 from .endpoint.engine_backend import EngineBackend
+from .endpoint.service_backend import ServiceBackend
 from .entry.daemon import EntryDaemon
 from .entry.http.server import HttpServer
 from .entry.policy_placer import PolicyPlacer
@@ -27,6 +28,7 @@
 from .network import GrpcNetwork
 from .observe import logs
 from .observe.metrics import Metrics
+from .orders import OrderKeeper
 
 LOG = logs.get("daemon")
 
@@ -122,6 +124,7 @@
             self.follower,
             PolicyPlacer(self.settings, self.clock),
             ByteVocabulary(self.settings.callers.token_bytes),
+            self.platform,
             self.platform.instances,
         )
         self.follow(self.entry.controls)
@@ -164,12 +167,13 @@
         self.platform = connect_platform(self.settings.platform)
         self.make_follower(lambda: self.daemon.linked())
         self.daemon = EndpointDaemon(
-            self.settings, self.network, self.clock, self.metrics, self.follower
+            self.settings, self.network, self.clock, self.metrics, self.follower, self.platform
         )
         self.follow(self.daemon.controls)
         for served in self.settings.endpoints.serves:
             self.daemon.add(self.backend(served))
         await self.daemon.start()
+        self.keep_orders()
         self.membership = Membership(
             self.settings,
             self.clock,
@@ -180,13 +184,30 @@
         )
         leaving = Leaving(self.daemon, self.membership)
         self.membership.subscribe(leaving.update)
+        for backend in self.engines():
+            backend.memory.listed = self.membership.listed_names
         self.spawn(leaving.follow(self.follower))
         self.spawn(self.membership.run())
 
+    def keep_orders(self):
+        """Bring each engine to what the catalogue wants it to serve."""
+        platform = self.platform
+        for backend in self.engines():
+            keeper = OrderKeeper(backend, platform.table, platform.weights, self.follower)
+            self.spawn(keeper.run())
+
+    def engines(self):
+        """Return the backends that are model engines."""
+        backends = self.daemon.backends.values()
+        return [backend for backend in backends if isinstance(backend, EngineBackend)]
+
     def backend(self, served):
-        """Return the backend of one `name=engine@URL` setting."""
+        """Return the backend of a `name=engine@URL` or `name=service:NAME@URL` setting."""
         name, _, rest = served.partition("=")
-        _kind, _, url = rest.partition("@")
+        kind, _, url = rest.partition("@")
+        kind, _, service = kind.partition(":")
+        if kind == "service":
+            return ServiceBackend(name, service, connect_service(url, name), self.daemon)
         return EngineBackend(name, connect_engine(url, name), self.daemon)
 
     async def drain_role(self):
--- a/packages/daemon/tests/test_planned_stop.py
+++ b/packages/daemon/tests/test_planned_stop.py
@@ -9,7 +9,7 @@
 
 from persimmonstall_cli.load.plan import Load
 from persimmonstall_cli.load.run import run_load
-from persimmonstall_standins.processes import ProcessSite, status_of, wait_until
+from persimmonstall_standins.process_site import ProcessSite, status_of, wait_until
 
 pytestmark = pytest.mark.processes
 
--- a/tools/capacity_runs/peers.py
+++ b/tools/capacity_runs/peers.py
@@ -26,7 +26,7 @@
 from persimmonstall_standins.engine import EngineModel
 from persimmonstall_standins.engine_state import EngineSettings
 from persimmonstall_standins.fleet import FixedFollower, small_catalogue
-from persimmonstall_standins.processes import HOST, free_ports
+from persimmonstall_standins.process_site import HOST, free_ports
 
 FLAGS = flags.FLAGS
 flags.DEFINE_enum("kind", "endpoints", ("endpoints", "entries"), "What the peers are.")
--- a/tools/capacity_runs/processes.py
+++ b/tools/capacity_runs/processes.py
@@ -12,7 +12,7 @@
 
 from persimmonstall_cli.load.plan import Load
 from persimmonstall_cli.load.run import run_load
-from persimmonstall_standins.processes import ProcessSite, status_of, wait_until
+from persimmonstall_standins.process_site import ProcessSite, status_of, wait_until
 
 from .fit import fit
 
