--- a/packages/cli/persimmonstall_cli/commands/__init__.py
+++ b/packages/cli/persimmonstall_cli/commands/__init__.py
@@ -1,6 +1,6 @@
 """The visible list of all subcommands; a new group is a module and a line here."""
 
-from . import config, fleet, keys, load, organisations, records
+from . import burn, config, fleet, keys, load, organisations, records
 
 GROUPS = (
     config,
@@ -8,6 +8,7 @@
     organisations,
     records,
     keys,
+    burn,
     load,
 )
 
--- /dev/null
+++ b/packages/cli/persimmonstall_cli/commands/burn.py
@@ -0,0 +1,78 @@
+"""`burn`: the service-level burn report, added up over entries."""
+
+import pathlib
+
+import attrs
+from absl import flags
+
+from persimmonstall.burn import BurnRow, WindowCount, merge
+from persimmonstall.failures import Failure
+from persimmonstall_daemon.admin import persimmonstall_admin_pb2 as schema
+
+from ..burn.table import report_of
+from ..client import Client, access_of, pages
+from ..command import Command, usage_failure
+from ..editing import PAGE_SIZE
+
+
+def define(values):
+    """Define the flags of `burn`."""
+    add = {"flag_values": values}
+    flags.DEFINE_list("entry", [], "Operators' ports of entries to add up; --server's too.", **add)
+    flags.DEFINE_string("organisation", "", "Only this organisation.", **add)
+    flags.DEFINE_string("html", None, "File for a self-contained page with plots.", **add)
+
+
+def burn(call):
+    """Report burn rates by organisation, length class and objective."""
+    access = access_of(call.flags)
+    if isinstance(access, Failure):
+        return access
+    servers = dict.fromkeys([access.server, *call.flags.entry])
+    rows = []
+    for server in servers:
+        found = rows_of(attrs.evolve(access, server=server))
+        if isinstance(found, Failure):
+            return found
+        rows.extend(found)
+    wanted = call.flags.organisation
+    merged = [row for row in merge(rows) if not wanted or row.organisation == wanted]
+    if call.flags.html:
+        problem = write_page(merged, call.flags.html)
+        if problem:
+            return problem
+    return report_of(merged, f"{len(servers)} entries; windows forget exponentially")
+
+
+def rows_of(access):
+    """Return the `BurnRow`s of one entry, or a `Failure`."""
+    rows = []
+    with Client(access) as client:
+        for entry in pages(client, "ListBurn", schema.ListRequest(page_size=PAGE_SIZE)):
+            if isinstance(entry, Failure):
+                return entry
+            rows.append(row_of(entry))
+    return rows
+
+
+def row_of(entry):
+    """Return the `BurnRow` of a message."""
+    windows = tuple(WindowCount(one.seconds, one.total, one.bad) for one in entry.windows)
+    return BurnRow(entry.organisation, entry.length_class, entry.objective, entry.target, windows)
+
+
+def write_page(rows, path):
+    """Write the page; return a `Failure` when the file cannot be written.
+
+    The plotting library is loaded only when it is needed.
+    """
+    from ..burn.page import page_of
+
+    try:
+        pathlib.Path(path).write_text(page_of(rows, "Service-level burn"), encoding="utf-8")
+    except OSError as error:
+        return usage_failure(str(error))
+    return None
+
+
+COMMANDS = (Command("burn", "Report burn of service-level objectives.", burn, (), define),)
--- a/tools/capacity_runs/decisions.py
+++ b/tools/capacity_runs/decisions.py
@@ -288,8 +288,16 @@
             "active organisation",
             [(n, lend_seconds(n) * MICRO) for n in ORGANISATIONS],
         ),
-        "list read time": ("us", "endpoint daemon", [(n, list_seconds(n) * MICRO) for n in DAEMONS]),
-        "subset time": ("us", "endpoint daemon", [(n, subset_seconds(n) * MICRO) for n in DAEMONS]),
+        "list read time": (
+            "us",
+            "endpoint daemon",
+            [(n, list_seconds(n) * MICRO) for n in DAEMONS],
+        ),
+        "subset time": (
+            "us",
+            "endpoint daemon",
+            [(n, subset_seconds(n) * MICRO) for n in DAEMONS],
+        ),
         "heartbeat time in the view": (
             "us",
             "endpoint daemon",
--- /dev/null
+++ b/tools/capacity_runs/page.py
@@ -0,0 +1,289 @@
+"""Builds docs/CAPACITY.md from its template and the stored measurements."""
+
+import string
+
+from tabulate import tabulate
+
+from .fit import Slope
+from .size import Size
+
+SECONDS_A_DAY = 86_400.0
+MICRO = 1e-6
+KILOBYTE = 1024.0
+
+
+class Figures:
+    """Figures at the two-year size, from the measured slopes."""
+
+    def __init__(self, data):
+        fields = [dict(one, points=tuple(map(tuple, one["points"]))) for one in data["slopes"]]
+        self.slopes = {one["name"]: Slope(**one) for one in fields}
+        self.sizes = data["message_bytes"]
+        self.imports = data["import_memory"]
+        self.seconds = data["seconds"]
+        self.size = Size()
+
+    def at(self, name, count):
+        """Return a fitted line's value."""
+        return self.slopes[name].at(count)
+
+    def list_traffic(self):
+        """Return KB/s that reading the whole list costs one daemon."""
+        return self.size.daemons * self.sizes["list entry (JSON)"] / KILOBYTE / self.size.list_poll
+
+    def ask_traffic(self):
+        """Return KB/s each way at an entry if every request asks a keeper."""
+        both = self.sizes["BudgetAsk"] + self.sizes["BudgetLease"]
+        return self.size.entry_requests * both / KILOBYTE
+
+    def entry_state(self):
+        """Return rows of (state, KB) of an entry's control state."""
+        size = self.size
+        organisations = size.organisations
+        return [
+            ("catalogue", self.at("catalogue memory", organisations)),
+            ("limits, all organisations active", self.at("limits memory", organisations)),
+            ("burn counts, all organisations", self.at("burn memory", organisations)),
+            ("view of the instances", self.at("view memory", size.endpoint_daemons)),
+            ("links", self.slopes["entry: memory"].slope * KILOBYTE * size.subset),
+            ("configuration log, 512 versions", self.at("configuration log", 512)),
+        ]
+
+    def endpoint_state(self):
+        """Return rows of (state, KB) of an endpoint daemon's control state."""
+        size = self.size
+        links = self.slopes["endpoint daemon: memory"].slope * KILOBYTE * size.coverage
+        return [
+            ("catalogue", self.at("catalogue memory", size.organisations)),
+            ("view of the instances", self.at("view memory", size.endpoint_daemons)),
+            ("links", links),
+            ("configuration log, 512 versions", self.at("configuration log", 512)),
+        ]
+
+    def slopes_of_role(self, role):
+        """Return the lines of a request's time by output and by prompt length."""
+        name = f"{role}: time of a request by"
+        return self.slopes[f"{name} output"], self.slopes[f"{name} prompt"]
+
+    def list_share(self):
+        """Return the % of a core that taking in the list costs."""
+        read = self.at("list read time", self.size.endpoint_daemons)
+        return 100.0 * read * MICRO / self.size.list_poll
+
+
+def table(rows, headers):
+    """Return a Markdown table."""
+    return tabulate(rows, headers=headers, tablefmt="github", disable_numparse=True)
+
+
+def verdict(value, budget):
+    """Return whether a figure is within its budget, in words."""
+    return "holds" if value <= budget else f"does not hold ({value / budget:.1f} times)"
+
+
+def slopes_table(figures):
+    """Return every fitted line with its points."""
+    rows = [
+        (
+            one.name,
+            one.run,
+            f"{one.slope:.4g} {one.unit} per {one.by}",
+            f"{one.base:.4g} {one.unit}",
+            f"{one.residual:.2g}",
+            ", ".join(f"{count:.4g}: {value:.4g}" for count, value in one.points),
+        )
+        for one in figures.slopes.values()
+    ]
+    return table(rows, ("figure", "run", "slope", "at none", "residual", "points"))
+
+
+def budgets_table(figures):
+    """Return the budgets beside what the slopes give."""
+    size = figures.size
+    rows = []
+    roles = (
+        ("entry", size.subset, figures.entry_state()),
+        ("endpoint daemon", size.coverage, figures.endpoint_state()),
+    )
+    for role, links, state in roles:
+        share = figures.at(f"{role}: share", links) + figures.list_share()
+        links_traffic = sum(figures.at(f"{role}: {way}", links) for way in ("sent", "received"))
+        traffic = links_traffic + figures.list_traffic()
+        control = sum(value for _, value in state) / KILOBYTE
+        whole = control + figures.imports["all of the daemon"]
+        rows += [
+            (role, "processor", f"{size.share} %", f"{share:.2f} %", verdict(share, size.share)),
+            (
+                role,
+                "memory, control state",
+                f"{size.memory:.0f} MB",
+                f"{control:.1f} MB",
+                verdict(control, size.memory),
+            ),
+            (
+                role,
+                "memory, with the imports",
+                f"{size.memory:.0f} MB",
+                f"{whole:.1f} MB",
+                verdict(whole, size.memory),
+            ),
+            (
+                role,
+                f"traffic of {links} links",
+                f"{size.traffic} KB/s",
+                f"{links_traffic:.2f} KB/s",
+                verdict(links_traffic, size.traffic),
+            ),
+            (
+                role,
+                "traffic, with the instance list",
+                f"{size.traffic} KB/s",
+                f"{traffic:.2f} KB/s",
+                verdict(traffic, size.traffic),
+            ),
+        ]
+    return table(rows, ("role", "budget", "allowed", "worked out", "verdict"))
+
+
+def state_table(figures):
+    """Return the control state of both roles."""
+    rows = [("entry", name, f"{value:.0f} KB") for name, value in figures.entry_state()]
+    rows += [
+        ("endpoint daemon", name, f"{value:.0f} KB") for name, value in figures.endpoint_state()
+    ]
+    return table(rows, ("role", "state", "at the size"))
+
+
+def data_plane_table(figures):
+    """Return what requests and tokens cost in processor time."""
+    size = figures.size
+    rows = []
+    roles = (
+        ("entry", size.entries),
+        ("endpoint daemon", size.endpoint_daemons),
+    )
+    for role, count in roles:
+        output, prompt = figures.slopes_of_role(role)
+        each = output.base + output.slope * size.output_tokens
+        each += prompt.slope * (size.prompt_tokens - 1_000.0) / 1_000.0
+        cores = size.requests / count * each / 1_000.0
+        rows.append(
+            (
+                role,
+                f"{output.base:.2f} ms",
+                f"{output.slope * 1_000:.1f} us",
+                f"{prompt.slope:.3f} ms",
+                f"{each:.1f} ms",
+                f"{100 * cores:.0f} % of a core",
+            )
+        )
+    headers = ("role", "request", "output token", "1,000 prompt tokens", "mean request")
+    return table(rows, (*headers, f"each daemon at {size.requests:.0f}/s"))
+
+
+def table_rows(figures):
+    """Return (writer or reader, reads/s, writes/s) of the platform's table at the peak."""
+    size = figures.size
+    calls = size.requests * size.non_idempotent
+    starts = (size.replacements + size.failures) / SECONDS_A_DAY
+    changes = size.changes / SECONDS_A_DAY
+    return [
+        ("version polls of every daemon", size.daemons / size.version_poll, 0.0),
+        ("verdict scans of every daemon", size.daemons / size.verdict_poll, 0.0),
+        ("claims: look-up at the entry", calls, 0.0),
+        ("claims: started, and outcome", 0.0, 2 * calls),
+        ("claims: deletion after the retention", 0.0, calls),
+        ("configuration: changes", 3 * changes, changes),
+        ("configuration: log reads after a change", size.daemons * changes, 0.0),
+        ("starting daemons", 3 * starts, 0.0),
+        ("organisations' limits", 0.0, 0.0),
+    ]
+
+
+def table_budget(figures):
+    """Return the table service's budget."""
+    size = figures.size
+    rows = table_rows(figures)
+    reads, writes = (sum(row[index] for row in rows) for index in (1, 2))
+    shown = [(name, f"{one:.2f}", f"{two:.3f}") for name, one, two in rows]
+    shown.append(("sum", f"{reads:.0f}", f"{writes:.0f}"))
+    shown.append(("sum at twice the rate", f"{2 * reads:.0f}", f"{2 * writes:.0f}"))
+    shown.append(
+        (
+            "allowed",
+            f"about {size.table_reads:.0f}",
+            f"several hundred, here {size.table_writes:.0f}",
+        )
+    )
+    return table(shown, ("reader or writer", "reads/s", "writes/s"))
+
+
+def events_table(figures):
+    """Return the messages that events cause."""
+    size = figures.size
+    covered = size.coverage
+    each = figures.sizes["Pong, 2 endpoints"] + figures.sizes["Ping"]
+    racks = 16
+    centre = size.endpoint_daemons // size.data_centres
+    rows = [
+        ("one endpoint daemon fails", covered, covered * each),
+        ("one entry fails", size.subset, size.subset * each),
+        (f"a rack of {racks} daemons goes", racks * covered, racks * covered * each),
+        (f"a data centre of {centre} daemons goes", centre * covered, centre * covered * each),
+        (
+            "a configuration change",
+            size.daemons,
+            size.daemons * figures.sizes["configuration change"],
+        ),
+    ]
+    shown = [(name, f"{count}", f"{total / KILOBYTE:.1f} KB") for name, count, total in rows]
+    return table(shown, ("event", "links or reads", "bytes in the whole fleet"))
+
+
+def messages_table(figures):
+    """Return the sizes of the control messages."""
+    rows = [(name, f"{size:.0f}") for name, size in figures.sizes.items()]
+    return table(rows, ("message", "bytes"))
+
+
+def imports_table(figures):
+    """Return the resident memory after imports."""
+    rows = [(name, f"{size:.1f} MB") for name, size in figures.imports.items()]
+    return table(rows, ("imported", "resident"))
+
+
+def build(template, data):
+    """Return the page."""
+    figures = Figures(data)
+    size = figures.size
+    values = {
+        "slopes": slopes_table(figures),
+        "budgets": budgets_table(figures),
+        "state": state_table(figures),
+        "data_plane": data_plane_table(figures),
+        "table_budget": table_budget(figures),
+        "events": events_table(figures),
+        "messages": messages_table(figures),
+        "imports": imports_table(figures),
+        "seconds": f"{figures.seconds:.0f}",
+        "entries": size.entries,
+        "endpoint_daemons": size.endpoint_daemons,
+        "servers_each": f"{size.servers_each:.2f}",
+        "subset": size.subset,
+        "coverage": size.coverage,
+        "entry_requests": f"{size.entry_requests:.1f}",
+        "entry_tokens": f"{size.entry_tokens:.0f}",
+        "output_tokens": f"{size.output_tokens:.0f}",
+        "prompt_tokens": f"{size.prompt_tokens:.0f}",
+        "non_idempotent": f"{100 * size.non_idempotent:.0f}",
+        "list_traffic": f"{figures.list_traffic():.1f}",
+        "ask_traffic": f"{figures.ask_traffic():.1f}",
+        "subset_ms": f"{figures.at('subset time', size.endpoint_daemons) / 1_000:.1f}",
+        "admission_us": f"{figures.at('admission time', size.organisations):.0f}",
+        "lending_us": f"{figures.at('lending time', size.organisations):.0f}",
+        "snapshot_kb": f"{figures.at('catalogue snapshot', size.organisations):.0f}",
+        "changes_minute": f"{size.changes / 1440:.1f}",
+        "in_flight": f"{size.entry_requests * size.seconds_in_flight:.0f}",
+        "in_flight_mb": f"{figures.slopes['entry: memory in flight'].slope:.3f}",
+    }
+    return string.Template(template).substitute(values)
--- a/tools/capacity_runs/peers.py
+++ b/tools/capacity_runs/peers.py
@@ -25,8 +25,10 @@
 from persimmonstall_daemon.observe.metrics import Metrics
 from persimmonstall_standins.engine import EngineModel
 from persimmonstall_standins.engine_state import EngineSettings
-from persimmonstall_standins.fleet import FixedFollower, small_catalogue
+from persimmonstall_standins.fleet import FixedFollower, Stores, small_catalogue
+from persimmonstall_standins.objects import MemoryObjects
 from persimmonstall_standins.process_site import HOST, free_ports
+from persimmonstall_standins.table import MemoryTable
 
 FLAGS = flags.FLAGS
 flags.DEFINE_enum("kind", "endpoints", ("endpoints", "entries"), "What the peers are.")
@@ -60,11 +62,20 @@
     name = f"p{number}"
     settings = settings_of(name, "endpoint", f"{HOST}:{port}")
     context = Context()
-    daemon = EndpointDaemon(settings, GrpcNetwork(settings.security), context, Metrics(settings))
+    daemon = EndpointDaemon(
+        settings,
+        GrpcNetwork(settings.security),
+        context,
+        Metrics(settings),
+        FixedFollower(small_catalogue("0")),
+        Stores(MemoryTable(), MemoryObjects()),
+    )
     engine = EngineModel(name, EngineSettings(models=("m",)))
     daemon.add(EngineBackend(f"{name}-engine", engine, daemon))
     await daemon.start()
-    return Instance(name, "endpoint", settings.daemon.address, "dc1", endpoints=(f"{name}-engine",))
+    return Instance(
+        name, "endpoint", settings.daemon.address, "dc1", endpoints=(f"{name}-engine",)
+    )
 
 
 async def keep_registered(url, instances):
@@ -89,6 +100,7 @@
         FixedFollower(small_catalogue("0")),
         PolicyPlacer(settings, context),
         ByteVocabulary(4.0),
+        Stores(MemoryTable(), MemoryObjects()),
     )
     await entry.start()
     entry.membership.on_list((Instance("target", "endpoint", target, "dc1"),))
--- a/tools/capacity_runs/processes.py
+++ b/tools/capacity_runs/processes.py
@@ -156,9 +156,10 @@
         by_output = [(point[0], point[index]) for point in outputs]
         by_prompt = [(point[3] / 1000.0, point[index]) for point in prompts]
         name = f"{role}: time of a request"
-        slopes.append(fit(name, "data plane", "ms", "output token", by_output))
-        slopes.append(fit(name, "data plane", "ms", "1,000 prompt tokens", by_prompt))
-    slopes.append(fit("entry: memory", "data plane", "MB", "request in flight", rest))
+        slopes.append(fit(f"{name} by output", "data plane", "ms", "output token", by_output))
+        by = "1,000 prompt tokens"
+        slopes.append(fit(f"{name} by prompt", "data plane", "ms", by, by_prompt))
+    slopes.append(fit("entry: memory in flight", "data plane", "MB", "request in flight", rest))
     return slopes
 
 
@@ -189,7 +190,13 @@
 def in_flight(site, entry, rate):
     """Serve short prompts with long outputs; return the mean in flight and the entry's MB."""
     load = Load(
-        rate=rate, seconds=LOAD_SECONDS, mix="2k", asked=400, model=site.model, seed=7, deadline=300
+        rate=rate,
+        seconds=LOAD_SECONDS,
+        mix="2k",
+        asked=400,
+        model=site.model,
+        seed=7,
+        deadline=300,
     )
     results = asyncio.run(run_load(load, [entry.url], site.key, 4000))
     busy = sum(one.ended for one in results if one.whole)
--- /dev/null
+++ b/tools/capacity_runs/size.py
@@ -0,0 +1,66 @@
+"""The two-year size, and the assumptions that the letter leaves open."""
+
+import math
+
+import attrs
+
+
+@attrs.frozen
+class Size:
+    """Counts and rates at the two-year size; budgets are for each daemon's control."""
+
+    daemons: int = 410
+    servers: int = 600
+    requests: float = 1_100.0
+    tokens: float = 410_000.0
+    organisations: int = 6_300
+    models: int = 9
+    data_centres: int = 7
+    regions: int = 3
+    changes: int = 710
+    failures: int = 11
+    replacements: int = 150
+    share: float = 1.6
+    memory: float = 32.0
+    traffic: float = 3.0
+    entries: int = 40
+    subset: int = 64
+    list_poll: float = 2.0
+    version_poll: float = 2.0
+    verdict_poll: float = 10.0
+    heartbeat: float = 1.0
+    seconds_in_flight: float = 9.0
+    prompt_tokens: float = 10_000.0
+    non_idempotent: float = 0.1
+    table_writes: float = 400.0
+    table_reads: float = 2_000.0
+
+    @property
+    def endpoint_daemons(self):
+        """Daemons that are not entries."""
+        return self.daemons - self.entries
+
+    @property
+    def servers_each(self):
+        """Servers that one endpoint daemon fronts."""
+        return self.servers / self.endpoint_daemons
+
+    @property
+    def coverage(self):
+        """Entries that keep a link to one endpoint daemon."""
+        return math.ceil(self.subset * self.entries / self.endpoint_daemons)
+
+    @property
+    def entry_requests(self):
+        """Requests a second at one entry."""
+        return self.requests / self.entries
+
+    @property
+    def entry_tokens(self):
+        """Output tokens a second at one entry."""
+        return self.tokens / self.entries
+
+    @property
+    def output_tokens(self):
+        """Mean output tokens of a request."""
+        return self.tokens / self.requests
