--- a/packages/daemon/tests/test_planned_stop.py
+++ b/packages/daemon/tests/test_planned_stop.py
@@ -1,7 +1,6 @@
 """Planned stops of real processes under load: no request is cut."""
 
 import asyncio
-import signal
 import time
 
 import attrs
@@ -9,7 +8,7 @@
 
 from persimmonstall_cli.load.plan import Load
 from persimmonstall_cli.load.run import run_load
-from persimmonstall_standins.process_site import ProcessSite, status_of, wait_until
+from persimmonstall_standins.growing_deployment import GrowingDeployment
 
 pytestmark = pytest.mark.processes
 
@@ -21,17 +20,15 @@
 
 @pytest.fixture
 def site(tmp_path):
-    changes = {"daemon": {"linger": 1.5}, "platform": {"list_poll": 0.5, "poll": 0.5}}
-    with ProcessSite(tmp_path, changes) as made:
-        made.start_platform(list_lag=0.5)
+    with GrowingDeployment(tmp_path, speed=4) as made:
+        made.add_platform()
         for name in ("d1", "d2", "d3"):
-            made.add_engine_daemon(name, speed=4)
-        for name in ("e1", "e2"):
+            made.add_engine_daemon(name)
+        for name in ("entry1", "entry2"):
             made.add_entry(name)
-        made.configure(made.daemons["e1"])
-        for name in ("e1", "e2"):
-            wait_until(lambda name=name: status_of(made.daemons[name].url + "/readyz") == 200)
-        time.sleep(2)
+        made.configure()
+        for name in ("entry1", "entry2"):
+            made.wait_until(lambda name=name: made.serving(name), f"answers of {name}")
         yield made
 
 
@@ -50,12 +47,10 @@
 
     async def watch(self):
         while True:
-            names = [
-                n for n, d in self.site.daemons.items() if d.settings["daemon"]["role"] == "entry"
-            ]
-            urls = [self.site.daemons[name].url for name in names]
-            found = [await asyncio.to_thread(status_of, url + "/readyz") for url in urls]
-            self.ready = [url for url, status in zip(urls, found, strict=True) if status == 200]
+            names = list(self.site.http)
+            found = [await asyncio.to_thread(self.site.ready, name) for name in names]
+            pairs = zip(names, found, strict=True)
+            self.ready = [self.site.http[name] for name, ready in pairs if ready]
             await asyncio.sleep(0.1)
 
 
@@ -69,7 +64,7 @@
     loads = []
     while not (stopping.done() and loads):
         load = attrs.evolve(LOAD, seed=LOAD.seed + len(loads))
-        loads.append(asyncio.create_task(run_load(load, balancer, site.key, 4000)))
+        loads.append(asyncio.create_task(run_load(load, balancer, site.caller_key, 4000)))
         await asyncio.sleep(LOAD.seconds)
     await stopping
     results = [one for load in loads for one in await load]
@@ -77,11 +72,16 @@
     return results
 
 
-def terminate(daemon, twice=False):
-    daemon.process.send_signal(signal.SIGTERM)
+def stop(site, *names, twice=False):
+    """Ask daemons for a graceful shutdown and wait until they have ended."""
+    for name in names:
+        site.terminate(name)
     if twice:
         time.sleep(0.3)
-        daemon.process.send_signal(signal.SIGTERM)
+        for name in names:
+            site.terminate(name)
+    for name in names:
+        assert site.wait(name, EXIT_SECONDS) == 0
 
 
 def cut(results):
@@ -93,10 +93,7 @@
 def test_sigterm_cuts_no_request_also_when_sent_twice(site):
     def stops(site):
         time.sleep(1)
-        terminate(site.daemons["d1"], twice=True)
-        terminate(site.daemons["e1"], twice=True)
-        assert site.daemons["e1"].process.wait(EXIT_SECONDS) == 0
-        assert site.daemons["d1"].process.wait(EXIT_SECONDS) == 0
+        stop(site, "d1", "entry1", twice=True)
 
     results = asyncio.run(under_load(site, stops))
     assert len(results) > 20
@@ -107,16 +104,13 @@
 def test_a_rolling_replacement_of_all_daemons_cuts_no_request(site):
     def stops(site):
         for old, new in (("d1", "n1"), ("d2", "n2"), ("d3", "n3")):
-            site.add_engine_daemon(new, speed=4)
+            site.add_engine_daemon(new)
             time.sleep(1.5)
-            terminate(site.daemons[old])
-            assert site.daemons[old].process.wait(EXIT_SECONDS) == 0
-        for old, new in (("e1", "f1"), ("e2", "f2")):
+            stop(site, old)
+        for old, new in (("entry1", "entry3"), ("entry2", "entry4")):
             site.add_entry(new)
-            wait_until(lambda new=new: status_of(site.daemons[new].url + "/readyz") == 200)
-            time.sleep(1.5)
-            terminate(site.daemons[old])
-            assert site.daemons[old].process.wait(EXIT_SECONDS) == 0
+            site.wait_until(lambda new=new: site.serving(new), f"answers of {new}")
+            stop(site, old)
 
     results = asyncio.run(under_load(site, stops))
     assert cut(results) == []
@@ -127,7 +121,7 @@
 
     def stops(site):
         time.sleep(1)
-        site.daemons["e1"].process.kill()
+        site.kill("entry1")
 
     results = asyncio.run(under_load(site, stops))
     assert cut(results) != []
--- a/tools/capacity_runs/peers.py
+++ b/tools/capacity_runs/peers.py
@@ -27,7 +27,7 @@
 from persimmonstall_standins.engine_state import EngineSettings
 from persimmonstall_standins.fleet import FixedFollower, Stores, small_catalogue
 from persimmonstall_standins.objects import MemoryObjects
-from persimmonstall_standins.process_site import HOST, free_ports
+from persimmonstall_standins.processes import LOOPBACK, free_ports
 from persimmonstall_standins.table import MemoryTable
 
 FLAGS = flags.FLAGS
@@ -60,7 +60,7 @@
 async def start_endpoint(number, port):
     """Start an endpoint daemon with an idle engine; return its `Instance`."""
     name = f"p{number}"
-    settings = settings_of(name, "endpoint", f"{HOST}:{port}")
+    settings = settings_of(name, "endpoint", f"{LOOPBACK}:{port}")
     context = Context()
     daemon = EndpointDaemon(
         settings,
@@ -90,7 +90,7 @@
 async def start_entry(number, port, target):
     """Start an entry that keeps a link to the measured endpoint daemon."""
     name = f"p{number}"
-    settings = settings_of(name, "entry", f"{HOST}:{port}")
+    settings = settings_of(name, "entry", f"{LOOPBACK}:{port}")
     context = Context()
     entry = EntryDaemon(
         settings,
--- a/tools/capacity_runs/processes.py
+++ b/tools/capacity_runs/processes.py
@@ -12,7 +12,8 @@
 
 from persimmonstall_cli.load.plan import Load
 from persimmonstall_cli.load.run import run_load
-from persimmonstall_standins.process_site import ProcessSite, status_of, wait_until
+from persimmonstall_standins.growing_deployment import GrowingDeployment
+from persimmonstall_standins.processes import MODEL
 
 from .fit import fit
 
@@ -25,6 +26,8 @@
 KILOBYTE = 1024.0
 MEGABYTE = KILOBYTE * KILOBYTE
 PEERS_PROGRAM = pathlib.Path(__file__).with_name("peers.py")
+RATES = (2.0, 6.0, 12.0, 20.0)
+DAEMONS = ("d1", "d2")
 ENGINE_SPEED = 20
 
 
@@ -72,42 +75,42 @@
     return psutil.Process(process.pid).memory_info().rss / MEGABYTE
 
 
-def wait_for_links(peers, count):
+def wait_for_links(site, peers, count):
     """Wait until as many links are open, and a while more."""
-    wait_until(lambda: peers.report()["links"] >= count, what=f"{count} links")
+    site.wait_until(lambda: peers.report()["links"] >= count, f"{count} links")
     time.sleep(SETTLE_SECONDS)
 
 
-def watch(daemon, peers):
-    """Return bytes a second each way, processor share (%) and memory (MB) of a daemon."""
-    before, used = peers.report(), processor_seconds(daemon.process)
+def watch(process, peers):
+    """Return KB a second each way, processor share (%) and memory (MB) of a daemon."""
+    before, used = peers.report(), processor_seconds(process)
     time.sleep(WATCH_SECONDS)
-    after, spent = peers.report(), processor_seconds(daemon.process) - used
+    after, spent = peers.report(), processor_seconds(process) - used
     seconds = after["at"] - before["at"]
     return {
         "received": (after["sent"] - before["sent"]) / seconds / KILOBYTE,
         "sent": (after["received"] - before["received"]) / seconds / KILOBYTE,
         "share": 100.0 * spent / seconds,
-        "memory": resident(daemon.process),
+        "memory": resident(process),
     }
 
 
-def site_of(directory):
-    """Return a site with the platform running."""
-    site = ProcessSite(directory)
-    site.start_platform()
+def site_of(directory, speed=1.0):
+    """Return a deployment with the platform and one entry, configured."""
+    site = GrowingDeployment(directory, speed)
+    site.add_platform()
+    site.add_entry("entry1")
+    site.configure()
     return site
 
 
 def entry_with(count, directory):
     """Measure an idle entry linked to `count` endpoint daemons."""
     with site_of(directory) as site:
-        entry = site.add_entry("entry")
-        site.configure(entry)
-        peers = Peers(kind="endpoints", count=count, list=site.platform["instances"])
+        peers = Peers(kind="endpoints", count=count, list=site.platform_urls["instances"])
         try:
-            wait_for_links(peers, count)
-            return watch(entry, peers)
+            wait_for_links(site, peers, count)
+            return watch(site.processes["entry1"], peers)
         finally:
             peers.close()
 
@@ -115,14 +118,11 @@
 def endpoint_with(count, directory):
     """Measure an idle endpoint daemon linked to `count` entries."""
     with site_of(directory) as site:
-        entry = site.add_entry("entry")
-        site.configure(entry)
-        daemon = site.add_engine_daemon("target")
-        target = daemon.settings["daemon"]["address"]
-        peers = Peers(kind="entries", count=count, target=target)
+        site.add_engine_daemon("target")
+        peers = Peers(kind="entries", count=count, target=site.daemon_addresses["target"])
         try:
-            wait_for_links(peers, count)
-            return watch(daemon, peers)
+            wait_for_links(site, peers, count)
+            return watch(site.processes["target"], peers)
         finally:
             peers.close()
 
@@ -142,15 +142,14 @@
 
 def data_plane():
     """Return the slopes of processor time per token, by output and by prompt length."""
-    with tempfile.TemporaryDirectory() as directory, site_of(directory) as site:
-        entry = site.add_entry("entry")
-        site.configure(entry)
-        daemons = [site.add_engine_daemon(f"d{n}", speed=ENGINE_SPEED) for n in range(2)]
-        wait_until(lambda: status_of(entry.url + "/readyz") == 200)
+    with tempfile.TemporaryDirectory() as directory, site_of(directory, ENGINE_SPEED) as site:
+        for name in DAEMONS:
+            site.add_engine_daemon(name)
+        site.wait_until(lambda: site.serving("entry1"), "answers")
         time.sleep(SETTLE_SECONDS)
-        outputs = [serve_load(site, entry, daemons, 1_000, asked, 12.0) for asked in ASKED]
-        prompts = [serve_load(site, entry, daemons, tokens, 25, 2.0) for tokens in PROMPTS]
-        rest = [in_flight(site, entry, rate) for rate in (2.0, 6.0, 12.0, 20.0)]
+        outputs = [serve_load(site, 1_000, asked, 12.0) for asked in ASKED]
+        prompts = [serve_load(site, tokens, 25, 2.0) for tokens in PROMPTS]
+        rest = [in_flight(site, rate) for rate in RATES]
     slopes = []
     for index, role in ((1, "entry"), (2, "endpoint daemon")):
         by_output = [(point[0], point[index]) for point in outputs]
@@ -163,23 +162,21 @@
     return slopes
 
 
-def serve_load(site, entry, daemons, prompt, asked, rate):
+def serve_load(site, prompt, asked, rate):
     """Serve a load; return mean output tokens and ms a request at entry and daemons."""
     load = Load(
         rate=rate,
         seconds=LOAD_SECONDS,
         mix=f"{prompt}",
         asked=asked,
-        model=site.model,
+        model=MODEL,
         seed=prompt + asked,
         deadline=300,
     )
-    before = [processor_seconds(one.process) for one in (entry, *daemons)]
-    results = asyncio.run(run_load(load, [entry.url], site.key, 4000))
-    spent = [
-        processor_seconds(one.process) - start
-        for one, start in zip((entry, *daemons), before, strict=True)
-    ]
+    measured = [site.processes[name] for name in ("entry1", *DAEMONS)]
+    before = [processor_seconds(one) for one in measured]
+    results = asyncio.run(run_load(load, [site.http["entry1"]], site.caller_key, 4000))
+    spent = [processor_seconds(one) - start for one, start in zip(measured, before, strict=True)]
     whole = [one for one in results if one.whole]
     if len(whole) < len(results) / 2:
         raise RuntimeError(f"only {len(whole)} of {len(results)} requests were answered")
@@ -187,20 +184,20 @@
     return tokens, 1e3 * spent[0] / len(whole), 1e3 * sum(spent[1:]) / len(whole), prompt
 
 
-def in_flight(site, entry, rate):
+def in_flight(site, rate):
     """Serve short prompts with long outputs; return the mean in flight and the entry's MB."""
     load = Load(
         rate=rate,
         seconds=LOAD_SECONDS,
         mix="2k",
         asked=400,
-        model=site.model,
+        model=MODEL,
         seed=7,
         deadline=300,
     )
-    results = asyncio.run(run_load(load, [entry.url], site.key, 4000))
+    results = asyncio.run(run_load(load, [site.http["entry1"]], site.caller_key, 4000))
     busy = sum(one.ended for one in results if one.whole)
-    return busy / LOAD_SECONDS, resident(entry.process)
+    return busy / LOAD_SECONDS, resident(site.processes["entry1"])
 
 
 def import_memory():
