--- a/packages/core/persimmonstall/burn/counts.py
+++ b/packages/core/persimmonstall/burn/counts.py
@@ -1,4 +1,8 @@
-"""Good and bad events over several decaying windows, in constant space."""
+"""Good and bad events over several decaying windows, in constant space.
+
+The counts of all objectives of one organisation and length class are one array, since at
+thousands of organisations an object for each would cost several times as much.
+"""
 
 import math
 from array import array
@@ -8,6 +12,9 @@
 WINDOW_MULTIPLES = (1, 12, 72)
 """Lengths of the windows as multiples of the shortest one."""
 
+NUMBERS = 2 * len(WINDOW_MULTIPLES)
+"""Numbers kept of one objective: all and bad events of each window."""
+
 
 @attrs.frozen
 class WindowCount:
@@ -37,21 +44,21 @@
 
 
 class BurnCounts:
-    """Counts of one objective; each window forgets exponentially over its length.
+    """Counts of some objectives; each window forgets exponentially over its length.
 
-    >>> counts = BurnCounts(300.0, now=0.0)
-    >>> counts.add(True, 0.0)
-    >>> counts.add(False, 0.0)
-    >>> counts.read(0.0)[0].bad_share
-    0.5
+    >>> counts = BurnCounts(300.0, objectives=2, now=0.0)
+    >>> counts.add(1, True, 0.0)
+    >>> counts.add(1, False, 0.0)
+    >>> counts.read(0, 0.0)[0].bad_share, counts.read(1, 0.0)[0].bad_share
+    (0.0, 0.5)
     """
 
     __slots__ = ("shortest", "updated", "values")
 
-    def __init__(self, shortest, now):
+    def __init__(self, shortest, objectives, now):
         self.shortest = shortest
         self.updated = now
-        self.values = array("d", [0.0] * (2 * len(WINDOW_MULTIPLES)))
+        self.values = array("d", [0.0] * (objectives * NUMBERS))
 
     def decay(self, now):
         """Bring the counts up to `now`."""
@@ -59,23 +66,24 @@
         if not elapsed:
             return
         self.updated = now
-        for index, seconds in enumerate(windows(self.shortest)):
-            kept = math.exp(-elapsed / seconds)
-            self.values[2 * index] *= kept
-            self.values[2 * index + 1] *= kept
+        kept = [math.exp(-elapsed / seconds) for seconds in windows(self.shortest)]
+        for place in range(len(self.values)):
+            self.values[place] *= kept[place % NUMBERS // 2]
 
-    def add(self, good, now):
-        """Count one event."""
+    def add(self, objective, good, now):
+        """Count one event of the objective with that index."""
         self.decay(now)
-        for index in range(len(WINDOW_MULTIPLES)):
-            self.values[2 * index] += 1.0
+        first = objective * NUMBERS
+        for place in range(first, first + NUMBERS, 2):
+            self.values[place] += 1.0
             if not good:
-                self.values[2 * index + 1] += 1.0
+                self.values[place + 1] += 1.0
 
-    def read(self, now):
-        """Return a tuple of `WindowCount`, the shortest first."""
+    def read(self, objective, now):
+        """Return a tuple of `WindowCount` of one objective, the shortest first."""
         self.decay(now)
+        first = objective * NUMBERS
         return tuple(
-            WindowCount(seconds, self.values[2 * index], self.values[2 * index + 1])
-            for index, seconds in enumerate(windows(self.shortest))
+            WindowCount(seconds, self.values[first + 2 * n], self.values[first + 2 * n + 1])
+            for n, seconds in enumerate(windows(self.shortest))
         )
--- a/packages/core/persimmonstall/burn/objectives.py
+++ b/packages/core/persimmonstall/burn/objectives.py
@@ -14,6 +14,10 @@
     SERVED = "served"
 
 
+ORDER = tuple(Objective)
+"""The objectives in the order in which their counts are kept."""
+
+
 @attrs.frozen
 class Served:
     """What became of one request; times in seconds.
--- a/packages/core/persimmonstall/burn/report.py
+++ b/packages/core/persimmonstall/burn/report.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from .objectives import Objective, target
+from .objectives import ORDER, Objective, target
 
 FAST_BURN = 14.4
 """Burn rate over the two shorter windows that calls for action at once."""
@@ -78,6 +78,7 @@
 
 
 def row_of(organisation, length_class, objective, counts, objectives, now):
-    """Return the `BurnRow` of one `BurnCounts`."""
+    """Return the `BurnRow` of one objective in a `BurnCounts`."""
     goal = target(objectives, Objective(objective))
-    return BurnRow(organisation, length_class, str(objective), goal, counts.read(now))
+    windows = counts.read(ORDER.index(objective), now)
+    return BurnRow(organisation, length_class, str(objective), goal, windows)
