Live entries are worked out once for each read of the list

Change: the membership task keeps the result until the next read. Conclusion: leaving and budget tests pass (22 passed).

--- a/packages/daemon/persimmonstall_daemon/membership/task.py
+++ b/packages/daemon/persimmonstall_daemon/membership/task.py
@@ -32,6 +32,7 @@
         self.leaving = False
         self.own_listed_leaving = False
         self.listed_at = None
+        self.live_entries = None
 
     def subscribe(self, on_change):
         """Call `on_change()` after every change of the view."""
@@ -68,6 +69,7 @@
     async def leave(self):
         """Announce that this instance is leaving."""
         self.leaving = True
+        self.live_entries = None
         if self.instances is not None:
             await self.register()
 
@@ -81,6 +83,7 @@
         """Take in one read of the list."""
         now = self.context.now()
         self.listed_at = now
+        self.live_entries = None
         name = self.settings.daemon.instance
         before = self.view.leaving, self.own_listed_leaving
         self.take_own(found)
@@ -135,7 +138,16 @@
         return set(self.view.peers)
 
     def entries(self):
-        """Return the live entries as `Instance`s, this daemon included if it is one."""
+        """Return the live entries as `Instance`s, this daemon included if it is one.
+
+        They are worked out once for each read of the list, since every admission asks.
+        """
+        if self.live_entries is None:
+            self.live_entries = self.find_entries()
+        return self.live_entries
+
+    def find_entries(self):
+        """Return the entries that the list calls live, and this daemon if it is one."""
         found = self.view.members("entry")
         if self.settings.daemon.role != "entry" or self.leaving:
             return found
