An instance dropped from the list keeps its link while it answers

Cause: an endpoint daemon that cannot register expires from the list; 10 s later entries closed its link and cut the streams that it was serving. Ruled out: keeping it in full service, since the platform may have taken it out for good. Change: it counts as leaving after 10 s and is forgotten once it is silent.

--- a/packages/core/persimmonstall/membership/view.py
+++ b/packages/core/persimmonstall/membership/view.py
@@ -12,7 +12,8 @@
 from ..outside.instances import Instance, InstanceState
 
 ABSENCE_SECONDS = 10.0
-"""Time for which an instance that the list no longer names is kept while it still answers."""
+"""Time after which an instance that the list no longer names counts as leaving; one that is
+silent for as long is forgotten."""
 
 
 class Source(enum.StrEnum):
@@ -34,13 +35,14 @@
     run: str = ""
     heard: float | None = None
     absent_since: float | None = None
+    expired: bool = False
     own_leaving: frozenset = frozenset()
     endpoints: frozenset = frozenset()
 
     @property
     def listed_leaving(self):
-        """Whether the list says that the instance is leaving."""
-        return self.instance.state is InstanceState.LEAVING
+        """Whether the list says that the instance is leaving, or has dropped it."""
+        return self.expired or self.instance.state is InstanceState.LEAVING
 
 
 class View:
@@ -76,16 +78,23 @@
             peer.own_leaving = frozenset()
         peer.instance = instance
         peer.absent_since = None
+        peer.expired = False
         peer.endpoints |= frozenset(instance.endpoints)
 
     def miss(self, name, now):
-        """Note that the list does not name an instance; forget it after a while."""
+        """Note that the list does not name an instance.
+
+        One that still answers keeps its link, so that its streams can end, but gets no new
+        work after a while.
+        """
         peer = self.peers[name]
         if peer.absent_since is None:
             peer.absent_since = now
         quiet = peer.heard is None or now - peer.heard >= ABSENCE_SECONDS
-        if quiet or now - peer.absent_since >= ABSENCE_SECONDS:
+        if quiet:
             del self.peers[name]
+        else:
+            peer.expired = now - peer.absent_since >= ABSENCE_SECONDS
 
     def signature(self):
         """Return what a change of membership is judged by."""
--- a/packages/core/tests/test_membership.py
+++ b/packages/core/tests/test_membership.py
@@ -58,6 +58,16 @@
     assert view.present("endpoint") == ()
 
 
+def test_an_instance_dropped_from_the_list_keeps_its_link_but_gets_no_new_work(view):
+    for second in range(30):
+        view.on_heard("d1", float(second))
+        view.on_list((instance("e1", "entry"),), float(second))
+    assert [one.name for one in view.present("endpoint")] == ["d1"]
+    assert "d1-engine" in view.leaving
+    view.on_list((instance("d1"), instance("e1", "entry")), 30.0)
+    assert view.leaving == frozenset()
+
+
 def test_subset_is_bounded_balanced_and_prefers_the_own_data_centre():
     entries, daemons = fleet("entry", 40, "e"), fleet("endpoint", 370, "d")
     taken = assign(entries, daemons, 64)
