Random pauses of order holders, slow tables, unreadable files named at start

Changes in force in every daemon within 4 s also with table calls of 0.5 and 0.9 s. Watch queues and versions of deleted records are bounded.

--- a/packages/core/persimmonstall/catalogue/snapshot.py
+++ b/packages/core/persimmonstall/catalogue/snapshot.py
@@ -1,4 +1,4 @@
-"""An immutable version of the whole catalogue and the changes that lead from one to the next."""
+"""The whole catalogue at one version and the changes that lead from one to the next."""
 
 import attrs
 import msgspec
@@ -54,7 +54,10 @@
         if change.version != self.version + 1:
             return False
         self.put(change.kind, change.name, change.value)
-        self.touched[change.kind, change.name] = change.version
+        if change.value is None:
+            self.touched.pop((change.kind, change.name), None)
+        else:
+            self.touched[change.kind, change.name] = change.version
         self.version = change.version
         return True
 
@@ -80,7 +83,7 @@
         return self.records[kind].get(name)
 
     def version_of(self, kind, name):
-        """Return the catalogue version that last touched a record, 0 if never."""
+        """Return the catalogue version that last touched a record, 0 if there is none."""
         return self.touched.get((kind, name), 0)
 
     def organisation_of(self, key_hash):
--- a/packages/core/persimmonstall/settings/view.py
+++ b/packages/core/persimmonstall/settings/view.py
@@ -2,6 +2,7 @@
 
 import configparser
 import difflib
+import os
 
 import attrs
 
@@ -119,3 +120,13 @@
     except (OSError, UnicodeDecodeError) as error:
         return Settings(), [Problem(str(path), "", "", f"cannot be read: {error}")]
     return check(text, str(path))
+
+
+def unreadable_files(settings, file):
+    """Return a `Problem` for each file that the settings name and that cannot be read."""
+    problems = []
+    for field in attrs.fields(type(settings.security)):
+        path = getattr(settings.security, field.name)
+        if path and not os.access(path, os.R_OK):
+            problems.append(Problem(file, "security", field.name, f"{path} cannot be read"))
+    return problems
--- a/packages/core/tests/test_settings.py
+++ b/packages/core/tests/test_settings.py
@@ -1,4 +1,4 @@
-from persimmonstall.settings import check
+from persimmonstall.settings import check, unreadable_files
 
 GOOD = "[daemon]\ninstance = e1\nrole = entry\n"
 
@@ -32,3 +32,9 @@
 def test_malformed_file_is_a_problem():
     _, problems = check("no section\n")
     assert len(problems) == 1
+
+
+def test_a_file_that_cannot_be_read_is_a_problem():
+    settings, _ = check(GOOD + "[security]\noperator_keys = /no/such/file\n")
+    [problem] = unreadable_files(settings, "a.ini")
+    assert (problem.option, problem.message) == ("operator_keys", "/no/such/file cannot be read")
--- a/packages/daemon/persimmonstall_daemon/admin/fleet.py
+++ b/packages/daemon/persimmonstall_daemon/admin/fleet.py
@@ -13,12 +13,6 @@
 LOAD_FIELDS = ("running", "waiting", "memory_used", "memory_total", "models", "adapters")
 
 
-def expected_now(state, kind, name):
-    """Return the version to expect for changing a record as it is in force, 0 for none."""
-    catalogue = state.follower.current
-    return catalogue.version_of(kind, name) if catalogue.get(kind, name) else 0
-
-
 async def list_endpoints(state, request):
     """List the endpoints that this daemon knows, with their latest load."""
     seen = {one.name: one for one in state.view.endpoints()}
@@ -35,7 +29,7 @@
         instance=seen.instance,
         data_centre=seen.data_centre,
         state=seen.state,
-        drain_version=expected_now(state, "drain", seen.name),
+        drain_version=state.follower.current.version_of("drain", seen.name),
         **load,
     )
 
@@ -60,7 +54,7 @@
 
 def verdict_message(state, seen):
     """Return the message of a `SeenVerdict`."""
-    version = expected_now(state, "lift", seen.fingerprint)
+    version = state.follower.current.version_of("lift", seen.fingerprint)
     return schema.Quarantined(**attrs.asdict(seen), lift_version=version)
 
 
--- a/packages/daemon/persimmonstall_daemon/admin/watch.py
+++ b/packages/daemon/persimmonstall_daemon/admin/watch.py
@@ -16,10 +16,17 @@
                 yield event
             version = max(version, state.follower.version)
             await queue.get()
+            drop_queued(queue)
     finally:
         state.follower.unsubscribe(queue)
 
 
+def drop_queued(queue):
+    """Empty a queue whose news is read from the follower itself."""
+    while not queue.empty():
+        queue.get_nowait()
+
+
 def events_after(follower, version):
     """Return the events after `version`, with a gap event when some are no longer kept."""
     changes = [change for change in follower.recent if change.version > version]
--- a/packages/daemon/persimmonstall_daemon/main.py
+++ b/packages/daemon/persimmonstall_daemon/main.py
@@ -19,6 +19,7 @@
 def main(_arguments):
     """Run the daemon until it is told to stop; return its exit code."""
     settings, problems = checked.load(SETTINGS.value)
+    problems += checked.unreadable_files(settings, SETTINGS.value)
     for problem in problems:
         print(problem, file=sys.stderr)
     if problems:
--- a/packages/daemon/persimmonstall_daemon/orders/keeper.py
+++ b/packages/daemon/persimmonstall_daemon/orders/keeper.py
@@ -118,7 +118,9 @@
         await self.send(step)
 
     async def send(self, step):
-        """Send one order under the lease."""
+        """Send one order under the lease, which may have lapsed during a pause."""
+        if not self.lease.covers():
+            return
         order = Order(step.action, step.name, step.version, self.lease.hold.fence)
         self.issued = Issued(step, self.context.now())
         result = await self.backend.engine.order(order, self.settings.orders.timeout)
--- a/packages/daemon/tests/test_catalogue_fleet.py
+++ b/packages/daemon/tests/test_catalogue_fleet.py
@@ -73,8 +73,11 @@
     return start
 
 
-def test_a_change_is_in_force_in_every_daemon(on_table):
+@pytest.mark.parametrize("delay", [0.0, 0.5, 0.9])
+def test_a_change_is_in_force_in_every_daemon(on_table, delay):
     async def body(scenario):
+        for faults in scenario.faults(*ENTRIES, *ENDPOINTS):
+            faults.delay = delay
         answer = await scenario.store().change(Model("m"), 0, "a")
         await asyncio.sleep(IN_FORCE_SECONDS)
         assert scenario.versions() == [answer.version] * 5
--- a/packages/daemon/tests/test_catalogue_follower.py
+++ b/packages/daemon/tests/test_catalogue_follower.py
@@ -224,3 +224,9 @@
 @pytest.mark.parametrize("seed", range(6))
 def test_random_faults_never_revert_and_every_accepted_change_counts(seed):
     run(random_run(seed, 200))
+
+
+@pytest.mark.soak
+@pytest.mark.parametrize("seed", range(1000, 1040))
+def test_long_random_faults_never_revert_and_every_accepted_change_counts(seed):
+    run(random_run(seed, 3000))
--- a/packages/daemon/tests/test_orders_keeper.py
+++ b/packages/daemon/tests/test_orders_keeper.py
@@ -152,6 +152,46 @@
     assert fences == [2] and role == "decode"
 
 
+async def random_pauses(seed, pause_bound):
+    """Two daemons with changing minds and pauses of up to 18 s before their orders."""
+    random = Random(seed)
+    site = Site(check_fence=False)
+    site.settings.orders.pause_bound = pause_bound
+    followers = (Held(), Held())
+    engines = [SlowOrders(site.engine, 0.0) for _ in followers]
+    besides = [
+        Beside(site, f"run{number}", engine, follower)
+        for number, (engine, follower) in enumerate(zip(engines, followers, strict=True))
+    ]
+    for _ in range(60):
+        placement = Placement("e", ("m",), (), random.choice(("mixed", "prefill", "decode")))
+        for follower, engine in zip(followers, engines, strict=True):
+            engine.pause = random.choice((0.0, 0.0, 4.0, 18.0))
+            follower.put(Model("m"), attrs.evolve(placement, fence_checked=False))
+            await asyncio.sleep(random.uniform(0.0, 3.0))
+        site.table.faults.lose_answers = random.random() < 0.2
+        await asyncio.sleep(random.uniform(0.0, 20.0))
+    site.table.faults.lose_answers = False
+    for engine in engines:
+        engine.pause = 0.0
+    await asyncio.sleep(120.0)
+    for beside in besides:
+        beside.task.cancel()
+    fences = [int(line.detail.split()[-1]) for line in site.engine.log if line.event == "ordered"]
+    return fences, site.engine.artifacts.role == placement.role
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_under_random_pauses_within_the_bound_no_older_order_comes_late(seed):
+    fences, settled = run(random_pauses(seed, 20.0))
+    assert len(set(fences)) > 5 and fences == sorted(fences) and settled
+
+
+def test_without_the_pause_bound_random_pauses_bring_an_older_order_late():
+    runs = [run(random_pauses(seed, 0.0))[0] for seed in range(4)]
+    assert any(fences != sorted(fences) for fences in runs)
+
+
 @pytest.mark.parametrize("fault", ["lose_answers", "apply_late", "down"])
 def test_orders_go_on_after_faults_of_the_table(fault):
     async def main():
