--- a/packages/daemon/persimmonstall_daemon/admin/entry_view.py
+++ b/packages/daemon/persimmonstall_daemon/admin/entry_view.py
@@ -66,11 +66,8 @@
 
     def verdicts(self):
         """Return the fingerprints that this entry refuses."""
-        quarantine = getattr(self.entry, "quarantine", None)
-        if quarantine is None:
-            return ()
         now = self.entry.context.wall()
         return tuple(
             SeenVerdict(one.fingerprint, one.crashes, one.expires - now, one.lifted)
-            for one in quarantine.verdicts()
+            for one in self.entry.quarantine.verdicts()
         )
--- a/packages/daemon/tests/test_catalogue_processes.py
+++ b/packages/daemon/tests/test_catalogue_processes.py
@@ -14,7 +14,8 @@
 @pytest.fixture(scope="module")
 def site(tmp_path_factory):
     deployment = Deployment(
-        tmp_path_factory.mktemp("site"), Layout(entries=2, daemons=1, engines=1, services=0)
+        tmp_path_factory.mktemp("site"),
+        Layout(entries=2, daemons=1, engines=1, services=0, speed=20.0),
     )
     try:
         deployment.start_all()
@@ -111,3 +112,19 @@
     made = set_model(site, "paused", touched(site), "paused")
     site.resume("d1")
     in_force_everywhere(site, made.version)
+
+
+def test_a_new_version_and_role_reach_the_engine_over_its_adapter(site):
+    expected = site.call("GetModel", schema.GetRequest(name="m")).version
+    model = schema.Model(name="m", version="2", context_tokens=1000, max_output_tokens=1000)
+    edit = schema.Edit(expected_version=expected, call_id="roll-out")
+    site.call("SetModel", schema.SetModelRequest(model=model, edit=edit))
+    placement = schema.Placement(name="e1", models=["m"], role="decode", fence_checked=True)
+    edit = schema.Edit(expected_version=0, call_id="place")
+    site.call("SetPlacement", schema.SetPlacementRequest(placement=placement, edit=edit))
+
+    def loaded():
+        [endpoint] = site.call("ListEndpoints", schema.ListRequest()).entries
+        return list(endpoint.models)
+
+    site.wait_until(lambda: loaded() == ["m", "m@2"], "version 2 alone on the engine")
