An answer resumed during a rollout stays of one version

Cause: an entry resumed a stream of a dead engine wherever the model was loaded, so that during a rollout its answer went on with another version's tokens (seen in test_an_answer_resumed_during_a_rollout_is_of_one_version with the word of the version switched off). Change: the endpoint names the versions before the first tokens (message Started), a resumed attempt asks for them, an endpoint without them refuses at once as not run. Ruled out: the version in every chunk, which costs bytes per token.

--- a/packages/core/persimmonstall/messages/codec.py
+++ b/packages/core/persimmonstall/messages/codec.py
@@ -17,6 +17,7 @@
     5: requests.Chunks,
     6: requests.End,
     7: requests.Refused,
+    8: requests.Started,
     20: control.Hello,
     21: control.Ping,
     22: control.Pong,
--- a/packages/core/persimmonstall/messages/requests.py
+++ b/packages/core/persimmonstall/messages/requests.py
@@ -60,6 +60,7 @@
 
     `remaining` is the time left in seconds; `relayed` are the output tokens that the caller
     already has, from which the attempt resumes.  `suspect` asks for a run without company.
+    `version` and `adapter_version` are those that the relayed tokens came from, empty for any.
     """
 
     request_id: str
@@ -87,6 +88,8 @@
     segments: tuple[SegmentRef, ...] = ()
     segment_start: int = 0
     segment_end: int = 0
+    version: str = ""
+    adapter_version: str = ""
 
 
 @attrs.frozen
@@ -116,6 +119,16 @@
     remaining: float
 
 
+@attrs.frozen
+class Started:
+    """The attempt runs on these versions of the weights; sent before its first tokens."""
+
+    request_id: str
+    attempt: int
+    version: str
+    adapter_version: str = ""
+
+
 @attrs.frozen
 class Chunk:
     """New tokens of one attempt, from `offset`."""
--- a/packages/daemon/persimmonstall_daemon/endpoint/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/attempt.py
@@ -74,4 +74,6 @@
         deadline=now + submit.remaining,
         job_id=f"{run}/{submit.request_id}/{submit.attempt}",
         session=session,
+        version=submit.version,
+        adapter_version=submit.adapter_version,
     )
--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -252,6 +252,9 @@
         if not self.alive:
             session.send(self.refused(submit, Reason.ENDPOINT_LOST, Outcome.NOT_RUN))
             return
+        if self.lacks(submit):
+            session.send(self.refused(submit, Reason.BUSY, Outcome.NOT_RUN, "version not here"))
+            return
         full = self.memory.admit(submit)
         if full is None:
             full = self.queue.offer(submit, self.cached_tokens(submit), self.now())
@@ -293,9 +296,7 @@
     def job_of(self, attempt):
         """Return the engine job of an attempt, on the weights that it began with."""
         submit = attempt.submit
-        attempt.version = attempt.version or self.versions.model(submit.model)
-        if submit.adapter and not attempt.adapter_version:
-            attempt.adapter_version = self.versions.adapter(submit.adapter)
+        self.choose_versions(attempt)
         return Job(
             job_id=attempt.job_id,
             owner=str(self.memory.owner),
@@ -316,6 +317,28 @@
             version=attempt.version,
         )
 
+    def choose_versions(self, attempt):
+        """Choose the weights of an attempt that has not begun, and tell its entry."""
+        submit = attempt.submit
+        if attempt.version:
+            return
+        attempt.version = self.versions.model(submit.model)
+        if submit.adapter:
+            attempt.adapter_version = self.versions.adapter(submit.adapter)
+        self.tell_versions(attempt)
+
+    def tell_versions(self, attempt):
+        """Tell the entry which weights an attempt runs on, if the endpoint's orders say so."""
+        if attempt.version and attempt.session is not None:
+            versions = (attempt.version, attempt.adapter_version)
+            attempt.session.send(requests.Started(*attempt.key, *versions))
+
+    def lacks(self, submit):
+        """Return whether an attempt resumes an answer of weights that are not here."""
+        if not submit.version:
+            return False
+        return not self.versions.serves(submit, self.reported)
+
     def artifacts_in_use(self):
         """Return the versions of weights that unfinished attempts run on."""
         found = set()
@@ -569,6 +592,7 @@
             return
         attempt.session = session
         attempt.result_sent = False
+        self.tell_versions(attempt)
         self.flush([attempt])
 
     def on_session_lost(self, lost, _session):
--- a/packages/daemon/persimmonstall_daemon/entry/dispatch.py
+++ b/packages/daemon/persimmonstall_daemon/entry/dispatch.py
@@ -24,7 +24,8 @@
 class Run:
     """One request on its way: its exchange, the current attempt and what was tried.
 
-    `segments` refer to the parts of a prompt that is larger than an engine.
+    `segments` refer to the parts of a prompt that is larger than an engine.  `version` and
+    `adapter_version` are those of the weights that the current attempt runs on.
     """
 
     work: object
@@ -39,6 +40,8 @@
     answering: int = 0
     credited: int = 0
     segments: tuple = ()
+    version: str = ""
+    adapter_version: str = ""
 
     @property
     def tokens(self):
@@ -155,6 +158,8 @@
             suspect=self.entry.suspects.is_suspect(work),
             relayed=tuple(run.tokens),
             segments=run.segments,
+            version=run.version if run.tokens else "",
+            adapter_version=run.adapter_version if run.tokens else "",
         )
 
     async def relay(self, run):
@@ -174,6 +179,10 @@
             return await self.take_tokens(run, assembly.accept(message))
         if isinstance(message, requests.End):
             return self.take_end(run, message)
+        if isinstance(message, requests.Started) and assembly.concerns(message):
+            run.version = message.version
+            run.adapter_version = message.adapter_version
+            return None
         if isinstance(message, requests.Refused):
             return message if assembly.concerns(message) else None
         if isinstance(message, LinkDown) and message.instance == run.exchange.instance:
--- a/packages/daemon/persimmonstall_daemon/entry/links.py
+++ b/packages/daemon/persimmonstall_daemon/entry/links.py
@@ -27,6 +27,7 @@
             requests.Chunks: self.on_chunks,
             requests.End: self.on_answer,
             requests.Refused: self.on_answer,
+            requests.Started: self.on_answer,
             control.Hello: self.on_hello,
             control.Pong: self.on_pong,
             control.Loads: self.on_loads,
--- a/packages/daemon/persimmonstall_daemon/orders/versions.py
+++ b/packages/daemon/persimmonstall_daemon/orders/versions.py
@@ -1,6 +1,6 @@
 """Which versions an engine's work runs on."""
 
-from persimmonstall.orders import Loaded
+from persimmonstall.orders import Artifact, Loaded
 from persimmonstall.orders.plan import VERSION_MARK, version_for
 
 
@@ -39,9 +39,23 @@
         loaded = getattr(self.loaded, field) - self.retired
         return version_for(name, getattr(self.desired, field), loaded)
 
+    def serves(self, submit, reported):
+        """Return whether the versions that a resumed `Submit` names are here to stay.
+
+        `reported` is the engine's load report.
+        """
+        wanted = [(Artifact(submit.model, submit.version), reported.models)]
+        if submit.adapter_version:
+            artifact = Artifact(submit.adapter, submit.adapter_version)
+            wanted.append((artifact, reported.adapters))
+        return all(
+            str(artifact) in names and artifact not in self.retired for artifact, names in wanted
+        )
+
     def shown(self, names, field):
         """Return the reported names that entries may place work on.
 
+        >>> from persimmonstall.orders import Desired
         >>> versions = Versions()
         >>> versions.see(Loaded(), Desired(frozenset({Artifact("m", "2")})))
         >>> versions.shown(("m", "m@1", "n"), "models")
--- a/packages/daemon/tests/test_orders_keeper.py
+++ b/packages/daemon/tests/test_orders_keeper.py
@@ -9,6 +9,7 @@
 from persimmonstall.catalogue import Adapter, Catalogue, Change, Model, Placement
 from persimmonstall.catalogue.snapshot import kind_of
 from persimmonstall.clock import Context
+from persimmonstall.messages import requests
 from persimmonstall.settings import Settings
 from persimmonstall_daemon.entry.request import Answer
 from persimmonstall_daemon.observe.metrics import Metrics
@@ -271,6 +272,37 @@
     assert loaded == [{("m", "2")}] * 3 and cut == 0
 
 
+async def lose_an_engine_during_a_rollout(fleet, entry, told):
+    """Kill an engine while versions are mixed; return the versions that each answer used."""
+    used = {}
+    for engine in fleet.engines.values():
+
+        async def submit(job, timeout, start=engine.submit):
+            used.setdefault(job.job_id.split("/")[1], set()).add(job.version)
+            return await start(job, timeout)
+
+        engine.submit = submit
+    if not told:
+        for link in entry.links.links.values():
+            del link.handlers[requests.Started]
+    asyncio.get_running_loop().call_later(23.5, fleet.engines["e2"].die)
+    await roll_out(fleet, entry, tracked=True)
+    return used
+
+
+@pytest.mark.parametrize("told", [True, False])
+def test_an_answer_resumed_during_a_rollout_is_of_one_version(on_fleet, told):
+    """Without the word of the version, an answer goes on with another version's tokens."""
+
+    async def scenario(fleet, entry):
+        return await lose_an_engine_during_a_rollout(fleet, entry, told)
+
+    used = on_fleet(scenario)
+    mixed = [request for request, versions in used.items() if len(versions) > 1]
+    assert {version for versions in used.values() for version in versions} == {"1", "2"}
+    assert bool(mixed) is not told
+
+
 def test_without_tracking_what_runs_a_rollout_cuts_streams(on_fleet):
     async def scenario(fleet, entry):
         return await roll_out(fleet, entry, tracked=False)
