--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,7 @@
 	$(PYTHON) tools/reference.py --check
 
 doctest: setup
-	$(PYTHON) -m pytest --doctest-modules --ignore-glob='*/tests/*' packages/core/persimmonstall packages/cli/persimmonstall_cli
+	$(PYTHON) -m pytest --doctest-modules --ignore-glob='*/tests/*' $(foreach p,$(PACKAGES),packages/$(p)/persimmonstall*)
 
 pytest: setup
 	$(PYTHON) tools/run_tests.py -n $(WORKERS) --dist loadfile -m "not soak" packages
--- a/packages/daemon/tests/test_catalogue_follower.py
+++ b/packages/daemon/tests/test_catalogue_follower.py
@@ -1,6 +1,8 @@
 import asyncio
+from collections import Counter
 from random import Random
 
+import attrs
 import pytest
 
 from persimmonstall.catalogue import Model
@@ -173,6 +175,7 @@
     for name in "abcd":
         site.follow(name, tables[name])
     accepted = {}
+    counts = Counter()
     floor = dict.fromkeys("abcd", 0)
 
     async def operate(name):
@@ -186,6 +189,7 @@
             value = Model(record, version=f"{name}{number}")
             for _ in range(3):
                 answer = await store.change(value, stored.touched, f"{name}{number}")
+                counts["steps"] += 1
                 if answer:
                     assert accepted.setdefault(answer.version, value) == value
                 if answer or answer.reason != "outcome_unknown":
@@ -199,10 +203,13 @@
             table.faults.delay = random.choice((0.0, 0.0, 0.4, 1.5))
             table.faults.lose_answers = random.random() < 0.15
             table.faults.apply_late = random.choice((0.0,) * 8 + (0.5, 7.0))
+            counts["faults"] += sum(map(bool, attrs.astuple(table.faults)))
         site.gossip()
         if random.random() < 0.05:
             name = random.choice("cd")
             site.follow(name, tables[name])
+            counts["faults"] += 1
+        counts["steps"] += len(tables)
         for name, follower in site.followers.items():
             if follower.ready.is_set():
                 assert follower.version >= floor[name]
@@ -219,14 +226,17 @@
     logged = {change.version: change.value for change in log}
     assert {version: logged[version] for version in accepted} == accepted
     assert len(accepted) > seconds / 10
+    return counts
 
 
 @pytest.mark.parametrize("seed", range(6))
-def test_random_faults_never_revert_and_every_accepted_change_counts(seed):
-    run(random_run(seed, 200))
+def test_random_faults_never_revert_and_every_accepted_change_counts(seed, record_property):
+    for name, count in run(random_run(seed, 200)).items():
+        record_property(name, count)
 
 
 @pytest.mark.soak
 @pytest.mark.parametrize("seed", range(1000, 1040))
-def test_long_random_faults_never_revert_and_every_accepted_change_counts(seed):
-    run(random_run(seed, 3000))
+def test_long_random_faults_never_revert_and_every_accepted_change_counts(seed, record_property):
+    for name, count in run(random_run(seed, 3000)).items():
+        record_property(name, count)
--- a/packages/daemon/tests/test_orders_keeper.py
+++ b/packages/daemon/tests/test_orders_keeper.py
@@ -183,9 +183,20 @@
 
 
 @pytest.mark.parametrize("seed", range(4))
-def test_under_random_pauses_within_the_bound_no_older_order_comes_late(seed):
+def test_under_random_pauses_within_the_bound_no_older_order_comes_late(seed, record_property):
     fences, settled = run(random_pauses(seed, 20.0))
     assert len(set(fences)) > 5 and fences == sorted(fences) and settled
+    record_property("steps", len(fences))
+    record_property("faults", 60)
+
+
+@pytest.mark.soak
+@pytest.mark.parametrize("seed", range(1000, 1100))
+def test_under_many_random_pauses_no_older_order_comes_late(seed, record_property):
+    fences, settled = run(random_pauses(seed, 20.0))
+    assert fences == sorted(fences) and settled
+    record_property("steps", len(fences))
+    record_property("faults", 60)
 
 
 def test_without_the_pause_bound_random_pauses_bring_an_older_order_late():
