Follower: newer kinds are passed on, malformed rows stop nothing; steps by a table

Cause: a row of a kind that this release does not know, or a malformed one, ended the follower's task (KeyError), so that the daemon kept its configuration for good while releases are mixed. Change: unknown kinds stay as they are; a malformed row is a failure of that read. Also: unused functions removed.

--- a/packages/core/persimmonstall/catalogue/following.py
+++ b/packages/core/persimmonstall/catalogue/following.py
@@ -76,8 +76,3 @@
         if not self.table_up:
             return Step.ASK_PEERS
         return Step.READ_RECORDS if self.log_gap else Step.READ_LOG
-
-
-def fits(changes, have):
-    """Return whether `changes`, in order of version, continue version `have`."""
-    return bool(changes) and changes[0].version <= have + 1
--- a/packages/core/persimmonstall/catalogue/layout.py
+++ b/packages/core/persimmonstall/catalogue/layout.py
@@ -7,7 +7,7 @@
 import attrs
 import msgspec
 
-from .records import KINDS
+from .records import to_record
 
 CONFIG = "config"
 RECORDS = "catalogue"
@@ -62,15 +62,6 @@
     return SNAPSHOT_PREFIX + log_key(version)
 
 
-def snapshot_version(name):
-    """Return the version of a snapshot's name.
-
-    >>> snapshot_version(snapshot_name(7))
-    7
-    """
-    return int(name.removeprefix(SNAPSHOT_PREFIX))
-
-
 def encode_version(version):
     """Return the value of the version row."""
     return str(version).encode()
@@ -87,11 +78,10 @@
 
 
 def decode_stored(row):
-    """Return the kind, name and `Stored` record of a record's row."""
+    """Return the kind, name and `Stored` record of a row; raises msgspec.MsgspecError."""
     kind, _, name = row.key.partition("/")
     raw = msgspec.json.decode(row.value)
-    value = msgspec.convert(raw["value"], KINDS[kind])
-    return kind, name, Stored(raw["touched"], value)
+    return kind, name, Stored(raw["touched"], to_record(kind, raw["value"]))
 
 
 def encode_call(call):
--- a/packages/core/persimmonstall/catalogue/records.py
+++ b/packages/core/persimmonstall/catalogue/records.py
@@ -1,6 +1,7 @@
 """Records of the catalogue; each kind is keyed by its name."""
 
 import attrs
+import msgspec
 
 
 @attrs.frozen
@@ -91,3 +92,18 @@
 """Record type of each kind, as it is named in the table and in changes."""
 
 KIND_OF = {kind: name for name, kind in KINDS.items()}
+
+
+def to_record(kind, value):
+    """Return the record of `kind` that a decoded `value` stands for.
+
+    A kind of a newer release stays as it is, so that it is passed on unchanged.  Raises
+    msgspec.ValidationError when the value does not fit its kind.
+
+    >>> to_record("model", {"name": "m"}).version
+    '1'
+    >>> to_record("later", {"name": "x"})
+    {'name': 'x'}
+    """
+    known = KINDS.get(kind)
+    return msgspec.convert(value, known) if known and value is not None else value
--- a/packages/core/persimmonstall/catalogue/snapshot.py
+++ b/packages/core/persimmonstall/catalogue/snapshot.py
@@ -3,7 +3,7 @@
 import attrs
 import msgspec
 
-from .records import KIND_OF, KINDS
+from .records import KIND_OF, KINDS, to_record
 
 
 @attrs.frozen
@@ -36,8 +36,7 @@
 def decode_change(data):
     """Return the `Change` encoded in `data`; raises msgspec.MsgspecError on a malformed one."""
     version, kind, name, value, call_id, at = msgspec.json.decode(data)
-    record = None if value is None else msgspec.convert(value, KINDS[kind])
-    return Change(version, kind, name, record, call_id, at)
+    return Change(version, kind, name, to_record(kind, value), call_id, at)
 
 
 @attrs.define
@@ -63,13 +62,14 @@
 
     def put(self, kind, name, value):
         """Set or delete one record and keep the index of keys."""
-        old = self.records[kind].pop(name, None)
+        records = self.records.setdefault(kind, {})
+        old = records.pop(name, None)
         if kind == "organisation" and old:
             for key_hash in old.key_hashes:
                 self.by_key.pop(key_hash, None)
         if value is None:
             return
-        self.records[kind][name] = value
+        records[name] = value
         if kind == "organisation":
             for key_hash in value.key_hashes:
                 self.by_key[key_hash] = name
@@ -106,7 +106,7 @@
         version, rows = msgspec.json.decode(data)
         made = cls()
         for kind, name, record, touched in rows:
-            made.put(kind, name, msgspec.convert(record, KINDS[kind]))
+            made.put(kind, name, to_record(kind, record))
             made.touched[kind, name] = touched
         made.version = version
         return made
--- a/packages/daemon/persimmonstall_daemon/admin/organisations.py
+++ b/packages/daemon/persimmonstall_daemon/admin/organisations.py
@@ -9,7 +9,7 @@
 from . import persimmonstall_admin_pb2 as schema
 from .convert import key_id, to_record
 from .operators import hash_key
-from .state import accepted_change, change_response
+from .state import change_response
 
 KEY_PREFIX = "ps-"
 KEY_BYTES = 32
@@ -63,7 +63,7 @@
     kept = stored.value.key_hashes if keep else ()
     record = attrs.evolve(stored.value, key_hashes=(*kept, hash_key(key)))
     accepted = await state.change(record, request)
-    if not accepted_change(accepted):
+    if not accepted:
         return accepted
     if accepted.repeated and not accepted.own:
         return schema.KeyResponse(version=accepted.version, repeated=True)
--- a/packages/daemon/persimmonstall_daemon/admin/state.py
+++ b/packages/daemon/persimmonstall_daemon/admin/state.py
@@ -70,11 +70,6 @@
 
 def change_response(accepted):
     """Return the answer to a change, or the `Failure` itself."""
-    if not accepted_change(accepted):
+    if not accepted:
         return accepted
     return schema.ChangeResponse(version=accepted.version, repeated=accepted.repeated)
-
-
-def accepted_change(result):
-    """Return whether a change was made."""
-    return not isinstance(result, Failure)
--- a/packages/daemon/persimmonstall_daemon/admin/watch.py
+++ b/packages/daemon/persimmonstall_daemon/admin/watch.py
@@ -1,6 +1,5 @@
 """The stream of changes as they come into force in the answering daemon."""
 
-import attrs
 import msgspec
 
 from . import persimmonstall_admin_pb2 as schema
@@ -55,6 +54,6 @@
     >>> readable(Adapter("a", "m"))
     '{"name":"a","model":"m","version":"1"}'
     """
-    fields = attrs.asdict(record)
+    fields = msgspec.to_builtins(record)
     fields.pop("key_hashes", None)
     return msgspec.json.encode(fields).decode()
--- a/packages/daemon/persimmonstall_daemon/catalogue/follower.py
+++ b/packages/daemon/persimmonstall_daemon/catalogue/follower.py
@@ -37,6 +37,11 @@
         self.changed = []
         self.recent = deque(maxlen=KEPT_CHANGES)
         self.teller = ""
+        self.steps = {
+            Step.READ_LOG: self.read_log,
+            Step.READ_RECORDS: self.read_records,
+            Step.ASK_PEERS: self.ask_peers,
+        }
 
     @property
     def version(self):
@@ -109,21 +114,19 @@
     async def advance(self):
         """Take steps until nothing is missing or no step helps."""
         while self.following.behind():
-            have = self.version
-            await self.take(self.following.next_step())
-            if self.version == have and not self.following.log_gap:
+            before = self.progress()
+            step = self.following.next_step()
+            await self.steps[step]()
+            if self.progress() == before and step is not Step.ASK_PEERS:
                 await self.ask_peers()
-            if self.version == have:
+            if self.progress() == before:
                 break
         if self.following.ready():
             self.ready.set()
 
-    async def take(self, step):
-        """Carry out one `Step`."""
-        if step is Step.READ_LOG:
-            await self.read_log()
-        if self.following.log_gap:
-            await self.read_records()
+    def progress(self):
+        """Return what a step that helps changes."""
+        return self.version, self.following.log_gap
 
     async def read_log(self):
         """Apply the changes that the log has after the version in force."""
--- a/packages/daemon/persimmonstall_daemon/catalogue/reader.py
+++ b/packages/daemon/persimmonstall_daemon/catalogue/reader.py
@@ -44,7 +44,10 @@
         rows = await self.table.scan(LOG, "", after, PAGE_ROWS, self.timeout)
         if isinstance(rows, Failure):
             return rows
-        return [decode_change(row.value) for row in rows]
+        try:
+            return [decode_change(row.value) for row in rows]
+        except (msgspec.MsgspecError, ValueError) as error:
+            return Failure(Reason.INTERNAL, "catalogue_log", "table", str(error))
 
     async def snapshot(self):
         """Return the newest `Catalogue` in the object store, None, or a `Failure`."""
@@ -96,10 +99,10 @@
             rows = await self.table.scan(RECORDS, "", after, PAGE_ROWS, self.timeout)
             if isinstance(rows, Failure):
                 return rows
-            for row in rows:
-                kind, name, stored = decode_stored(row)
-                catalogue.put(kind, name, stored.value)
-                catalogue.touched[kind, name] = stored.touched
+            try:
+                put_all(catalogue, rows)
+            except (msgspec.MsgspecError, KeyError) as error:
+                return Failure(Reason.INTERNAL, "catalogue_scan", "table", str(error))
             if len(rows) < PAGE_ROWS:
                 return None
             after = rows[-1].key
@@ -120,3 +123,11 @@
         if isinstance(names, Failure):
             return names
         return await self.load_snapshot(names[-1]) if names else None
+
+
+def put_all(catalogue, rows):
+    """Put the records of `rows` into `catalogue`; raises msgspec.MsgspecError or KeyError."""
+    for row in rows:
+        kind, name, stored = decode_stored(row)
+        catalogue.put(kind, name, stored.value)
+        catalogue.touched[kind, name] = stored.touched
--- a/packages/daemon/tests/test_catalogue_follower.py
+++ b/packages/daemon/tests/test_catalogue_follower.py
@@ -6,8 +6,10 @@
 import pytest
 
 from persimmonstall.catalogue import Model
-from persimmonstall.catalogue.layout import LOG
+from persimmonstall.catalogue.layout import LOG, log_key
 from persimmonstall.catalogue.snapshot import decode_change
+from persimmonstall.messages.control import CatalogueAsk
+from persimmonstall.outside.table import Write
 from persimmonstall_daemon.catalogue import NoPeers, compaction
 from persimmonstall_daemon.catalogue.compaction import CatalogueCompactor
 from persimmonstall_standins.faults import StoreFaults
@@ -235,6 +237,26 @@
         record_property(name, count)
 
 
+def test_a_kind_of_a_newer_release_is_passed_on_and_a_malformed_row_stops_nothing():
+    async def main():
+        site = await set_up("a", changes=2)
+        follower = site.followers["a"]
+        body = b'[3,"later","x",{"name":"x"},"c",0.0]'
+        later = [Write(LOG, log_key(3), 0, body), Write("config", "version", 2, b"3")]
+        assert await site.table.commit(later, 1.0)
+        await asyncio.sleep(IN_FORCE_SECONDS)
+        assert follower.version == 3
+        [passed_on] = follower.answer(CatalogueAsk(2)).records
+        assert passed_on == body
+        broken = [Write(LOG, log_key(4), 0, b"[4"), Write("config", "version", 3, b"4")]
+        assert await site.table.commit(broken, 1.0)
+        await asyncio.sleep(IN_FORCE_SECONDS)
+        assert follower.version == 3 and not site.tasks["a"].done()
+        await site.stop()
+
+    run(main())
+
+
 @pytest.mark.soak
 @pytest.mark.parametrize("seed", range(1000, 1040))
 def test_long_random_faults_never_revert_and_every_accepted_change_counts(seed, record_property):
