--- a/packages/core/persimmonstall/catalogue/editing.py
+++ b/packages/core/persimmonstall/catalogue/editing.py
@@ -57,11 +57,16 @@
 
     def digest(self):
         """Return a hash of what the call asks for."""
-        return digest(self.request or msgspec.json.encode((*self.content, self.expected)))
+        return digest(self.request or canonical((*self.content, self.expected)))
 
     def content_digest(self):
         """Return a hash of the record that the call writes."""
-        return digest(msgspec.json.encode(self.content))
+        return digest(canonical(self.content))
+
+
+def canonical(value):
+    """Return bytes that are equal for equal values in every process."""
+    return msgspec.json.encode(value, order="sorted")
 
 
 def digest(data):
--- a/packages/daemon/persimmonstall_daemon/admin/watch.py
+++ b/packages/daemon/persimmonstall_daemon/admin/watch.py
@@ -1,5 +1,6 @@
 """The stream of changes as they come into force in the answering daemon."""
 
+import attrs
 import msgspec
 
 from . import persimmonstall_admin_pb2 as schema
@@ -54,6 +55,6 @@
     >>> readable(Adapter("a", "m"))
     '{"name":"a","model":"m","version":"1"}'
     """
-    fields = msgspec.to_builtins(record)
+    fields = dict(record) if isinstance(record, dict) else attrs.asdict(record)
     fields.pop("key_hashes", None)
     return msgspec.json.encode(fields).decode()
