--- a/packages/daemon/tests/test_orders_keeper.py
+++ b/packages/daemon/tests/test_orders_keeper.py
@@ -9,6 +9,7 @@
 from persimmonstall.catalogue import Adapter, Catalogue, Change, Model, Placement
 from persimmonstall.catalogue.snapshot import kind_of
 from persimmonstall.clock import Context
+from persimmonstall.messages import requests
 from persimmonstall.settings import Settings
 from persimmonstall_daemon.entry.request import Answer
 from persimmonstall_daemon.observe.metrics import Metrics
@@ -152,6 +153,57 @@
     assert fences == [2] and role == "decode"
 
 
+async def random_pauses(seed, pause_bound):
+    """Two daemons with changing minds and pauses of up to 18 s before their orders."""
+    random = Random(seed)
+    site = Site(check_fence=False)
+    site.settings.orders.pause_bound = pause_bound
+    followers = (Held(), Held())
+    engines = [SlowOrders(site.engine, 0.0) for _ in followers]
+    besides = [
+        Beside(site, f"run{number}", engine, follower)
+        for number, (engine, follower) in enumerate(zip(engines, followers, strict=True))
+    ]
+    for _ in range(60):
+        placement = Placement("e", ("m",), (), random.choice(("mixed", "prefill", "decode")))
+        for follower, engine in zip(followers, engines, strict=True):
+            engine.pause = random.choice((0.0, 0.0, 4.0, 18.0))
+            follower.put(Model("m"), attrs.evolve(placement, fence_checked=False))
+            await asyncio.sleep(random.uniform(0.0, 3.0))
+        site.table.faults.lose_answers = random.random() < 0.2
+        await asyncio.sleep(random.uniform(0.0, 20.0))
+    site.table.faults.lose_answers = False
+    for engine in engines:
+        engine.pause = 0.0
+    await asyncio.sleep(120.0)
+    for beside in besides:
+        beside.task.cancel()
+    fences = [int(line.detail.split()[-1]) for line in site.engine.log if line.event == "ordered"]
+    return fences, site.engine.artifacts.role == placement.role
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_under_random_pauses_within_the_bound_no_older_order_comes_late(seed, record_property):
+    fences, settled = run(random_pauses(seed, 20.0))
+    assert len(set(fences)) > 5 and fences == sorted(fences) and settled
+    record_property("steps", len(fences))
+    record_property("faults", 60)
+
+
+@pytest.mark.soak
+@pytest.mark.parametrize("seed", range(1000, 1100))
+def test_under_many_random_pauses_no_older_order_comes_late(seed, record_property):
+    fences, settled = run(random_pauses(seed, 20.0))
+    assert fences == sorted(fences) and settled
+    record_property("steps", len(fences))
+    record_property("faults", 60)
+
+
+def test_without_the_pause_bound_random_pauses_bring_an_older_order_late():
+    runs = [run(random_pauses(seed, 0.0))[0] for seed in range(4)]
+    assert any(fences != sorted(fences) for fences in runs)
+
+
 @pytest.mark.parametrize("fault", ["lose_answers", "apply_late", "down"])
 def test_orders_go_on_after_faults_of_the_table(fault):
     async def main():
@@ -231,6 +283,37 @@
     assert loaded == [{("m", "2")}] * 3 and cut == 0
 
 
+async def lose_an_engine_during_a_rollout(fleet, entry, told):
+    """Kill an engine while versions are mixed; return the versions that each answer used."""
+    used = {}
+    for engine in fleet.engines.values():
+
+        async def submit(job, timeout, start=engine.submit):
+            used.setdefault(job.job_id.split("/")[1], set()).add(job.version)
+            return await start(job, timeout)
+
+        engine.submit = submit
+    if not told:
+        for link in entry.links.links.values():
+            del link.handlers[requests.Started]
+    asyncio.get_running_loop().call_later(23.5, fleet.engines["e2"].die)
+    await roll_out(fleet, entry, tracked=True)
+    return used
+
+
+@pytest.mark.parametrize("told", [True, False])
+def test_an_answer_resumed_during_a_rollout_is_of_one_version(on_fleet, told):
+    """Without the word of the version, an answer goes on with another version's tokens."""
+
+    async def scenario(fleet, entry):
+        return await lose_an_engine_during_a_rollout(fleet, entry, told)
+
+    used = on_fleet(scenario)
+    mixed = [request for request, versions in used.items() if len(versions) > 1]
+    assert {version for versions in used.values() for version in versions} == {"1", "2"}
+    assert bool(mixed) is not told
+
+
 def test_without_tracking_what_runs_a_rollout_cuts_streams(on_fleet):
     async def scenario(fleet, entry):
         return await roll_out(fleet, entry, tracked=False)
