--- a/packages/daemon/persimmonstall_daemon/claims/__init__.py
+++ b/packages/daemon/persimmonstall_daemon/claims/__init__.py
@@ -1,6 +1,7 @@
 """The tasks around the claim protocol: the entry's filter and the endpoint's keeper."""
 
+from .cleaner import ClaimCleaner
 from .filter import ClaimFilter
 from .keeper import ClaimKeeper, Won
 
-__all__ = ["ClaimFilter", "ClaimKeeper", "Won"]
+__all__ = ["ClaimCleaner", "ClaimFilter", "ClaimKeeper", "Won"]
--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -11,7 +11,7 @@
 from persimmonstall.membership import subset_of
 from persimmonstall.messages import control
 
-from ..claims import ClaimFilter
+from ..claims import ClaimCleaner, ClaimFilter
 from ..limits import Budgets, EntryPeers
 from ..membership import Membership
 from ..observe import logs
@@ -77,6 +77,7 @@
             settings, context, self.invariants, metrics, self.entry_names, self.peers.send
         )
         self.claims = ClaimFilter(self, stores.table, stores.objects)
+        self.cleaner = ClaimCleaner(settings, stores.table, stores.objects, context, self.run_id)
         self.quarantine = QuarantineKeeper(
             settings,
             stores.table,
@@ -147,7 +148,7 @@
     async def start(self):
         """Accept links of other entries and keep up with the quarantine."""
         await self.peers.start()
-        for coroutine in (self.quarantine.run(), self.suspects.run()):
+        for coroutine in (self.quarantine.run(), self.suspects.run(), self.cleaner.run()):
             self.tasks.append(asyncio.create_task(coroutine))
 
     async def tick(self):
--- a/packages/daemon/tests/test_at_most_once.py
+++ b/packages/daemon/tests/test_at_most_once.py
@@ -5,7 +5,10 @@
 
 from persimmonstall.catalogue import Change, Service
 from persimmonstall.claims import records
+from persimmonstall.claims.retention import RETENTION
+from persimmonstall.clock import Context
 from persimmonstall.failures import Outcome, Reason
+from persimmonstall_daemon.claims import ClaimCleaner
 from persimmonstall_daemon.entry.request import Answer
 from persimmonstall_standins.fleet import SECRET, Fleet, small_catalogue
 from persimmonstall_standins.virtual.loop import run
@@ -231,3 +234,28 @@
     refusal, used = on_fleet(scenario)
     assert refusal.outcome is Outcome.UNKNOWN
     assert used == 0
+
+
+async def clean_at(fleet, entry, wall):
+    """Let a cleaner work as if the wall clock showed `wall`; return what is left."""
+    stores = fleet.stores("")
+    context = Context(entry.context.now, lambda: wall)
+    cleaner = ClaimCleaner(entry.settings, stores.table, stores.objects, context, "run")
+    await cleaner.clean_page()
+    await cleaner.clean_page()
+    return len(fleet.claims.rows), len(fleet.objects.objects)
+
+
+def test_rows_and_long_answers_are_deleted_after_the_retention_time(on_records):
+    async def scenario(fleet, entries):
+        for service in fleet.services.values():
+            service.answer_body = lambda call: b"x" * 20_000
+        first = await file(fleet, entries[0])
+        await asyncio.sleep(1.0)
+        again = await file(fleet, entries[1])
+        left = [await clean_at(fleet, entries[0], RETENTION + late) for late in (-60.0, 60.0)]
+        return first, again, left
+
+    first, again, left = on_records(scenario)
+    assert again.stored and again.body == first.body
+    assert left == [(1, 1), (0, 0)]
