--- a/packages/daemon/tests/claims_storm.py
+++ b/packages/daemon/tests/claims_storm.py
@@ -14,7 +14,7 @@
 from persimmonstall.catalogue import Change, Service
 from persimmonstall.failures import Outcome
 from persimmonstall.outside.table import Table
-from persimmonstall_daemon.entry.request import Answer
+from persimmonstall_daemon.entry.request import Answer, NullSink
 from persimmonstall_standins.fleet import SECRET, Fleet, small_catalogue
 from persimmonstall_standins.service import ServiceModel, ServiceSettings
 
@@ -22,7 +22,9 @@
 ANSWER_SLACK = 0.2
 QUIET_SECONDS = 60.0
 ENTRIES = 3
-DAEMONS = 3
+SERVICES = ("s0", "s1", "s2")
+ENGINES = ("e0", "e1", "e2")
+DAEMONS = SERVICES + ENGINES
 
 
 class GatedTable(Table):
@@ -71,7 +73,7 @@
     replaced: list = attrs.field(factory=list)
 
     async def start(self):
-        """Start entries and daemons around two services, one of them fronted twice."""
+        """Start entries and daemons around engines and two services, one fronted twice."""
         self.random = Random(self.seed)
         catalogue = small_catalogue(hashlib.sha256(SECRET.encode()).hexdigest())
         catalogue.apply(Change(3, "service", "records", Service("records", ("file",))))
@@ -81,6 +83,9 @@
         for name, outside in (("s0", shared), ("s1", shared), ("s2", alone)):
             self.fleet.tables[name] = GatedTable(self.fleet.claims)
             await self.fleet.add_service(name, "records", outside=outside)
+        for name in ENGINES:
+            self.fleet.tables[name] = GatedTable(self.fleet.claims)
+            await self.fleet.add_endpoint(name)
         for number in range(ENTRIES):
             await self.fleet.add_entry(f"entry{number}")
 
@@ -104,8 +109,9 @@
 
     async def caller(self, number):
         """Send one key, and again through other entries, also while it is in flight."""
-        method = self.random.choice(("file", "file", "read"))
-        key = f"k{number}" if method == "file" and self.random.random() < 0.8 else ""
+        method = self.random.choice(("file", "file", "read", "generate", "generate once"))
+        keyed = method == "generate once" or (method == "file" and self.random.random() < 0.8)
+        key = f"k{number}" if keyed else ""
         for _ in range(4):
             sending = [self.send(number, key, method)]
             if key and self.random.random() < 0.3:
@@ -119,11 +125,14 @@
         """Send one request through a random entry and keep what came of it."""
         entry = self.random.choice(self.fleet.entries)
         changes = {"service": "records", "method": method, "model": "", "max_tokens": 0}
+        if method.startswith("generate"):
+            changes = {"idempotent": not key, "max_tokens": 60}
         deadline = self.random.uniform(0.5, DEADLINE)
-        request = self.fleet.request(number, 2, key=key, deadline=deadline, **changes)
+        tokens = self.random.choice((2, 500, 4000))
+        request = self.fleet.request(number, tokens, key=key, deadline=deadline, **changes)
         loop = asyncio.get_running_loop()
         began = loop.time()
-        result = await entry.serve(request, None)
+        result = await entry.serve(request, NullSink())
         took = loop.time() - began
         assert took <= deadline + ANSWER_SLACK, (self.seed, took, deadline, result)
         self.sends.append(Send(request.request_id, key, took, result))
@@ -137,6 +146,7 @@
             self.pause,
             self.service_fault,
             self.service_death,
+            self.engine_fault,
             self.restart,
         )
         while asyncio.get_running_loop().time() < ends:
@@ -164,7 +174,7 @@
 
     async def link_fault(self, seconds):
         """Cut an entry and a daemon apart, in one direction or both, or silence their link."""
-        pair = [f"entry{self.random.randrange(ENTRIES)}:1", f"s{self.random.randrange(DAEMONS)}:1"]
+        pair = [f"entry{self.random.randrange(ENTRIES)}:1", f"{self.random.choice(DAEMONS)}:1"]
         self.random.shuffle(pair)
         if self.random.random() < 0.3:
             self.fleet.fabric.silence(*pair)
@@ -175,7 +185,7 @@
 
     async def pause(self, seconds):
         """Pause a daemon at its next step with the table."""
-        gate = self.fleet.tables[f"s{self.random.randrange(DAEMONS)}"].gate
+        gate = self.fleet.tables[self.random.choice(DAEMONS)].gate
         gate.clear()
         await asyncio.sleep(seconds)
         gate.set()
@@ -199,12 +209,24 @@
         await asyncio.sleep(seconds)
         service.restart()
 
+    async def engine_fault(self, seconds):
+        """Kill an engine and start it again, or let its open connections go silent."""
+        engine = self.fleet.engines[self.random.choice(ENGINES)]
+        if self.random.random() < 0.3:
+            engine.silence_steps()
+            return
+        if engine.dead:
+            return
+        engine.die()
+        await asyncio.sleep(seconds)
+        engine.restart()
+
     async def restart(self, seconds):
         """Cut a daemon off for good and start a new one in its place.
 
         The old one goes on with what it was sent, as after a pause.
         """
-        name = f"s{self.random.randrange(DAEMONS)}"
+        name = self.random.choice(DAEMONS)
         old = self.fleet.daemons.pop(name, None)
         if old is None:
             return
@@ -212,24 +234,40 @@
         old.listener = None
         self.replaced.append(old)
         await asyncio.sleep(seconds)
-        outside = self.fleet.services[name]
         self.fleet.instances[:] = [one for one in self.fleet.instances if one.name != name]
-        await self.fleet.add_service(name, "records", outside=outside)
+        if name in ENGINES:
+            await self.fleet.add_endpoint(name, engine=self.fleet.engines[name])
+        else:
+            outside = self.fleet.services[name]
+            await self.fleet.add_service(name, "records", outside=outside)
 
     def violations(self):
-        """Return everything that contradicts the services' own logs."""
-        ran = [run for service in self.services for run in service.runs]
-        by_request = Counter(run.call_id.split("/")[1] for run in ran)
+        """Return everything that contradicts the services' and engines' own logs."""
+        by_request, once = self.ran()
         by_key = Counter()
-        key_of = {send.request_id: send.key or send.request_id for send in self.sends}
-        filed = {run.call_id for run in ran if run.method == "file"}
-        for call_id in filed:
-            by_key[key_of[call_id.split("/")[1]]] += 1
+        for request_id, key in ((send.request_id, send.key) for send in self.sends):
+            if key or request_id in once:
+                by_key[key or request_id] += by_request[request_id]
         found = [f"{key} ran {count} times" for key, count in by_key.items() if count > 1]
         for send in self.sends:
             found.extend(self.check_send(send, by_request, by_key))
         return found
 
+    def ran(self):
+        """Return how often each request ran, and the requests that may run only once."""
+        by_request = Counter()
+        once = set()
+        for service in self.services:
+            for run in service.runs:
+                request_id = run.call_id.split("/")[1]
+                by_request[request_id] += 1
+                if run.method == "file":
+                    once.add(request_id)
+        for engine in self.fleet.engines.values():
+            started = [line.job_id for line in engine.log if line.event == "started"]
+            by_request.update(job_id.split("/")[1] for job_id in started)
+        return by_request, once
+
     def check_send(self, send, by_request, by_key):
         """Yield what is wrong about one send."""
         if isinstance(send.result, Answer):
@@ -241,7 +279,7 @@
     def summary(self):
         """Return what happened, for the log of the run."""
         ends = Counter(outcome_of(send.result) for send in self.sends)
-        ran = sum(len(service.runs) for service in self.services)
+        ran = sum(self.ran()[0].values())
         return f"seed {self.seed}: {len(self.sends)} sends {dict(ends)}, {ran} runs, {self.faults}"
 
 
