Copies of new content wait for the first one's first token

A flood of one content through one entry cost as many engines as placement gave it; it costs two now (test_copies_sent_at_once_cost_two_engines; more than two with the leading copy off).

--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -15,7 +15,7 @@
 from ..limits import Budgets, EntryPeers
 from ..membership import Membership
 from ..observe import logs
-from ..quarantine import QuarantineFilter, QuarantineKeeper
+from ..quarantine import Flights, QuarantineFilter, QuarantineKeeper
 from .dispatch import Dispatch
 from .exchange import Exchanges
 from .filters.authenticate import find_organisation
@@ -90,6 +90,7 @@
         )
         self.quarantine.register(self.controls)
         self.suspects = QuarantineFilter(self, self.quarantine)
+        self.flights = Flights()
         self.tasks = []
         self.long_prompts = LongDispatch(self)
         by_size = DispatchBySize(Dispatch(self), self.long_prompts)
@@ -207,6 +208,7 @@
 
     def on_first_token(self, work, endpoint):
         """Note the first output of an attempt."""
+        self.flights.passed(work.fingerprint)
         self.placer.on_first_token(work, endpoint, self.context.now())
 
     def on_attempt_end(self, work, endpoint, result):
--- a/packages/daemon/persimmonstall_daemon/entry/dispatch.py
+++ b/packages/daemon/persimmonstall_daemon/entry/dispatch.py
@@ -57,14 +57,22 @@
         exchange = self.entry.exchanges.open(work.request_id)
         run = Run(work, sink, exchange)
         outcome = None
+        leads = False
         try:
+            leads = not work.service and await self.lead(run)
             outcome = await self.attempt_until_done(run)
             return outcome
         finally:
+            if leads:
+                self.entry.flights.ended(work.fingerprint)
             self.entry.exchanges.close(exchange)
             if not isinstance(outcome, Answer):
                 self.cancel(run)
 
+    async def lead(self, run):
+        """Wait while another copy of the same new content goes first; return whether it leads."""
+        return await self.entry.flights.lead(run.work.fingerprint, self.remaining(run))
+
     async def attempt_until_done(self, run):
         """Attempt the request until it has an answer or must be refused."""
         while True:
--- a/packages/daemon/tests/test_quarantine.py
+++ b/packages/daemon/tests/test_quarantine.py
@@ -6,7 +6,7 @@
 from persimmonstall.catalogue import Change, QuarantineLift
 from persimmonstall.failures import Reason
 from persimmonstall_daemon.entry.request import Answer, CallerRequest, NullSink
-from persimmonstall_daemon.quarantine import QuarantineKeeper
+from persimmonstall_daemon.quarantine import Flights, QuarantineKeeper
 from persimmonstall_standins.fleet import SECRET, Fleet, small_catalogue
 from persimmonstall_standins.virtual.loop import run
 
@@ -165,3 +165,26 @@
     listed, crashes = on_bench(scenario)
     assert listed == []
     assert crashes == 4
+
+
+async def flood(bench, entries, copies=20):
+    """Send copies of the poison through each of these entries at once; return the crashes."""
+    asked = [
+        bench.poison(entry, f"p{n}-{e}") for e, entry in enumerate(entries) for n in range(copies)
+    ]
+    results = await asyncio.gather(*asked)
+    assert not any(isinstance(result, Answer) for result in results)
+    return bench.crashes()
+
+
+def test_copies_sent_at_once_cost_two_engines(on_bench):
+    assert on_bench(lambda bench: flood(bench, bench.entries[:1])) == 2
+    assert on_bench(lambda bench: flood(bench, bench.entries)) == 2
+
+
+def test_without_a_leading_copy_a_flood_costs_more(on_bench, monkeypatch):
+    async def all_at_once(self, fingerprint, remaining):
+        return False
+
+    monkeypatch.setattr(Flights, "lead", all_at_once)
+    assert on_bench(lambda bench: flood(bench, bench.entries)) > 2
