--- a/packages/standins/tests/test_specification.py
+++ b/packages/standins/tests/test_specification.py
@@ -1,4 +1,7 @@
 import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from minicheck import check_safety
 
 from persimmonstall.claims.starting import MOST_TRIES, GiveUp, Progress
@@ -61,3 +64,30 @@
     result = check_safety(protocol, MOST_STATES)
     assert result["exhaustive"]
     assert all(found["holds"] for found in result["properties"].values())
+
+
+class Walk(RuleBasedStateMachine):
+    """A long walk through the whole specification, which is too large to search."""
+
+    def __init__(self):
+        super().__init__()
+        rules = Rules(first_start=Progress(), first_give_up=GiveUp())
+        self.protocol = ClaimSpecification(rules=rules, down=True).protocol()
+        self.state = self.protocol.initial
+
+    @rule(choice=st.integers(0, 1_000_000))
+    def step(self, choice):
+        following = self.protocol.transitions(self.state)
+        if following:
+            self.state = following[choice % len(following)][1]
+
+    @invariant()
+    def everything_holds(self):
+        fields = self.protocol.d(self.state)
+        assert all(holds(fields) for holds in self.protocol.invariants.values())
+
+
+TestWalk = Walk.TestCase
+TestWalk.settings = settings(
+    max_examples=150, stateful_step_count=60, deadline=None, derandomize=True
+)
