--- a/packages/daemon/tests/test_quarantine.py
+++ b/packages/daemon/tests/test_quarantine.py
@@ -1,5 +1,6 @@
 import asyncio
 import hashlib
+from random import Random
 
 import pytest
 
@@ -188,3 +189,55 @@
 
     monkeypatch.setattr(Flights, "lead", all_at_once)
     assert on_bench(lambda bench: flood(bench, bench.entries)) > 2
+
+
+async def nag(bench, random, number, refusals):
+    """Send one poison, and again as soon as it is refused, through any entry."""
+    for turn in range(8):
+        entry = random.choice(bench.entries)
+        refusals.append(await bench.poison(entry, f"n{number}-{turn}", deadline=20.0))
+
+
+async def trouble(bench, random):
+    """Let the table fail and links go silent, one after the other, for good."""
+    names = [f"e{number}:1" for number in range(ENGINES)]
+    faults = bench.fleet.claims.faults
+    while True:
+        faults.down, faults.lose_answers = random.random() < 0.3, random.random() < 0.3
+        pair = [random.choice(names), f"entry{random.randrange(2)}:1"]
+        random.shuffle(pair)
+        bench.fleet.fabric.silence(*pair)
+        await asyncio.sleep(random.uniform(0.5, 4.0))
+
+
+async def nagged_fleet(bench, seed):
+    """Run innocents beside a nagging caller under faults; return crashes and outcomes."""
+    random = Random(seed)
+    refusals = []
+    faults = asyncio.create_task(trouble(bench, random))
+    nagging = asyncio.create_task(nag(bench, random, 0, refusals))
+    asked = []
+    for number in range(60):
+        entry = random.choice(bench.entries)
+        asked.append(asyncio.ensure_future(bench.fleet.ask(entry, 100 + number, 500)))
+        await asyncio.sleep(random.expovariate(4.0))
+    answers = await asyncio.gather(*asked)
+    await nagging
+    faults.cancel()
+    return bench.crashes(), answers, refusals
+
+
+@pytest.mark.parametrize("seed", range(1, 7))
+def test_nagging_caller_under_faults(on_bench, seed):
+    crashes, answers, refusals = on_bench(lambda bench: nagged_fleet(bench, seed))
+    assert crashes <= 2
+    assert all(isinstance(answer, Answer) for answer in answers)
+    assert not any(isinstance(refusal, Answer) for refusal in refusals)
+
+
+@pytest.mark.soak
+@pytest.mark.parametrize("seed", range(100, 200))
+def test_nagging_caller_under_faults_for_long(on_bench, seed):
+    crashes, answers, _ = on_bench(lambda bench: nagged_fleet(bench, seed))
+    assert crashes <= 2
+    assert all(isinstance(answer, Answer) for answer in answers)
