Randomised runs of a fleet with two faults at a time; a refused division is refused

Cause: a divided prompt whose attempts were used up returned the last attempt's message in place of a refusal; only a randomised run met it. Change: the dispatch of divided prompts refuses like the ordinary one. A run over six small engines with wrong guesses, divided prompts, callers that leave and eight kinds of fault, two at a time, checks that answers are whole and in time and how long memory is unowned.

--- a/packages/daemon/persimmonstall_daemon/entry/long_prompts.py
+++ b/packages/daemon/persimmonstall_daemon/entry/long_prompts.py
@@ -26,6 +26,7 @@
 
 from .dispatch import Dispatch
 from .exchange import LinkUp
+from .request import Answer
 
 STEP = "long_prompt"
 
@@ -176,7 +177,7 @@
                 self.entry.on_attempt_end(run.work, run.endpoint, result)
                 delay = self.delay_before_next(run, result)
                 if delay is None:
-                    return result if result else self.refuse(run, result)
+                    return result if isinstance(result, Answer) else self.refuse(run, result)
                 self.cancel(run)
                 await self.confirm(run, division, delay)
         finally:
--- /dev/null
+++ b/packages/daemon/tests/test_memory_soak.py
@@ -0,0 +1,211 @@
+"""Randomised runs of a whole fleet, faults two at a time: answers whole and in time, memory free.
+
+`make soak` runs the long set and prints its steps and faults; a short set runs in CI.
+"""
+
+import asyncio
+import hashlib
+from collections import Counter
+from random import Random
+
+import attrs
+import pytest
+
+from persimmonstall.failures import Failure
+from persimmonstall_daemon.entry.request import Answer, NullSink
+from persimmonstall_daemon.memory.keeper import MemoryKeeper
+from persimmonstall_standins.engine import EngineModel
+from persimmonstall_standins.engine_state import EngineSettings
+from persimmonstall_standins.fleet import SECRET, Fleet, small_catalogue
+from persimmonstall_standins.output import expected_output
+from persimmonstall_standins.virtual.loop import run
+
+ENGINES = 6
+MEMORY = 12_000
+"""Small engines, so that memory runs short and prompts are divided."""
+
+STEP = 0.05
+"""Seconds of an engine step, so that a job that nobody owns outlasts the bound."""
+
+MOST_FAULT = 6.0
+"""Longest time in seconds that a pair of faults lasts."""
+
+BOUND = 12.0 + 2 * MOST_FAULT
+"""Longest time in seconds for which memory is held that nobody owns.
+
+It is 12 s of an engine that can be reached; two pairs of faults may follow each other at once.
+"""
+
+LATE = 0.5
+"""Seconds after its deadline by which a request has its final answer."""
+
+LOW_QUANTILE = 0.1
+"""Quantile of the use that is predicted, so that most guesses are wrong."""
+
+LENGTHS = (300, 1000, 1000, 3000, 3000, 8000, 25_000)
+
+
+@attrs.define
+class Soak:
+    """One run: what was asked, and what was done to the fleet."""
+
+    fleet: Fleet
+    random: Random
+    asked: list = attrs.field(factory=list)
+    faults: Counter = attrs.field(factory=Counter)
+    undo: list = attrs.field(factory=list)
+    longest: float = 0.0
+
+    def engine(self):
+        return self.random.choice(list(self.fleet.engines.values()))
+
+    async def ask(self, entry, number):
+        deadline = self.random.choice((20.0, 60.0, 120.0))
+        tokens = self.random.choice(LENGTHS)
+        request = self.fleet.request(number, tokens, deadline=deadline, max_tokens=1000)
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        task = asyncio.create_task(entry.serve(request, NullSink()))
+        gone = self.random.random() < 0.4
+        await asyncio.wait([task], timeout=self.random.random() * 10.0 if gone else None)
+        if not task.done():
+            task.cancel()
+            return
+        outcome = task.result()
+        assert loop.time() - begun <= deadline + LATE, outcome
+        if isinstance(outcome, Answer):
+            assert outcome.tokens == expected_output("m", request.prompt, 1000)
+        else:
+            assert isinstance(outcome, Failure)
+
+    async def load(self, entry, seconds):
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        number = 0
+        while loop.time() < end:
+            number += 1
+            self.asked.append(asyncio.create_task(self.ask(entry, number)))
+            await asyncio.sleep(self.random.expovariate(10.0))
+
+    def switch(self, name, on, off):
+        """Switch a fault on at all engines; return what switches it off."""
+        faults = [engine.faults for engine in self.fleet.engines.values()]
+        for one in faults:
+            setattr(one, name, on)
+        return lambda: [setattr(one, name, off) for one in faults]
+
+    def drop_cancels(self, engine):
+        return self.switch("drop_cancel", True, False)
+
+    def stall_imports(self, engine):
+        return self.switch("stall_imports", True, False)
+
+    def lose_answers(self, engine):
+        engine.faults.lose_answers = True
+        return lambda: setattr(engine.faults, "lose_answers", False)
+
+    def slow(self, engine):
+        engine.faults.slow = 5.0
+        return lambda: setattr(engine.faults, "slow", 1.0)
+
+    def freeze(self, engine):
+        engine.freeze()
+        return engine.thaw
+
+    def silence(self, engine):
+        engine.silence_steps()
+        return lambda: None
+
+    def die(self, engine):
+        engine.die()
+        return engine.restart
+
+    def cut(self, engine):
+        address = f"{engine.name}:1"
+        self.fleet.fabric.cut("entry1:1", address, both=self.random.random() < 0.5)
+        return lambda: self.fleet.fabric.heal("entry1:1", address)
+
+    async def disturb(self, seconds):
+        kinds = [self.drop_cancels, self.stall_imports, self.lose_answers, self.slow]
+        kinds += [self.freeze, self.silence, self.die, self.cut]
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        while loop.time() < end:
+            for kind in self.random.sample(kinds, 2):
+                self.faults[kind.__name__] += 1
+                self.undo.append(kind(self.engine()))
+            await asyncio.sleep(self.random.uniform(1.0, MOST_FAULT))
+            self.heal()
+            await asyncio.sleep(self.random.uniform(0.0, 3.0))
+
+    def unowned(self):
+        """Return the names of all that holds engine memory and is in no ledger."""
+        names = set()
+        for name, engine in self.fleet.engines.items():
+            memory = self.fleet.daemons[name].backends[name].memory
+            jobs = set(engine.runs) - set(memory.ledger.by_job)
+            names |= {(name, engine.life, job) for job in jobs}
+            names |= {
+                (name, engine.life, job) for job in set(engine.exports) - set(memory.lot.tickets)
+            }
+        return names
+
+    async def watch(self):
+        """Keep the longest time for which something was unowned."""
+        since = {}
+        loop = asyncio.get_running_loop()
+        while True:
+            now = loop.time()
+            since = {name: since.get(name, now) for name in self.unowned()}
+            self.longest = max([self.longest, *(now - begun for begun in since.values())])
+            await asyncio.sleep(0.5)
+
+    def heal(self):
+        while self.undo:
+            self.undo.pop()()
+
+
+async def soak(seed, seconds):
+    """Return (tokens still held at the end, longest time unowned) of one run."""
+    fleet = Fleet(small_catalogue(hashlib.sha256(SECRET.encode()).hexdigest()), seed)
+    for number in range(ENGINES):
+        name = f"e{number}"
+        settings = EngineSettings(models=("m",), memory=MEMORY, base_step=STEP, seed=seed)
+        await fleet.add_endpoint(name, engine=EngineModel(name, settings))
+    for engine in fleet.engines.values():
+        engine.segment_alive = lambda ref: ref.job_id in fleet.engines[ref.endpoint].runs
+    entry = await fleet.add_entry("entry1")
+    entry.placer.predictor.share = LOW_QUANTILE
+    made = Soak(fleet, Random(seed))
+    watching = asyncio.create_task(made.watch())
+    await asyncio.gather(made.load(entry, seconds), made.disturb(seconds))
+    await asyncio.gather(*made.asked)
+    await asyncio.sleep(BOUND)
+    engines = fleet.engines.values()
+    held = sum(engine.used for engine in engines)
+    held += sum(export.run.memory for engine in engines for export in engine.exports.values())
+    watching.cancel()
+    await fleet.stop()
+    steps = sum(engine.steps_run for engine in engines)
+    print(f"seed {seed}: {steps} engine steps, {len(made.asked)} requests, {dict(made.faults)}")
+    return held, made.longest
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_memory_is_free_and_answers_whole_under_two_faults_at_a_time(seed):
+    held, longest = run(soak(seed, 40.0))
+    assert held == 0
+    assert longest <= BOUND
+
+
+@pytest.mark.soak
+@pytest.mark.parametrize("seed", range(100, 130))
+def test_long_soak_of_memory(seed):
+    held, longest = run(soak(seed, 300.0))
+    assert held == 0
+    assert longest <= BOUND
+
+
+def test_memory_is_lost_under_faults_without_the_comparison(monkeypatch):
+    monkeypatch.setattr(MemoryKeeper, "free", lambda *_: None)
+    assert any(run(soak(seed, 40.0))[1] > BOUND for seed in range(1, 4))
