Commit protocol of the catalogue: stateful hypothesis test, refuted without its rows

150 runs of up to 40 steps with lost answers, late writes and repeats hold; without the call's row a call is told that nothing was changed though it was made, without the version row the order breaks: both are found.

--- /dev/null
+++ b/packages/core/tests/test_catalogue_editing.py
@@ -0,0 +1,156 @@
+"""The commit protocol of the catalogue under any interleaving of calls, losses and late writes."""
+
+from collections import Counter
+
+import attrs
+import hypothesis.strategies as st
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from persimmonstall.catalogue import Accepted, Edit, Model
+from persimmonstall.catalogue.editing import Rejected, Retry, Seen, Transaction, judge, plan
+from persimmonstall.catalogue.layout import (
+    CALLS,
+    CONFIG,
+    LOG,
+    RECORDS,
+    VERSION_KEY,
+    decode_stored,
+    decode_version,
+    record_key,
+)
+from persimmonstall.catalogue.snapshot import decode_change
+from persimmonstall.failures import Failure, Reason
+from persimmonstall_standins.table import MemoryTable
+
+RUNS = settings(
+    max_examples=150,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+LOST = Failure(Reason.AMBIGUOUS, "commit")
+
+
+class Editing(RuleBasedStateMachine):
+    """Operators' calls in flight on one table; `late` holds writes that were timed out."""
+
+    def __init__(self):
+        super().__init__()
+        self.table = MemoryTable()
+        self.edits = {}
+        self.planned = {}
+        self.accepted = {}
+        self.rejected = set()
+        self.late = []
+
+    def row(self, table, key):
+        return self.table.rows.get((table, key))
+
+    def see(self, edit):
+        record = self.row(RECORDS, record_key(edit.kind, edit.name))
+        version = self.row(CONFIG, VERSION_KEY)
+        return Seen(version, record, self.row(CALLS, edit.call_id))
+
+    def settle(self, call, seen, made):
+        """Take a plan or a verdict of a call; a transaction stays in flight."""
+        self.planned.pop(call, None)
+        if isinstance(made, Transaction):
+            self.planned[call] = (seen, made)
+        if isinstance(made, Accepted):
+            assert self.accepted.setdefault(call, made.version) == made.version
+        if isinstance(made, Rejected):
+            self.rejected.add(call)
+
+    def plan(self, edit, seen):
+        return plan(edit, seen, 0.0)
+
+    @rule(name=st.sampled_from("ab"), stale=st.booleans())
+    def call(self, name, stale):
+        row = self.row(RECORDS, record_key("model", name))
+        touched = decode_stored(row)[2].touched if row else 0
+        call = f"c{len(self.edits)}"
+        edit = Edit("model", name, Model(name, version=call), touched - (stale and 1), call)
+        self.edits[call] = edit
+        seen = self.see(edit)
+        self.settle(call, seen, self.plan(edit, seen))
+
+    @precondition(lambda self: self.planned)
+    @rule(data=st.data(), fate=st.sampled_from(("answered", "lost", "late")))
+    def commit(self, data, fate):
+        call = data.draw(st.sampled_from(sorted(self.planned)))
+        seen, transaction = self.planned[call]
+        result = LOST
+        if fate == "late":
+            self.late.append(transaction.writes)
+        else:
+            answer = self.table.commit_now(transaction.writes)
+            result = answer if fate == "answered" else LOST
+        verdict = judge(self.edits[call], seen, transaction, result)
+        if isinstance(verdict, Retry):
+            again = self.plan(self.edits[call], verdict.seen)
+            self.settle(call, verdict.seen, again)
+        elif result is not LOST:
+            self.settle(call, seen, verdict)
+
+    @precondition(lambda self: self.late)
+    @rule(data=st.data())
+    def apply_late(self, data):
+        self.table.commit_now(self.late.pop(data.draw(st.integers(0, len(self.late) - 1))))
+
+    @precondition(lambda self: self.edits)
+    @rule(data=st.data())
+    def repeat(self, data):
+        call = data.draw(st.sampled_from(sorted(self.edits)))
+        seen = self.see(self.edits[call])
+        self.settle(call, seen, self.plan(self.edits[call], seen))
+
+    @invariant()
+    def accepted_changes_are_made_once_and_in_order(self):
+        changes = [decode_change(row.value) for row in self.table.scan_now(LOG, "", "", 1000)]
+        assert [change.version for change in changes] == list(range(1, len(changes) + 1))
+        assert decode_version(self.row(CONFIG, VERSION_KEY)) == len(changes)
+        made = Counter(change.call_id for change in changes)
+        assert all(count == 1 for count in made.values())
+        for call, version in self.accepted.items():
+            assert changes[version - 1].call_id == call
+        assert self.rejected.isdisjoint(made), "a call was told that nothing was changed"
+
+
+class WithoutCallRow(Editing):
+    """The transaction does not write the call's row."""
+
+    def plan(self, edit, seen):
+        made = super().plan(edit, seen)
+        if not isinstance(made, Transaction):
+            return made
+        return attrs.evolve(made, writes=tuple(one for one in made.writes if one.table != CALLS))
+
+
+class WithoutVersionRow(Editing):
+    """The transaction takes the version row as it is when it arrives."""
+
+    def plan(self, edit, seen):
+        made = super().plan(edit, seen)
+        if not isinstance(made, Transaction):
+            return made
+        return attrs.evolve(made, writes=tuple(one for one in made.writes if one.table != CONFIG))
+
+
+def test_accepted_changes_are_made_once_and_in_order():
+    run_state_machine_as_test(Editing, settings=RUNS)
+
+
+@pytest.mark.parametrize("broken", [WithoutCallRow, WithoutVersionRow])
+def test_without_a_row_of_the_transaction_a_violation_is_found(broken):
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(broken, settings=RUNS)
