--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -11,11 +11,11 @@
 from persimmonstall.membership import subset_of
 from persimmonstall.messages import control
 
-from ..claims import ClaimFilter
+from ..claims import ClaimCleaner, ClaimFilter
 from ..limits import Budgets, EntryPeers
 from ..membership import Membership
 from ..observe import logs
-from ..quarantine import QuarantineFilter, QuarantineKeeper
+from ..quarantine import Flights, QuarantineFilter, QuarantineKeeper
 from .dispatch import Dispatch
 from .exchange import Exchanges
 from .filters.authenticate import find_organisation
@@ -77,6 +77,7 @@
             settings, context, self.invariants, metrics, self.entry_names, self.peers.send
         )
         self.claims = ClaimFilter(self, stores.table, stores.objects)
+        self.cleaner = ClaimCleaner(settings, stores.table, stores.objects, context, self.run_id)
         self.quarantine = QuarantineKeeper(
             settings,
             stores.table,
@@ -89,6 +90,7 @@
         )
         self.quarantine.register(self.controls)
         self.suspects = QuarantineFilter(self, self.quarantine)
+        self.flights = Flights()
         self.tasks = []
         self.long_prompts = LongDispatch(self)
         by_size = DispatchBySize(Dispatch(self), self.long_prompts)
@@ -147,7 +149,7 @@
     async def start(self):
         """Accept links of other entries and keep up with the quarantine."""
         await self.peers.start()
-        for coroutine in (self.quarantine.run(), self.suspects.run()):
+        for coroutine in (self.quarantine.run(), self.suspects.run(), self.cleaner.run()):
             self.tasks.append(asyncio.create_task(coroutine))
 
     async def tick(self):
@@ -206,6 +208,7 @@
 
     def on_first_token(self, work, endpoint):
         """Note the first output of an attempt."""
+        self.flights.passed(work.fingerprint)
         self.placer.on_first_token(work, endpoint, self.context.now())
 
     def on_attempt_end(self, work, endpoint, result):
