--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -19,6 +19,7 @@
 from ..orders.versions import Versions
 from .attempt import Phase, make_attempt
 from .backend import Backend, Expired, SessionLost
+from .trials import TrialEnded, Trials
 
 STEP = "engine"
 WHOLE = frozenset((Finish.STOP, Finish.LENGTH))
@@ -43,6 +44,14 @@
     detail: str
 
 
+@attrs.frozen
+class JobsSeen:
+    """The engine's own list of jobs after a lost connection, and what it should have."""
+
+    expected: frozenset
+    present: frozenset
+
+
 @attrs.frozen
 class EngineDied:
     """The engine does not answer on a new connection either."""
@@ -81,6 +90,7 @@
         self.reader = None
         self.alive = True
         self.memory = MemoryKeeper(self)
+        self.trials = Trials(self)
         self.versions = Versions()
         self.queue.has_room = self.memory.has_room
         self.handlers = {
@@ -96,6 +106,8 @@
             EngineDied: self.on_engine_died,
             EngineLoad: self.on_load,
             CacheEvent: self.on_cache_event,
+            JobsSeen: self.on_jobs_seen,
+            TrialEnded: self.trials.on_ended,
             **self.memory.handlers,
         }
 
@@ -221,6 +233,14 @@
         self.queue.step_seconds = load.step_seconds or self.queue.step_seconds
 
     def on_submit(self, submit, session):
+        """Take a new attempt or refuse it at once; suspects run one after the other."""
+        refusal = self.trials.refusal(submit, session)
+        if refusal is not None:
+            session.send(refusal)
+        elif not self.trials.postponed(submit, session):
+            self.take(submit, session)
+
+    def take(self, submit, session):
         """Take a new attempt or refuse it at once."""
         key = submit.request_id, submit.attempt
         if key in self.attempts:
@@ -242,6 +262,7 @@
         window = self.settings.callers.idle_credit
         attempt = make_attempt(submit, session, self.now(), window, self.daemon.run_id)
         self.attempts[key] = attempt
+        self.trials.taken(attempt)
         self.by_job[attempt.job_id] = attempt
         self.daemon.claim_owner(key, self)
         self.accepted += 1
@@ -386,6 +407,7 @@
             self.restart(attempt)
             return
         self.memory.grew(attempt)
+        self.trials.passed(attempt, output.finish in WHOLE)
         if output.finish in (Finish.NONE, Finish.PARKED):
             return
         if output.finish is Finish.PREFILLED:
@@ -476,6 +498,7 @@
         attempt.result = result
         attempt.ended_at = self.now()
         attempt.timer.cancel()
+        self.trials.ended(attempt)
         self.queue.ended(attempt.key)
         self.by_job.pop(attempt.job_id, None)
         self.memory.released(attempt)
@@ -501,6 +524,8 @@
     def on_cancel(self, cancel, _session):
         """Stop an attempt that its entry no longer wants."""
         attempt = self.find(cancel)
+        if attempt is None:
+            self.trials.cancelled(cancel)
         if attempt is None or attempt.ended:
             return
         attempt.session = None
@@ -578,8 +603,21 @@
     async def reopen(self):
         """Read steps again after a short pause."""
         await asyncio.sleep(self.daemon.context.jitter(REOPEN_SECONDS))
+        self.spawn(self.look_for_jobs(frozenset(one.job_id for one in self.running())))
         await self.read_steps()
 
+    async def look_for_jobs(self, expected):
+        """Post which jobs the engine still has."""
+        jobs = await self.engine.jobs(self.settings.endpoints.step_silence / 2)
+        if isinstance(jobs, tuple):
+            self.post(JobsSeen(expected, frozenset(job.job_id for job in jobs)))
+
+    def on_jobs_seen(self, seen, _session):
+        """Find out whether the engine was started anew meanwhile, without its jobs."""
+        still = seen.expected & {attempt.job_id for attempt in self.running()}
+        if still and not seen.expected & seen.present:
+            self.on_engine_died(EngineDied("started anew"), None)
+
     def on_engine_died(self, died, _session):
         """Refuse everything that was running, so that the entries can go elsewhere."""
         if not self.alive:
@@ -587,6 +625,7 @@
         self.alive = False
         self.prefixes.forget(self.name)
         self.daemon.metrics.count("engines_died")
+        self.trials.engine_died()
         open_attempts = [a for a in self.attempts.values() if not a.ended]
         for attempt in open_attempts:
             detail = died.detail
