Medium prompts go to kept endpoints only to meet their deadline; slowness against the usual for the class

Cause: scores, which hold the time taken from others, sent medium prompts to kept endpoints although the others met their deadlines (30 to 60 of 740 each), and steady endpoints were eased out as slow for 100 to 170 s summed over entries, since waits of medium prompts are longer than estimated everywhere. Ruled out: prefix owners (too few). Change: kept endpoints are considered only when 0.75 of the time left would pass elsewhere; slowness is relative to the class.

--- a/packages/core/persimmonstall/placement/length_aware.py
+++ b/packages/core/persimmonstall/placement/length_aware.py
@@ -22,9 +22,9 @@
 OTHERS_WEIGHT = 0.3
 """Weight of the time that a request's prefill takes from each answer under way."""
 
-KEPT_SHARE = 0.9
-"""Cost of taking another than a short prompt to an endpoint kept for short ones, as a share
-of the request's time left: it goes there rather than miss its deadline elsewhere."""
+LATE_SHARE = 0.75
+"""Share of its time left that a medium prompt may need elsewhere before it goes to an endpoint
+that is kept for short ones."""
 
 MEMORY_SECONDS = 30.0
 """Cost of lacking a whole engine's memory, in seconds."""
@@ -42,8 +42,8 @@
 class LengthAware(Policy):
     """Places a request where its estimated time to the end is shortest.
 
-    Long prompts go only to the roomy part of the pool, so that short ones always find engines
-    without long prefills.  Waits are estimated by class: engines run prefills in order of due
+    Part of the pool is kept for short prompts, so that they always find engines without long
+    prefills.  Waits are estimated by class: engines run prefills in order of due
     time, so that a short prompt waits only for short ones ahead of it.
     """
 
@@ -52,47 +52,77 @@
         pool = view.pool(work)
         if pool is None or not pool.members:
             return no_endpoint(work)
-        long = work.length_class in LONG_CLASSES
-        eligible = pool.roomy if long else pool.members
         matches = view.prefixes.match(work.blocks) if work.blocks else {}
-        sized = Sized.of(work, view, long)
-        best = None
-        best_score = math.inf
-        for state in draw(eligible, matches, view, work, random):
-            if state.name in avoid or not state.slowness.may_use(now):
-                continue
-            score = sized.score(state, matches.get(state.name, 0), now)
-            if not sized.short and state in pool.kept:
-                score += KEPT_SHARE * (work.deadline - now)
-            score *= 1.0 + JITTER * random.random()
-            if score < best_score:
-                best = state
-                best_score = score
+        search = Search(Sized.of(work, view), view, matches, avoid, now, random)
+        best = search.best_of(eligible(work, pool))
+        if work.length_class == LengthClass.MEDIUM and search.is_late(best):
+            best = search.best_of(pool.kept) or best
         if best is None:
-            return self.last_resort(sized, pool, avoid)
-        return sized.placed(best, matches.get(best.name, 0))
+            return self.last_resort(search.sized, eligible(work, pool), avoid)
+        return search.sized.placed(best, matches.get(best.name, 0))
 
-    def last_resort(self, sized, pool, avoid):
+    def last_resort(self, sized, states, avoid):
         """Return the least loaded endpoint although it is slow or was tried before."""
-        left = [state for state in pool.members if state.name not in avoid] or pool.members
+        left = [state for state in states if state.name not in avoid] or states
         best = min(left, key=lambda state: (state.slowness.ratio, state.ahead))
         return sized.placed(best, 0)
 
 
-def draw(eligible, matches, view, work, random):
-    """Return the candidates: all of a small pool, else a sample and the owners of the prefix."""
-    count = len(eligible)
-    if count <= MOST_SCORED:
-        return eligible
-    draw_one = random.random
-    drawn = {
-        id(state): state for state in [eligible[int(draw_one() * count)] for _ in range(SAMPLED)]
-    }
-    for name in matches:
-        state = view.endpoints.get(name)
-        if state is not None and state.usable and work.model in state.models:
-            drawn[id(state)] = state
-    return list(drawn.values())
+def eligible(work, pool):
+    """Return the endpoints that a request may go to in the first place."""
+    return pool.members if work.length_class == LengthClass.SHORT else pool.common
+
+
+@attrs.define(slots=True)
+class Search:
+    """The search for the endpoint of one request."""
+
+    sized: "Sized"
+    view: object
+    matches: dict
+    avoid: object
+    now: float
+    random: object
+
+    def best_of(self, states):
+        """Return the best-scored usable one of a bounded number of `states`, or None."""
+        best = None
+        best_score = math.inf
+        draw = self.random.random
+        for state in self.candidates(states):
+            if state.name in self.avoid or not state.slowness.may_use(self.now):
+                continue
+            score = self.sized.score(state, self.matches.get(state.name, 0), self.now)
+            score *= 1.0 + JITTER * draw()
+            if score < best_score:
+                best = state
+                best_score = score
+        return best
+
+    def candidates(self, states):
+        """Return all of a few, else a sample and the owners of the prompt's prefix."""
+        count = len(states)
+        if count <= MOST_SCORED:
+            return states
+        draw = self.random.random
+        sample = [states[int(draw() * count)] for _ in range(SAMPLED)]
+        drawn = {id(state): state for state in sample}
+        kept = states[-1].kept
+        for name in self.matches:
+            state = self.view.endpoints.get(name)
+            if state is None or not state.usable or self.sized.work.model not in state.models:
+                continue
+            if kept or not state.kept:
+                drawn[id(state)] = state
+        return list(drawn.values())
+
+    def is_late(self, state):
+        """Return whether too much of the time left would pass at `state`."""
+        if state is None:
+            return True
+        placed = self.sized.placed(state, self.matches.get(state.name, 0))
+        left = self.sized.work.deadline - self.now
+        return placed.wait + placed.service > LATE_SHARE * left
 
 
 @attrs.define(slots=True)
@@ -107,11 +137,11 @@
     block: int
 
     @classmethod
-    def of(cls, work, view, long):
+    def of(cls, work, view):
         """Return the `Sized` of `work`."""
         return cls(
             work,
-            long,
+            work.length_class in LONG_CLASSES,
             work.length_class == LengthClass.SHORT,
             work.prompt_tokens,
             EXPECTED_SHARE * work.predicted_tokens,
--- a/packages/core/persimmonstall/placement/slow.py
+++ b/packages/core/persimmonstall/placement/slow.py
@@ -5,13 +5,13 @@
 WEIGHT = 0.2
 """Weight of the newest observation in an endpoint's slowness."""
 
-SLOW = 3.0
+SLOW = 5.0
 """Slowness from which an endpoint gets only probes."""
 
-RECOVERED = 1.5
+RECOVERED = 2.0
 """Slowness below which a slow endpoint is used as before."""
 
-MOST = 10.0
+MOST = 20.0
 """Largest slowness, so that an endpoint recovers after a bounded number of probes."""
 
 PROBE_SECONDS = 2.0
--- a/packages/core/persimmonstall/placement/view.py
+++ b/packages/core/persimmonstall/placement/view.py
@@ -12,7 +12,7 @@
 from ..lengths import LONG_CLASSES
 from .cost import PRIOR_SECONDS_PER_TOKEN, PRIOR_STEP_SECONDS, weighted_tokens
 from .prefix import PrefixMap
-from .slow import Slowness
+from .slow import FLOOR_SECONDS, MOST, Slowness
 
 UNTRIED_STEP_SECONDS = PRIOR_STEP_SECONDS / 2
 """Step time assumed of an endpoint that has not run yet, low so that it is tried."""
@@ -20,6 +20,9 @@
 REPORT_LAG_SECONDS = 0.05
 """Age of a load report when it leaves the endpoint's daemon."""
 
+USUAL_WEIGHT = 0.02
+"""Weight of the newest attempt in the ratio of observed to expected times of its class."""
+
 WARM_SECONDS = 10.0
 """Time over which an endpoint that came back is given its full share again."""
 
@@ -34,6 +37,7 @@
     memory: int
     sent_at: float
     expected: float
+    length_class: str = ""
     in_report: bool = False
     answered: bool = False
 
@@ -56,6 +60,7 @@
     reported_leaving: bool = False
     drained: bool = False
     lost: bool = False
+    kept: bool = False
     warm_at: float = 0.0
     slowness: Slowness = attrs.field(factory=Slowness)
     step_seconds: float = UNTRIED_STEP_SECONDS
@@ -148,13 +153,13 @@
 class Pool:
     """The usable endpoints of one model, model with adapter, or service.
 
-    `roomy` are those that may hold long prompts, `kept` those that are kept for short ones;
-    both are the same at every entry.
+    `kept` are those that are kept for short prompts, `common` all others; they are the same
+    at every entry.
     """
 
     members: list = attrs.field(factory=list)
-    roomy: list = attrs.field(factory=list)
-    kept: frozenset = frozenset()
+    common: list = attrs.field(factory=list)
+    kept: list = attrs.field(factory=list)
 
 
 def pool_key(work):
@@ -187,6 +192,7 @@
         self.pools = {}
         self.flights = {}
         self.prefixes = PrefixMap()
+        self.usual_ratios = {}
 
     def join(self, name, data_centre="", delay=0.0, services=(), now=0.0):
         """Add an endpoint, or take back one that was lost; return its `EndpointState`."""
@@ -266,7 +272,7 @@
             pool = self.pools.get(key)
             if pool is not None and state in pool.members:
                 pool.members.remove(state)
-                self.choose_roomy(pool)
+                self.choose_kept(pool)
 
     def rebuild(self, state):
         """List an endpoint in its pools if it is usable, else take it out."""
@@ -277,15 +283,17 @@
             pool = self.pools.setdefault(key, Pool())
             pool.members.append(state)
             pool.members.sort(key=lambda member: (stable_rank(member.name), member.name))
-            self.choose_roomy(pool)
+            self.choose_kept(pool)
 
-    def choose_roomy(self, pool):
-        """Choose the members that may hold long prompts and those kept for short ones."""
+    def choose_kept(self, pool):
+        """Choose the members that are kept for short prompts."""
         placing = self.settings.placing
         count = len(pool.members)
-        pool.roomy = pool.members[: max(1, round(placing.long_share * count))]
         kept = min(round(placing.short_share * count), count - 1)
-        pool.kept = frozenset(pool.members[count - kept :] if kept > 0 else ())
+        pool.common = pool.members[: count - kept] if kept > 0 else pool.members
+        pool.kept = pool.members[count - kept :] if kept > 0 else []
+        for number, state in enumerate(pool.members):
+            state.kept = number >= len(pool.common)
 
     def pool(self, work):
         """Return the `Pool` that can serve `work`, or None."""
@@ -299,7 +307,8 @@
         tokens = weighted_tokens(placed.uncached, work.prompt_tokens)
         memory = work.prompt_tokens + work.predicted_tokens
         long = work.length_class in LONG_CLASSES
-        flight = Flight(state, tokens, long, memory, now, placed.expected)
+        kind = work.length_class
+        flight = Flight(state, tokens, long, memory, now, placed.expected, kind)
         self.flights[work.request_id, placed.endpoint] = flight
         state.add(flight)
         state.slowness.used(now)
@@ -315,7 +324,12 @@
         state.answer(flight)
         state.refresh()
         observed = max(0.0, now - flight.sent_at - 2.0 * state.delay)
-        state.slowness.observe(observed, flight.expected, now)
+        # Waits that are longer than estimated everywhere say nothing about one endpoint.
+        ratio = (observed + FLOOR_SECONDS) / (flight.expected + FLOOR_SECONDS)
+        usual = self.usual_ratios.get(flight.length_class, 1.0)
+        usual += USUAL_WEIGHT * (min(MOST, ratio) - usual)
+        self.usual_ratios[flight.length_class] = usual
+        state.slowness.observe(observed, self.usual(flight), now)
 
     def ended(self, request_id, endpoint):
         """Stop counting an attempt, however it ended."""
@@ -336,4 +350,8 @@
         for flight in self.flights.values():
             if not flight.answered:
                 waited = now - flight.sent_at
-                flight.endpoint.slowness.overdue(waited, flight.expected, now)
+                flight.endpoint.slowness.overdue(waited, self.usual(flight), now)
+
+    def usual(self, flight):
+        """Return the time to first token in seconds that is usual for such an attempt."""
+        return max(1.0, self.usual_ratios.get(flight.length_class, 1.0)) * flight.expected
--- a/packages/standins/persimmonstall_standins/experiment/figures.py
+++ b/packages/standins/persimmonstall_standins/experiment/figures.py
@@ -13,7 +13,8 @@
 class Figures:
     """Figures of one run or, as medians, of several with different seeds.
 
-    `first` maps a class to the (p50, p95, p99) of its time to first token in seconds;
+    `first` maps a class to the (p50, p95, p99) of its time to first token in seconds, where
+    a request that was refused or failed counts its deadline;
     `slowdown` is the p50 and p95 of short requests' time to the end against the same requests
     alone, `first_slowdown` that of their first token; `goodput` is in tokens a second.
     """
@@ -54,6 +55,11 @@
     return record.outcome == "whole" and record.end <= record.deadline + 0.1
 
 
+def first_of(record):
+    """Return the time to first token; a request without a whole answer counts its deadline."""
+    return record.first if record.outcome == "whole" else record.deadline
+
+
 def figures_of(result):
     """Return the `Figures` of one run; requests of the warm-up are left out."""
     plan = result.plan
@@ -73,7 +79,7 @@
     needed = sum(r.tokens - r.cached for r in result.records if r.outcome == "whole")
     first = {
         kind: tuple(
-            quantile([r.first for r in whole if r.length_class == kind], part)
+            quantile([first_of(r) for r in records if r.length_class == kind], part)
             for part in (0.5, 0.95, 0.99)
         )
         for kind in CLASSES
--- a/packages/standins/persimmonstall_standins/experiment/mix.py
+++ b/packages/standins/persimmonstall_standins/experiment/mix.py
@@ -65,7 +65,7 @@
     deadlines={"short": 30.0, "medium": 60.0, "long": 150.0, "giant": 300.0},
     remote_delay=0.0005,
     client_delay=0.003,
-    short_share=0.15,
+    short_share=0.2,
 )
 """Nilerecord in Cairo: summaries, reconciliations and gazettes."""
 
--- /dev/null
+++ b/tools/measure.py
@@ -0,0 +1,222 @@
+"""Measurements of the placement policies on a fleet in virtual time, rebuilt from seeds.
+
+`--set=short` prints tables in under five minutes; `--set=long` rebuilds the tables and the
+plots of docs/MEASUREMENTS.md.  Every policy gets the same requests for the same seed.
+"""
+
+import concurrent.futures
+import itertools
+import math
+import pathlib
+import statistics
+
+import matplotlib as mpl
+import tabulate
+from absl import app, flags
+
+from persimmonstall_standins.experiment.figures import CLASSES, figures_of, summary
+from persimmonstall_standins.experiment.mix import MIXES
+from persimmonstall_standins.experiment.run import FAULTS, Plan, run_plan
+
+mpl.use("svg")
+from matplotlib import pyplot
+
+FLAGS = flags.FLAGS
+flags.DEFINE_enum("set", "short", ("short", "long"), "Which runs to make.")
+flags.DEFINE_integer("workers", 4, "Processes that run at once.", lower_bound=1, upper_bound=4)
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PAGE = ROOT / "docs" / "MEASUREMENTS.md"
+PLOTS = ROOT / "docs" / "measurements"
+BEGIN = "<!-- begin tables -->"
+END = "<!-- end tables -->"
+
+POLICIES = ("round_robin", "least_outstanding", "random_two", "length")
+LOADS = (0.5, 0.7, 0.85, 0.95, 1.2)
+MAIN_LOAD = 0.85
+OVERLOAD = 1.2
+SEEDS = (1, 2, 3)
+SHORT_SECONDS = {"seconds": 25.0, "warm_up": 10.0}
+LONG_SECONDS = {"seconds": 30.0, "warm_up": 10.0}
+SLOWDOWN_TARGET = 1.25
+FIRST_TOKEN_TARGET = 0.95
+LONG_TARGET = 0.99
+GOODPUT_TARGET = 0.95
+
+
+def plans_of(name):
+    """Return the plans of a set."""
+    mixes = tuple(MIXES)
+    if name == "short":
+        main = itertools.product(POLICIES, mixes, (MAIN_LOAD,), SEEDS[:2])
+        over = itertools.product(("least_outstanding", "length"), mixes, (OVERLOAD,), SEEDS[:1])
+        return [Plan(*item, **SHORT_SECONDS) for item in (*main, *over)]
+    plans = [
+        Plan(policy, mix, load, seed, **LONG_SECONDS)
+        for policy, mix, load in itertools.product(POLICIES, mixes, LOADS)
+        for seed in (SEEDS if load == MAIN_LOAD else SEEDS[:1])
+    ]
+    compared = ("least_outstanding", "length")
+    faults = itertools.product(compared, mixes, (MAIN_LOAD,), SEEDS[:1], FAULTS[1:])
+    return plans + [Plan(*item, **LONG_SECONDS) for item in faults]
+
+
+def run_one(plan):
+    """Return the plan and its `Figures`; runs in a process of its own."""
+    return plan, figures_of(run_plan(plan))
+
+
+def run_all(plans):
+    """Return {(mix, load, fault, policy): [Figures of each seed]}."""
+    found = {}
+    with concurrent.futures.ProcessPoolExecutor(FLAGS.workers) as pool:
+        for plan, figures in pool.map(run_one, plans):
+            key = (plan.mix, plan.load, plan.fault, plan.policy)
+            found.setdefault(key, []).append(figures)
+    return found
+
+
+def across_lengths(figures):
+    """Return the geometric mean over classes of the first token's p95, in seconds."""
+    firsts = [figures.first[kind][1] for kind in CLASSES if figures.first[kind][1]]
+    return math.exp(statistics.fmean(map(math.log, firsts)))
+
+
+def spread(several, value, digits=2):
+    """Return the median, and the range where there are several seeds."""
+    middle, low, high = summary(several, value)
+    text = f"{middle:.{digits}f}"
+    return text if len(several) == 1 else f"{text} ({low:.{digits}f} to {high:.{digits}f})"
+
+
+COLUMNS = (
+    ("first token short p50/p95/p99 s", lambda s: triple(s, "short")),
+    ("medium", lambda s: triple(s, "medium")),
+    ("long", lambda s: triple(s, "long")),
+    ("giant", lambda s: triple(s, "giant")),
+    ("short within 0.46 s %", lambda s: spread(s, lambda f: 100 * f.first_in_time, 1)),
+    ("slowdown p95", lambda s: spread(s, lambda f: f.slowdown[1])),
+    ("first token slowdown p95", lambda s: spread(s, lambda f: f.first_slowdown[1], 1)),
+    ("across lengths s", lambda s: spread(s, across_lengths)),
+    ("in time %", lambda s: spread(s, lambda f: 100 * f.in_time, 1)),
+    ("long in time %", lambda s: spread(s, lambda f: 100 * f.long_in_time, 1)),
+    ("goodput k tokens/s", lambda s: spread(s, lambda f: f.goodput / 1000, 0)),
+    ("refused %", lambda s: spread(s, lambda f: 100 * f.refused, 1)),
+    ("failed %", lambda s: spread(s, lambda f: 100 * f.failed, 1)),
+    ("wasted %", lambda s: spread(s, lambda f: 100 * f.wasted, 1)),
+    ("between tokens p95 ms", lambda s: spread(s, lambda f: f.gap_p95, 0)),
+)
+
+
+def triple(several, kind):
+    """Return the medians of p50, p95 and p99 of a class's first token."""
+    parts = zip(*(figures.first[kind] for figures in several), strict=True)
+    return "/".join(f"{statistics.median(part):.2f}" for part in parts)
+
+
+def tables(found):
+    """Return the tables of all cases as Markdown."""
+    text = []
+    for mix, load, fault in sorted({key[:3] for key in found}):
+        rows = []
+        for policy in POLICIES:
+            several = found.get((mix, load, fault, policy))
+            if several:
+                rows.append((policy, len(several), *(column(several) for _, column in COLUMNS)))
+        headers = ("policy", "seeds", *(name for name, _ in COLUMNS))
+        text.append(f"### {mix}, {load:.0%} of the fleet, {fault.replace('_', ' ')}\n")
+        text.append(tabulate.tabulate(rows, headers, tablefmt="pipe", disable_numparse=True))
+        text.append("")
+    return "\n".join(text)
+
+
+def targets(found):
+    """Return the table of targets as Markdown; each target is from issue 5."""
+    rows = []
+    for mix in MIXES:
+        main = found[mix, MAIN_LOAD, "steady", "length"]
+        slowdown = summary(main, lambda f: f.slowdown[1])[0]
+        first = summary(main, lambda f: f.first_in_time)[0]
+        long = summary(main, lambda f: f.long_in_time)[0]
+        rows.append((mix, "slowdown of short p95", "at most 1.25", f"{slowdown:.2f}"))
+        rows[-1] += (slowdown <= SLOWDOWN_TARGET,)
+        rows.append((mix, "short within 0.46 s", "95 %", f"{first:.1%}"))
+        rows[-1] += (first >= FIRST_TOKEN_TARGET,)
+        rows.append((mix, "long within deadline", "99 %", f"{long:.1%}"))
+        rows[-1] += (long >= LONG_TARGET,)
+        rows.append((mix, *goodput_target(found, mix)))
+        rows.append((mix, *ahead_target(found, mix)))
+    named = [(*row[:-1], "yes" if row[-1] else "NO") for row in rows]
+    headers = ("mix", "figure", "target", "measured", "reached")
+    return tabulate.tabulate(named, headers, tablefmt="pipe", disable_numparse=True)
+
+
+def goodput_target(found, mix):
+    """Return the row of the goodput under overload."""
+    goodputs = {
+        load: summary(found[mix, load, "steady", "length"], lambda f: f.goodput)[0]
+        for load in LOADS
+        if (mix, load, "steady", "length") in found
+    }
+    ratio = goodputs[OVERLOAD] / max(goodputs.values())
+    return ("goodput at 120 %", "95 % of its peak", f"{ratio:.1%}", ratio >= GOODPUT_TARGET)
+
+
+def ahead_target(found, mix):
+    """Return the row that compares with the best baseline in the user's weighting."""
+    value = across_lengths if mix == "cairo" else lambda figures: figures.slowdown[1]
+    name = "first token across lengths" if mix == "cairo" else "slowdown of short p95"
+    scores = {
+        policy: summary(found[mix, MAIN_LOAD, "steady", policy], value)[0] for policy in POLICIES
+    }
+    own = scores.pop("length")
+    best = min(scores.values())
+    return (f"{name} against the best baseline", f"under {best:.2f}", f"{own:.2f}", own < best)
+
+
+def plot(found):
+    """Draw the figures over the load, one file a mix."""
+    PLOTS.mkdir(parents=True, exist_ok=True)
+    drawn = (
+        ("short: first token p95 (s)", lambda f: f.first["short"][1]),
+        ("short: slowdown p95", lambda f: f.slowdown[1]),
+        ("long: first token p95 (s)", lambda f: f.first["long"][1]),
+        ("goodput (k tokens/s)", lambda f: f.goodput / 1000),
+    )
+    mpl.rcParams["svg.hashsalt"] = "persimmonstall"
+    for mix in MIXES:
+        figure, axes = pyplot.subplots(2, 2, figsize=(10, 7), layout="constrained")
+        for axis, (title, value) in zip(axes.flat, drawn, strict=True):
+            for policy in POLICIES:
+                points = [
+                    (load, summary(found[mix, load, "steady", policy], value)[0]) for load in LOADS
+                ]
+                axis.plot(*zip(*points, strict=True), marker="o", label=policy)
+            axis.set_title(title)
+            axis.set_xlabel("load (1.0 is the whole fleet)")
+            axis.set_ylim(bottom=0)
+        axes.flat[0].legend()
+        figure.savefig(PLOTS / f"{mix}.svg", metadata={"Date": None})
+
+
+def write_page(text):
+    """Replace the tables of the page."""
+    page = PAGE.read_text(encoding="utf-8")
+    head, _, rest = page.partition(BEGIN)
+    _, _, tail = rest.partition(END)
+    PAGE.write_text(f"{head}{BEGIN}\n{text}\n{END}{tail}", encoding="utf-8")
+
+
+def main(arguments):
+    """Make the runs of the set and print or write their tables."""
+    del arguments
+    found = run_all(plans_of(FLAGS.set))
+    text = f"## Targets\n\n{targets(found)}\n\n## Figures\n\n{tables(found)}"
+    print(text)
+    if FLAGS.set == "long":
+        plot(found)
+        write_page(text)
+
+
+if __name__ == "__main__":
+    app.run(main)
