--- a/packages/core/persimmonstall/placement/queue.py
+++ b/packages/core/persimmonstall/placement/queue.py
@@ -331,10 +331,10 @@
             part = self.part_of(kind, MEDIUM_PART, bool(taken & LONG_CLASSES))
         else:
             part = self.part_of(kind, SHORT_PART, bool(taken - {LengthClass.SHORT}))
-        chunk = min(self.settings.placing.chunk_tokens, int(part * room))
-        if not self.prefilling:
-            return max(LEAST_CHUNK, chunk)
-        return chunk if chunk >= LEAST_CHUNK else 0
+        if not part:
+            return 0
+        # Also an engine whose steps are too slow for the objective has to make progress.
+        return max(LEAST_CHUNK, min(self.settings.placing.chunk_tokens, int(part * room)))
 
     def part_of(self, kind, part, shared):
         """Return the part of a step for one more prompt of a class, alone or in a shared step."""
