--- a/packages/core/persimmonstall/catalogue/snapshot.py
+++ b/packages/core/persimmonstall/catalogue/snapshot.py
@@ -1,9 +1,9 @@
-"""An immutable version of the whole catalogue and the changes that lead from one to the next."""
+"""The whole catalogue at one version and the changes that lead from one to the next."""
 
 import attrs
 import msgspec
 
-from .records import KIND_OF, KINDS
+from .records import KIND_OF, KINDS, to_record
 
 
 @attrs.frozen
@@ -36,8 +36,7 @@
 def decode_change(data):
     """Return the `Change` encoded in `data`; raises msgspec.MsgspecError on a malformed one."""
     version, kind, name, value, call_id, at = msgspec.json.decode(data)
-    record = None if value is None else msgspec.convert(value, KINDS[kind])
-    return Change(version, kind, name, record, call_id, at)
+    return Change(version, kind, name, to_record(kind, value), call_id, at)
 
 
 @attrs.define
@@ -54,19 +53,23 @@
         if change.version != self.version + 1:
             return False
         self.put(change.kind, change.name, change.value)
-        self.touched[change.kind, change.name] = change.version
+        if change.value is None:
+            self.touched.pop((change.kind, change.name), None)
+        else:
+            self.touched[change.kind, change.name] = change.version
         self.version = change.version
         return True
 
     def put(self, kind, name, value):
         """Set or delete one record and keep the index of keys."""
-        old = self.records[kind].pop(name, None)
+        records = self.records.setdefault(kind, {})
+        old = records.pop(name, None)
         if kind == "organisation" and old:
             for key_hash in old.key_hashes:
                 self.by_key.pop(key_hash, None)
         if value is None:
             return
-        self.records[kind][name] = value
+        records[name] = value
         if kind == "organisation":
             for key_hash in value.key_hashes:
                 self.by_key[key_hash] = name
@@ -80,7 +83,7 @@
         return self.records[kind].get(name)
 
     def version_of(self, kind, name):
-        """Return the catalogue version that last touched a record, 0 if never."""
+        """Return the catalogue version that last touched a record, 0 if there is none."""
         return self.touched.get((kind, name), 0)
 
     def organisation_of(self, key_hash):
@@ -103,7 +106,7 @@
         version, rows = msgspec.json.decode(data)
         made = cls()
         for kind, name, record, touched in rows:
-            made.put(kind, name, msgspec.convert(record, KINDS[kind]))
+            made.put(kind, name, to_record(kind, record))
             made.touched[kind, name] = touched
         made.version = version
         return made
--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -19,6 +19,7 @@
 from ..orders.versions import Versions
 from .attempt import Phase, make_attempt
 from .backend import Backend, Expired, SessionLost
+from .trials import TrialEnded, Trials
 
 STEP = "engine"
 WHOLE = frozenset((Finish.STOP, Finish.LENGTH))
@@ -43,6 +44,14 @@
     detail: str
 
 
+@attrs.frozen
+class JobsSeen:
+    """The engine's own list of jobs after a lost connection, and what it should have."""
+
+    expected: frozenset
+    present: frozenset
+
+
 @attrs.frozen
 class EngineDied:
     """The engine does not answer on a new connection either."""
@@ -81,6 +90,7 @@
         self.reader = None
         self.alive = True
         self.memory = MemoryKeeper(self)
+        self.trials = Trials(self)
         self.versions = Versions()
         self.queue.has_room = self.memory.has_room
         self.handlers = {
@@ -96,6 +106,8 @@
             EngineDied: self.on_engine_died,
             EngineLoad: self.on_load,
             CacheEvent: self.on_cache_event,
+            JobsSeen: self.on_jobs_seen,
+            TrialEnded: self.trials.on_ended,
             **self.memory.handlers,
         }
 
@@ -221,6 +233,14 @@
         self.queue.step_seconds = load.step_seconds or self.queue.step_seconds
 
     def on_submit(self, submit, session):
+        """Take a new attempt or refuse it at once; suspects run one after the other."""
+        refusal = self.trials.refusal(submit, session)
+        if refusal is not None:
+            session.send(refusal)
+        elif not self.trials.postponed(submit, session):
+            self.take(submit, session)
+
+    def take(self, submit, session):
         """Take a new attempt or refuse it at once."""
         key = submit.request_id, submit.attempt
         if key in self.attempts:
@@ -232,6 +252,9 @@
         if not self.alive:
             session.send(self.refused(submit, Reason.ENDPOINT_LOST, Outcome.NOT_RUN))
             return
+        if self.lacks(submit):
+            session.send(self.refused(submit, Reason.BUSY, Outcome.NOT_RUN, "version not here"))
+            return
         full = self.memory.admit(submit)
         if full is None:
             full = self.queue.offer(submit, self.cached_tokens(submit), self.now())
@@ -242,6 +265,7 @@
         window = self.settings.callers.idle_credit
         attempt = make_attempt(submit, session, self.now(), window, self.daemon.run_id)
         self.attempts[key] = attempt
+        self.trials.taken(attempt)
         self.by_job[attempt.job_id] = attempt
         self.daemon.claim_owner(key, self)
         self.accepted += 1
@@ -272,9 +296,7 @@
     def job_of(self, attempt):
         """Return the engine job of an attempt, on the weights that it began with."""
         submit = attempt.submit
-        attempt.version = attempt.version or self.versions.model(submit.model)
-        if submit.adapter and not attempt.adapter_version:
-            attempt.adapter_version = self.versions.adapter(submit.adapter)
+        self.choose_versions(attempt)
         return Job(
             job_id=attempt.job_id,
             owner=str(self.memory.owner),
@@ -295,6 +317,28 @@
             version=attempt.version,
         )
 
+    def choose_versions(self, attempt):
+        """Choose the weights of an attempt that has not begun, and tell its entry."""
+        submit = attempt.submit
+        if attempt.version:
+            return
+        attempt.version = self.versions.model(submit.model)
+        if submit.adapter:
+            attempt.adapter_version = self.versions.adapter(submit.adapter)
+        self.tell_versions(attempt)
+
+    def tell_versions(self, attempt):
+        """Tell the entry which weights an attempt runs on, if the endpoint's orders say so."""
+        if attempt.version and attempt.session is not None:
+            versions = (attempt.version, attempt.adapter_version)
+            attempt.session.send(requests.Started(*attempt.key, *versions))
+
+    def lacks(self, submit):
+        """Return whether an attempt resumes an answer of weights that are not here."""
+        if not submit.version:
+            return False
+        return not self.versions.serves(submit, self.reported)
+
     def artifacts_in_use(self):
         """Return the versions of weights that unfinished attempts run on."""
         found = set()
@@ -386,6 +430,7 @@
             self.restart(attempt)
             return
         self.memory.grew(attempt)
+        self.trials.passed(attempt, output.finish in WHOLE)
         if output.finish in (Finish.NONE, Finish.PARKED):
             return
         if output.finish is Finish.PREFILLED:
@@ -476,6 +521,7 @@
         attempt.result = result
         attempt.ended_at = self.now()
         attempt.timer.cancel()
+        self.trials.ended(attempt)
         self.queue.ended(attempt.key)
         self.by_job.pop(attempt.job_id, None)
         self.memory.released(attempt)
@@ -501,6 +547,8 @@
     def on_cancel(self, cancel, _session):
         """Stop an attempt that its entry no longer wants."""
         attempt = self.find(cancel)
+        if attempt is None:
+            self.trials.cancelled(cancel)
         if attempt is None or attempt.ended:
             return
         attempt.session = None
@@ -544,6 +592,7 @@
             return
         attempt.session = session
         attempt.result_sent = False
+        self.tell_versions(attempt)
         self.flush([attempt])
 
     def on_session_lost(self, lost, _session):
@@ -578,8 +627,21 @@
     async def reopen(self):
         """Read steps again after a short pause."""
         await asyncio.sleep(self.daemon.context.jitter(REOPEN_SECONDS))
+        self.spawn(self.look_for_jobs(frozenset(one.job_id for one in self.running())))
         await self.read_steps()
 
+    async def look_for_jobs(self, expected):
+        """Post which jobs the engine still has."""
+        jobs = await self.engine.jobs(self.settings.endpoints.step_silence / 2)
+        if isinstance(jobs, tuple):
+            self.post(JobsSeen(expected, frozenset(job.job_id for job in jobs)))
+
+    def on_jobs_seen(self, seen, _session):
+        """Find out whether the engine was started anew meanwhile, without its jobs."""
+        still = seen.expected & {attempt.job_id for attempt in self.running()}
+        if still and not seen.expected & seen.present:
+            self.on_engine_died(EngineDied("started anew"), None)
+
     def on_engine_died(self, died, _session):
         """Refuse everything that was running, so that the entries can go elsewhere."""
         if not self.alive:
@@ -587,6 +649,7 @@
         self.alive = False
         self.prefixes.forget(self.name)
         self.daemon.metrics.count("engines_died")
+        self.trials.engine_died()
         open_attempts = [a for a in self.attempts.values() if not a.ended]
         for attempt in open_attempts:
             detail = died.detail
--- a/packages/daemon/persimmonstall_daemon/entry/links.py
+++ b/packages/daemon/persimmonstall_daemon/entry/links.py
@@ -27,6 +27,7 @@
             requests.Chunks: self.on_chunks,
             requests.End: self.on_answer,
             requests.Refused: self.on_answer,
+            requests.Started: self.on_answer,
             control.Hello: self.on_hello,
             control.Pong: self.on_pong,
             control.Loads: self.on_loads,
@@ -135,6 +136,7 @@
         """Take up a daemon that introduced itself."""
         self.failures = 0
         self.run_id = hello.run
+        self.entry.on_hello(hello, self)
         self.entry.membership.on_hello(hello)
         self.learn(hello.config_version, hello.endpoints)
         self.entry.exchanges.announce(LinkUp(self.name, hello.run))
--- a/packages/daemon/persimmonstall_daemon/entry/long_prompts.py
+++ b/packages/daemon/persimmonstall_daemon/entry/long_prompts.py
@@ -26,6 +26,7 @@
 
 from .dispatch import Dispatch
 from .exchange import LinkUp
+from .request import Answer
 
 STEP = "long_prompt"
 
@@ -176,7 +177,10 @@
                 self.entry.on_attempt_end(run.work, run.endpoint, result)
                 delay = self.delay_before_next(run, result)
                 if delay is None:
-                    return result if result else self.refuse(run, result)
+                    return result if isinstance(result, Answer) else self.refuse(run, result)
+                renewed = await self.renew_claim(run, result)
+                if renewed is not None:
+                    return renewed
                 self.cancel(run)
                 await self.confirm(run, division, delay)
         finally:
@@ -189,6 +193,8 @@
         while True:
             if self.remaining(run) <= 0:
                 return Failure(Reason.DEADLINE, STEP, detail="no room in time")
+            if self.entry.quarantine.refused(run.work.fingerprint):
+                return self.entry.suspects.refusal()
             if division.prompt is None:
                 failure = await self.begin(run, division)
                 if failure is not None:
@@ -417,6 +423,7 @@
             priority=work.priority,
             length_class=work.length_class,
             fingerprint=work.fingerprint,
+            suspect=self.entry.suspects.is_suspect(work),
             segment_start=part.share.start,
             segment_end=part.share.end,
         )
--- a/packages/daemon/tests/test_catalogue_follower.py
+++ b/packages/daemon/tests/test_catalogue_follower.py
@@ -1,11 +1,15 @@
 import asyncio
+from collections import Counter
 from random import Random
 
+import attrs
 import pytest
 
 from persimmonstall.catalogue import Model
-from persimmonstall.catalogue.layout import LOG
+from persimmonstall.catalogue.layout import LOG, log_key
 from persimmonstall.catalogue.snapshot import decode_change
+from persimmonstall.messages.control import CatalogueAsk
+from persimmonstall.outside.table import Write
 from persimmonstall_daemon.catalogue import NoPeers, compaction
 from persimmonstall_daemon.catalogue.compaction import CatalogueCompactor
 from persimmonstall_standins.faults import StoreFaults
@@ -173,6 +177,7 @@
     for name in "abcd":
         site.follow(name, tables[name])
     accepted = {}
+    counts = Counter()
     floor = dict.fromkeys("abcd", 0)
 
     async def operate(name):
@@ -186,6 +191,7 @@
             value = Model(record, version=f"{name}{number}")
             for _ in range(3):
                 answer = await store.change(value, stored.touched, f"{name}{number}")
+                counts["steps"] += 1
                 if answer:
                     assert accepted.setdefault(answer.version, value) == value
                 if answer or answer.reason != "outcome_unknown":
@@ -199,10 +205,13 @@
             table.faults.delay = random.choice((0.0, 0.0, 0.4, 1.5))
             table.faults.lose_answers = random.random() < 0.15
             table.faults.apply_late = random.choice((0.0,) * 8 + (0.5, 7.0))
+            counts["faults"] += sum(map(bool, attrs.astuple(table.faults)))
         site.gossip()
         if random.random() < 0.05:
             name = random.choice("cd")
             site.follow(name, tables[name])
+            counts["faults"] += 1
+        counts["steps"] += len(tables)
         for name, follower in site.followers.items():
             if follower.ready.is_set():
                 assert follower.version >= floor[name]
@@ -219,8 +228,37 @@
     logged = {change.version: change.value for change in log}
     assert {version: logged[version] for version in accepted} == accepted
     assert len(accepted) > seconds / 10
+    return counts
 
 
 @pytest.mark.parametrize("seed", range(6))
-def test_random_faults_never_revert_and_every_accepted_change_counts(seed):
-    run(random_run(seed, 200))
+def test_random_faults_never_revert_and_every_accepted_change_counts(seed, record_property):
+    for name, count in run(random_run(seed, 200)).items():
+        record_property(name, count)
+
+
+def test_a_kind_of_a_newer_release_is_passed_on_and_a_malformed_row_stops_nothing():
+    async def main():
+        site = await set_up("a", changes=2)
+        follower = site.followers["a"]
+        body = b'[3,"later","x",{"name":"x"},"c",0.0]'
+        later = [Write(LOG, log_key(3), 0, body), Write("config", "version", 2, b"3")]
+        assert await site.table.commit(later, 1.0)
+        await asyncio.sleep(IN_FORCE_SECONDS)
+        assert follower.version == 3
+        [passed_on] = follower.answer(CatalogueAsk(2)).records
+        assert passed_on == body
+        broken = [Write(LOG, log_key(4), 0, b"[4"), Write("config", "version", 3, b"4")]
+        assert await site.table.commit(broken, 1.0)
+        await asyncio.sleep(IN_FORCE_SECONDS)
+        assert follower.version == 3 and not site.tasks["a"].done()
+        await site.stop()
+
+    run(main())
+
+
+@pytest.mark.soak
+@pytest.mark.parametrize("seed", range(1000, 1040))
+def test_long_random_faults_never_revert_and_every_accepted_change_counts(seed, record_property):
+    for name, count in run(random_run(seed, 3000)).items():
+        record_property(name, count)
--- a/packages/daemon/tests/test_memory_keeper.py
+++ b/packages/daemon/tests/test_memory_keeper.py
@@ -8,11 +8,14 @@
 from persimmonstall.catalogue import Catalogue
 from persimmonstall.clock import Context
 from persimmonstall.failures import Outcome
+from persimmonstall.membership.view import ABSENCE_SECONDS
 from persimmonstall.messages import control, requests
 from persimmonstall.outside.engine import JobKind
+from persimmonstall.outside.instances import Instance, InstanceState
 from persimmonstall.settings import Settings
 from persimmonstall_daemon.endpoint.daemon import EndpointDaemon
 from persimmonstall_daemon.endpoint.engine_backend import EngineBackend
+from persimmonstall_daemon.membership.task import Membership
 from persimmonstall_daemon.memory.keeper import MemoryKeeper
 from persimmonstall_daemon.memory.parking import ParkingLot
 from persimmonstall_daemon.memory.reservations import Reservations
@@ -20,6 +23,7 @@
 from persimmonstall_standins.engine import EngineModel
 from persimmonstall_standins.engine_state import EngineSettings
 from persimmonstall_standins.fleet import FixedFollower, Stores
+from persimmonstall_standins.instances import MemoryInstances
 from persimmonstall_standins.objects import MemoryObjects
 from persimmonstall_standins.output import expected_output
 from persimmonstall_standins.table import MemoryTable
@@ -123,16 +127,32 @@
     return await Beside(beside.engine, seed=2).start()
 
 
-async def other_instance_gone():
+async def other_instance(listed):
+    """Return a daemon beside an engine that serves another one, which stays `listed` or not."""
+    instances = MemoryInstances(lag=0.0, expiry=1000.0)
     first = await Beside(slow_engine(), "i0").start()
     first.submit("r")
+    leaving = Instance("i0", "endpoint", "i0:1", "dc1", state=InstanceState.LEAVING)
+    await instances.register(leaving, 1.0)
     await asyncio.sleep(3.0)
-    await first.daemon.stop()
     second = await Beside(first.engine, seed=2).start()
-    second.backend.memory.listed = lambda: {"i1"}
+    daemon = second.daemon
+    membership = Membership(
+        second.settings, daemon.context, daemon.invariants, daemon.metrics, instances
+    )
+    second.backend.memory.listed = membership.listed_names
+    second.reading = asyncio.create_task(membership.run())
+    if not listed:
+        await first.daemon.stop()
+        instances.remove("i0")
+        await asyncio.sleep(ABSENCE_SECONDS)
     return second
 
 
+async def other_instance_gone():
+    return await other_instance(listed=False)
+
+
 async def parked_pair(**faults):
     """Return a daemon whose engine had to park one of two streams."""
     beside = await Beside(slow_engine(memory=2140)).start()
@@ -200,6 +220,13 @@
     assert run(held_after(failure)) > 0
 
 
+def test_jobs_of_a_daemon_that_still_drains_are_left_alone():
+    async def drains_beside():
+        return await other_instance(listed=True)
+
+    assert run(held_after(drains_beside)) > 0
+
+
 async def owner_paused():
     """Return (tokens held after the lapse, answer to the late renewal)."""
     beside = await Beside(EngineModel("e1", EngineSettings(models=("m",)))).start()
