--- a/tools/reference.py
+++ b/tools/reference.py
@@ -4,6 +4,7 @@
 import re
 import sys
 
+from persimmonstall import failures
 from persimmonstall.settings import page as settings_page
 from persimmonstall_cli import page as command_page
 from persimmonstall_daemon.observe import names
@@ -57,6 +58,7 @@
 
 PAGES = {
     "settings.md": settings_page.page,
+    "errors.md": failures.page,
     "metrics.md": names.page,
     "command.md": command_page.page,
     "rpc.md": rpc_page,
