Endpoint daemons' own look at drain marks is tested; `load` imports late

Cause: Leaving.follow had no test; every command loaded the HTTP and number libraries. Change: a test with a follower; the load command imports them when it runs.

--- a/packages/cli/persimmonstall_cli/commands/load.py
+++ b/packages/cli/persimmonstall_cli/commands/load.py
@@ -11,8 +11,6 @@
 from ..command import Command
 from ..load.mix import DEFAULT_MIX
 from ..load.plan import Load
-from ..load.run import run_load
-from ..load.summary import report_of
 
 STEP = "load"
 
@@ -36,7 +34,13 @@
 
 
 def send(call):
-    """Send the load; return its report."""
+    """Send the load; return its report.
+
+    HTTP and number libraries are loaded only here, so that other commands start quickly.
+    """
+    from ..load.run import run_load
+    from ..load.summary import report_of
+
     values = call.flags
     settings, problems = load(values.settings) if values.settings else (Settings(), [])
     if problems:
--- a/packages/daemon/tests/test_leaving.py
+++ b/packages/daemon/tests/test_leaving.py
@@ -162,6 +162,33 @@
     scenario(steps)
 
 
+def test_an_endpoint_daemon_follows_drain_marks_by_itself():
+    class Follower:
+        def __init__(self, catalogue):
+            self.current = catalogue
+            self.queue = asyncio.Queue()
+
+        def subscribe(self):
+            return self.queue
+
+        def apply(self, mark):
+            self.current.apply(Change(self.current.version + 1, "drain", "d0", mark))
+            self.queue.put_nowait(None)
+
+    async def steps(fleet):
+        follower = Follower(fleet.catalogue)
+        fleet.keep(fleet.watches["d0"].follow(follower))
+        backend = fleet.daemons["d0"].backends["d0"]
+        follower.apply(DrainMark("d0"))
+        await asyncio.sleep(0.1)
+        assert backend.leaving
+        follower.apply(None)
+        await asyncio.sleep(0.1)
+        assert not backend.leaving
+
+    scenario(steps)
+
+
 def test_an_undrained_endpoint_gets_work_again():
     async def steps(fleet):
         await told_by_order(fleet)
