--- a/packages/core/persimmonstall/membership/view.py
+++ b/packages/core/persimmonstall/membership/view.py
@@ -12,7 +12,8 @@
 from ..outside.instances import Instance, InstanceState
 
 ABSENCE_SECONDS = 10.0
-"""Time for which an instance that the list no longer names is kept while it still answers."""
+"""Time after which an instance that the list no longer names counts as leaving; one that is
+silent for as long is forgotten."""
 
 
 class Source(enum.StrEnum):
@@ -34,13 +35,14 @@
     run: str = ""
     heard: float | None = None
     absent_since: float | None = None
+    expired: bool = False
     own_leaving: frozenset = frozenset()
     endpoints: frozenset = frozenset()
 
     @property
     def listed_leaving(self):
-        """Whether the list says that the instance is leaving."""
-        return self.instance.state is InstanceState.LEAVING
+        """Whether the list says that the instance is leaving, or has dropped it."""
+        return self.expired or self.instance.state is InstanceState.LEAVING
 
 
 class View:
@@ -76,16 +78,23 @@
             peer.own_leaving = frozenset()
         peer.instance = instance
         peer.absent_since = None
+        peer.expired = False
         peer.endpoints |= frozenset(instance.endpoints)
 
     def miss(self, name, now):
-        """Note that the list does not name an instance; forget it after a while."""
+        """Note that the list does not name an instance.
+
+        One that still answers keeps its link, so that its streams can end, but gets no new
+        work after a while.
+        """
         peer = self.peers[name]
         if peer.absent_since is None:
             peer.absent_since = now
         quiet = peer.heard is None or now - peer.heard >= ABSENCE_SECONDS
-        if quiet or now - peer.absent_since >= ABSENCE_SECONDS:
+        if quiet:
             del self.peers[name]
+        else:
+            peer.expired = now - peer.absent_since >= ABSENCE_SECONDS
 
     def signature(self):
         """Return what a change of membership is judged by."""
@@ -97,32 +106,34 @@
         if peer is None:
             return
         peer.heard = now
+        before = peer.own_leaving, peer.endpoints
         if run and run != peer.run:
             peer.run = run
             peer.own_leaving = frozenset()
         if endpoints:
             peer.endpoints = frozenset(endpoints)
-        self.update_leaving()
+        if before != (peer.own_leaving, peer.endpoints):
+            self.update_leaving()
 
     def on_leaving(self, name, endpoints):
         """Take an instance's own word that these endpoints are leaving."""
         peer = self.peers.get(name)
-        if peer is None:
-            return
-        peer.own_leaving |= frozenset(endpoints)
-        self.update_leaving()
+        if peer is not None and not peer.own_leaving.issuperset(endpoints):
+            peer.own_leaving |= frozenset(endpoints)
+            self.update_leaving()
 
     def on_staying(self, name, endpoints):
         """Take an instance's own word that these endpoints take work again."""
         peer = self.peers.get(name)
-        if peer is not None:
+        if peer is not None and not peer.own_leaving.isdisjoint(endpoints):
             peer.own_leaving -= frozenset(endpoints)
             self.update_leaving()
 
     def on_drains(self, names):
         """Take the endpoints or instances that operators have ordered to drain."""
-        self.drained = frozenset(names)
-        self.update_leaving()
+        if self.drained != frozenset(names):
+            self.drained = frozenset(names)
+            self.update_leaving()
 
     def sources(self):
         """Return the (endpoint, `Source`) pairs of all that is leaving."""
--- a/packages/daemon/persimmonstall_daemon/admin/watch.py
+++ b/packages/daemon/persimmonstall_daemon/admin/watch.py
@@ -16,10 +16,17 @@
                 yield event
             version = max(version, state.follower.version)
             await queue.get()
+            drop_queued(queue)
     finally:
         state.follower.unsubscribe(queue)
 
 
+def drop_queued(queue):
+    """Empty a queue whose news is read from the follower itself."""
+    while not queue.empty():
+        queue.get_nowait()
+
+
 def events_after(follower, version):
     """Return the events after `version`, with a gap event when some are no longer kept."""
     changes = [change for change in follower.recent if change.version > version]
@@ -48,6 +55,6 @@
     >>> readable(Adapter("a", "m"))
     '{"name":"a","model":"m","version":"1"}'
     """
-    fields = attrs.asdict(record)
+    fields = dict(record) if isinstance(record, dict) else attrs.asdict(record)
     fields.pop("key_hashes", None)
     return msgspec.json.encode(fields).decode()
--- a/packages/daemon/persimmonstall_daemon/entry/dispatch.py
+++ b/packages/daemon/persimmonstall_daemon/entry/dispatch.py
@@ -24,7 +24,8 @@
 class Run:
     """One request on its way: its exchange, the current attempt and what was tried.
 
-    `segments` refer to the parts of a prompt that is larger than an engine.
+    `segments` refer to the parts of a prompt that is larger than an engine.  `version` and
+    `adapter_version` are those of the weights that the current attempt runs on.
     """
 
     work: object
@@ -39,6 +40,8 @@
     answering: int = 0
     credited: int = 0
     segments: tuple = ()
+    version: str = ""
+    adapter_version: str = ""
 
     @property
     def tokens(self):
@@ -57,14 +60,22 @@
         exchange = self.entry.exchanges.open(work.request_id)
         run = Run(work, sink, exchange)
         outcome = None
+        leads = False
         try:
+            leads = not work.service and await self.lead(run)
             outcome = await self.attempt_until_done(run)
             return outcome
         finally:
+            if leads:
+                self.entry.flights.ended(work.fingerprint)
             self.entry.exchanges.close(exchange)
             if not isinstance(outcome, Answer):
                 self.cancel(run)
 
+    async def lead(self, run):
+        """Wait while another copy of the same new content goes first; return whether it leads."""
+        return await self.entry.flights.lead(run.work.fingerprint, self.remaining(run))
+
     async def attempt_until_done(self, run):
         """Attempt the request until it has an answer or must be refused."""
         while True:
@@ -155,6 +166,8 @@
             suspect=self.entry.suspects.is_suspect(work),
             relayed=tuple(run.tokens),
             segments=run.segments,
+            version=run.version if run.tokens else "",
+            adapter_version=run.adapter_version if run.tokens else "",
         )
 
     async def relay(self, run):
@@ -174,6 +187,10 @@
             return await self.take_tokens(run, assembly.accept(message))
         if isinstance(message, requests.End):
             return self.take_end(run, message)
+        if isinstance(message, requests.Started) and assembly.concerns(message):
+            run.version = message.version
+            run.adapter_version = message.adapter_version
+            return None
         if isinstance(message, requests.Refused):
             return message if assembly.concerns(message) else None
         if isinstance(message, LinkDown) and message.instance == run.exchange.instance:
