A daemon whose task fails unexpectedly shuts down gracefully

Cause: an error that ended the follower's or another task was kept in the task and seen by nobody; the daemon went on with old state. Change: it is logged and counted as a bug and the daemon drains, so that the platform replaces it.

--- a/packages/daemon/persimmonstall_daemon/roles.py
+++ b/packages/daemon/persimmonstall_daemon/roles.py
@@ -49,7 +49,20 @@
 
     def spawn(self, coroutine):
         """Run `coroutine` until the daemon stops."""
-        self.tasks.append(asyncio.create_task(coroutine))
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(self.check_end)
+        self.tasks.append(task)
+
+    def check_end(self, task):
+        """Shut down gracefully when a task has ended by an unexpected error.
+
+        A daemon without its follower or its heartbeats would go on with old state.
+        """
+        if task.cancelled() or task.exception() is None:
+            return
+        self.metrics.count("bugs")
+        LOG.error("bug", error=repr(task.exception()), exc_info=task.exception())
+        self.begin_drain()
 
     async def start(self):
         """Start everything and watch for signals."""
