--- a/packages/daemon/tests/test_claims_storm.py
+++ b/packages/daemon/tests/test_claims_storm.py
@@ -15,17 +15,21 @@
 
 
 @pytest.mark.parametrize("seed", CI_SEEDS)
-def test_storm(seed):
+def test_storm(seed, record_property):
     made = run(storm(seed, SECONDS))
     print(made.summary())
+    record_property("steps", len(made.sends))
+    record_property("faults", made.faults.total())
     assert made.violations() == []
 
 
 @pytest.mark.soak
 @pytest.mark.parametrize("seed", SOAK_SEEDS)
-def test_long_storm(seed):
+def test_long_storm(seed, record_property):
     made = run(storm(seed, 4 * SECONDS))
     print(made.summary())
+    record_property("steps", len(made.sends))
+    record_property("faults", made.faults.total())
     assert made.violations() == []
 
 
