--- a/tools/capacity_runs/page.py
+++ b/tools/capacity_runs/page.py
@@ -284,6 +284,7 @@
         "snapshot_kb": f"{figures.at('catalogue snapshot', size.organisations):.0f}",
         "changes_minute": f"{size.changes / 1440:.1f}",
         "in_flight": f"{size.entry_requests * size.seconds_in_flight:.0f}",
+        "link_ms": f"{10.0 * figures.slopes['entry: share'].slope:.1f}",
         "in_flight_mb": f"{figures.slopes['entry: memory in flight'].slope:.3f}",
     }
     return string.Template(template).substitute(values)
