Short requests move on when their first token is late

Cause: an engine that froze kept short requests until its silence was noticed, 3 s. Ways weighed: a hedge that races two attempts (needs two assemblies for one caller, doubles work where it is scarce), moving on. Change: after 4 times the expected time, at least 0.4 s, the attempt is cancelled and another made, while more than half of the retry budget is left.

--- a/packages/core/persimmonstall/placement/view.py
+++ b/packages/core/persimmonstall/placement/view.py
@@ -352,6 +352,13 @@
                 waited = now - flight.sent_at
                 flight.endpoint.slowness.overdue(waited, self.usual(flight), now)
 
+    def late(self, request_id, endpoint, now):
+        """Count one attempt without a first token against its endpoint."""
+        flight = self.flights.get((request_id, endpoint))
+        if flight is not None and not flight.answered:
+            waited = now - flight.sent_at
+            flight.endpoint.slowness.overdue(waited, self.usual(flight), now)
+
     def usual(self, flight):
         """Return the time to first token in seconds that is usual for such an attempt."""
         return max(1.0, self.usual_ratios.get(flight.length_class, 1.0)) * flight.expected
--- a/packages/core/persimmonstall/retries/budget.py
+++ b/packages/core/persimmonstall/retries/budget.py
@@ -70,7 +70,7 @@
         return -self.saved / self.refill_rate()
 
     def spare(self, now):
-        """Return whether more than half of the bank is left, as hedges need."""
+        """Return whether more than half of the bank is left, as moving on needs."""
         self.advance(now)
         return self.saved - 1.0 >= 0.5 * self.bank()
 
--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -206,6 +206,14 @@
         """Note an attempt that was sent."""
         self.placer.on_submit(work, placed, self.context.now())
 
+    def patience(self, work, placed):
+        """Return the seconds to wait for a first token before going elsewhere."""
+        return self.placer.patience(work, placed, self.context.now())
+
+    def may_move_on(self, work, endpoint):
+        """Whether work whose first token is late may be attempted elsewhere."""
+        return self.placer.may_move_on(work, endpoint, self.context.now())
+
     def on_first_token(self, work, endpoint):
         """Note the first output of an attempt."""
         self.flights.passed(work.fingerprint)
--- a/packages/daemon/persimmonstall_daemon/entry/dispatch.py
+++ b/packages/daemon/persimmonstall_daemon/entry/dispatch.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 
 import attrs
 
@@ -83,7 +84,7 @@
             if not placed:
                 return self.refuse(run, placed)
             sent = self.submit(run, placed)
-            result = await self.relay(run) if sent else self.lost(run, "no link")
+            result = await self.relay(run, placed) if sent else self.lost(run, "no link")
             if sent:
                 self.note_loss(run, result)
             self.entry.on_attempt_end(run.work, run.endpoint, result)
@@ -170,12 +171,20 @@
             adapter_version=run.adapter_version if run.tokens else "",
         )
 
-    async def relay(self, run):
+    async def relay(self, run, placed=None):
         """Relay one attempt: an `Answer`, or the `Refused` or `Failure` that ended it."""
+        patience = self.entry.patience(run.work, placed) if placed else math.inf
         while True:
-            message = await run.exchange.next(self.remaining(run))
-            if message is None:
+            message = await run.exchange.next(min(patience, self.remaining(run)))
+            if message is None and self.remaining(run) <= 0:
                 return Failure(Reason.DEADLINE, STEP, run.endpoint, "no answer in time")
+            if message is None and self.entry.may_move_on(run.work, run.endpoint):
+                self.cancel(run)
+                return Failure(Reason.BUSY, STEP, run.endpoint, "the first token is late")
+            if message is None or isinstance(message, requests.Chunk):
+                patience = math.inf
+            if message is None:
+                continue
             result = await self.take(run, message)
             if result is not None:
                 return result
--- a/packages/daemon/persimmonstall_daemon/entry/placer.py
+++ b/packages/daemon/persimmonstall_daemon/entry/placer.py
@@ -25,6 +25,14 @@
     def retry_delay(self, work, reason, attempt, now):
         """Return the seconds before another attempt after `attempt` ones, None for no other."""
 
+    @abc.abstractmethod
+    def patience(self, work, placed, now):
+        """Return the seconds to wait for a first token before going elsewhere; may be infinite."""
+
+    @abc.abstractmethod
+    def may_move_on(self, work, endpoint, now):
+        """Whether work whose first token is late at `endpoint` may be attempted elsewhere."""
+
     @abc.abstractmethod
     def predict(self, work):
         """Return the output tokens that `work` will probably use."""
--- a/packages/daemon/persimmonstall_daemon/entry/policy_placer.py
+++ b/packages/daemon/persimmonstall_daemon/entry/policy_placer.py
@@ -1,5 +1,7 @@
 """Placement by a policy of the core, with admission, retry budget and what was learned."""
 
+import math
+
 from persimmonstall.placement.admission import admit
 from persimmonstall.placement.length_aware import LengthAware
 from persimmonstall.placement.policy import LeastOutstanding, RandomTwo, RoundRobin
@@ -8,6 +10,7 @@
 from persimmonstall.placement.view import FleetView, pool_key
 from persimmonstall.retries.budget import RetryBudget
 from persimmonstall.retries.delays import retry_delay
+from persimmonstall.retries.late import patience
 
 from .placer import Placer
 
@@ -75,6 +78,19 @@
         left = work.deadline - now
         return retry_delay(reason, attempt, left, self.budget, now, self.context.random)
 
+    def patience(self, work, placed, now):
+        """Return the seconds to wait for a first token, for work that may be run again."""
+        return patience(work, placed.expected, now) if self.admits else math.inf
+
+    def may_move_on(self, work, endpoint, now):
+        """Whether there is another endpoint and the budget has plenty left; takes one retry."""
+        self.view.late(work.request_id, endpoint, now)
+        pool = self.view.pool(work)
+        if pool is None or len(pool.members) < 2 or not self.budget.spare(now):
+            return False
+        self.budget.take(now)
+        return True
+
     def predict(self, work):
         """Return the output tokens that `work` will probably use."""
         return self.predictor.predict(work.organisation, work.model, work.max_tokens)
