--- a/packages/daemon/persimmonstall_daemon/entry/dispatch.py
+++ b/packages/daemon/persimmonstall_daemon/entry/dispatch.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 
 import attrs
 
@@ -83,7 +84,7 @@
             if not placed:
                 return self.refuse(run, placed)
             sent = self.submit(run, placed)
-            result = await self.relay(run) if sent else self.lost(run, "no link")
+            result = await self.relay(run, placed) if sent else self.lost(run, "no link")
             if sent:
                 self.note_loss(run, result)
             self.entry.on_attempt_end(run.work, run.endpoint, result)
@@ -170,17 +171,34 @@
             adapter_version=run.adapter_version if run.tokens else "",
         )
 
-    async def relay(self, run):
+    async def relay(self, run, placed=None):
         """Relay one attempt: an `Answer`, or the `Refused` or `Failure` that ended it."""
+        patience = self.entry.patience(run.work, placed) if placed else math.inf
         try:
             # One timer for the whole attempt: a timer for each token costs as much as the token.
             async with asyncio.timeout(max(0.0, self.remaining(run))):
-                return await self.relay_until_end(run)
+                result = await self.relay_first(run, patience)
+                return result if result is not None else await self.relay_rest(run)
         except TimeoutError:
             return Failure(Reason.DEADLINE, STEP, run.endpoint, "no whole answer in time")
 
-    async def relay_until_end(self, run):
-        """Relay one attempt until something ends it."""
+    async def relay_first(self, run, patience):
+        """Relay up to the first token; a result ends the attempt, also when it is late."""
+        message = None
+        while not isinstance(message, requests.Chunk):
+            message = await run.exchange.next(patience)
+            if message is None and self.entry.may_move_on(run.work, run.endpoint):
+                self.cancel(run)
+                return Failure(Reason.BUSY, STEP, run.endpoint, "the first token is late")
+            if message is None:
+                return None
+            result = await self.take(run, message)
+            if result is not None:
+                return result
+        return None
+
+    async def relay_rest(self, run):
+        """Relay until something ends the attempt."""
         result = None
         while result is None:
             result = await self.take(run, await run.exchange.mailbox.get())
--- a/packages/daemon/persimmonstall_daemon/entry/exchange.py
+++ b/packages/daemon/persimmonstall_daemon/entry/exchange.py
@@ -1,6 +1,7 @@
 """Mailboxes that bring frames from the links to the request they are for."""
 
 import asyncio
+import math
 
 import attrs
 
@@ -42,7 +43,7 @@
         if seconds <= 0:
             return None
         try:
-            async with asyncio.timeout(seconds):
+            async with asyncio.timeout(None if seconds == math.inf else seconds):
                 return await self.mailbox.get()
         except TimeoutError:
             return None
--- a/packages/daemon/persimmonstall_daemon/roles.py
+++ b/packages/daemon/persimmonstall_daemon/roles.py
@@ -31,6 +31,7 @@
 from .orders import OrderKeeper
 
 LOG = logs.get("daemon")
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 class Role(aiomisc.Service, abc.ABC):
@@ -67,7 +68,7 @@
     async def start(self):
         """Start everything and watch for signals."""
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in STOP_SIGNALS:
             loop.add_signal_handler(number, self.begin_drain)
         self.spawn(self.metrics.run())
         await self.start_role()
@@ -99,8 +100,19 @@
         """Let everything in flight end, then allow the process to exit."""
         LOG.info("draining")
         await self.drain_role()
+        self.ignore_signals()
         self.drained.set()
 
+    def ignore_signals(self):
+        """Let a late second signal change nothing.
+
+        Closing the loop restores the default action, which would kill the process on its way out.
+        """
+        loop = asyncio.get_running_loop()
+        for number in STOP_SIGNALS:
+            loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
+
     async def stop(self, exception=None):
         """End all tasks."""
         for task in self.tasks:
