Endpoint daemon: what both kinds of backend share is in their base class; the engine's watch is a module

Change: Backend owns inbox, attempts, timers and refusals; EngineWatch reads the engine and notices silence, death and a new start. Behaviour is unchanged.

--- a/packages/daemon/persimmonstall_daemon/endpoint/backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/backend.py
@@ -2,10 +2,14 @@
 
 import abc
 import asyncio
+import functools
 
 import attrs
 
-from persimmonstall.messages.control import Leaving
+from persimmonstall.messages.control import Leaving, Loads
+from persimmonstall.messages.requests import Refused
+
+BUSY_RETRY_SECONDS = 1.0
 
 
 @attrs.frozen
@@ -32,21 +36,63 @@
 
 
 class Backend(abc.ABC):
-    """One endpoint: a task that owns the attempts on it and reads messages from `inbox`."""
+    """One endpoint: a task that owns the attempts on it and reads messages from `inbox`.
+
+    `daemon` supplies settings, context, metrics and the run's name.  All state is touched only
+    by the task that reads `inbox`; calls to the endpoint run in tasks of their own and post
+    their results back.  `handlers` maps the type of a message to what takes it.
+    """
+
+    step = ""
+    """Name of the step that refusals of this kind of endpoint carry."""
 
-    def __init__(self, name):
+    def __init__(self, name, daemon):
         self.name = name
+        self.daemon = daemon
         self.inbox = asyncio.Queue()
+        self.attempts = {}
+        self.handlers = {}
+        self.tasks = set()
+        self.alive = True
         self.leaving = False
         self.accepted = 0
 
+    @property
+    def settings(self):
+        """Settings of the daemon."""
+        return self.daemon.settings
+
+    def now(self):
+        """Return the daemon's monotonic time in seconds."""
+        return self.daemon.context.now()
+
     def post(self, message, session=None):
         """Hand a message to the backend's task."""
         self.inbox.put_nowait(Envelope(message, session))
 
-    @abc.abstractmethod
+    def spawn(self, coroutine):
+        """Run `coroutine` beside the backend's task and keep a reference to it."""
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
     async def run(self):
         """Serve until cancelled."""
+        self.start_tasks()
+        try:
+            while True:
+                envelope = await self.inbox.get()
+                handler = self.handlers.get(type(envelope.message))
+                if handler:
+                    handler(envelope.message, envelope.session)
+        finally:
+            for task in list(self.tasks):
+                task.cancel()
+
+    @abc.abstractmethod
+    def start_tasks(self):
+        """Start the tasks that run beside the backend's own."""
 
     @abc.abstractmethod
     def load(self):
@@ -60,3 +106,41 @@
         """Refuse new work from now on; return the message that tells the entries."""
         self.leaving = True
         return Leaving((self.name,))
+
+    def enter(self, attempt):
+        """Keep a new attempt until it is dropped, with a timer for its deadline."""
+        key = attempt.key
+        self.attempts[key] = attempt
+        self.daemon.claim_owner(key, self)
+        self.accepted += 1
+        expire = functools.partial(self.post, Expired(*key))
+        loop = asyncio.get_running_loop()
+        attempt.timer = loop.call_later(attempt.submit.remaining, expire)
+
+    def drop(self, attempt):
+        """Forget a finished attempt."""
+        self.attempts.pop(attempt.key, None)
+        self.daemon.release_owner(attempt.key)
+
+    def find(self, message):
+        """Return the attempt that a message is about, or None."""
+        return self.attempts.get((message.request_id, message.attempt))
+
+    def send_loads(self, sessions):
+        """Send the current load along with answers."""
+        loads = Loads((self.load(),))
+        for session in sessions:
+            session.send(loads)
+
+    def refused(self, submit, reason, outcome, detail=""):
+        """Return the refusal of an attempt."""
+        return Refused(
+            submit.request_id,
+            submit.attempt,
+            reason,
+            self.step,
+            self.name,
+            outcome,
+            BUSY_RETRY_SECONDS,
+            detail,
+        )
--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -1,8 +1,6 @@
 """Runs attempts on one model engine."""
 
 import asyncio
-import contextlib
-import functools
 
 import attrs
 
@@ -19,14 +17,13 @@
 from ..orders.versions import Versions
 from .attempt import Phase, make_attempt
 from .backend import Backend, Expired, SessionLost
+from .engine_watch import EngineDied, EngineWatch, JobsSeen, StepsLost
 from .trials import TrialEnded, Trials
 
 STEP = "engine"
 WHOLE = frozenset((Finish.STOP, Finish.LENGTH))
 NOT_STARTED = (Reason.NO_MEMORY, Reason.BUSY, Reason.UNKNOWN_MODEL)
 CANCEL_TRIES = 3
-BUSY_RETRY_SECONDS = 1.0
-REOPEN_SECONDS = 0.2
 
 
 @attrs.frozen
@@ -37,28 +34,6 @@
     result: object
 
 
-@attrs.frozen
-class StepsLost:
-    """The connection that brings the engine's steps ended or went silent."""
-
-    detail: str
-
-
-@attrs.frozen
-class JobsSeen:
-    """The engine's own list of jobs after a lost connection, and what it should have."""
-
-    expected: frozenset
-    present: frozenset
-
-
-@attrs.frozen
-class EngineDied:
-    """The engine does not answer on a new connection either."""
-
-    detail: str
-
-
 def certainly_not_run(result):
     """Say whether a hand-over's result proves that the engine has not run the job."""
     if result:
@@ -69,26 +44,19 @@
 
 
 class EngineBackend(Backend):
-    """Owns the attempts on one engine.
+    """Owns the attempts on one `Engine`."""
 
-    `outside` is the `Engine`; `daemon` supplies settings, context, metrics and the run's
-    name.  All state is touched only by the task that reads `inbox`; calls to the engine run
-    in tasks of their own and post their results back.
-    """
+    step = STEP
 
     def __init__(self, name, engine, daemon):
-        super().__init__(name)
+        super().__init__(name, daemon)
         self.engine = engine
-        self.daemon = daemon
-        self.attempts = {}
         self.by_job = {}
         self.reported = EngineLoad(0, 0, 0, 0, 0, 0.0)
         self.queue = make_hand_over(daemon.settings)
         self.prefixes = PrefixMap()
-        self.tasks = set()
         self.last_step = daemon.context.now()
-        self.reader = None
-        self.alive = True
+        self.watch = EngineWatch(self)
         self.memory = MemoryKeeper(self)
         self.trials = Trials(self)
         self.versions = Versions()
@@ -111,79 +79,15 @@
             **self.memory.handlers,
         }
 
-    @property
-    def settings(self):
-        """Settings of the daemon."""
-        return self.daemon.settings
-
-    def now(self):
-        """Return the daemon's monotonic time in seconds."""
-        return self.daemon.context.now()
-
-    def spawn(self, coroutine):
-        """Run `coroutine` beside the backend's task and keep a reference to it."""
-        task = asyncio.create_task(coroutine)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-        return task
-
-    async def run(self):
-        """Serve until cancelled."""
-        self.reader = self.spawn(self.read_steps())
-        self.spawn(self.read_cache_events())
-        self.spawn(self.watch())
+    def start_tasks(self):
+        """Watch the engine and compare its memory with the ledger."""
+        self.watch.start()
         self.spawn(self.memory.run())
-        try:
-            while True:
-                envelope = await self.inbox.get()
-                handler = self.handlers.get(type(envelope.message))
-                if handler:
-                    handler(envelope.message, envelope.session)
-        finally:
-            for task in list(self.tasks):
-                task.cancel()
-
-    async def read_steps(self):
-        """Post the engine's steps until their connection is lost."""
-        try:
-            async for step in self.engine.steps():
-                self.post(step)
-        except OSError as error:
-            self.post(StepsLost(str(error)))
-            return
-        self.post(StepsLost("ended"))
-
-    async def read_cache_events(self):
-        """Post the engine's cache events, over a new connection whenever one is lost."""
-        while True:
-            with contextlib.suppress(OSError):
-                async for event in self.engine.cache_events():
-                    self.post(event)
-            await asyncio.sleep(self.daemon.context.jitter(REOPEN_SECONDS))
 
     def on_cache_event(self, event, _session):
         """Correct what the engine probably has cached."""
         self.prefixes.event(self.name, event)
 
-    async def watch(self):
-        """Poll the engine's load and notice when its steps go silent."""
-        while True:
-            await self.probe()
-            silence = self.settings.endpoints.step_silence
-            await asyncio.sleep(self.daemon.context.jitter(silence / 3))
-
-    async def probe(self):
-        """Ask for the engine's load once, and post what that shows."""
-        endpoints = self.settings.endpoints
-        load = await self.engine.load(endpoints.step_silence / 2)
-        if load:
-            self.post(load)
-        silent = self.now() - self.last_step > endpoints.step_silence
-        if silent and self.running():
-            self.post(StepsLost("silent"))
-        if not load and (silent or load.detail == "not connected"):
-            self.post(EngineDied(load.detail))
-
     def running(self):
         """Return the attempts that the engine should be working on."""
         return [a for a in self.attempts.values() if a.phase is Phase.RUNNING]
@@ -264,14 +168,9 @@
             return
         window = self.settings.callers.idle_credit
         attempt = make_attempt(submit, session, self.now(), window, self.daemon.run_id)
-        self.attempts[key] = attempt
+        self.enter(attempt)
         self.trials.taken(attempt)
         self.by_job[attempt.job_id] = attempt
-        self.daemon.claim_owner(key, self)
-        self.accepted += 1
-        loop = asyncio.get_running_loop()
-        expire = functools.partial(self.post, Expired(*key))
-        attempt.timer = loop.call_later(submit.remaining, expire)
         self.pump()
 
     def cached_tokens(self, submit):
@@ -386,19 +285,6 @@
         self.memory.confirmed(attempt)
         self.last_step = self.now()
 
-    def refused(self, submit, reason, outcome, detail=""):
-        """Return the refusal of an attempt."""
-        return requests.Refused(
-            submit.request_id,
-            submit.attempt,
-            reason,
-            STEP,
-            self.name,
-            outcome,
-            BUSY_RETRY_SECONDS,
-            detail,
-        )
-
     def on_step(self, step, _session):
         """Take one engine step and send what is new, one message for each session."""
         self.last_step = self.now()
@@ -509,12 +395,6 @@
         if ended:
             self.send_loads({attempt.session for attempt in ended})
 
-    def send_loads(self, sessions):
-        """Send the current load along with answers."""
-        loads = control.Loads((self.load(),))
-        for session in sessions:
-            session.send(loads)
-
     def settle(self, attempt, result):
         """Give an attempt its result, without sending it yet."""
         attempt.phase = Phase.ENDED
@@ -535,15 +415,6 @@
         self.settle(attempt, result)
         self.flush([attempt])
 
-    def drop(self, attempt):
-        """Forget a finished attempt."""
-        self.attempts.pop(attempt.key, None)
-        self.daemon.release_owner(attempt.key)
-
-    def find(self, message):
-        """Return the attempt that a message is about, or None."""
-        return self.attempts.get((message.request_id, message.attempt))
-
     def on_cancel(self, cancel, _session):
         """Stop an attempt that its entry no longer wants."""
         attempt = self.find(cancel)
@@ -618,23 +489,8 @@
         The engine is asked at once whether it is still there.
         """
         self.daemon.metrics.count("engine_steps_lost")
-        self.spawn(self.probe())
         self.last_step = self.now()
-        if self.reader:
-            self.reader.cancel()
-        self.reader = self.spawn(self.reopen())
-
-    async def reopen(self):
-        """Read steps again after a short pause."""
-        await asyncio.sleep(self.daemon.context.jitter(REOPEN_SECONDS))
-        self.spawn(self.look_for_jobs(frozenset(one.job_id for one in self.running())))
-        await self.read_steps()
-
-    async def look_for_jobs(self, expected):
-        """Post which jobs the engine still has."""
-        jobs = await self.engine.jobs(self.settings.endpoints.step_silence / 2)
-        if isinstance(jobs, tuple):
-            self.post(JobsSeen(expected, frozenset(job.job_id for job in jobs)))
+        self.watch.reopen()
 
     def on_jobs_seen(self, seen, _session):
         """Find out whether the engine was started anew meanwhile, without its jobs."""
--- a/packages/daemon/persimmonstall_daemon/endpoint/service_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/service_backend.py
@@ -1,7 +1,6 @@
 """Runs calls on one plain service."""
 
 import asyncio
-import functools
 
 import attrs
 
@@ -13,7 +12,6 @@
 from .backend import Backend, Expired, SessionLost
 
 STEP = "service"
-BUSY_RETRY_SECONDS = 1.0
 LATE_ANSWER_SECONDS = 30.0
 """Time after the deadline for which the answer of non-idempotent work is still awaited."""
 
@@ -32,20 +30,17 @@
 class ServiceBackend(Backend):
     """Owns the calls in progress on one instance of the plain service `service`.
 
-    All state is touched only by the task that reads `inbox`; calls run in tasks of their own
-    and post their results back.  A call cannot be cancelled at the service.
+    A call cannot be cancelled at the service.
     """
 
+    step = STEP
+
     def __init__(self, name, service, outside, daemon):
-        super().__init__(name)
+        super().__init__(name, daemon)
         self.service = service
         self.outside = outside
-        self.daemon = daemon
-        self.attempts = {}
         self.calling = set()
         self.reported = ServiceLoad(0, 0, 0)
-        self.alive = True
-        self.tasks = set()
         self.handlers = {
             requests.Submit: self.on_submit,
             requests.Cancel: self.on_cancel,
@@ -55,29 +50,13 @@
             Called: self.on_called,
         }
 
-    def spawn(self, coroutine):
-        """Run `coroutine` beside the backend's task and keep a reference to it."""
-        task = asyncio.create_task(coroutine)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-        return task
-
-    async def run(self):
-        """Serve until cancelled."""
+    def start_tasks(self):
+        """Watch the service's load."""
         self.spawn(self.watch())
-        try:
-            while True:
-                envelope = await self.inbox.get()
-                handler = self.handlers.get(type(envelope.message))
-                if handler:
-                    handler(envelope.message, envelope.session)
-        finally:
-            for task in list(self.tasks):
-                task.cancel()
 
     async def watch(self):
         """Poll the service's load; one that does not answer gets no new calls."""
-        timeout = self.daemon.settings.endpoints.step_silence
+        timeout = self.settings.endpoints.step_silence
         while True:
             load = await self.outside.load(timeout)
             self.alive = bool(load)
@@ -114,12 +93,8 @@
         if self.leaving:
             session.send(self.refused(submit, Reason.LEAVING, Outcome.NOT_RUN))
             return
-        attempt = make_attempt(submit, session, self.daemon.context.now(), 0, self.daemon.run_id)
-        self.attempts[key] = attempt
-        self.daemon.claim_owner(key, self)
-        self.accepted += 1
-        expire = functools.partial(self.post, Expired(*key))
-        attempt.timer = asyncio.get_running_loop().call_later(submit.remaining, expire)
+        attempt = make_attempt(submit, session, self.now(), 0, self.daemon.run_id)
+        self.enter(attempt)
         attempt.phase = Phase.RUNNING
         self.calling.add(key)
         self.spawn(self.call(attempt))
@@ -132,7 +107,7 @@
             return
         attempt.handed_over = True
         submit = attempt.submit
-        timeout = max(0.0, attempt.deadline - self.daemon.context.now())
+        timeout = max(0.0, attempt.deadline - self.now())
         if attempt.won:
             timeout += LATE_ANSWER_SECONDS
         call = ServiceCall(attempt.job_id, submit.method, submit.prompt, submit.content_type)
@@ -180,19 +155,6 @@
         """End an attempt with a refusal."""
         self.end(attempt, self.refused(attempt.submit, reason, outcome, detail))
 
-    def refused(self, submit, reason, outcome, detail=""):
-        """Return the refusal of an attempt."""
-        return requests.Refused(
-            submit.request_id,
-            submit.attempt,
-            reason,
-            STEP,
-            self.name,
-            outcome,
-            BUSY_RETRY_SECONDS,
-            detail,
-        )
-
     def end(self, attempt, result):
         """Give an attempt its result and send it; a result after the first is dropped."""
         if attempt.ended:
@@ -200,8 +162,8 @@
         attempt.phase = Phase.ENDED
         attempt.result = result
         attempt.timer.cancel()
-        keep = self.daemon.settings.endpoints.keep_answers
-        asyncio.get_running_loop().call_later(keep, self.drop, attempt.key)
+        keep = self.settings.endpoints.keep_answers
+        asyncio.get_running_loop().call_later(keep, self.drop, attempt)
         self.deliver(attempt)
 
     def deliver(self, attempt):
@@ -209,16 +171,7 @@
         if attempt.session is None or not attempt.ended:
             return
         attempt.result_sent = attempt.session.send(attempt.result)
-        attempt.session.send(control.Loads((self.load(),)))
-
-    def drop(self, key):
-        """Forget an ended attempt."""
-        self.attempts.pop(key, None)
-        self.daemon.release_owner(key)
-
-    def find(self, message):
-        """Return the attempt that a message is about, or None."""
-        return self.attempts.get((message.request_id, message.attempt))
+        self.send_loads((attempt.session,))
 
     def on_cancel(self, cancel, _session):
         """End an attempt that its entry no longer wants; the call itself goes on."""
