Suspects wait for their turn instead of being refused; proofs with the mechanism off

Cause: with two of six engines killed at one moment, 7 of 300 admitted requests were refused as busy: they had been in flight at one death, so they were suspects, and the endpoint chosen for their trial was the other dead one until the news had time to travel (10 s). Ruled out: choosing another endpoint at once, by which two entries could run the same content on two engines. Change: a Postponed failure names the delay after which to try again; dispatch waits while the deadline allows. Tests of the relay with offsets, heartbeats and resuming switched off, and of the load after a third of the fleet has died.

--- a/Makefile
+++ b/Makefile
@@ -62,7 +62,7 @@
 	$(PYTHON) tools/check_model.py
 
 soak: setup
-	$(PYTHON) -m pytest -m soak packages
+	$(PYTHON) -m pytest -n $(WORKERS) -m soak packages
 
 measure: setup
 	$(PYTHON) tools/measure.py
--- a/packages/core/persimmonstall/failures.py
+++ b/packages/core/persimmonstall/failures.py
@@ -139,6 +139,13 @@
         return False
 
 
+@attrs.frozen
+class Postponed(Failure):
+    """Something that cannot be done now but probably after `delay` seconds."""
+
+    delay: float = 0.0
+
+
 @attrs.frozen
 class Refusal(Failure):
     """The final answer to a request that was not served.
--- a/packages/daemon/persimmonstall_daemon/entry/dispatch.py
+++ b/packages/daemon/persimmonstall_daemon/entry/dispatch.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from persimmonstall.failures import Failure, Outcome, Reason, Refusal, refuse
+from persimmonstall.failures import Failure, Outcome, Postponed, Reason, Refusal, refuse
 from persimmonstall.messages import requests
 
 from .exchange import LinkDown, LinkUp
@@ -81,6 +81,9 @@
         """Attempt the request until it has an answer or must be refused."""
         while True:
             placed = self.entry.place(run.work, run.avoided)
+            if isinstance(placed, Postponed) and placed.delay < self.remaining(run):
+                await asyncio.sleep(self.entry.context.jitter(placed.delay))
+                continue
             if not placed:
                 return self.refuse(run, placed)
             sent = self.submit(run, placed)
--- a/packages/daemon/persimmonstall_daemon/quarantine/filter.py
+++ b/packages/daemon/persimmonstall_daemon/quarantine/filter.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from persimmonstall.failures import Failure, Outcome, Reason, Refusal
+from persimmonstall.failures import Outcome, Postponed, Reason, Refusal
 from persimmonstall.messages.control import LAST_LIFE
 from persimmonstall.quarantine import Standing
 from persimmonstall.quarantine.trial import NEWS_SECONDS, trial_endpoint
@@ -82,7 +82,7 @@
         chosen = trial_endpoint(verdict, self.last_seen[key], self.parts.context.now())
         if chosen not in names:
             detail = "suspected content waits for news of an endpoint"
-            return Failure(Reason.BUSY, self.name, chosen or "", detail)
+            return Postponed(Reason.BUSY, self.name, chosen or "", detail, LOOK_SECONDS)
         return frozenset(names) - {chosen}
 
     def lost(self, work, endpoint, run, attempt, offset):
--- a/packages/daemon/tests/test_relay.py
+++ b/packages/daemon/tests/test_relay.py
@@ -5,6 +5,7 @@
 from persimmonstall.failures import Outcome, Reason
 from persimmonstall.messages.requests import Chunk, End
 from persimmonstall.streams.assembly import Assembly
+from persimmonstall_daemon.entry.dispatch import Dispatch
 from persimmonstall_daemon.entry.request import Answer, NullSink
 
 LONG_ANSWER = 55
@@ -181,3 +182,65 @@
 
     want, answer = on_fleet(scenario)
     assert answer.tokens == want
+
+
+def test_without_offsets_duplicated_frames_change_the_answer(on_fleet, monkeypatch):
+    def accept_all(assembly, chunk):
+        assembly.tokens.extend(chunk.tokens)
+        return chunk.tokens
+
+    async def scenario(fleet, entry):
+        want = await undisturbed(fleet, entry)
+        monkeypatch.setattr(Assembly, "accept", accept_all)
+        fleet.fabric.duplicate_share = 0.5
+        return want, await fleet.ask(entry, LONG_ANSWER, 1000, deadline=20.0)
+
+    want, outcome = on_fleet(scenario)
+    assert getattr(outcome, "tokens", ()) != want
+
+
+def test_without_heartbeats_a_silent_link_is_never_replaced(on_fleet):
+    async def scenario(fleet, entry):
+        for daemon in (entry, *fleet.daemons.values()):
+            daemon.settings.links.silence = 1e6
+        asked = asyncio.ensure_future(fleet.ask(entry, LONG_ANSWER, 1000, deadline=30.0))
+        await asyncio.sleep(0.5)
+        fleet.fabric.silence(f"{await busy_endpoint(fleet)}:1", "entry1:1")
+        return await asked
+
+    assert on_fleet(scenario).reason is Reason.DEADLINE
+
+
+def test_without_resuming_a_killed_engine_cuts_the_answer(on_fleet, monkeypatch):
+    monkeypatch.setattr(Dispatch, "delay_before_next", lambda *_: None)
+
+    async def scenario(fleet, entry):
+        asked = asyncio.ensure_future(fleet.ask(entry, LONG_ANSWER, 1000))
+        await asyncio.sleep(1.5)
+        fleet.engines[await busy_endpoint(fleet)].die()
+        return await asked
+
+    refusal = on_fleet(scenario)
+    assert refusal.outcome is Outcome.UNKNOWN
+
+
+RETRY_SHARE = 0.1
+LEAST_RETRIES = 10
+
+
+def test_a_dead_third_of_the_fleet_does_not_multiply_the_load(on_fleet):
+    async def scenario(fleet, entry):
+        asked = []
+        for number in range(300):
+            asked.append(asyncio.create_task(fleet.ask(entry, number, 1000, deadline=60.0)))
+            await asyncio.sleep(0.05)
+            if number == 100:
+                fleet.engines["e0"].die()
+                fleet.engines["e1"].die()
+        outcomes = await asyncio.gather(*asked)
+        taken = sum(daemon.backends[name].accepted for name, daemon in fleet.daemons.items())
+        return outcomes, taken
+
+    outcomes, taken = on_fleet(scenario, engines=6)
+    assert all(isinstance(outcome, Answer) for outcome in outcomes)
+    assert taken <= (1 + RETRY_SHARE) * len(outcomes) + LEAST_RETRIES
