--- a/packages/core/persimmonstall/claims/records.py
+++ b/packages/core/persimmonstall/claims/records.py
@@ -65,13 +65,6 @@
     return digest.hexdigest()
 
 
-def hash_body(method, body):
-    """Return the hash that tells whether a resend carries the same call (hex)."""
-    digest = hashlib.sha256(msgspec.msgpack.encode(method))
-    digest.update(body)
-    return digest.hexdigest()
-
-
 def encode_claim(claim):
     """Return the row value of `claim`.
 
--- a/packages/core/persimmonstall/memory/ledger.py
+++ b/packages/core/persimmonstall/memory/ledger.py
@@ -197,11 +197,6 @@
         """Return the holdings whose time is over; the caller removes them."""
         return [holding for holding in self.holdings.values() if holding.lapse <= now]
 
-    def segment_tokens(self):
-        """Return the memory held for parts of prompts larger than an engine."""
-        segments = (held for held in self.holdings.values() if held.use is Use.SEGMENT)
-        return sum(held.counted for held in segments)
-
     def count(self, holding, sign):
         """Add a holding to the sums, or take it off."""
         self.committed += sign * holding.counted
--- a/packages/core/persimmonstall/messages/codec.py
+++ b/packages/core/persimmonstall/messages/codec.py
@@ -1,4 +1,4 @@
-"""Encoding of messages between daemons: MessagePack, with JSON as a readable second codec.
+"""Encoding of messages between daemons as MessagePack.
 
 A frame is the pair of a message kind and its fields; an unknown kind or a malformed body
 decodes to a `Failure`, so that a newer peer's message is dropped and counted.
@@ -37,45 +37,28 @@
 NUMBERS = {kind: number for number, kind in KINDS.items()}
 
 
-class Codec:
-    """Encodes and decodes frames with one msgspec protocol module."""
-
-    def __init__(self, protocol):
-        self.protocol = protocol
-        self.encoder = protocol.Encoder()
-        self.frame = protocol.Decoder(tuple[int, msgspec.Raw])
-        self.decoders = {number: protocol.Decoder(kind) for number, kind in KINDS.items()}
-
-    def encode(self, message):
-        """Return the frame of `message` as bytes."""
-        return self.encoder.encode((NUMBERS[type(message)], message))
-
-    def decode(self, data):
-        """Return the message in `data`, or a `Failure`."""
-        try:
-            number, body = self.frame.decode(data)
-            return self.decoders[number].decode(body)
-        except (msgspec.MsgspecError, KeyError) as error:
-            return Failure(Reason.BAD_REQUEST, "decode", detail=str(error))
-
-
-MSGPACK = Codec(msgspec.msgpack)
-JSON = Codec(msgspec.json)
+ENCODER = msgspec.msgpack.Encoder()
+FRAME = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw])
+DECODERS = {number: msgspec.msgpack.Decoder(kind) for number, kind in KINDS.items()}
 
 
 def encode(message):
-    """Return the MessagePack frame of `message`.
+    """Return the frame of `message` as bytes.
 
     >>> decode(encode(control.Ping(7, 2)))
     Ping(sequence=7, config_version=2)
     """
-    return MSGPACK.encode(message)
+    return ENCODER.encode((NUMBERS[type(message)], message))
 
 
 def decode(data):
-    """Return the message of a MessagePack frame, or a `Failure`.
+    """Return the message of a frame, or a `Failure`.
 
     >>> decode(b"rubbish").reason
     <Reason.BAD_REQUEST: 'bad_request'>
     """
-    return MSGPACK.decode(data)
+    try:
+        number, body = FRAME.decode(data)
+        return DECODERS[number].decode(body)
+    except (msgspec.MsgspecError, KeyError) as error:
+        return Failure(Reason.BAD_REQUEST, "decode", detail=str(error))
--- a/packages/core/persimmonstall/quarantine/book.py
+++ b/packages/core/persimmonstall/quarantine/book.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ..messages.control import Crash, Verdict
+from ..messages.control import Verdict
 from .crashes import merge_crashes
 
 QUARANTINE_CRASHES = 2
@@ -189,8 +189,3 @@
 def strength(verdict):
     """Return the key by which verdicts are dropped when there are too many."""
     return is_quarantined(verdict), bool(verdict.crashes), verdict.expires
-
-
-def crash_of(endpoint, run, life):
-    """Return the `Crash` of a numbered life of an endpoint."""
-    return Crash(endpoint, run, life)
--- a/packages/daemon/persimmonstall_daemon/catalogue/sync.py
+++ b/packages/daemon/persimmonstall_daemon/catalogue/sync.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import attrs
-
 from persimmonstall.failures import Failure, Reason
 from persimmonstall.messages.control import CatalogueAsk, CatalogueChanges
 
@@ -16,16 +14,8 @@
 LINK_POLL_SECONDS = 0.05
 
 
-@attrs.frozen
-class LinkedPeer:
-    """A daemon with an open link; `send(message)` queues a message for it."""
-
-    name: str
-    send: object
-
-
 class LinkedPeers(Peers):
-    """Asks over links; `linked()` returns the `LinkedPeer`s of the moment.
+    """Asks over links; `linked()` returns the peers with an open link.
 
     The links' tasks hand `CatalogueAsk` and `CatalogueChanges` to `on_ask` and `on_changes`.
     """
--- a/packages/daemon/persimmonstall_daemon/network/grpc_link.py
+++ b/packages/daemon/persimmonstall_daemon/network/grpc_link.py
@@ -15,7 +15,6 @@
 
 BATCH = msgspec.msgpack.Decoder(list[msgspec.Raw])
 JOIN = msgspec.msgpack.Encoder()
-CLOSED = object()
 
 
 def join(frames):
--- a/packages/standins/persimmonstall_standins/experiment/mix.py
+++ b/packages/standins/persimmonstall_standins/experiment/mix.py
@@ -5,6 +5,7 @@
 
 import math
 from random import Random
+from statistics import NormalDist
 
 import attrs
 
@@ -19,7 +20,7 @@
 
 LONG_TOKENS = 100_000
 SHORTEST = 1_000
-LONG_SHARE_DEVIATIONS = 2.0537
+LONG_SHARE_DEVIATIONS = NormalDist().inv_cdf(1.0 - LONG_SHARE)
 """Standard normal quantile of 1 - LONG_SHARE."""
 
 ORGANISATION_WEIGHTS = (30, 22, 14, 8, 6, 5, 5, 4, 3, 3)
--- a/packages/standins/persimmonstall_standins/faults.py
+++ b/packages/standins/persimmonstall_standins/faults.py
@@ -32,19 +32,13 @@
 
 @attrs.define
 class Meter:
-    """Counts calls by kind ("reads", "writes"), in all and by whole second."""
+    """Counts calls by kind: "reads" and "writes"."""
 
     total: Counter = attrs.field(factory=Counter)
-    seconds: Counter = attrs.field(factory=Counter)
 
-    def count(self, kind, now):
-        """Count one call at time `now`."""
+    def count(self, kind):
+        """Count one call."""
         self.total[kind] += 1
-        self.seconds[kind, int(now)] += 1
-
-    def peak(self, kind):
-        """Return the most calls of `kind` in one second."""
-        return max((n for (name, _), n in self.seconds.items() if name == kind), default=0)
 
 
 class FaultyStore:
@@ -64,7 +58,7 @@
 
     async def run_read(self, step, effect, timeout):
         """Return the result of the function `effect`, or a `Failure` within `timeout`."""
-        self.meter.count("reads", asyncio.get_running_loop().time())
+        self.meter.count("reads")
         if self.faults.down:
             return self.unavailable(step, "down")
         wait = self.latency + self.faults.delay
@@ -77,7 +71,7 @@
     async def run_write(self, step, effect, timeout):
         """Return the result of the function `effect`, or a `Failure` within `timeout`."""
         loop = asyncio.get_running_loop()
-        self.meter.count("writes", loop.time())
+        self.meter.count("writes")
         if self.faults.down:
             return self.unavailable(step, "down")
         wait = self.latency + self.faults.delay
