A client library's stream survives the kill of its daemon or engine

Cause: resuming was proved on virtual time only. Change: a test with real processes that kills what serves a stream after ten chunks.

--- a/packages/standins/tests/test_whole_path.py
+++ b/packages/standins/tests/test_whole_path.py
@@ -104,3 +104,33 @@
     while memory(deployment) and time.monotonic() < deadline:
         time.sleep(0.2)
     assert memory(deployment) == 0
+
+
+@pytest.mark.parametrize("victim", ["daemon", "engine"])
+def test_stream_survives_a_kill_half_way(client, deployment, victim):
+    asked = {"model": MODEL, "prompt": "gazette of appointments " * 60, "max_tokens": 400}
+    want = client.completions.create(**asked).choices[0].text
+    parts = []
+    for chunk in client.completions.create(**asked, stream=True):
+        parts.append(chunk.choices[0].text)
+        if len(parts) == 10:
+            kill_what_serves(deployment, victim)
+    assert "".join(parts) == want
+    revive(deployment)
+
+
+def kill_what_serves(deployment, victim):
+    """Kill the endpoint daemon or the engine that holds memory now."""
+    engine = max(("e1", "e2"), key=deployment.engine_memory)
+    if victim == "engine":
+        deployment.faults(engine, action="die")
+    else:
+        deployment.kill(engine.replace("e", "d"))
+
+
+def revive(deployment):
+    """Start daemons again that were killed, and wait until both engines serve."""
+    for name in ("d1", "d2"):
+        if deployment.processes[name].poll() is not None:
+            deployment.restart(name)
+    deployment.wait_until(lambda: deployment.serving("entry1"), "entry1 serving")
