--- a/tools/demo.py
+++ b/tools/demo.py
@@ -15,9 +15,9 @@
 DIRECTORY = ROOT / "var" / "demo"
 STATE = DIRECTORY / "running.json"
 MARKER = "persimmonstall"
-SPEED = 4.0
+SPEED = 6.0
 """Factor by which the stand-in engines' time runs faster than real time."""
-LOAD_FLAGS = ("--rate=30", "--seconds=32", "--seed=7", "--deadline=36", "--alone")
+LOAD_FLAGS = ("--rate=45", "--seconds=22", "--seed=7", "--deadline=30", "--alone")
 
 
 def interrupt(_number, _frame):
