Test of a paused owner submits its part as entries do, and waits until it is prefilled

Cause: make test failed: with smaller parts of a step the 90,000 tokens of the set-up, sent without a length class, were not prefilled within 5 s. Entries send parts as giant prompts, which take a larger part. Change: the class is given and the set-up waits 5.5 s, still before the reservation's lapse; what is asserted, and its bounds, are unchanged.

--- a/packages/daemon/tests/test_memory_keeper.py
+++ b/packages/daemon/tests/test_memory_keeper.py
@@ -232,8 +232,8 @@
     beside = await Beside(EngineModel("e1", EngineSettings(models=("m",)))).start()
     beside.reserve("long.0", 100_000)
     await asyncio.sleep(0.1)
-    beside.submit("long.0", 250_000, segment_start=0, segment_end=90_000)
-    await asyncio.sleep(5.0)
+    beside.submit("long.0", 250_000, segment_end=90_000, length_class="giant")
+    await asyncio.sleep(5.5)
     assert beside.caller.results["long.0"].finish == "prefilled"
     beside.reserve("long.0", 100_000, renew=True)
     await asyncio.sleep(3.0)
