--- a/tools/demo.py
+++ b/tools/demo.py
@@ -17,7 +17,7 @@
 MARKER = "persimmonstall"
 SPEED = 6.0
 """Factor by which the stand-in engines' time runs faster than real time."""
-LOAD_FLAGS = ("--rate=45", "--seconds=22", "--seed=7", "--deadline=30", "--alone")
+LOAD_FLAGS = ("--rate=45", "--seconds=20", "--seed=7", "--deadline=22", "--alone")
 
 
 def interrupt(_number, _frame):
