--- /dev/null
+++ b/packages/core/persimmonstall/direct/beacon.py
@@ -0,0 +1,74 @@
+"""What entries tell each other in one datagram, many times a second."""
+
+import attrs
+import msgspec
+
+from ..failures import Failure, Reason
+from .loads import Flight, Piece
+
+STEP = "peers"
+
+MOST_FLIGHTS = 160
+"""Flights told in one datagram; what is beyond them is not seen by the others."""
+
+
+@attrs.frozen
+class Beacon:
+    """State of the entry at `address`; `run` tells its lifetimes apart.
+
+    `reached_age` is the time in seconds since the directory last answered it or a peer.  `used`
+    has (calls, retries) by service, `crashers` (content, lifetimes) pairs.
+    """
+
+    address: str
+    run: int
+    sequence: int
+    leaving: bool = False
+    configuration: int = 0
+    endpoints: int = 0
+    reached_age: float = 1e9
+    flights: tuple[Flight, ...] = ()
+    used: dict = attrs.field(factory=dict)
+    crashers: tuple = ()
+    peers: tuple[str, ...] = ()
+
+
+def flight_row(flight):
+    """Return a flight as plain values, short on the wire."""
+    pieces = [attrs.astuple(piece) for piece in flight.pieces]
+    return flight.name, flight.started, pieces
+
+
+def encode(beacon):
+    """Return the datagram of a beacon.
+
+    >>> sent = Beacon("a:1", 1, 2, flights=(Flight("f", (Piece("e", 0.1),)),), used={"s": (3, 1)})
+    >>> decode(encode(sent)) == sent
+    True
+    """
+    rows = [flight_row(flight) for flight in beacon.flights[:MOST_FLIGHTS]]
+    fields = attrs.astuple(attrs.evolve(beacon, flights=()), recurse=False)
+    return msgspec.msgpack.encode([*fields[:7], rows, *fields[8:]])
+
+
+def decode(data):
+    """Return the beacon of a datagram, or a `Failure`.
+
+    >>> decode(b"rubbish").reason
+    <Reason.BAD_REQUEST: 'bad_request'>
+    """
+    try:
+        fields = msgspec.msgpack.decode(data)
+        flights = tuple(
+            Flight(name, tuple(Piece(*piece) for piece in pieces), started)
+            for name, started, pieces in fields[7]
+        )
+        used = {service: (calls, retries) for service, (calls, retries) in fields[8].items()}
+        crashers = tuple(
+            (content, tuple(tuple(lifetime) for lifetime in lifetimes))
+            for content, lifetimes in fields[9]
+        )
+        beacon = Beacon(*fields[:7], flights, used, crashers, tuple(fields[10]))
+    except (msgspec.MsgspecError, AttributeError, IndexError, TypeError, ValueError) as error:
+        return Failure(Reason.BAD_REQUEST, STEP, detail=repr(error))
+    return beacon
--- /dev/null
+++ b/packages/core/persimmonstall/direct/engine_model.py
@@ -0,0 +1,168 @@
+"""Predicts the passes of a model engine from its figures and from what was sent to it."""
+
+import attrs
+
+WHOLE_STEPS = 4
+"""Steps treated as one pass while nothing is written; only bounds the work of a prediction."""
+
+MOST_PASSES = 64
+"""Passes followed in one go; an engine that was not looked at for longer is taken as caught up."""
+
+DONE = 1e-6
+"""Rest of a read, in seconds, below which it is complete."""
+
+
+def read_seconds(figures, tokens):
+    """Return the time in which one engine reads a prompt of `tokens`, without writing.
+
+    >>> from .messages import EngineFigures
+    >>> figures = EngineFigures(8, 232_000, 0.001, 0, 0, 1 / 206_000, 138e-12, 2048, 43)
+    >>> round(read_seconds(figures, 133_000), 2)
+    1.87
+    """
+    return tokens * figures.token_read + 0.5 * tokens * tokens * figures.pair_read
+
+
+@attrs.define
+class Read:
+    """A prompt, or a part of one, that is still to be read; `seconds` are left of it."""
+
+    seconds: float
+    context: int
+    writes: bool
+    gap: float
+
+
+@attrs.define
+class Write:
+    """A sequence that is being written over `context` tokens; its caller accepts `gap`."""
+
+    context: int
+    gap: float
+
+
+@attrs.define
+class EngineModel:
+    """What one engine is predicted to do; `busy_until` is the end of the pass it is in.
+
+    `pace` is how much slower than its figures the engine has been.
+    """
+
+    figures: object
+    busy_until: float = 0.0
+    pace: float = 1.0
+    reads: dict = attrs.field(factory=dict)
+    writes: dict = attrs.field(factory=dict)
+    taken: dict = attrs.field(factory=dict)
+    memory: dict = attrs.field(factory=dict)
+
+    def write_seconds(self, extra_context=0, extra=0):
+        """Return the time of a pass that only writes, with `extra` more sequences."""
+        count = len(self.writes) + extra
+        if not count:
+            return self.figures.step * self.pace
+        context = sum(write.context for write in self.writes.values()) + extra_context
+        step = (
+            self.figures.step
+            + count * self.figures.per_sequence
+            + context * self.figures.per_context
+        )
+        return self.figures.stride * step * self.pace
+
+    def pending(self):
+        """Return the seconds of reading that the next pass begins with."""
+        return sum(read.seconds for read in self.reads.values()) - sum(self.taken.values())
+
+    def longest_pass(self):
+        """Return the most reading, in seconds, that one pass does."""
+        steps = self.figures.stride if self.writes else WHOLE_STEPS
+        return steps * self.figures.chunk * self.figures.token_read * self.pace
+
+    def advance(self, now):
+        """Follow the passes up to `now`."""
+        for _ in range(MOST_PASSES):
+            if self.busy_until > now:
+                return
+            self.finish_pass()
+            if not self.reads and not self.writes:
+                break
+            self.start_pass()
+        else:
+            self.reads.clear()
+        self.busy_until = max(self.busy_until, now)
+
+    def start_pass(self):
+        """Choose the reads of the next pass and when it ends."""
+        room = self.longest_pass()
+        for flight, read in self.reads.items():
+            part = min(read.seconds, room)
+            if part <= 0.0:
+                break
+            self.taken[flight] = part
+            room -= part
+        self.busy_until += self.write_seconds() + sum(self.taken.values())
+
+    def finish_pass(self):
+        """Take what the last pass read off the reads; whole ones begin to write."""
+        for flight, part in self.taken.items():
+            read = self.reads.get(flight)
+            if read is None:
+                continue
+            read.seconds -= part
+            if read.seconds > DONE:
+                continue
+            del self.reads[flight]
+            if read.writes:
+                self.writes[flight] = Write(read.context, read.gap)
+        self.taken.clear()
+
+    def begin(self, flight, piece, now):
+        """Add a `Piece` of a flight."""
+        self.advance(now)
+        self.memory[flight] = piece.memory
+        self.reads[flight] = Read(piece.read * self.pace, piece.context, piece.writes, piece.gap)
+        if self.busy_until <= now:
+            self.busy_until = now
+            self.start_pass()
+
+    def end(self, flight):
+        """Forget a flight."""
+        self.reads.pop(flight, None)
+        self.writes.pop(flight, None)
+        self.taken.pop(flight, None)
+        self.memory.pop(flight, None)
+
+    def began_writing(self, flight):
+        """Note that a flight's first event was seen: its prompt has been read."""
+        read = self.reads.pop(flight, None)
+        self.taken.pop(flight, None)
+        if read is not None and read.writes:
+            self.writes[flight] = Write(read.context, read.gap)
+
+    def free_memory(self):
+        """Return the tokens of memory that no flight is expected to use."""
+        return self.figures.memory - sum(self.memory.values())
+
+    def running(self):
+        """Return the number of sequences that hold or will hold a slot."""
+        return len(self.writes) + sum(1 for read in self.reads.values() if read.writes)
+
+    def first_event(self, read, context, now):
+        """Return the seconds until a new call that takes `read` seconds has its first event."""
+        wait = max(0.0, self.busy_until - now)
+        reading = self.pending() + read * self.pace
+        passes = self.write_seconds() if self.writes else 0.0
+        return wait + passes + reading + self.write_seconds(context, 1)
+
+    def room(self, gap=None):
+        """Return the seconds of reading that the next pass can take within all pauses allowed.
+
+        `gap` is the pause that a new call on this engine would accept.
+        """
+        gaps = [write.gap for write in self.writes.values()]
+        gaps.extend(read.gap for read in self.reads.values() if read.writes)
+        if gap is not None:
+            gaps.append(gap)
+        if not gaps:
+            return float("inf")
+        return min(gaps) - self.write_seconds() - self.pending()
--- /dev/null
+++ b/packages/core/persimmonstall/direct/loads.py
@@ -0,0 +1,148 @@
+"""What is in flight at each endpoint, by this entry and by all others."""
+
+import attrs
+
+from .engine_model import EngineModel
+
+SILENT_OWNER = 3.0
+"""Seconds after which the flights of an entry that is not heard are dropped."""
+
+
+@attrs.frozen
+class Piece:
+    """What one flight asks of one endpoint; `read` is in seconds, `context` in tokens.
+
+    `writes` is false where a part of a prompt is only read.
+    """
+
+    endpoint: str
+    read: float = 0.0
+    context: int = 0
+    memory: int = 0
+    writes: bool = True
+    gap: float = 1.0
+
+
+@attrs.frozen
+class Flight:
+    """One attempt in flight; `name` is unique among all entries."""
+
+    name: str
+    pieces: tuple[Piece, ...]
+    started: bool = False
+
+
+@attrs.define
+class PlainLoad:
+    """Calls in flight at a plain service's endpoint."""
+
+    flights: set = attrs.field(factory=set)
+
+    def begin(self, flight, _piece, _now):
+        """Add a call."""
+        self.flights.add(flight)
+
+    def end(self, flight):
+        """Forget a call."""
+        self.flights.discard(flight)
+
+    def began_writing(self, flight):
+        """Nothing changes when the answer begins."""
+
+    def advance(self, now):
+        """Nothing changes with time."""
+
+    def running(self):
+        """Return the number of calls in flight."""
+        return len(self.flights)
+
+
+@attrs.define
+class LoadBook:
+    """Flights of all entries, and a prediction for each endpoint that they use."""
+
+    loads: dict = attrs.field(factory=dict)
+    flights: dict = attrs.field(factory=dict)
+    owned: dict = attrs.field(factory=dict)
+    heard: dict = attrs.field(factory=dict)
+
+    def of(self, endpoint, service, now):
+        """Return the load of an `Endpoint` of `service`, followed up to `now`."""
+        load = self.loads.get(endpoint.name)
+        figures = service.engine
+        if load is None or getattr(load, "figures", None) != figures:
+            load = self.make(endpoint, figures, now)
+        load.advance(now)
+        return load
+
+    def make(self, endpoint, figures, now):
+        """Start the load of an endpoint with the flights that are known of it."""
+        load = PlainLoad() if figures is None else EngineModel(figures, busy_until=now)
+        self.loads[endpoint.name] = load
+        for flight in self.flights.values():
+            for piece in flight.pieces:
+                if piece.endpoint == endpoint.name:
+                    load.begin(flight.name, piece, now)
+        return load
+
+    def begin(self, flight, now, owner=""):
+        """Add a flight; `owner` is the entry that made it, empty for this one."""
+        self.flights[flight.name] = flight
+        self.owned.setdefault(owner, set()).add(flight.name)
+        for piece in flight.pieces:
+            load = self.loads.get(piece.endpoint)
+            if load is None:
+                continue
+            load.begin(flight.name, piece, now)
+            if flight.started:
+                load.began_writing(flight.name)
+
+    def started(self, name):
+        """Note that a flight's first event was seen."""
+        flight = self.flights.get(name)
+        if flight is None or flight.started:
+            return
+        self.flights[name] = attrs.evolve(flight, started=True)
+        for piece in flight.pieces:
+            load = self.loads.get(piece.endpoint)
+            if load is not None:
+                load.began_writing(name)
+
+    def end(self, name, owner=""):
+        """Remove a flight."""
+        flight = self.flights.pop(name, None)
+        self.owned.get(owner, set()).discard(name)
+        if flight is None:
+            return
+        for piece in flight.pieces:
+            load = self.loads.get(piece.endpoint)
+            if load is not None:
+                load.end(name)
+
+    def own(self):
+        """Return this entry's flights, as other entries are told of them."""
+        return tuple(self.flights[name] for name in self.owned.get("", ()))
+
+    def learn(self, owner, flights, now):
+        """Take the whole list of another entry's flights."""
+        self.heard[owner] = now
+        named = {flight.name for flight in flights}
+        for name in self.owned.get(owner, set()) - named:
+            self.end(name, owner)
+        for flight in flights:
+            if flight.name not in self.flights:
+                self.begin(flight, now, owner)
+            elif flight.started:
+                self.started(flight.name)
+
+    def expire(self, now):
+        """Drop the flights of entries that have gone silent."""
+        for owner, heard in list(self.heard.items()):
+            if now - heard > SILENT_OWNER:
+                self.learn(owner, (), now)
+                del self.heard[owner]
+
+    def forget(self, names):
+        """Drop the loads of all endpoints but those in `names`."""
+        for name in set(self.loads) - set(names):
+            del self.loads[name]
--- /dev/null
+++ b/packages/core/persimmonstall/direct/retrying.py
@@ -0,0 +1,84 @@
+"""What follows an attempt that did not bring the whole answer."""
+
+import enum
+
+import attrs
+
+from ..failures import Failure, Outcome, Reason, refuse
+
+STEP = "retry"
+
+MOST_SENDINGS = 4
+"""Endpoints that one call is offered to, whether or not they ran it."""
+
+RETRY_AFTER_BASE = 0.25
+"""Seconds after which a refused caller may come back while others are served."""
+
+RETRY_AFTER_SPREAD = 0.5
+"""Seconds over which callers that were refused together return."""
+
+LEAST_USEFUL = 0.02
+"""Seconds of remaining time below which no further attempt is worth sending."""
+
+
+class Ending(enum.StrEnum):
+    """How an attempt ended."""
+
+    WHOLE = "whole"
+    ENDPOINT_ERROR = "endpoint_error"
+    NOT_RUN = "not_run"
+    WRONG_ENDPOINT = "wrong_endpoint"
+    BROKEN = "broken"
+    OVERDUE = "overdue"
+    LATE = "late"
+
+
+@attrs.define
+class History:
+    """The attempts of one call so far.
+
+    `runs` counts attempts that may have run, `sent_out` whether the caller has a part of the
+    answer, `last_event` the last event that it has.
+    """
+
+    sendings: int = 0
+    runs: int = 0
+    sent_out: bool = False
+    last_event: int = -1
+    tried: set = attrs.field(factory=set)
+
+    def note(self, endpoint_name, ending):
+        """Count one attempt."""
+        self.sendings += 1
+        self.tried.add(endpoint_name)
+        if ending not in (Ending.NOT_RUN, Ending.WRONG_ENDPOINT):
+            self.runs += 1
+
+
+def may_repeat(routed, history, ending):
+    """Say whether a call may be sent to another endpoint after an attempt that ended so.
+
+    Work that must not run twice moves on only while it is certain that it has not run.
+    """
+    if ending in (Ending.WHOLE, Ending.OVERDUE) or history.sendings >= MOST_SENDINGS:
+        return False
+    if ending in (Ending.NOT_RUN, Ending.WRONG_ENDPOINT):
+        return history.runs < max(1, routed.route.attempts)
+    if not routed.route.repeatable or history.runs >= routed.route.attempts:
+        return False
+    return not history.sent_out or routed.route.resumable
+
+
+def final_refusal(routed, history, failure, now, random):
+    """Return the `Refusal` that ends a call whose caller has nothing of an answer yet."""
+    if now >= routed.deadline:
+        outcome = Outcome.UNKNOWN if history.runs else Outcome.NOT_RUN
+        return refuse(
+            Failure(Reason.DEADLINE, failure.step, failure.peer, failure.detail), outcome=outcome
+        )
+    if history.runs:
+        reason = Reason.ENDPOINT_LOST
+        unknown = Failure(reason, failure.step, failure.peer, failure.detail)
+        return refuse(unknown, outcome=Outcome.UNKNOWN)
+    wait = RETRY_AFTER_BASE + RETRY_AFTER_SPREAD * random.random()
+    return refuse(failure, retry_after=wait)
--- /dev/null
+++ b/packages/core/persimmonstall/direct/routing.py
@@ -0,0 +1,69 @@
+"""Which route, service and organisation a call belongs to."""
+
+import xxhash
+
+from ..failures import Failure, Reason
+from .messages import Routed
+
+STEP = "route"
+
+
+class RouteTable:
+    """Routes of one configuration by host, longest prefix first.
+
+    >>> from .messages import Configuration, Route, Share
+    >>> short = Route("a", "h", "/x/", (Share("s"),))
+    >>> long = Route("b", "h", "/x/y/", (Share("s"),))
+    >>> table = RouteTable(Configuration(1, (short, long)))
+    >>> table.match("h", "/x/y/z").name, table.match("H", "/x/").name, table.match("h", "/")
+    ('b', 'a', None)
+    """
+
+    def __init__(self, configuration):
+        self.configuration = configuration
+        self.by_host = {}
+        for route in configuration.routes:
+            self.by_host.setdefault(route.host.lower(), {})[route.prefix] = route
+
+    def match(self, host, path):
+        """Return the route of `host` with the longest prefix of `path`, or None."""
+        prefixes = self.by_host.get(host.partition(":")[0].lower())
+        if not prefixes:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    def admit(self, call):
+        """Return the `Routed` call, or the `Failure` that says why it is not allowed."""
+        route = self.match(call.host, call.path)
+        if route is None:
+            return Failure(Reason.NOT_FOUND, STEP, detail=f"{call.host}{call.path}")
+        organisation = None
+        if self.configuration.keyed and not route.public:
+            organisation = self.configuration.keys.get(call.key)
+            if organisation is None:
+                return Failure(Reason.UNAUTHENTICATED, "authenticate")
+        elif self.configuration.keyed:
+            organisation = self.configuration.keys.get(call.key)
+        name = self.choose(route, call.call_id)
+        service = self.configuration.services.get(name)
+        if service is None:
+            return Failure(Reason.UNKNOWN_SERVICE, STEP, detail=name)
+        return Routed(call, route, service, organisation)
+
+    def choose(self, route, call_id):
+        """Return the service of a call, by the route's weights and a hash of the call's id."""
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        total = sum(share.weight for share in route.shares)
+        point = xxhash.xxh3_64_intdigest(call_id.encode()) / 2**64 * total
+        for share in route.shares:
+            point -= share.weight
+            if point < 0:
+                return share.service
+        return route.shares[-1].service if route.shares else ""
--- a/packages/core/persimmonstall/failures.py
+++ b/packages/core/persimmonstall/failures.py
@@ -26,6 +26,7 @@
     UNKNOWN_MODEL = "unknown_model"
     UNKNOWN_SERVICE = "unknown_service"
     BODY_TOO_LARGE = "body_too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
     PROMPT_TOO_LONG = "prompt_too_long"
     RATE_LIMITED = "rate_limited"
     CONCURRENCY_LIMITED = "concurrency_limited"
@@ -62,6 +63,7 @@
     Reason.UNKNOWN_SERVICE: 404,
     Reason.NOT_FOUND: 404,
     Reason.BODY_TOO_LARGE: 413,
+    Reason.HEADERS_TOO_LARGE: 431,
     Reason.PROMPT_TOO_LONG: 400,
     Reason.RATE_LIMITED: 429,
     Reason.CONCURRENCY_LIMITED: 429,
@@ -88,6 +90,7 @@
     Reason.UNKNOWN_MODEL: "There is no such model or adapter.",
     Reason.UNKNOWN_SERVICE: "There is no such plain service.",
     Reason.BODY_TOO_LARGE: "The body is over the limit of the settings.",
+    Reason.HEADERS_TOO_LARGE: "The headers are over the limit of the configuration.",
     Reason.PROMPT_TOO_LONG: "Prompt and output do not fit the model's context, or the fleet.",
     Reason.RATE_LIMITED: "The organisation is over its requests or tokens per second.",
     Reason.CONCURRENCY_LIMITED: "The organisation has as many requests running as it may.",
--- a/packages/core/persimmonstall/settings/schema.py
+++ b/packages/core/persimmonstall/settings/schema.py
@@ -5,7 +5,7 @@
 from ..claims.retention import LONGEST_DEADLINE
 from .option import option
 
-ROLES = ("entry", "endpoint")
+ROLES = ("entry", "endpoint", "direct")
 
 
 @attrs.define
@@ -191,6 +191,26 @@
     )
 
 
+@attrs.define
+class Direct:
+    """An entry that calls endpoints itself, on a platform that an adapter speaks to."""
+
+    ready: str = option("127.0.0.1:8001", "IP:port that answers whether the entry is ready.")
+    metrics: str = option("", "IP:port/path at which metrics are fetched; empty for none.")
+    directory: str = option("127.0.0.1:7100", "IP:port of the platform's store.")
+    seeds: tuple = option((), "IP:port of instances whose entries are asked for others.")
+    grace: float = option(8.0, "Time from a stop signal to the kill.", "s", low=1)
+    takeout: float = option(
+        3.2, "Time after a stop signal for which new connections are taken.", "s", low=0
+    )
+    budget_ratio: float = option(0.2, "Retries allowed as a share of calls.", low=0, high=10)
+    budget_slack: float = option(100.0, "Retries allowed on top of that in a window.", low=0)
+    budget_window: float = option(10.0, "Window of the retry budget.", "s", low=0.1)
+    unused_memory_ms: int = option(
+        4000, "Time for which reserved engine memory may stay unused.", "ms", low=100
+    )
+
+
 SECTIONS = {
     "daemon": Daemon,
     "platform": Platform,
@@ -204,6 +224,7 @@
     "security": Security,
     "observe": Observe,
     "objectives": Objectives,
+    "direct": Direct,
 }
 """Section classes by their names in the file."""
 
@@ -224,6 +245,7 @@
     security: Security = attrs.field(factory=Security)
     observe: Observe = attrs.field(factory=Observe)
     objectives: Objectives = attrs.field(factory=Objectives)
+    direct: Direct = attrs.field(factory=Direct)
 
     def problems(self):
         """Return (section, option, message) of every conflict between options."""
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -0,0 +1,158 @@
+"""One attempt of a call at one endpoint: send it, check the answer, relay it."""
+
+import asyncio
+
+import attrs
+
+from persimmonstall.direct.events import EventReader
+from persimmonstall.direct.messages import Verdict
+from persimmonstall.direct.retrying import Ending
+from persimmonstall.failures import Failure, Reason
+
+from .endpoint_client import certain_not_run
+
+STEP = "relay"
+
+FIRST_EVENT_FACTOR = 2.0
+FIRST_EVENT_LEAST = 1.2
+"""Time to the first event after which an attempt is given up: objectives, and seconds."""
+
+GAP_FACTOR = 2.5
+GAP_LEAST = 1.2
+"""Pause between events after which an attempt is given up: objectives, and seconds."""
+
+
+@attrs.frozen
+class Ended:
+    """How an attempt ended; `failure` says why it did not bring the whole answer."""
+
+    ending: Ending
+    failure: Failure | None = None
+    head: object = None
+    body: bytes = b""
+
+
+class Attempt:
+    """Runs `placed` for a routed call; `history` says what the caller already has."""
+
+    def __init__(self, entry, routed, placed, history, sink):
+        self.entry = entry
+        self.routed = routed
+        self.placed = placed
+        self.history = history
+        self.sink = sink
+        self.answer = None
+        self.first_event_at = None
+
+    @property
+    def endpoint(self):
+        """The endpoint that runs the call."""
+        return self.placed.sending.endpoint
+
+    async def run(self):
+        """Return how the attempt `Ended`; it is over at the endpoint too when this returns."""
+        begun = self.entry.now()
+        try:
+            async with asyncio.timeout(self.first_patience()):
+                answer = await self.entry.client.send(self.routed, self.placed.sending)
+            if isinstance(answer, Failure):
+                return self.not_answered(answer)
+            self.answer = answer
+            return await self.relay(begun)
+        except TimeoutError:
+            return self.ended(Ending.LATE, Reason.ENDPOINT_LOST, "no answer in time")
+        finally:
+            if self.answer is not None:
+                self.answer.close()
+
+    def first_patience(self):
+        """Return the seconds after which a first event, or a plain answer, is overdue.
+
+        Only work that may be repeated is given up before its deadline.
+        """
+        left = self.routed.deadline - self.entry.now()
+        if not self.routed.route.repeatable:
+            return left
+        objective = self.routed.route.objective
+        patience = max(FIRST_EVENT_LEAST, FIRST_EVENT_FACTOR * objective)
+        if not self.routed.route.streaming:
+            patience = FIRST_EVENT_FACTOR * objective
+        return min(left, patience + self.placed.first_event)
+
+    def gap_patience(self):
+        """Return the seconds of silence after which a stream is given up."""
+        left = self.routed.deadline - self.entry.now()
+        if not self.routed.route.resumable:
+            return left
+        return min(left, max(GAP_LEAST, GAP_FACTOR * self.routed.route.gap_objective))
+
+    def not_answered(self, failure):
+        """Return the end of an attempt without even the head of an answer."""
+        if certain_not_run(failure):
+            return Ended(Ending.NOT_RUN, failure)
+        return Ended(Ending.BROKEN, failure)
+
+    def ended(self, ending, reason, detail=""):
+        """Return the end of an attempt by a `Failure` at its endpoint."""
+        return Ended(ending, Failure(reason, STEP, self.endpoint.name, detail))
+
+    async def relay(self, begun):
+        """Judge the head of the answer and pass the body on."""
+        head = self.answer.head
+        if head.verdict is Verdict.NOT_RUN:
+            return self.ended(Ending.NOT_RUN, Reason.BUSY, head.at_fault or "refused")
+        if head.verdict is Verdict.WRONG_ENDPOINT:
+            return self.ended(Ending.WRONG_ENDPOINT, Reason.NO_ENDPOINT, "another lifetime")
+        if head.verdict is Verdict.INVALID:
+            return self.ended(Ending.BROKEN, Reason.ENDPOINT_ERROR, "not this call's answer")
+        if head.event_stream and head.verdict is Verdict.SUCCESS:
+            return await self.relay_events(begun)
+        return await self.relay_whole()
+
+    async def relay_whole(self):
+        """Collect a plain answer; it is given to the caller only when it is whole."""
+        pieces = []
+        while True:
+            async with asyncio.timeout(self.gap_patience()):
+                data = await self.answer.read()
+            if isinstance(data, Failure):
+                return Ended(Ending.BROKEN, attrs.evolve(data, peer=self.endpoint.name))
+            if not data:
+                break
+            pieces.append(data)
+        head = self.answer.head
+        error = head.verdict is Verdict.ENDPOINT_ERROR
+        ending = Ending.ENDPOINT_ERROR if error else Ending.WHOLE
+        return Ended(ending, head=head, body=b"".join(pieces))
+
+    async def relay_events(self, begun):
+        """Pass whole events on as they arrive."""
+        reader = EventReader(last=self.history.last_event)
+        patience = self.first_patience() - (self.entry.now() - begun)
+        while True:
+            async with asyncio.timeout(max(0.0, patience)):
+                data = await self.answer.read()
+            if isinstance(data, Failure):
+                return Ended(Ending.BROKEN, attrs.evolve(data, peer=self.endpoint.name))
+            if not data:
+                break
+            whole = reader.feed(data)
+            if reader.broken:
+                return self.ended(Ending.BROKEN, Reason.ENDPOINT_ERROR, "events out of order")
+            if whole:
+                await self.pass_on(whole, reader)
+                patience = self.gap_patience()
+        if reader.partial or not self.history.sent_out:
+            return self.ended(Ending.BROKEN, Reason.ENDPOINT_LOST, "ended within an event")
+        return Ended(Ending.WHOLE, head=self.answer.head)
+
+    async def pass_on(self, whole, reader):
+        """Send whole events to the caller, after the head if these are the first."""
+        if self.first_event_at is None:
+            self.first_event_at = self.entry.now()
+            self.entry.loads.started(self.placed.flight.name)
+        if not self.sink.started:
+            await self.sink.start(self.answer.head.status, self.answer.head.headers)
+        self.history.sent_out = True
+        self.history.last_event = reader.last
+        await self.sink.write(whole)
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -0,0 +1,165 @@
+"""Calls of endpoints over HTTP, one connection for each.
+
+A connection that carries one call can deliver neither the answer of another call nor one to an
+older attempt, and closing it cancels what runs there.
+"""
+
+import asyncio
+import socket
+
+import aiohttp
+import attrs
+from multidict import CIMultiDict
+from yarl import URL
+
+from persimmonstall.direct.messages import Head
+from persimmonstall.failures import Failure, Outcome, Reason
+
+STEP = "send"
+
+CONNECT_SECONDS = 0.3
+"""Time to open a connection to an endpoint; nothing has been sent before it is open."""
+
+PROBE_IDLE_SECONDS = 1
+PROBE_INTERVAL_SECONDS = 1
+PROBE_COUNT = 2
+"""Keep-alive probes by which the system finds a connection that has gone silent."""
+
+UNSENT_MILLISECONDS = 1500
+"""Time for which sent bytes may stay unacknowledged."""
+
+LINE_BYTES = 16384
+"""Longest line of an endpoint's answer head."""
+
+NO_CALL_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type", "Cookie")
+"""Headers that the HTTP library would add by itself."""
+
+NOT_CONNECTED = "not connected"
+
+
+def watched_socket(address_info):
+    """Return a TCP socket on which a silent peer is noticed."""
+    family, kind, protocol = address_info[:3]
+    made = socket.socket(family, kind, protocol)
+    made.setblocking(False)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_SECONDS)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_SECONDS)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNSENT_MILLISECONDS)
+    return made
+
+
+def make_session(**options):
+    """Return an HTTP client session that changes nothing of what passes through it."""
+    connector = aiohttp.TCPConnector(
+        limit=0, socket_factory=watched_socket, happy_eyeballs_delay=None, **options
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        skip_auto_headers=NO_CALL_HEADERS,
+        max_line_size=LINE_BYTES,
+        max_field_size=LINE_BYTES,
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
+    )
+
+
+@attrs.define
+class EndpointAnswer:
+    """An endpoint's answer that has begun: its `Head`, and the body as it arrives."""
+
+    head: Head
+    response: object
+    closed: object
+
+    async def read(self):
+        """Return the next bytes, empty at the end of a whole body, or a `Failure`."""
+        try:
+            data = await self.response.content.readany()
+            if not data and not await self.ended_cleanly():
+                return lost(self.head, "reset at the end of an unframed body")
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            return lost(self.head, repr(error))
+        return data
+
+    async def ended_cleanly(self):
+        """Say whether an unframed body ended with a proper close of the connection."""
+        if self.framed:
+            return True
+        if not self.closed.done():
+            return False
+        return self.closed.exception() is None
+
+    @property
+    def framed(self):
+        """Whether the body's length or its chunks say where it ends."""
+        headers = self.response.headers
+        chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
+        return chunked or "Content-Length" in headers or self.head.status in (204, 304)
+
+    def close(self):
+        """Close the connection, which cancels what still runs at the endpoint."""
+        self.response.close()
+
+
+def lost(head, detail):
+    """Return the failure of an answer that broke off."""
+    return Failure(Reason.ENDPOINT_LOST, STEP, detail=f"status {head.status}: {detail}")
+
+
+class EndpointClient:
+    """Sends attempts to endpoints in the words of a `Dialect`."""
+
+    def __init__(self, dialect):
+        self.dialect = dialect
+        self.session = None
+
+    async def start(self):
+        """Open the client; called on the running event loop."""
+        self.session = make_session(force_close=True)
+
+    async def stop(self):
+        """Close all connections."""
+        await self.session.close()
+
+    async def send(self, routed, sending):
+        """Send one attempt; return `EndpointAnswer`, or a `Failure`.
+
+        A failure whose detail begins with `NOT_CONNECTED` is certain not to have run.
+        """
+        call = routed.call
+        peer = sending.endpoint.name
+        headers = CIMultiDict(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in self.dialect.sending_headers(routed, sending)
+        )
+        url = URL(f"http://{sending.endpoint.address}{call.target}", encoded=True)
+        try:
+            response = await self.session.request(
+                call.method, url, headers=headers, data=call.body or None, allow_redirects=False
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return Failure(Reason.ENDPOINT_LOST, STEP, peer, f"{NOT_CONNECTED}: {error!r}")
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+            return Failure(Reason.ENDPOINT_LOST, STEP, peer, repr(error))
+        connection = response.connection
+        closed = connection.protocol.closed if connection and connection.protocol else None
+        head = self.dialect.read_head(call, response.status, response.raw_headers)
+        return EndpointAnswer(head, response, closed or already_closed())
+
+
+def already_closed():
+    """Return the outcome of a connection that was closed before its head was looked at."""
+    future = asyncio.get_running_loop().create_future()
+    future.set_result(None)
+    return future
+
+
+def certain_not_run(failure):
+    """Say whether a failed attempt certainly did not reach its endpoint."""
+    return failure.detail.startswith(NOT_CONNECTED)
+
+
+__all__ = ["EndpointAnswer", "EndpointClient", "Outcome", "certain_not_run", "make_session"]
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -0,0 +1,156 @@
+"""The direct entry: its state, and the tasks that own its sockets."""
+
+import asyncio
+import random
+import signal
+import time
+
+from persimmonstall.clock import Context
+from persimmonstall.direct.sharing import SharedBudget
+from persimmonstall.direct.state import State
+
+from ..observe import logs
+from ..observe.prometheus import PrometheusMetrics
+from ..service import DaemonService
+from .callers import CallerServer
+from .endpoint_client import EndpointClient
+from .exchange import Exchange
+from .loads import Loads
+from .peers import Peers
+from .status import StatusServer
+from .tickets import Tickets
+
+TICK_SECONDS = 0.1
+"""Time between looks at what time alone changes."""
+
+FREEZE_SECONDS = 0.7
+"""Time that passed unseen between two ticks from which the process counts as suspended."""
+
+DRAIN_POLL_SECONDS = 0.05
+GRACE_MARGIN = 0.4
+"""Seconds of the grace that are kept back to exit in an orderly way."""
+
+
+def steady_clock():
+    """Return a context whose time also counts while the machine is suspended."""
+    return Context(now=lambda: time.clock_gettime(time.CLOCK_BOOTTIME), random=random.Random())
+
+
+class DirectEntry(DaemonService):
+    """An entry that calls endpoints itself; `adapter` speaks to the platform."""
+
+    def __init__(self, settings, adapter):
+        super().__init__(settings, PrometheusMetrics(), steady_clock())
+        direct = settings.direct
+        self.adapter = adapter
+        self.dialect = adapter.dialect
+        self.log = logs.get("direct")
+        self.state = State(
+            SharedBudget(direct.budget_ratio, direct.budget_slack, direct.budget_window)
+        )
+        self.client = EndpointClient(self.dialect)
+        adapter.attach(self)
+        self.directory = adapter.directory
+        self.orders = adapter.orders
+        self.peers = Peers(self)
+        self.loads = Loads(self, self.peers.changed)
+        self.tickets = Tickets(self)
+        self.exchange = Exchange(self)
+        self.callers = CallerServer(self)
+        self.status = StatusServer(self)
+        self.leaving = False
+        self.flights = 0
+
+    def now(self):
+        """Return the time in seconds, suspended time included."""
+        return self.clock.now()
+
+    def flight_name(self):
+        """Return a name for an attempt that no other entry uses."""
+        self.flights += 1
+        return f"{self.peers.run_id:x}-{self.flights}"
+
+    @property
+    def ready(self):
+        """Whether new connections are wanted."""
+        return self.state.ready and not self.leaving
+
+    def take(self, news, source="directory"):
+        """Take a piece of news into the state; write down what it changes."""
+        changed = self.state.take(news, self.now())
+        if changed:
+            self.log_change(news, source)
+            self.peers.changed(True)
+
+    def log_change(self, news, source):
+        """Write down a change of configuration or endpoints."""
+        state = self.state
+        self.log.info(
+            "view_changed",
+            news=type(news).__name__,
+            source=source,
+            configuration=state.configuration.version if state.configuration else 0,
+            endpoints_revision=state.fleet.version,
+            endpoints=len(state.fleet.endpoints),
+            leaving=sum(e.leaving for e in state.fleet.endpoints.values()),
+        )
+
+    async def start_role(self):
+        """Open all sockets and start the tasks."""
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload)
+        await self.status.start()
+        await self.client.start()
+        await self.adapter.start()
+        await self.peers.start()
+        await self.callers.start(self.settings.daemon.http)
+        self.spawn(self.directory.follow(self.take))
+        self.spawn(self.peers.run())
+        self.spawn(self.tick())
+
+    def reload(self):
+        """Read the settings again."""
+        self.adapter.reload(self)
+
+    def reloaded(self, settings):
+        """Put changed settings in force; addresses this entry listens at stay as they are."""
+        direct = settings.direct
+        self.settings = settings
+        self.state.budget.ratio = direct.budget_ratio
+        self.state.budget.slack = direct.budget_slack
+        self.state.budget.window = direct.budget_window
+        self.log.info("settings_reloaded", directory=direct.directory)
+
+    async def tick(self):
+        """Let time pass in the state, and notice when the process was suspended."""
+        last = self.now()
+        steps = time.monotonic()
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            now, stepped = self.now(), time.monotonic()
+            unseen = (now - last) - (stepped - steps)
+            last, steps = now, stepped
+            if unseen > FREEZE_SECONDS:
+                self.log.warning("suspended", seconds=round(unseen, 2))
+                self.directory.restart()
+            self.state.tick(now)
+
+    async def drain_role(self):
+        """Stop being ready, serve what still comes, and end when nothing is in flight."""
+        direct = self.settings.direct
+        self.leaving = True
+        self.peers.changed(True)
+        begun = self.now()
+        await asyncio.sleep(min(direct.takeout, direct.grace / 2))
+        await self.callers.stop_accepting()
+        await self.callers.close_idle()
+        while self.callers.in_flight and self.now() - begun < direct.grace - GRACE_MARGIN:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        await asyncio.wait([asyncio.create_task(self.tickets.drain())], timeout=GRACE_MARGIN / 2)
+
+    async def stop_role(self):
+        """Close all sockets."""
+        await self.callers.stop()
+        await self.peers.stop()
+        await self.client.stop()
+        await self.adapter.stop()
+        await self.status.stop()
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/direct/exchange.py
@@ -0,0 +1,201 @@
+"""The way of a call: checks, then attempts until the caller has its final answer."""
+
+import asyncio
+
+from persimmonstall.direct.crashers import content_of
+from persimmonstall.direct.messages import Reply
+from persimmonstall.direct.retrying import Ending, History, final_refusal, may_repeat
+from persimmonstall.failures import Failure, Outcome, Reason, Refusal, refuse
+
+from ..observe import logs
+from .attempt import Attempt, Ended
+
+STEP = "exchange"
+
+REPLY_MARGIN = 0.03
+"""Seconds kept back to answer before the deadline."""
+
+STARTING_RETRY_AFTER = 0.5
+"""Seconds after which a caller may come back to an entry that knows no configuration yet."""
+
+CRASHING = (Ending.BROKEN,)
+"""Endings after which the endpoint may have crashed."""
+
+
+class Exchange:
+    """Serves calls; one instance for the entry, one `serve` for each call."""
+
+    def __init__(self, entry):
+        self.entry = entry
+        self.log = logs.get("exchange")
+        self.checks = (self.check_configured, self.check_route, self.check_content)
+
+    async def serve(self, call, sink):
+        """Give the caller its final answer as soon as it is known."""
+        self.entry.metrics.count("direct_calls")
+        routed = call
+        for check in self.checks:
+            routed = check(routed)
+            if isinstance(routed, Failure):
+                await self.refuse(call, sink, routed)
+                return
+        history = History(last_event=call.resume_after)
+        begun = self.entry.now()
+        ended = await self.run(routed, sink, history)
+        await self.finish(routed, sink, history, ended, begun)
+
+    def check_configured(self, call):
+        """Pass a call on once this entry knows configuration and endpoints."""
+        if self.entry.state.ready:
+            return call
+        failure = Failure(Reason.NO_ENDPOINT, "configure", detail="no configuration known yet")
+        return refuse(failure, STARTING_RETRY_AFTER)
+
+    def check_route(self, call):
+        """Return the call with its route, service and organisation."""
+        return self.entry.state.routes.admit(call)
+
+    def check_content(self, routed):
+        """Refuse content that has crashed several endpoints."""
+        if self.entry.state.crashers.refused(content_of(routed.call), self.entry.now()):
+            return Refusal(Reason.QUARANTINED, "content", outcome=Outcome.NOT_RUN)
+        return routed
+
+    async def run(self, routed, sink, history):
+        """Make attempts up to the deadline; return how the last one `Ended`."""
+        last = Ended(Ending.OVERDUE, Failure(Reason.DEADLINE, STEP))
+        left = routed.deadline - REPLY_MARGIN - self.entry.now()
+        self.entry.state.budget.call(routed.service.name, self.entry.now())
+        try:
+            async with asyncio.timeout(max(0.0, left)):
+                while True:
+                    last = await self.attempt(routed, sink, history)
+                    if not self.goes_on(routed, history, last):
+                        return last
+        except TimeoutError:
+            return Ended(Ending.OVERDUE, last.failure or Failure(Reason.DEADLINE, STEP))
+
+    def goes_on(self, routed, history, ended):
+        """Say whether another attempt is made, and take it from the shared budget."""
+        if not may_repeat(routed, history, ended.ending):
+            return False
+        taken = self.entry.state.budget.take(routed.service.name, self.entry.now())
+        if not taken:
+            self.log.warning(
+                "retry_denied", request_id=routed.call.call_id, service=routed.service.name
+            )
+        return taken
+
+    async def attempt(self, routed, sink, history):
+        """Place and run one attempt."""
+        entry = self.entry
+        now = entry.now()
+        name = entry.flight_name()
+        placed = entry.state.placer.place(routed, now, name, history.tried, history.last_event)
+        if isinstance(placed, Failure):
+            return Ended(Ending.OVERDUE, placed)
+        self.log_placed(routed, placed, history, now)
+        attempt = Attempt(entry, routed, placed, history, sink)
+        entry.loads.begin(placed.flight)
+        try:
+            ended = await entry.tickets.run(routed, placed, attempt.run)
+        finally:
+            entry.loads.end(placed.flight.name)
+        history.note(placed.sending.endpoint.name, ended.ending)
+        self.learn(routed, placed, ended)
+        return ended
+
+    def learn(self, routed, placed, ended):
+        """Take from an attempt's end what it says about its endpoint."""
+        state, now = self.entry.state, self.entry.now()
+        endpoint = placed.sending.endpoint
+        if ended.ending is Ending.WHOLE:
+            state.troubles.succeeded(endpoint.name, now)
+            return
+        self.entry.metrics.count("direct_failed_attempts", tag=str(ended.ending))
+        if ended.failure is not None:
+            logs.log_failure(
+                self.log,
+                "attempt_failed",
+                ended.failure,
+                request_id=routed.call.call_id,
+                ending=str(ended.ending),
+                endpoint=endpoint.name,
+            )
+        if ended.ending is Ending.WRONG_ENDPOINT:
+            state.fleet.endpoints.pop(endpoint.name, None)
+        else:
+            state.troubles.failed(endpoint.name, now)
+        if ended.ending in CRASHING:
+            state.crashers.lost(content_of(routed.call), endpoint.key, now)
+
+    def log_placed(self, routed, placed, history, now):
+        """Write down where an attempt goes and what decided it."""
+        state = self.entry.state
+        self.log.info(
+            "placed",
+            request_id=routed.call.call_id,
+            endpoint=placed.sending.endpoint.name,
+            route=routed.route.name,
+            organisation=routed.organisation.name if routed.organisation else "",
+            sending=history.sendings + 1,
+            resume_after=history.last_event,
+            tokens=routed.call.prompt_tokens,
+            helpers=len(placed.sending.helpers),
+            tickets=len(placed.tickets),
+            expected_ms=round(placed.first_event * 1000),
+            left_ms=round((routed.deadline - now) * 1000),
+            configuration=state.configuration.version,
+            endpoints_revision=state.fleet.version,
+            directory_age_ms=round((now - state.reached) * 1000),
+        )
+
+    async def finish(self, routed, sink, history, ended, begun):
+        """Give the caller the end of its answer, the endpoint's error, or a refusal."""
+        took = self.entry.now() - begun
+        self.entry.metrics.timing("direct_answer", took)
+        if ended.ending is Ending.WHOLE and sink.started:
+            await sink.finish()
+        elif ended.head is not None and not sink.started:
+            await self.pass_whole(sink, ended)
+        elif sink.started:
+            sink.abort()
+            self.entry.metrics.count("direct_broken_off")
+        else:
+            now = self.entry.now() + REPLY_MARGIN
+            failure = ended.failure or Failure(Reason.ENDPOINT_LOST, STEP)
+            await self.refuse(
+                routed.call,
+                sink,
+                final_refusal(routed, history, failure, now, self.entry.clock.random),
+            )
+            return
+        self.log.info(
+            "answered" if ended.ending is Ending.WHOLE else "ended",
+            request_id=routed.call.call_id,
+            ending=str(ended.ending),
+            sendings=history.sendings,
+            last_event=history.last_event,
+            took_ms=round(took * 1000),
+        )
+
+    async def pass_whole(self, sink, ended):
+        """Give the caller an endpoint's whole answer."""
+        headers = tuple((n.decode("latin-1"), v.decode("latin-1")) for n, v in ended.head.headers)
+        await sink.reply(Reply(ended.head.status, headers, ended.body))
+
+    async def refuse(self, call, sink, failure):
+        """Give the caller a refusal and write down why."""
+        refusal = failure if isinstance(failure, Refusal) else refuse(failure)
+        reply = self.entry.dialect.refusal_reply(refusal)
+        self.entry.metrics.count("direct_refusals", tag=str(refusal.reason))
+        logs.log_failure(
+            self.log,
+            "refused",
+            refusal,
+            request_id=call.call_id,
+            outcome=str(refusal.outcome),
+            status=reply.status,
+            retry_after=refusal.retry_after,
+        )
+        await sink.reply(reply)
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/direct/status.py
@@ -0,0 +1,43 @@
+"""Answers whether the entry is ready, and hands out its metrics."""
+
+from aiohttp import web
+
+READY = 200
+UNREADY = 503
+
+
+class StatusServer:
+    """Serves the ready address of the settings, and the metrics address if there is one."""
+
+    def __init__(self, entry):
+        self.entry = entry
+        self.runners = []
+
+    async def start(self):
+        """Listen at both addresses."""
+        direct = self.entry.settings.direct
+        await self.listen(direct.ready, self.answer_ready)
+        if direct.metrics:
+            address, _, _path = direct.metrics.partition("/")
+            await self.listen(address, self.answer_metrics)
+
+    async def listen(self, address, handler):
+        """Serve every request at `address` with `handler`."""
+        host, _, port = address.rpartition(":")
+        runner = web.ServerRunner(web.Server(handler, access_log=None))
+        await runner.setup()
+        await web.TCPSite(runner, host, int(port)).start()
+        self.runners.append(runner)
+
+    async def answer_ready(self, _request):
+        """Say whether new connections are wanted."""
+        return web.Response(status=READY if self.entry.ready else UNREADY)
+
+    async def answer_metrics(self, _request):
+        """Return the metrics in the collector's text format."""
+        return web.Response(body=self.entry.metrics.text(), content_type="text/plain")
+
+    async def stop(self):
+        """Close the addresses."""
+        for runner in self.runners:
+            await runner.cleanup()
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/launch.py
@@ -0,0 +1,32 @@
+"""Reads the settings and runs one daemon's service until it has drained."""
+
+import sys
+
+import aiomisc
+
+from persimmonstall import settings as checked
+
+from .observe import logs
+
+BAD_SETTINGS = 2
+"""Exit code for settings that cannot be used."""
+
+
+def launch(path, make_service, drain_seconds, stream=None):
+    """Run the service that `make_service(settings)` returns; return the exit code.
+
+    `drain_seconds` bounds the graceful shutdown; log lines go to `stream`.
+    """
+    settings, problems = checked.load(path)
+    problems += checked.unreadable_files(settings, path)
+    for problem in problems:
+        print(problem, file=sys.stderr)
+    if problems:
+        return BAD_SETTINGS
+    logs.configure(settings, stream)
+    service = make_service(settings)
+    with aiomisc.entrypoint(
+        service, catch_signals=(), log_config=False, shutdown_timeout=drain_seconds
+    ) as loop:
+        loop.run_until_complete(service.drained.wait())
+    return 0
--- a/packages/daemon/persimmonstall_daemon/observe/logs.py
+++ b/packages/daemon/persimmonstall_daemon/observe/logs.py
@@ -27,7 +27,7 @@
             structlog.processors.JSONRenderer(serializer=serialize),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.PrintLoggerFactory(file=target),
+        logger_factory=structlog.WriteLoggerFactory(file=target),
         cache_logger_on_first_use=False,
     )
 
--- a/packages/daemon/persimmonstall_daemon/observe/metrics.py
+++ b/packages/daemon/persimmonstall_daemon/observe/metrics.py
@@ -9,7 +9,7 @@
 
 import statsd
 
-from .names import TABLE, Kind
+from .names import Kind, check_use
 
 FLUSH_INTERVAL = 1.0
 """Seconds between writes."""
@@ -95,7 +95,5 @@
 
 def key_of(name, kind, tag):
     """Return the written name; KeyError for one that the table does not list."""
-    entry = TABLE[name]
-    if entry.kind is not kind or bool(tag) != bool(entry.tags):
-        raise KeyError(f"{name} is a {entry.kind} with tag {entry.tags or 'none'}")
+    check_use(name, kind, tag)
     return f"{name}.{tag}" if tag else name
--- a/packages/daemon/persimmonstall_daemon/observe/names.py
+++ b/packages/daemon/persimmonstall_daemon/observe/names.py
@@ -68,6 +68,17 @@
     Entry("quarantined", Kind.COUNTER, "Content fingerprints put into quarantine."),
     Entry("table_calls", Kind.COUNTER, "Calls of the table service.", "outcome"),
     Entry("table_time", Kind.TIMER, "Time of a call of the table service."),
+    Entry("direct_calls", Kind.COUNTER, "Calls received on the direct way."),
+    Entry("direct_refusals", Kind.COUNTER, "Calls refused on the direct way.", "reason"),
+    Entry("direct_answer", Kind.TIMER, "Time from a call's arrival to its final answer."),
+    Entry("direct_first_event", Kind.TIMER, "Time from a call's arrival to its first event."),
+    Entry("direct_failed_attempts", Kind.COUNTER, "Attempts without a whole answer.", "ending"),
+    Entry("direct_broken_off", Kind.COUNTER, "Answers broken off after they had begun."),
+    Entry("direct_orders", Kind.COUNTER, "Orders to engines about reserved memory.", "action"),
+    Entry("direct_beacons", Kind.COUNTER, "Datagrams between entries.", "direction"),
+    Entry("direct_peers", Kind.GAUGE, "Entries heard lately."),
+    Entry("directory_calls", Kind.COUNTER, "Calls of the platform's directory.", "outcome"),
+    Entry("log_lines_dropped", Kind.GAUGE, "Log lines dropped to keep the volume bounded."),
     Entry("invariant_violations", Kind.COUNTER, "Violated invariants; always a bug.", "name"),
 )
 
@@ -75,6 +86,13 @@
 """Entries by name; `Metrics` refuses a name that is not here."""
 
 
+def check_use(name, kind, tag):
+    """Raise KeyError for a use of a name that the table does not list."""
+    entry = TABLE[name]
+    if entry.kind is not kind or bool(tag) != bool(entry.tags):
+        raise KeyError(f"{name} is a {entry.kind} with tag {entry.tags or 'none'}")
+
+
 def page():
     """Return the reference page of the table in Markdown."""
     lines = [
--- a/packages/daemon/persimmonstall_daemon/roles.py
+++ b/packages/daemon/persimmonstall_daemon/roles.py
@@ -1,13 +1,5 @@
 """Builds the daemon of each role from its settings and runs it as an aiomisc service."""
 
-import abc
-import asyncio
-import random
-import signal
-
-import aiomisc
-
-from persimmonstall.clock import Context
 from persimmonstall.invariants import Invariants
 
 from .adapters.connect import connect_engine, connect_platform, connect_service
@@ -26,53 +18,17 @@
 from .entry.policy_placer import PolicyPlacer
 from .membership import Leaving, Membership
 from .network import GrpcNetwork
-from .observe import logs
 from .observe.metrics import Metrics
 from .orders import OrderKeeper
-
-LOG = logs.get("daemon")
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+from .service import DaemonService
 
 
-class Role(aiomisc.Service, abc.ABC):
-    """What both roles share: context, metrics, signals and a graceful shutdown."""
+class Role(DaemonService):
+    """What the roles that are linked to other daemons share."""
 
     def __init__(self, settings):
-        super().__init__()
-        self.settings = settings
-        seed = settings.daemon.seed or None
-        self.clock = Context(random=random.Random(seed))
-        self.metrics = Metrics(settings)
+        super().__init__(settings, Metrics(settings))
         self.network = GrpcNetwork(settings.security)
-        self.drained = asyncio.Event()
-        self.draining = None
-        self.tasks = []
-
-    def spawn(self, coroutine):
-        """Run `coroutine` until the daemon stops."""
-        task = asyncio.create_task(coroutine)
-        task.add_done_callback(self.check_end)
-        self.tasks.append(task)
-
-    def check_end(self, task):
-        """Shut down gracefully when a task has ended by an unexpected error.
-
-        A daemon without its follower or its heartbeats would go on with old state.
-        """
-        if task.cancelled() or task.exception() is None:
-            return
-        self.metrics.count("bugs")
-        LOG.error("bug", error=repr(task.exception()), exc_info=task.exception())
-        self.begin_drain()
-
-    async def start(self):
-        """Start everything and watch for signals."""
-        loop = asyncio.get_running_loop()
-        for number in STOP_SIGNALS:
-            loop.add_signal_handler(number, self.begin_drain)
-        self.spawn(self.metrics.run())
-        await self.start_role()
-        LOG.info("started", address=self.settings.daemon.address)
 
     def make_follower(self, linked):
         """Make the catalogue's follower; `linked()` returns the peers with open links."""
@@ -91,48 +47,6 @@
         self.peers.register(self.follower, controls)
         self.spawn(self.follower.run())
 
-    def begin_drain(self):
-        """Start the graceful shutdown; a second signal changes nothing."""
-        if self.draining is None:
-            self.draining = asyncio.create_task(self.drain())
-
-    async def drain(self):
-        """Let everything in flight end, then allow the process to exit."""
-        LOG.info("draining")
-        await self.drain_role()
-        self.ignore_signals()
-        self.drained.set()
-
-    def ignore_signals(self):
-        """Let a late second signal change nothing.
-
-        Closing the loop restores the default action, which would kill the process on its way out.
-        """
-        loop = asyncio.get_running_loop()
-        for number in STOP_SIGNALS:
-            loop.remove_signal_handler(number)
-            signal.signal(number, signal.SIG_IGN)
-
-    async def stop(self, exception=None):
-        """End all tasks."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-        await self.stop_role()
-        LOG.info("stopped")
-
-    @abc.abstractmethod
-    async def start_role(self):
-        """Start the role's tasks."""
-
-    @abc.abstractmethod
-    async def drain_role(self):
-        """Wait until nothing is in flight."""
-
-    @abc.abstractmethod
-    async def stop_role(self):
-        """Close the role's ports."""
-
 
 class EntryRole(Role):
     """An entry: callers' HTTP, links to endpoint daemons."""
@@ -249,3 +163,11 @@
 
 ROLES = {"entry": EntryRole, "endpoint": EndpointRole}
 """Role classes by the name in the settings."""
+
+
+def make_role(settings):
+    """Return the service of the role that the settings name."""
+    kind = ROLES.get(settings.daemon.role)
+    if kind is None:
+        raise SystemExit(f"role {settings.daemon.role} is started by its platform's adapter")
+    return kind(settings)
