Reset unframed answers are incomplete; targets reach endpoints byte for byte

Cause: the check asked whether the connection's protocol object is true, and it is a queue that is false while empty, so every unframed answer counted as closed properly; a URL object drops the question mark of an empty query. Change: compare with None; the request writes the caller's target itself.

--- a/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -4,7 +4,6 @@
 older attempt, and closing it cancels what runs there.
 """
 
-import asyncio
 import socket
 
 import aiohttp
@@ -36,6 +35,28 @@
 
 NOT_CONNECTED = "not connected"
 
+EXACT_TARGET = ":target"
+"""Pseudo header by which a request's target reaches `ExactRequest`; it is never sent."""
+
+
+@attrs.frozen
+class ExactTarget:
+    """Stands for a URL where the HTTP library writes its path; keeps the bytes as they came."""
+
+    raw_path_qs: str
+
+
+class ExactRequest(aiohttp.ClientRequest):
+    """A request whose target is written as it came, where a URL would lose an empty query."""
+
+    async def send(self, conn):
+        """Write the request."""
+        url, self.url = self.url, ExactTarget(self.headers.pop(EXACT_TARGET, self.url.raw_path_qs))
+        try:
+            return await super().send(conn)
+        finally:
+            self.url = url
+
 
 def watched_socket(address_info):
     """Return a TCP socket on which a silent peer is noticed."""
@@ -50,13 +71,14 @@
     return made
 
 
-def make_session(**options):
-    """Return an HTTP client session that changes nothing of what passes through it."""
+def make_session(request_class=aiohttp.ClientRequest, **options):
+    """Return an HTTP client session that adds nothing of its own to what passes through it."""
     connector = aiohttp.TCPConnector(
         limit=0, socket_factory=watched_socket, happy_eyeballs_delay=None, **options
     )
     return aiohttp.ClientSession(
         connector=connector,
+        request_class=request_class,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         skip_auto_headers=NO_CALL_HEADERS,
@@ -68,7 +90,11 @@
 
 @attrs.define
 class EndpointAnswer:
-    """An endpoint's answer that has begun: its `Head`, and the body as it arrives."""
+    """An endpoint's answer that has begun: its `Head`, and the body as it arrives.
+
+    `closed` is the future of the connection's end, None when it had ended before the head was
+    looked at.
+    """
 
     head: Head
     response: object
@@ -88,7 +114,7 @@
         """Say whether an unframed body ended with a proper close of the connection."""
         if self.framed:
             return True
-        if not self.closed.done():
+        if self.closed is None or not self.closed.done():
             return False
         return self.closed.exception() is None
 
@@ -118,7 +144,7 @@
 
     async def start(self):
         """Open the client; called on the running event loop."""
-        self.session = make_session(force_close=True)
+        self.session = make_session(ExactRequest, force_close=True)
 
     async def stop(self):
         """Close all connections."""
@@ -135,6 +161,7 @@
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in self.dialect.sending_headers(routed, sending)
         )
+        headers[EXACT_TARGET] = call.target
         url = URL(f"http://{sending.endpoint.address}{call.target}", encoded=True)
         try:
             response = await self.session.request(
@@ -145,16 +172,10 @@
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
             return Failure(Reason.ENDPOINT_LOST, STEP, peer, repr(error))
         connection = response.connection
-        closed = connection.protocol.closed if connection and connection.protocol else None
+        protocol = None if connection is None else connection.protocol
+        closed = None if protocol is None else protocol.closed
         head = self.dialect.read_head(call, response.status, response.raw_headers)
-        return EndpointAnswer(head, response, closed or already_closed())
-
-
-def already_closed():
-    """Return the outcome of a connection that was closed before its head was looked at."""
-    future = asyncio.get_running_loop().create_future()
-    future.set_result(None)
-    return future
+        return EndpointAnswer(head, response, closed)
 
 
 def certain_not_run(failure):
