--- a/packages/core/persimmonstall/direct/engine_model.py
+++ b/packages/core/persimmonstall/direct/engine_model.py
@@ -8,6 +8,9 @@
 MOST_PASSES = 64
 """Passes followed in one go; an engine that was not looked at for longer is taken as caught up."""
 
+WAITING_HARM = 0.5
+"""Harm to a call whose first event is delayed, against 1 for a stream whose pause is too long."""
+
 DONE = 1e-6
 """Rest of a read, in seconds, below which it is complete."""
 
@@ -166,3 +169,14 @@
         if not gaps:
             return float("inf")
         return min(gaps) - self.write_seconds() - self.pending()
+
+    def harm(self, read):
+        """Return the number of calls here whose pauses `read` more seconds would make too long.
+
+        Those that are too long already do not count.
+        """
+        before = self.write_seconds() + self.pending()
+        after = before + read
+        harmed = sum(1 for write in self.writes.values() if before <= write.gap < after)
+        waiting = (r for r in self.reads.values() if r.writes and before <= r.gap < after)
+        return harmed + WAITING_HARM * sum(1 for _ in waiting)
--- a/packages/daemon/persimmonstall_daemon/direct/exchange.py
+++ b/packages/daemon/persimmonstall_daemon/direct/exchange.py
@@ -101,14 +101,21 @@
             ended = await entry.tickets.run(routed, placed, attempt.run)
         finally:
             entry.loads.end(placed.flight.name)
-        history.note(placed.sending.endpoint.name, ended.ending)
-        self.learn(routed, placed, ended)
+        endpoint = self.responsible(placed, ended)
+        history.note(endpoint.name, ended.ending)
+        self.learn(routed, endpoint, ended)
         return ended
 
-    def learn(self, routed, placed, ended):
-        """Take from an attempt's end what it says about its endpoint."""
+    def responsible(self, placed, ended):
+        """Return the endpoint that decided how an attempt ended: the first, or a helper."""
+        for helper in placed.sending.helpers:
+            if ended.at_fault and helper.endpoint.address == ended.at_fault:
+                return helper.endpoint
+        return placed.sending.endpoint
+
+    def learn(self, routed, endpoint, ended):
+        """Take from an attempt's end what it says about an endpoint."""
         state, now = self.entry.state, self.entry.now()
-        endpoint = placed.sending.endpoint
         if ended.ending is Ending.WHOLE:
             state.troubles.succeeded(endpoint.name, now)
             return
@@ -170,12 +177,22 @@
                 final_refusal(routed, history, failure, now, self.entry.clock.random),
             )
             return
+        self.log_answered(routed, history, ended, begun, took)
+
+    def log_answered(self, routed, history, ended, begun, took):
+        """Write down how a call ended that was not refused, and what its caller saw."""
+        first = took if history.first_event is None else history.first_event - begun
+        self.entry.metrics.timing("direct_first_event", first)
         self.log.info(
             "answered" if ended.ending is Ending.WHOLE else "ended",
             request_id=routed.call.call_id,
+            route=routed.route.name,
             ending=str(ended.ending),
+            status=ended.head.status if ended.head else 0,
             sendings=history.sendings,
             last_event=history.last_event,
+            first_ms=round(first * 1000),
+            gap_ms=round(history.longest_gap * 1000),
             took_ms=round(took * 1000),
         )
 
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -168,6 +168,7 @@
             state.budget.told(now),
             state.crashers.told(),
             tuple(peer.address for peer in self.heard()),
+            state.troubles.told(now),
         )
 
     def on_datagram(self, data):
@@ -200,6 +201,7 @@
         state.book.learn(beacon.address, beacon.flights, now)
         state.budget.learn(beacon.address, beacon.used)
         state.crashers.learn(beacon.crashers, now)
+        state.troubles.learn(beacon.troubles, now)
         state.peer_reached(now - beacon.reached_age)
 
     async def run(self):
