--- a/packages/core/persimmonstall/direct/placing.py
+++ b/packages/core/persimmonstall/direct/placing.py
@@ -24,6 +24,9 @@
 OBJECTIVE_SHARE = 0.7
 """Share of the latency objective that a predicted first event may use."""
 
+SPARE_SLOTS = 2
+"""Slots of an engine that are left for calls which other entries place at the same moment."""
+
 GAP_SHARE = 0.8
 """Share of the longest pause that a predicted pass may use."""
 
@@ -129,11 +132,13 @@
         for candidate in sorted(candidates, key=lambda c: c.rank):
             load = candidate.load
             expected = load.first_event(read, call.prompt_tokens, now)
-            full = load.running() >= routed.service.engine.slots
+            slots = routed.service.engine.slots
+            crowded = load.running() >= max(1, slots - SPARE_SLOTS)
+            full = load.running() >= slots
             room = load.room(route.gap_objective * GAP_SHARE)
             strained = max(0.0, read - room)
             short_memory = load.free_memory() < memory
-            kept = expected <= allowed and not strained and not full and not short_memory
+            kept = expected <= allowed and not strained and not crowded and not short_memory
             if kept and candidate.trouble < 0.1:
                 best = (candidate, expected)
                 break
@@ -142,6 +147,7 @@
                 + strained
                 + TROUBLE_WEIGHT * candidate.trouble
                 + (1.0 if full else 0.0)
+                + (0.1 if crowded else 0.0)
                 + (1.0 if short_memory else 0.0)
             )
             if best is None or cost < best[2]:
