Entries listen before they import, serve while they leave, and move plain calls on in time

Ruled out: lateness of our own answers in those seconds (p50 of the first event 105 to 120 ms). Change: the callers' socket is opened first and handed over; the listener stays until nothing is in flight; connect timeout 0.15 s; a plain call that may be repeated moves on at 0.6 of its objective; heads and bodies have time limits.

--- a/packages/core/persimmonstall/failures.py
+++ b/packages/core/persimmonstall/failures.py
@@ -27,6 +27,7 @@
     UNKNOWN_SERVICE = "unknown_service"
     BODY_TOO_LARGE = "body_too_large"
     HEADERS_TOO_LARGE = "headers_too_large"
+    BODY_TOO_SLOW = "body_too_slow"
     PROMPT_TOO_LONG = "prompt_too_long"
     RATE_LIMITED = "rate_limited"
     CONCURRENCY_LIMITED = "concurrency_limited"
@@ -64,6 +65,7 @@
     Reason.NOT_FOUND: 404,
     Reason.BODY_TOO_LARGE: 413,
     Reason.HEADERS_TOO_LARGE: 431,
+    Reason.BODY_TOO_SLOW: 408,
     Reason.PROMPT_TOO_LONG: 400,
     Reason.RATE_LIMITED: 429,
     Reason.CONCURRENCY_LIMITED: 429,
@@ -91,6 +93,7 @@
     Reason.UNKNOWN_SERVICE: "There is no such plain service.",
     Reason.BODY_TOO_LARGE: "The body is over the limit of the settings.",
     Reason.HEADERS_TOO_LARGE: "The headers are over the limit of the configuration.",
+    Reason.BODY_TOO_SLOW: "The body took longer than the configuration allows.",
     Reason.PROMPT_TOO_LONG: "Prompt and output do not fit the model's context, or the fleet.",
     Reason.RATE_LIMITED: "The organisation is over its requests or tokens per second.",
     Reason.CONCURRENCY_LIMITED: "The organisation has as many requests running as it may.",
--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -17,6 +17,11 @@
 FIRST_EVENT_LEAST = 1.2
 """Time to the first event after which an attempt is given up: objectives, and seconds."""
 
+FIRST_ANSWER_FACTOR = 0.6
+LAST_ANSWER_FACTOR = 2.5
+"""Time to a plain answer, in objectives, after which an attempt is given up while there may be
+another, and after which the last one is."""
+
 GAP_FACTOR = 2.5
 GAP_LEAST = 1.2
 """Pause between events after which an attempt is given up: objectives, and seconds."""
@@ -72,16 +77,19 @@
     def first_patience(self):
         """Return the seconds after which a first event, or a plain answer, is overdue.
 
-        Only work that may be repeated is given up before its deadline.
+        Only work that may be repeated is given up before its deadline; a plain call early while
+        another endpoint may still answer within the objective.
         """
+        route = self.routed.route
         left = self.routed.deadline - self.entry.now()
-        if not self.routed.route.repeatable:
+        if not route.repeatable:
             return left
-        objective = self.routed.route.objective
-        patience = max(FIRST_EVENT_LEAST, FIRST_EVENT_FACTOR * objective)
-        if not self.routed.route.streaming:
-            patience = FIRST_EVENT_FACTOR * objective
-        return min(left, patience + self.placed.first_event)
+        if route.streaming:
+            patience = max(FIRST_EVENT_LEAST, FIRST_EVENT_FACTOR * route.objective)
+            return min(left, patience + self.placed.first_event)
+        last = self.history.runs + 1 >= route.attempts
+        factor = LAST_ANSWER_FACTOR if last else FIRST_ANSWER_FACTOR
+        return min(left, factor * route.objective)
 
     def gap_patience(self):
         """Return the seconds of silence after which a stream is given up."""
--- a/packages/daemon/persimmonstall_daemon/direct/callers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/callers.py
@@ -1,7 +1,7 @@
 """The HTTP server for callers, and the sink through which one call is answered."""
 
 import asyncio
-import contextlib
+import socket
 
 import attrs
 from aiohttp import http, web
@@ -14,11 +14,15 @@
 HEAD_ROOM = 4
 """How many times the allowed header size is read, so that an excess is answered properly."""
 
+LINGER_SECONDS = 1.0
+"""Time for which the rest of a body is read that is not wanted any more."""
+
+SHUTDOWN_SECONDS = 0.1
 IDLE_MARGIN = 2.0
 """Seconds added to the idle timeout, so that a call that crosses the close is rare."""
 
-UNREAD_CHECK_SECONDS = 0.5
-"""Time between looks for connections whose first head is not whole."""
+BACKLOG = 1024
+"""Connections that may wait to be accepted."""
 
 
 @attrs.frozen
@@ -82,54 +86,108 @@
         response.headers.add(name.decode("latin-1"), value.decode("latin-1"))
 
 
+def listen(address):
+    """Return a socket that listens at `address`; connections wait until they are accepted."""
+    host, _, port = address.rpartition(":")
+    return socket.create_server((host, int(port)), backlog=BACKLOG)
+
+
+class Connection(web.RequestHandler):
+    """One caller's connection; it is closed when a head that has begun is not whole in time.
+
+    `caps` are the limits in force when it began.
+    """
+
+    def __init__(self, server, caps, **options):
+        super().__init__(server, **options)
+        self.caps = caps
+        self.overdue = None
+        self.in_request = False
+
+    def connection_made(self, transport):
+        """Wait for the first head, as long as for any later one."""
+        super().connection_made(transport)
+        self.expect(self.caps.idle_timeout + IDLE_MARGIN)
+
+    def data_received(self, data):
+        """Take bytes in; those that begin a head start its time."""
+        if not self.in_request:
+            self.expect(self.caps.header_timeout)
+        super().data_received(data)
+
+    def expect(self, seconds):
+        """Close the connection unless a head is whole within `seconds`, or an earlier limit."""
+        loop = asyncio.get_running_loop()
+        due = loop.time() + seconds
+        if self.overdue is not None:
+            if self.overdue.when() <= due:
+                return
+            self.overdue.cancel()
+        self.overdue = loop.call_at(due, self.force_close)
+
+    def request_begun(self):
+        """Note that a head is whole."""
+        self.in_request = True
+        self.stop_waiting()
+
+    def request_ended(self):
+        """Note that a request has its answer."""
+        self.in_request = False
+
+    def stop_waiting(self):
+        """Cancel the time of a head."""
+        if self.overdue is not None:
+            self.overdue.cancel()
+            self.overdue = None
+
+    def connection_lost(self, exc):
+        """Stop waiting."""
+        self.stop_waiting()
+        super().connection_lost(exc)
+
+
 class CallerServer:
-    """Accepts callers' connections and hands their calls to `serve(call, sink)`.
+    """Accepts callers' connections and hands their calls to the entry's exchange.
 
     Limits follow the configuration in force: a connection keeps those of its beginning.
     """
 
     def __init__(self, entry):
         self.entry = entry
-        self.caps = None
-        self.handlers = None
-        self.retired = []
+        self.server = None
         self.sockets = None
         self.in_flight = 0
 
-    async def start(self, address):
-        """Listen at `address`."""
-        host, _, port = address.rpartition(":")
+    @property
+    def caps(self):
+        """The limits in force."""
+        configuration = self.entry.state.configuration
+        return configuration.caps if configuration else Caps()
+
+    async def start(self, listener):
+        """Accept connections from a listening socket."""
         loop = asyncio.get_running_loop()
-        self.sockets = await loop.create_server(
-            self.accept, host, int(port), backlog=1024, reuse_address=True
-        )
+        self.server = web.Server(self.handle, request_factory=self.make_request)
+        self.sockets = await loop.create_server(self.accept, sock=listener, backlog=BACKLOG)
 
     def accept(self):
         """Return the protocol of a new connection, with the limits in force."""
-        configuration = self.entry.state.configuration
-        caps = configuration.caps if configuration else Caps()
-        if caps != self.caps:
-            self.renew(caps)
-        return self.handlers()
-
-    def renew(self, caps):
-        """Make the server of connections that begin from now on."""
-        if self.handlers is not None:
-            self.retired.append(self.handlers)
-        self.caps = caps
-        self.handlers = web.Server(
-            self.handle,
-            request_factory=self.make_request,
-            handler_cancellation=True,
+        caps = self.caps
+        return Connection(
+            self.server,
+            caps,
+            loop=asyncio.get_running_loop(),
             access_log=None,
             keepalive_timeout=caps.idle_timeout + IDLE_MARGIN,
             max_line_size=caps.header_bytes * HEAD_ROOM,
             max_field_size=caps.header_bytes * HEAD_ROOM,
             auto_decompress=False,
+            lingering_time=LINGER_SECONDS,
         )
 
     def make_request(self, message, payload, protocol, writer, task):
         """Return a request whose body may have the size that the configuration allows."""
+        protocol.request_begun()
         most = self.caps.body_bytes or 2**40
         loop = asyncio.get_running_loop()
         return web.BaseRequest(
@@ -151,6 +209,7 @@
             await self.fail(sink)
         finally:
             self.in_flight -= 1
+            request.protocol.request_ended()
         return sink.response or web.Response(status=500)
 
     async def fail(self, sink):
@@ -182,16 +241,15 @@
         if size > self.caps.header_bytes > 0:
             return Failure(Reason.HEADERS_TOO_LARGE, STEP, detail=f"{size} bytes")
         try:
-            return await request.read()
+            async with asyncio.timeout(self.caps.idle_timeout):
+                return await request.read()
+        except TimeoutError:
+            return Failure(Reason.BODY_TOO_SLOW, STEP, detail="body")
         except web.HTTPRequestEntityTooLarge as error:
             return Failure(Reason.BODY_TOO_LARGE, STEP, detail=str(error))
         except (http.HttpProcessingError, ValueError) as error:
             return Failure(Reason.BAD_REQUEST, STEP, detail=repr(error))
 
-    def servers(self):
-        """Return the servers of all open connections."""
-        return [*self.retired, self.handlers] if self.handlers else []
-
     async def stop_accepting(self):
         """Close the listening socket; open connections stay."""
         if self.sockets is not None:
@@ -199,16 +257,10 @@
 
     async def close_idle(self):
         """Close the connections on which no request is being served."""
-        for server in self.servers():
-            for handler in list(server.connections):
-                handler.close()
+        for connection in list(self.server.connections):
+            connection.close()
 
     async def stop(self):
         """Close everything."""
         await self.stop_accepting()
-        for server in self.servers():
-            with contextlib.suppress(asyncio.TimeoutError):
-                await server.shutdown(0.1)
-
-
-__all__ = ["CallerServer", "CallerSink", "Outcome", "RequestHead"]
+        await self.server.shutdown(SHUTDOWN_SECONDS)
--- a/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -16,7 +16,7 @@
 
 STEP = "send"
 
-CONNECT_SECONDS = 0.3
+CONNECT_SECONDS = 0.15
 """Time to open a connection to an endpoint; nothing has been sent before it is open."""
 
 PROBE_IDLE_SECONDS = 1
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -12,7 +12,7 @@
 from ..observe import logs
 from ..observe.prometheus import PrometheusMetrics
 from ..service import DaemonService
-from .callers import CallerServer
+from .callers import CallerServer, listen
 from .endpoint_client import EndpointClient
 from .exchange import Exchange
 from .loads import Loads
@@ -37,9 +37,12 @@
 
 
 class DirectEntry(DaemonService):
-    """An entry that calls endpoints itself; `adapter` speaks to the platform."""
+    """An entry that calls endpoints itself; `adapter` speaks to the platform.
 
-    def __init__(self, settings, adapter):
+    `listener` is a socket that already listens at the callers' address, None to open one.
+    """
+
+    def __init__(self, settings, adapter, listener=None):
         super().__init__(settings, PrometheusMetrics(), steady_clock())
         direct = settings.direct
         self.adapter = adapter
@@ -58,7 +61,9 @@
         self.exchange = Exchange(self)
         self.callers = CallerServer(self)
         self.status = StatusServer(self)
+        self.listener = listener
         self.leaving = False
+        self.kill_at = None
         self.flights = 0
 
     def now(self):
@@ -102,7 +107,7 @@
         await self.client.start()
         await self.adapter.start()
         await self.peers.start()
-        await self.callers.start(self.settings.daemon.http)
+        await self.callers.start(self.listener or listen(self.settings.daemon.http))
         self.spawn(self.directory.follow(self.take))
         self.spawn(self.peers.run())
         self.spawn(self.tick())
@@ -134,17 +139,25 @@
                 self.directory.restart()
             self.state.tick(now)
 
+    def serves_until_kill(self, seconds):
+        """Say whether work that takes `seconds` ends before this process is killed."""
+        return self.kill_at is None or self.now() + seconds < self.kill_at
+
     async def drain_role(self):
-        """Stop being ready, serve what still comes, and end when nothing is in flight."""
+        """Stop being ready, serve what still comes, and end when nothing is in flight.
+
+        Connections are accepted for as long as calls come: where many entries leave at once, the
+        balancer goes on sending to those that are not ready.
+        """
         direct = self.settings.direct
         self.leaving = True
+        self.kill_at = self.now() + direct.grace - GRACE_MARGIN
         self.peers.changed(True)
-        begun = self.now()
         await asyncio.sleep(min(direct.takeout, direct.grace / 2))
+        while self.callers.in_flight and self.now() < self.kill_at:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
         await self.callers.stop_accepting()
         await self.callers.close_idle()
-        while self.callers.in_flight and self.now() - begun < direct.grace - GRACE_MARGIN:
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
         await asyncio.wait([asyncio.create_task(self.tickets.drain())], timeout=GRACE_MARGIN / 2)
 
     async def stop_role(self):
--- a/packages/daemon/persimmonstall_daemon/direct/exchange.py
+++ b/packages/daemon/persimmonstall_daemon/direct/exchange.py
@@ -18,6 +18,9 @@
 STARTING_RETRY_AFTER = 0.5
 """Seconds after which a caller may come back to an entry that knows no configuration yet."""
 
+LEAVING_RETRY_AFTER = 0.05
+"""Seconds after which a caller may come back whose next connection leads to another entry."""
+
 CRASHING = (Ending.BROKEN,)
 """Endings after which the endpoint may have crashed."""
 
@@ -28,7 +31,12 @@
     def __init__(self, entry):
         self.entry = entry
         self.log = logs.get("exchange")
-        self.checks = (self.check_configured, self.check_route, self.check_content)
+        self.checks = (
+            self.check_configured,
+            self.check_route,
+            self.check_content,
+            self.check_leaving,
+        )
 
     async def serve(self, call, sink):
         """Give the caller its final answer as soon as it is known."""
@@ -61,6 +69,12 @@
             return Refusal(Reason.QUARANTINED, "content", outcome=Outcome.NOT_RUN)
         return routed
 
+    def check_leaving(self, routed):
+        """Refuse work that would not end before this process does."""
+        if self.entry.serves_until_kill(longest_seconds(routed)):
+            return routed
+        return refuse(Failure(Reason.LEAVING, "leaving"), LEAVING_RETRY_AFTER)
+
     async def run(self, routed, sink, history):
         """Make attempts up to the deadline; return how the last one `Ended`."""
         last = Ended(Ending.OVERDUE, Failure(Reason.DEADLINE, STEP))
@@ -216,3 +230,12 @@
             retry_after=refusal.retry_after,
         )
         await sink.reply(reply)
+
+
+def longest_seconds(routed):
+    """Return the time that a call may take when all goes well."""
+    route, figures = routed.route, routed.service.engine
+    if figures is None:
+        return route.timeout
+    passes = routed.call.most_tokens / figures.stride
+    return min(route.timeout, 2 * route.objective + passes * route.gap_objective / 2)
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -19,8 +19,8 @@
 
 from ..observe import logs
 
-URGENT_SECONDS = 0.002
-"""Delay of a beacon after a call was placed; calls placed together share it."""
+URGENT_SECONDS = 0.0
+"""Delay of a beacon after a call was placed; calls placed in one turn of the loop share it."""
 
 CHANGE_SECONDS = 0.025
 """Delay of a beacon after any other change."""
