--- a/packages/daemon/persimmonstall_daemon/admin/operators.py
+++ b/packages/daemon/persimmonstall_daemon/admin/operators.py
@@ -5,7 +5,7 @@
 
 from persimmonstall.failures import Failure, Reason
 
-from .watched_file import WatchedFile
+from ..watched_file import WatchedFile
 
 STEP = "authenticate_operator"
 SCHEME = "Bearer "
--- a/packages/daemon/persimmonstall_daemon/admin/tls.py
+++ b/packages/daemon/persimmonstall_daemon/admin/tls.py
@@ -2,7 +2,7 @@
 
 import grpc
 
-from .watched_file import WatchedFile
+from ..watched_file import WatchedFile
 
 
 class Certificates:
--- a/packages/daemon/persimmonstall_daemon/direct/callers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/callers.py
@@ -167,7 +167,9 @@
     async def start(self, listener):
         """Accept connections from a listening socket."""
         loop = asyncio.get_running_loop()
-        self.server = web.Server(self.handle, request_factory=self.make_request)
+        self.server = web.Server(
+            self.handle, request_factory=self.make_request, handler_cancellation=True
+        )
         self.sockets = await loop.create_server(self.accept, sock=listener, backlog=BACKLOG)
 
     def accept(self):
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -30,6 +30,9 @@
 """Seconds of the entry's life in which a call waits for the configuration, which is on its way."""
 
 STARTING_POLL_SECONDS = 0.02
+SETTINGS_POLL_SECONDS = 1.0
+"""Time between looks at the settings file."""
+
 DRAIN_POLL_SECONDS = 0.05
 GRACE_MARGIN = 0.4
 """Seconds of the grace that are kept back to exit in an orderly way."""
@@ -117,11 +120,19 @@
         self.spawn(self.directory.follow(self.take))
         self.spawn(self.peers.run())
         self.spawn(self.tick())
+        self.spawn(self.watch_settings())
 
     def reload(self):
-        """Read the settings again."""
+        """Read the settings again after a signal."""
+        self.log.info("reload_asked")
         self.adapter.reload(self)
 
+    async def watch_settings(self):
+        """Read the settings again when they change without a signal."""
+        while True:
+            await asyncio.sleep(SETTINGS_POLL_SECONDS)
+            self.adapter.reload(self)
+
     def reloaded(self, settings):
         """Put changed settings in force; addresses this entry listens at stay as they are."""
         direct = settings.direct
@@ -144,6 +155,7 @@
                 self.log.warning("suspended", seconds=round(unseen, 2))
                 self.directory.restart()
             self.state.tick(now)
+            self.metrics.gauge("in_flight", self.callers.in_flight)
 
     async def configured(self, arrived):
         """Wait until calls can be served, but only while this entry is starting."""
--- a/packages/daemon/persimmonstall_daemon/direct/exchange.py
+++ b/packages/daemon/persimmonstall_daemon/direct/exchange.py
@@ -169,7 +169,7 @@
             sending=history.sendings + 1,
             resume_after=history.last_event,
             tokens=routed.call.prompt_tokens,
-            helpers=len(placed.sending.helpers),
+            helpers=[helper.endpoint.name for helper in placed.sending.helpers],
             tickets=len(placed.tickets),
             expected_ms=round(placed.first_event * 1000),
             left_ms=round((routed.deadline - now) * 1000),
