Content that crashes engines is known by a look at the endpoint, and told to all at once

The list shows a dead endpoint only after three missed heartbeats. Ruled out: resets of answers by living endpoints (their connections are accepted again). Change: an attempt that broke off before any answer makes the entry connect once; a refusal counts the content, and the beacon tells it; two dead endpoints are enough.

--- a/packages/core/persimmonstall/direct/crashers.py
+++ b/packages/core/persimmonstall/direct/crashers.py
@@ -3,7 +3,7 @@
 import attrs
 import xxhash
 
-MOST_CRASHES = 3
+MOST_CRASHES = 2
 """Endpoint lifetimes lost to one content after which it is refused."""
 
 CONFIRM_SECONDS = 8.0
@@ -26,7 +26,8 @@
 class Crashers:
     """Endpoint lifetimes that ended while they ran a content, by its fingerprint.
 
-    A lost connection alone says little; it counts once the endpoint's lifetime has ended too.
+    A lost connection alone says little; it counts once the endpoint does not accept connections
+    any more, or its lifetime has ended.
     """
 
     losses: dict = attrs.field(factory=dict)
@@ -37,7 +38,7 @@
         self.unconfirmed.setdefault(lifetime, {})[content] = now
 
     def ended(self, lifetime, now):
-        """Note the end of an endpoint's lifetime; return the contents that it counts against."""
+        """Note that an endpoint is dead; return the contents that this counts against."""
         lost = self.unconfirmed.pop(lifetime, {})
         counted = [content for content, at in lost.items() if now - at <= CONFIRM_SECONDS]
         for content in counted:
--- a/packages/core/tests/test_direct_view.py
+++ b/packages/core/tests/test_direct_view.py
@@ -134,10 +134,10 @@
     assert [endpoint.name for endpoint in fleet.usable("llm")] == ["e1"]
 
 
-def test_content_is_refused_after_three_lifetimes_ended_under_it():
+def test_content_is_refused_after_two_lifetimes_ended_under_it():
     crashers = Crashers()
     content = content_of(make_call())
-    for number in range(3):
+    for number in range(2):
         assert not crashers.refused(content, 1.0)
         crashers.lost(content, (f"e{number}", 1), 1.0)
         crashers.ended((f"e{number}", 1), 2.0)
--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -31,7 +31,8 @@
 class Ended:
     """How an attempt ended; `failure` says why it did not bring the whole answer.
 
-    `at_fault` is the address of another endpoint on which it depended, empty for none.
+    `at_fault` is the address of another endpoint on which it depended, empty for none.  `began`
+    says that the endpoint had begun to answer.
     """
 
     ending: Ending
@@ -39,6 +40,7 @@
     head: object = None
     body: bytes = b""
     at_fault: str = ""
+    began: bool = False
 
 
 class Attempt:
@@ -62,17 +64,22 @@
         """Return how the attempt `Ended`; it is over at the endpoint too when this returns."""
         begun = self.entry.now()
         try:
-            async with asyncio.timeout(self.first_patience()):
-                answer = await self.entry.client.send(self.routed, self.placed.sending)
-            if isinstance(answer, Failure):
-                return self.not_answered(answer)
-            self.answer = answer
-            return await self.relay(begun)
+            ended = await self.exchange(begun)
         except TimeoutError:
-            return self.ended(Ending.LATE, Reason.ENDPOINT_LOST, "no answer in time")
+            ended = self.ended(Ending.LATE, Reason.ENDPOINT_LOST, "no answer in time")
         finally:
             if self.answer is not None:
                 self.answer.close()
+        return attrs.evolve(ended, began=self.begun_writing)
+
+    async def exchange(self, begun):
+        """Send the call and relay its answer; raises TimeoutError when that is overdue."""
+        async with asyncio.timeout(self.first_patience()):
+            answer = await self.entry.client.send(self.routed, self.placed.sending)
+        if isinstance(answer, Failure):
+            return self.not_answered(answer)
+        self.answer = answer
+        return await self.relay(begun)
 
     def first_patience(self):
         """Return the seconds after which a first event, or a plain answer, is overdue.
--- a/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -4,6 +4,7 @@
 older attempt, and closing it cancels what runs there.
 """
 
+import asyncio
 import socket
 
 import aiohttp
@@ -12,8 +13,11 @@
 from yarl import URL
 
 from persimmonstall.direct.messages import Head
-from persimmonstall.failures import Failure, Outcome, Reason
+from persimmonstall.failures import Failure, Reason
 
+from ..observe import logs
+
+LOG = logs.get("endpoint_client")
 STEP = "send"
 
 CONNECT_SECONDS = 0.15
@@ -178,9 +182,19 @@
         return EndpointAnswer(head, response, closed)
 
 
+async def accepts_connections(endpoint):
+    """Say whether an endpoint's address still accepts connections."""
+    host, _, port = endpoint.address.rpartition(":")
+    try:
+        async with asyncio.timeout(CONNECT_SECONDS):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except (OSError, TimeoutError) as error:
+        LOG.info("endpoint_silent", endpoint=endpoint.name, reason=repr(error))
+        return False
+    writer.close()
+    return True
+
+
 def certain_not_run(failure):
     """Say whether a failed attempt certainly did not reach its endpoint."""
     return failure.detail.startswith(NOT_CONNECTED)
-
-
-__all__ = ["EndpointAnswer", "EndpointClient", "Outcome", "certain_not_run", "make_session"]
--- a/packages/daemon/persimmonstall_daemon/direct/exchange.py
+++ b/packages/daemon/persimmonstall_daemon/direct/exchange.py
@@ -9,6 +9,7 @@
 
 from ..observe import logs
 from .attempt import Attempt, Ended
+from .endpoint_client import accepts_connections
 
 STEP = "exchange"
 
@@ -27,8 +28,11 @@
 LEAVING_RETRY_AFTER = 0.05
 """Seconds after which a caller may come back whose next connection leads to another entry."""
 
-CRASHING = (Ending.BROKEN,)
-"""Endings after which the endpoint may have crashed."""
+CRASH_LOOK_SECONDS = 0.02
+"""Seconds after an endpoint broke off at which it is asked whether it still lives."""
+
+DEAD_TROUBLE = 2.0
+"""Trouble score of an endpoint that is dead."""
 
 
 class Exchange:
@@ -154,8 +158,20 @@
             state.fleet.endpoints.pop(endpoint.name, None)
         else:
             state.troubles.failed(endpoint.name, now)
-        if ended.ending in CRASHING:
+        if ended.ending is Ending.BROKEN and not ended.began:
             state.crashers.lost(content_of(routed.call), endpoint.key, now)
+            self.entry.spawn(self.look_for_crash(endpoint))
+
+    async def look_for_crash(self, endpoint):
+        """Find out whether an endpoint that broke off is dead, and what killed it."""
+        await asyncio.sleep(CRASH_LOOK_SECONDS)
+        if await accepts_connections(endpoint):
+            return
+        state, now = self.entry.state, self.entry.now()
+        state.troubles.failed(endpoint.name, now, DEAD_TROUBLE)
+        contents = state.crashers.ended(endpoint.key, now)
+        self.log.warning("endpoint_crashed", endpoint=endpoint.name, contents=contents)
+        self.entry.peers.changed(True)
 
     def log_placed(self, routed, placed, history, now):
         """Write down where an attempt goes and what decided it."""
--- a/packages/daemon/persimmonstall_daemon/service.py
+++ b/packages/daemon/persimmonstall_daemon/service.py
@@ -26,19 +26,20 @@
         self.metrics = metrics
         self.drained = asyncio.Event()
         self.draining = None
-        self.tasks = []
+        self.tasks = set()
 
     def spawn(self, coroutine):
         """Run `coroutine` until the daemon stops."""
         task = asyncio.create_task(coroutine)
         task.add_done_callback(self.check_end)
-        self.tasks.append(task)
+        self.tasks.add(task)
 
     def check_end(self, task):
         """Shut down gracefully when a task has ended by an unexpected error.
 
         A daemon without its follower or its heartbeats would go on with old state.
         """
+        self.tasks.discard(task)
         if task.cancelled() or task.exception() is None:
             return
         self.metrics.count("bugs")
@@ -78,9 +79,10 @@
 
     async def stop(self, exception=None):
         """End all tasks."""
-        for task in self.tasks:
+        tasks = list(self.tasks)
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         await self.stop_role()
         LOG.info("stopped")
 
