--- a/packages/core/persimmonstall/direct/placing.py
+++ b/packages/core/persimmonstall/direct/placing.py
@@ -14,26 +14,18 @@
 from .engine_model import read_seconds
 from .loads import Flight, Piece
 from .messages import Helper, Sending
+from .packing import GAP_SHARE, choose_engine
+from .sizes import memory_of, worth_of
 from .splitting import best_split
-from .worth import worth_of
 
 STEP = "place"
 
 SPLIT_SECONDS = 0.12
 """Reading time of a prompt from which it is split."""
 
-OBJECTIVE_SHARE = 0.7
-"""Share of the latency objective that a predicted first event may use."""
-
 PATIENCE_SHARE = 0.9
 """Share of the latency objective by which a first event should be there."""
 
-SPARE_SLOTS = 2
-"""Slots of an engine that are left for calls which other entries place at the same moment."""
-
-GAP_SHARE = 0.8
-"""Share of the longest pause that a predicted pass may use."""
-
 FIRST_URGENCY = 3
 LATER_URGENCY = 5
 """Urgency of calls below and above `URGENT_OBJECTIVE`; a lower one is admitted first."""
@@ -41,9 +33,6 @@
 URGENT_OBJECTIVE = 0.5
 """Latency objective, in seconds, up to which a call is urgent."""
 
-TROUBLE_WEIGHT = 1.0
-"""Seconds of predicted latency that a full trouble score counts as."""
-
 
 @attrs.frozen
 class Placed:
@@ -68,28 +57,23 @@
     trouble: float
 
 
-def rank_of(name):
-    """Return the endpoint's place in the fixed order, from 0 to 1."""
-    return xxhash.xxh3_64_intdigest(name.encode()) / 2**64
-
-
-def memory_of(call):
-    """Return the tokens of memory that a call is expected to need.
-
-    The caller's own estimate counts when it gives one; it is often too low, so that half as
-    much again is added.
-    """
-    answer = math.ceil(call.answer_hint * 1.5) if call.answer_hint else call.most_tokens
-    return call.prompt_tokens + min(call.most_tokens, max(answer, 1))
+def rank_of(name, salt=""):
+    """Return the endpoint's place in the order of entries that share a salt, from 0 to 1."""
+    return xxhash.xxh3_64_intdigest((salt + name).encode()) / 2**64
 
 
 @attrs.define
 class Placer:
-    """Chooses endpoints from the fleet, what is in flight, and what went wrong lately."""
+    """Chooses endpoints from the fleet, what is in flight, and what went wrong lately.
+
+    The order of engines is the same at all entries.  An entry that does not know yet what the
+    others have in flight has a `salt`: an order of its own.
+    """
 
     fleet: object
     book: object
     troubles: object
+    salt: str = ""
 
     def place(self, routed, now, name, avoid=frozenset(), resume_after=-1):
         """Return `Placed` for the attempt `name`, or a `Failure`."""
@@ -110,7 +94,7 @@
             Candidate(
                 endpoint,
                 self.book.of(endpoint, routed.service, now),
-                rank_of(endpoint.name),
+                rank_of(endpoint.name, self.salt),
                 self.troubles.score(endpoint.name, now),
             )
             for endpoint in fresh
@@ -127,41 +111,15 @@
         return Placed(sending, Flight(name, (piece,)))
 
     def place_short(self, routed, candidates, now, name, resume_after):
-        """Choose one engine: the first in order that keeps its promises, else the quickest."""
+        """Choose one engine for a prompt that is not split."""
         call, route = routed.call, routed.route
-        read = read_seconds(routed.service.engine, call.prompt_tokens)
-        memory = memory_of(call)
-        allowed = OBJECTIVE_SHARE * route.objective
-        best = None
-        for candidate in sorted(candidates, key=lambda c: c.rank):
-            load = candidate.load
-            expected = load.first_event(read, call.prompt_tokens, now)
-            slots = routed.service.engine.slots
-            crowded = load.running() >= max(1, slots - SPARE_SLOTS)
-            full = load.running() >= slots
-            room = load.room(route.gap_objective * GAP_SHARE)
-            strained = max(0.0, read - room)
-            short_memory = load.free_memory() < memory
-            kept = expected <= allowed and not strained and not crowded and not short_memory
-            if kept and candidate.trouble < 0.1:
-                best = (candidate, expected)
-                break
-            cost = (
-                expected
-                + strained
-                + TROUBLE_WEIGHT * candidate.trouble
-                + (1.0 if full else 0.0)
-                + (0.1 if crowded else 0.0)
-                + (1.0 if short_memory else 0.0)
-            )
-            if best is None or cost < best[2]:
-                best = (candidate, expected, cost)
-        candidate, expected = best[:2]
+        fit = choose_engine(routed, candidates, now, alone=bool(self.salt))
+        candidate = fit.candidate
         piece = Piece(
             candidate.endpoint.name,
-            read,
+            fit.read,
             call.prompt_tokens,
-            memory,
+            memory_of(call),
             gap=route.gap_objective * GAP_SHARE,
             patience=route.objective * PATIENCE_SHARE,
             worth=worth_of(call),
@@ -172,7 +130,7 @@
             urgency=urgency_of(route),
             resume_after=resume_after,
         )
-        return Placed(sending, Flight(name, (piece,)), expected)
+        return Placed(sending, Flight(name, (piece,)), fit.expected)
 
     def place_long(self, routed, candidates, now, name, resume_after):
         """Split a prompt into even parts over several engines."""
--- a/packages/core/persimmonstall/direct/splitting.py
+++ b/packages/core/persimmonstall/direct/splitting.py
@@ -8,7 +8,7 @@
 import attrs
 
 from .engine_model import read_seconds
-from .worth import worth_of
+from .sizes import worth_of
 
 MOST_HELPERS = 16
 """Engines that may help the first one."""
--- a/packages/core/tests/test_direct_placing.py
+++ b/packages/core/tests/test_direct_placing.py
@@ -1,4 +1,5 @@
 import random
+from collections import Counter
 
 import attrs
 import pytest
@@ -95,6 +96,19 @@
     assert max(expected) <= SHORT.objective
 
 
+def test_entries_that_start_at_once_do_not_all_fill_the_same_engines():
+    """The closing faults: eight entries return together, each with calls that have queued up."""
+    placers = [make_placer(21) for _ in range(8)]
+    used = Counter()
+    for number, placer in enumerate(placers):
+        placer.salt = f"entry{number}"
+        for call in range(10):
+            placed = place(placer, routed(call_id=f"c{call}"), 0.0, f"f{number}-{call}")
+            used[placed.sending.endpoint.name] += 1
+    assert max(used.values()) <= 2 * FIGURES.slots
+    assert len(used) >= 14
+
+
 def test_long_prompt_is_split_evenly_and_passes_stay_short():
     placer = make_placer()
     placed = place(placer, routed(LONG, tokens=133_000, most=700), 0.0, "f")
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -29,14 +29,20 @@
 STARTING_SECONDS = 1.0
 """Seconds of the entry's life in which a call waits for the configuration, which is on its way."""
 
+ALONE_SECONDS = 0.6
+"""Seconds after it became ready for which an entry does not know all that others do."""
+
 STARTING_POLL_SECONDS = 0.02
 SETTINGS_POLL_SECONDS = 1.0
 """Time between looks at the settings file."""
 
 DRAIN_POLL_SECONDS = 0.05
-GRACE_MARGIN = 0.4
+GRACE_MARGIN = 1.0
 """Seconds of the grace that are kept back to exit in an orderly way."""
 
+RELEASE_SECONDS = 0.2
+"""Seconds for which a leaving entry waits until its last reservations are released."""
+
 
 def steady_clock():
     """Return a context whose time also counts while the machine is suspended."""
@@ -91,11 +97,23 @@
 
     def take(self, news, source="directory"):
         """Take a piece of news into the state; write down what it changes."""
+        was_ready = self.state.ready
         changed = self.state.take(news, self.now())
+        if self.state.ready and not was_ready:
+            self.place_alone()
         if changed:
             self.log_change(news, source)
             self.peers.changed(True)
 
+    def place_alone(self):
+        """Use an order of engines of this entry's own until it knows the others' flights.
+
+        Where many entries start at once, all would send what has queued up to the same engines.
+        """
+        placer = self.state.placer
+        placer.salt = f"{self.peers.run_id:x}"
+        asyncio.get_running_loop().call_later(ALONE_SECONDS, setattr, placer, "salt", "")
+
     def log_change(self, news, source):
         """Write down a change of configuration or endpoints."""
         state = self.state
@@ -189,7 +207,7 @@
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         await self.callers.stop_accepting()
         await self.callers.close_idle()
-        await asyncio.wait([asyncio.create_task(self.tickets.drain())], timeout=GRACE_MARGIN / 2)
+        await asyncio.wait([asyncio.create_task(self.tickets.drain())], timeout=RELEASE_SECONDS)
 
     async def stop_role(self):
         """Close all sockets."""
--- a/packages/daemon/persimmonstall_daemon/direct/exchange.py
+++ b/packages/daemon/persimmonstall_daemon/direct/exchange.py
@@ -16,8 +16,9 @@
 REPLY_MARGIN = 0.03
 """Seconds kept back to answer before the deadline."""
 
-STARTING_RETRY_AFTER = 0.5
-"""Seconds after which a caller may come back to an entry that knows no configuration yet."""
+STARTING_RETRY_AFTER = 2.5
+"""Seconds after which a caller may come back to an entry that knows no configuration: it started
+while the store was away, so that neither the next attempt nor another entry would fare better."""
 
 PASS_SECONDS = 0.07
 """Usual time between two events of a stream."""
