--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -53,9 +53,10 @@
     """An entry that calls endpoints itself; `adapter` speaks to the platform.
 
     `listener` is a socket that already listens at the callers' address, None to open one.
+    `log_stream` counts the log lines that it dropped, None where none are dropped.
     """
 
-    def __init__(self, settings, adapter, listener=None):
+    def __init__(self, settings, adapter, listener=None, log_stream=None):
         super().__init__(settings, PrometheusMetrics(), steady_clock())
         direct = settings.direct
         self.adapter = adapter
@@ -75,6 +76,7 @@
         self.callers = CallerServer(self)
         self.status = StatusServer(self)
         self.listener = listener
+        self.log_stream = log_stream
         self.leaving = False
         self.begun = self.now()
         self.taken_out_at = None
@@ -174,6 +176,8 @@
                 self.directory.restart()
             self.state.tick(now)
             self.metrics.gauge("in_flight", self.callers.in_flight)
+            if self.log_stream is not None:
+                self.metrics.gauge("log_lines_dropped", self.log_stream.dropped)
 
     async def configured(self, arrived):
         """Wait until calls can be served, but only while this entry is starting."""
--- a/packages/daemon/persimmonstall_daemon/direct/tickets.py
+++ b/packages/daemon/persimmonstall_daemon/direct/tickets.py
@@ -43,7 +43,7 @@
         try:
             failure = await self.reserve_all(placed)
             if failure is not None:
-                return Ended(Ending.NOT_RUN, failure)
+                return Ended(Ending.NOT_RUN, failure, at_fault=address_of(placed, failure.peer))
             keeper = asyncio.create_task(self.keep(placed))
             return await run()
         finally:
@@ -95,3 +95,9 @@
     async def drain(self):
         """Wait for the releases under way."""
         await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+def address_of(placed, name):
+    """Return the address of the helper of that name, empty where there is none."""
+    found = (h.endpoint.address for h, _ in placed.tickets if h.endpoint.name == name)
+    return next(found, "")
--- /dev/null
+++ b/packages/daemon/tests/test_direct_observe.py
@@ -0,0 +1,64 @@
+import json
+import os
+
+import pytest
+
+from persimmonstall.settings.schema import Settings
+from persimmonstall_daemon.observe import bounded, logs
+from persimmonstall_daemon.observe.bounded import BoundedStream
+from persimmonstall_daemon.observe.prometheus import PrometheusMetrics
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def test_log_volume_is_bounded(pipe):
+    reader, writer = pipe
+    now = [0.0]
+    stream = BoundedStream(writer, lambda: now[0])
+    for _ in range(int(bounded.BURST_LINES) + 10):
+        stream.write("x\n")
+    assert stream.dropped == 10
+    now[0] = 1.0
+    stream.write("y\n")
+    assert stream.dropped == 10
+    assert os.read(reader, 1 << 16).endswith(b"y\n")
+
+
+def test_log_never_waits_for_its_reader(pipe):
+    _, writer = pipe
+    stream = BoundedStream(writer)
+    for _ in range(30):
+        stream.write("x" * 10_000 + "\n")
+    assert stream.dropped > 0
+
+
+def test_log_lines_are_json_on_the_stream(pipe):
+    reader, writer = pipe
+    logs.configure(Settings(), BoundedStream(writer))
+    logs.get("test").info("placed", request_id="r1")
+    line = json.loads(os.read(reader, 4096))
+    assert (line["event"], line["request_id"], line["module"]) == ("placed", "r1", "test")
+
+
+def test_metrics_are_text_with_histograms():
+    metrics = PrometheusMetrics()
+    metrics.count("direct_calls")
+    metrics.count("direct_refusals", tag="busy")
+    metrics.timing("direct_answer", 0.25)
+    text = metrics.text().decode()
+    assert "persimmonstall_direct_calls_total 1.0" in text
+    assert 'persimmonstall_direct_refusals_total{tag="busy"} 1.0' in text
+    assert 'persimmonstall_direct_answer_seconds_bucket{le="0.3"} 1.0' in text
+
+
+def test_metric_outside_the_table_is_refused():
+    with pytest.raises(KeyError):
+        PrometheusMetrics().count("no_such_name")
+    with pytest.raises(KeyError):
+        PrometheusMetrics().count("direct_refusals")
