Large fleets: only the forty least busy engines are weighed for a long prompt

Cause: a long prompt's placement took 87 ms of processor time at 600 engines and 14 ms at 78 (tools/direct_costs.py, beside other load), on entries with a quarter of a core. Change: above forty engines the least busy forty are weighed; fleets up to forty are weighed as before.

--- a/Makefile
+++ b/Makefile
@@ -71,6 +71,7 @@
 
 bench: setup
 	$(PYTHON) tools/bench.py
+	$(PYTHON) tools/direct_costs.py
 
 capacity: setup
 	$(PYTHON) tools/capacity.py
--- a/packages/core/persimmonstall/direct/splitting.py
+++ b/packages/core/persimmonstall/direct/splitting.py
@@ -13,6 +13,9 @@
 MOST_HELPERS = 16
 """Engines that may help the first one."""
 
+MOST_WEIGHED = 40
+"""Engines that are weighed for every number of parts; of more, the least busy ones are."""
+
 EASY_SHARE = 0.4
 LATE_SHARE = 0.95
 """Shares of the latency objective up to which a call is surely in time, and from which late."""
@@ -71,6 +74,7 @@
 
 def best_split(routed, candidates, memory, now):
     """Return the cheapest `Split` of a prompt that needs `memory` tokens."""
+    candidates = least_busy(candidates, now)
     total = read_seconds(routed.service.engine, routed.call.prompt_tokens)
     most = min(len(candidates), MOST_HELPERS + 1)
     splits = [
@@ -79,6 +83,13 @@
     return min(splits, key=lambda split: split.cost)
 
 
+def least_busy(candidates, now):
+    """Return the `MOST_WEIGHED` engines on which any part costs least."""
+    if len(candidates) <= MOST_WEIGHED:
+        return candidates
+    return sorted(candidates, key=lambda c: part_cost(c, 0.0, now))[:MOST_WEIGHED]
+
+
 def split_over(count, routed, candidates, total, memory, now):
     """Return the best `Split` over `count` engines."""
     part = total / count
--- a/packages/core/tests/test_direct_placing.py
+++ b/packages/core/tests/test_direct_placing.py
@@ -162,6 +162,16 @@
     assert len({helper.ticket for helper, _ in placed.tickets}) == helpers
 
 
+def test_in_a_large_fleet_a_prompt_is_split_over_idle_engines():
+    placer = make_placer(100)
+    for number in range(60):
+        piece = Piece(f"e{number}", read=0.2, context=5000, gap=0.2)
+        placer.book.begin(Flight(f"busy{number}", (piece,)), 0.0)
+    placed = placer.place(routed(LONG, tokens=133_000, most=700), 0.01, "f")
+    assert all(int(piece.endpoint[1:]) >= 60 for piece in placed.flight.pieces)
+    assert len(placed.flight.pieces) > 4
+
+
 def test_prompt_that_fits_reserves_nothing():
     placer = make_placer()
     assert placer.place(routed(LONG, tokens=133_000, most=700), 0.0, "f").tickets == ()
--- /dev/null
+++ b/tools/direct_costs.py
@@ -0,0 +1,96 @@
+"""Decision costs of the direct way: milliseconds per placed call, by the size of the fleet."""
+
+import time
+from collections import deque
+
+import tabulate
+
+from persimmonstall.direct.fleet import Fleet
+from persimmonstall.direct.loads import LoadBook
+from persimmonstall.direct.messages import (
+    Call,
+    Endpoint,
+    EngineFigures,
+    Route,
+    Routed,
+    Service,
+    Share,
+)
+from persimmonstall.direct.placing import Placer
+from persimmonstall.direct.troubles import Troubles
+
+FLEET_SIZES = (21, 78, 600)
+KINDS = (("short", 5_000, 0.3, 0.25), ("long", 133_000, 2.5, 1.0))
+CALLS = 300
+CALLS_PER_ENDPOINT_SECOND = 1.2
+IN_FLIGHT_PER_ENDPOINT = 2
+MILLISECONDS = 1000.0
+
+FIGURES = EngineFigures(
+    slots=8,
+    memory=232_000,
+    step=0.00102,
+    per_sequence=4.5e-6,
+    per_context=4.31e-9,
+    token_read=1 / 206_000,
+    pair_read=1.38e-10,
+    chunk=2048,
+    stride=43,
+)
+
+
+def make_placer(size):
+    """Return a placer over `size` idle engines."""
+    fleet = Fleet()
+    for number in range(size):
+        fleet.put(Endpoint(f"e{number}", "llm", f"10.0.0.{number}:80", slots=FIGURES.slots))
+    return Placer(fleet, LoadBook(), Troubles())
+
+
+def make_call(number, tokens, objective, gap, now):
+    """Return a call of `tokens` prompt tokens."""
+    route = Route(
+        "r",
+        "h",
+        "/",
+        (Share("llm"),),
+        streaming=True,
+        resumable=True,
+        objective=objective,
+        gap_objective=gap,
+    )
+    call = Call(f"c{number}", "POST", "/", "h", (), b"", now, now + 10, "", tokens, 1300)
+    return Routed(call, route, Service("llm", engine=FIGURES))
+
+
+def milliseconds(size, tokens, objective, gap):
+    """Return the processor time of one placement among calls in flight everywhere."""
+    placer = make_placer(size)
+    in_flight = deque()
+    spent = 0.0
+    for number in range(CALLS):
+        now = number / (size * CALLS_PER_ENDPOINT_SECOND)
+        call = make_call(number, tokens, objective, gap, now)
+        begun = time.process_time()
+        placed = placer.place(call, now, f"f{number}")
+        spent += time.process_time() - begun
+        placer.book.begin(placed.flight, now)
+        in_flight.append(placed.flight.name)
+        if len(in_flight) > size * IN_FLIGHT_PER_ENDPOINT:
+            placer.book.end(in_flight.popleft())
+    return spent / CALLS * MILLISECONDS
+
+
+def table():
+    """Return the table of costs as text."""
+    rows = [
+        (size, kind, milliseconds(size, tokens, objective, gap))
+        for size in FLEET_SIZES
+        for kind, tokens, objective, gap in KINDS
+    ]
+    headers = ("endpoints", "prompt", "ms per placement")
+    return tabulate.tabulate(rows, headers, floatfmt=".2f", tablefmt="github")
+
+
+if __name__ == "__main__":
+    print(table())
