An attempt counts from when it is sent; one way to build an engine's load; content is hashed once

Ruled out: a false promise to the caller (504 promises nothing). Change: History notes an attempt when it is sent; add_flight serves both ways; Routed.content. Tests of retrying have a file of their own.

--- a/packages/core/persimmonstall/direct/loads.py
+++ b/packages/core/persimmonstall/direct/loads.py
@@ -83,22 +83,14 @@
         load = PlainLoad() if figures is None else EngineModel(figures, busy_until=now)
         self.loads[endpoint.name] = load
         for flight in self.flights.values():
-            for piece in flight.pieces:
-                if piece.endpoint == endpoint.name:
-                    load.begin(flight.name, piece, now)
+            add_flight(self.loads, flight, now, only=endpoint.name)
         return load
 
     def begin(self, flight, now, owner=""):
         """Add a flight; `owner` is the entry that made it, empty for this one."""
         self.flights[flight.name] = flight
         self.owned.setdefault(owner, set()).add(flight.name)
-        for piece in flight.pieces:
-            load = self.loads.get(piece.endpoint)
-            if load is None:
-                continue
-            load.begin(flight.name, piece, now)
-            if flight.started:
-                load.began_writing(flight.name)
+        add_flight(self.loads, flight, now)
 
     def started(self, name):
         """Note that a flight's first event was seen."""
@@ -149,3 +141,14 @@
         """Drop the loads of all endpoints but those in `names`."""
         for name in set(self.loads) - set(names):
             del self.loads[name]
+
+
+def add_flight(loads, flight, now, only=""):
+    """Add a flight to those of `loads` that it uses; `only` names a single one."""
+    for piece in flight.pieces:
+        load = loads.get(piece.endpoint)
+        if load is None or (only and piece.endpoint != only):
+            continue
+        load.begin(flight.name, piece, now)
+        if flight.started:
+            load.began_writing(flight.name)
--- a/packages/core/persimmonstall/direct/messages.py
+++ b/packages/core/persimmonstall/direct/messages.py
@@ -166,12 +166,16 @@
 
 @attrs.frozen
 class Routed:
-    """A call that passed the checks: its route, service and organisation."""
+    """A call that passed the checks: its route, service and organisation.
+
+    `content` is the fingerprint of what it asks.
+    """
 
     call: Call
     route: Route
     service: Service
     organisation: Organisation | None = None
+    content: str = ""
 
     @property
     def deadline(self):
--- a/packages/core/persimmonstall/direct/retrying.py
+++ b/packages/core/persimmonstall/direct/retrying.py
@@ -37,13 +37,15 @@
 class History:
     """The attempts of one call so far.
 
-    `runs` counts attempts that may have run, `sent_out` whether the caller has a part of the
-    answer, `last_event` the last event that it has.  `first_event` is when it got its first
-    event, `newest_event` its last one, `longest_gap` the longest pause between two.
+    `runs` counts ended attempts that may have run, `underway` says whether one is out whose
+    outcome is not known yet.  `sent_out` says whether the caller has a part of the answer,
+    `last_event` is the last event that it has.  `first_event` is when it got its first event,
+    `newest_event` its last one, `longest_gap` the longest pause between two.
     """
 
     sendings: int = 0
     runs: int = 0
+    underway: bool = False
     sent_out: bool = False
     last_event: int = -1
     first_event: float | None = None
@@ -51,9 +53,19 @@
     longest_gap: float = 0.0
     tried: set = attrs.field(factory=set)
 
+    @property
+    def may_have_run(self):
+        """Whether any attempt may have run at its endpoint."""
+        return self.underway or self.runs > 0
+
+    def send(self):
+        """Note that an attempt is about to be sent."""
+        self.underway = True
+
     def note(self, endpoint_name, ending):
-        """Count one attempt; `endpoint_name` is the endpoint that failed it."""
+        """Count one ended attempt; `endpoint_name` is the endpoint that failed it."""
         self.sendings += 1
+        self.underway = False
         self.tried.add(endpoint_name)
         if ending not in (Ending.NOT_RUN, Ending.WRONG_ENDPOINT):
             self.runs += 1
@@ -86,11 +98,11 @@
 def final_refusal(routed, history, failure, now, random):
     """Return the `Refusal` that ends a call whose caller has nothing of an answer yet."""
     if now >= routed.deadline:
-        outcome = Outcome.UNKNOWN if history.runs else Outcome.NOT_RUN
+        outcome = Outcome.UNKNOWN if history.may_have_run else Outcome.NOT_RUN
         return refuse(
             Failure(Reason.DEADLINE, failure.step, failure.peer, failure.detail), outcome=outcome
         )
-    if history.runs:
+    if history.may_have_run:
         reason = Reason.ENDPOINT_LOST
         unknown = Failure(reason, failure.step, failure.peer, failure.detail)
         return refuse(unknown, outcome=Outcome.UNKNOWN)
--- a/packages/core/persimmonstall/direct/routing.py
+++ b/packages/core/persimmonstall/direct/routing.py
@@ -3,6 +3,7 @@
 import xxhash
 
 from ..failures import Failure, Reason
+from .crashers import content_of
 from .messages import Routed
 
 STEP = "route"
@@ -54,7 +55,7 @@
         service = self.configuration.services.get(name)
         if service is None:
             return Failure(Reason.UNKNOWN_SERVICE, STEP, detail=name)
-        return Routed(call, route, service, organisation)
+        return Routed(call, route, service, organisation, content_of(call))
 
     def choose(self, route, call_id):
         """Return the service of a call, by the route's weights and a hash of the call's id."""
--- a/packages/core/tests/test_direct_placing.py
+++ b/packages/core/tests/test_direct_placing.py
@@ -1,26 +1,17 @@
-import random
 from collections import Counter
 
-import attrs
 import pytest
 
 from persimmonstall.direct.engine_model import EngineModel, read_seconds
 from persimmonstall.direct.loads import Flight, LoadBook, Piece
-from persimmonstall.direct.retrying import (
-    Ending,
-    History,
-    final_refusal,
-    may_repeat,
-)
 from persimmonstall.direct.splitting import MOST_HELPERS
-from persimmonstall.failures import Failure, Outcome, Reason
+from persimmonstall.failures import Reason
 
 from .direct_parts import (
     FIGURES,
     FILING,
     LONG,
     PLAIN,
-    READING,
     SHORT,
     make_placer,
     routed,
@@ -216,50 +207,14 @@
     assert not book.flights
 
 
-@pytest.mark.parametrize(
-    ("route", "ending", "repeated"),
-    [
-        (SHORT, Ending.BROKEN, True),
-        (SHORT, Ending.LATE, True),
-        (SHORT, Ending.NOT_RUN, True),
-        (READING, Ending.ENDPOINT_ERROR, True),
-        (READING, Ending.BROKEN, True),
-        (FILING, Ending.BROKEN, False),
-        (FILING, Ending.ENDPOINT_ERROR, False),
-        (FILING, Ending.LATE, False),
-        (FILING, Ending.NOT_RUN, True),
-        (FILING, Ending.WRONG_ENDPOINT, True),
-        (attrs.evolve(SHORT, resumable=False), Ending.BROKEN, False),
-        (SHORT, Ending.WHOLE, False),
-        (SHORT, Ending.OVERDUE, False),
-    ],
-)
-def test_what_is_sent_to_a_second_endpoint(route, ending, repeated):
-    history = History()
-    history.note("e0", ending)
-    assert may_repeat(routed(route), history, ending) is repeated
-
-
-def test_call_runs_on_no_more_endpoints_than_its_route_allows():
-    history = History()
-    history.note("e0", Ending.BROKEN)
-    history.note("e1", Ending.BROKEN)
-    assert not may_repeat(routed(SHORT), history, Ending.BROKEN)
-
-
-def test_call_that_may_have_run_is_not_said_to_be_not_run():
-    history = History()
-    history.note("e0", Ending.BROKEN)
-    failure = Failure(Reason.BUSY, "send")
-    refusal = final_refusal(routed(), history, failure, 0.1, random.Random(1))
-    assert refusal.outcome is Outcome.UNKNOWN
-    assert refusal.retry_after is None
-
-
-def test_call_that_did_not_run_is_told_when_to_come_back():
-    history = History()
-    history.note("e0", Ending.NOT_RUN)
-    failure = Failure(Reason.BUSY, "send")
-    refusal = final_refusal(routed(), history, failure, 0.1, random.Random(1))
-    assert refusal.outcome is Outcome.NOT_RUN
-    assert 0.0 < refusal.retry_after < 1.0
+def test_load_made_anew_is_that_of_a_followed_one():
+    placer = make_placer(1)
+    book, service = placer.book, routed().service
+    endpoint = placer.fleet.endpoints["e0"]
+    followed = book.of(endpoint, service, 0.0)
+    book.begin(Flight("writes", (Piece("e0", 0.1, 5000, 6000),), started=True), 0.0)
+    book.begin(Flight("reads", (Piece("e0", 0.1, 5000, 6000),)), 0.0)
+    book.forget(())
+    made = book.of(endpoint, service, 0.0)
+    assert set(made.writes) == set(followed.writes) == {"writes"}
+    assert set(made.reads) == set(followed.reads) == {"reads"}
--- /dev/null
+++ b/packages/core/tests/test_direct_retrying.py
@@ -0,0 +1,76 @@
+"""What follows an attempt that did not bring the whole answer."""
+
+import random
+
+import attrs
+import pytest
+
+from persimmonstall.direct.retrying import Ending, History, final_refusal, may_repeat
+from persimmonstall.failures import Failure, Outcome, Reason
+
+from .direct_parts import FILING, READING, SHORT, routed
+
+
+@pytest.mark.parametrize(
+    ("route", "ending", "repeated"),
+    [
+        (SHORT, Ending.BROKEN, True),
+        (SHORT, Ending.LATE, True),
+        (SHORT, Ending.NOT_RUN, True),
+        (READING, Ending.ENDPOINT_ERROR, True),
+        (READING, Ending.BROKEN, True),
+        (FILING, Ending.BROKEN, False),
+        (FILING, Ending.ENDPOINT_ERROR, False),
+        (FILING, Ending.LATE, False),
+        (FILING, Ending.NOT_RUN, True),
+        (FILING, Ending.WRONG_ENDPOINT, True),
+        (attrs.evolve(SHORT, resumable=False), Ending.BROKEN, False),
+        (SHORT, Ending.WHOLE, False),
+        (SHORT, Ending.OVERDUE, False),
+    ],
+)
+def test_what_is_sent_to_a_second_endpoint(route, ending, repeated):
+    history = History()
+    history.note("e0", ending)
+    assert may_repeat(routed(route), history, ending) is repeated
+
+
+def test_call_runs_on_no_more_endpoints_than_its_route_allows():
+    history = History()
+    history.note("e0", Ending.BROKEN)
+    history.note("e1", Ending.BROKEN)
+    assert not may_repeat(routed(SHORT), history, Ending.BROKEN)
+
+
+def test_call_that_may_have_run_is_not_said_to_be_not_run():
+    history = History()
+    history.note("e0", Ending.BROKEN)
+    failure = Failure(Reason.BUSY, "send")
+    refusal = final_refusal(routed(), history, failure, 0.1, random.Random(1))
+    assert refusal.outcome is Outcome.UNKNOWN
+    assert refusal.retry_after is None
+
+
+def test_call_that_did_not_run_is_told_when_to_come_back():
+    history = History()
+    history.note("e0", Ending.NOT_RUN)
+    failure = Failure(Reason.BUSY, "send")
+    refusal = final_refusal(routed(), history, failure, 0.1, random.Random(1))
+    assert refusal.outcome is Outcome.NOT_RUN
+    assert 0.0 < refusal.retry_after < 1.0
+
+
+@pytest.mark.parametrize("now", [0.1, 20.0])
+def test_call_whose_attempt_is_still_out_is_not_said_to_be_not_run(now):
+    history = History()
+    history.send()
+    failure = Failure(Reason.DEADLINE, "exchange")
+    refusal = final_refusal(routed(), history, failure, now, random.Random(1))
+    assert refusal.outcome is Outcome.UNKNOWN
+    assert refusal.retry_after is None
+
+
+def test_call_that_passed_its_deadline_before_it_was_sent_has_not_run():
+    failure = Failure(Reason.DEADLINE, "exchange")
+    refusal = final_refusal(routed(), History(), failure, 20.0, random.Random(1))
+    assert refusal.outcome is Outcome.NOT_RUN
--- a/packages/daemon/persimmonstall_daemon/direct/exchange.py
+++ b/packages/daemon/persimmonstall_daemon/direct/exchange.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from persimmonstall.direct.crashers import content_of
 from persimmonstall.direct.messages import Reply
 from persimmonstall.direct.retrying import Ending, History, final_refusal, may_repeat
 from persimmonstall.failures import Failure, Outcome, Reason, Refusal, refuse
@@ -77,7 +76,7 @@
 
     def check_content(self, routed):
         """Refuse content that has crashed several endpoints."""
-        if self.entry.state.crashers.refused(content_of(routed.call), self.entry.now()):
+        if self.entry.state.crashers.refused(routed.content, self.entry.now()):
             return Refusal(Reason.QUARANTINED, "content", outcome=Outcome.NOT_RUN)
         return routed
 
@@ -160,7 +159,7 @@
         else:
             state.troubles.failed(endpoint.name, now)
         if ended.ending is Ending.BROKEN and not ended.began:
-            state.crashers.lost(content_of(routed.call), endpoint.key, now)
+            state.crashers.lost(routed.content, endpoint.key, now)
             self.entry.spawn(self.look_for_crash(endpoint))
 
     async def look_for_crash(self, endpoint):
