--- a/packages/daemon/persimmonstall_daemon/observe/prometheus.py
+++ b/packages/daemon/persimmonstall_daemon/observe/prometheus.py
@@ -1,61 +1,78 @@
-"""Metrics of one daemon as text that a collector fetches, by the names in `names.TABLE`."""
+"""Metrics of one daemon that a collector fetches, by the names in `names.TABLE`.
 
-import asyncio
+The library that writes them as text is loaded when they are first fetched: a daemon that starts
+after a power loss serves its first callers earlier.
+"""
 
-import prometheus_client
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+import asyncio
+import bisect
 
-from .names import ENTRIES, Kind, check_use
+import attrs
 
-PREFIX = "persimmonstall_"
-TAG = "tag"
+from .names import Kind, check_use
 
 BUCKETS = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0, 10.0, 15.0)
 """Upper bounds of the latency histograms, in seconds."""
 
-MAKERS = {Kind.COUNTER: Counter, Kind.GAUGE: Gauge}
+
+@attrs.define
+class Timings:
+    """Durations by bucket, the last one without a bound, and their sum in seconds."""
+
+    counts: list = attrs.field(factory=lambda: [0] * (len(BUCKETS) + 1))
+    total: float = 0.0
+
+    def add(self, seconds):
+        """Count one duration.
+
+        >>> timings = Timings()
+        >>> timings.add(0.005)
+        >>> timings.add(99.0)
+        >>> timings.cumulative()[0], timings.cumulative()[-2:]
+        (('0.005', 1), [('15.0', 1), ('+Inf', 2)])
+        """
+        self.counts[bisect.bisect_left(BUCKETS, seconds)] += 1
+        self.total += seconds
+
+    def cumulative(self):
+        """Return (upper bound, durations up to it) pairs as the text form wants them."""
+        bounds = [str(bound) for bound in BUCKETS] + ["+Inf"]
+        sums = []
+        below = 0
+        for bound, count in zip(bounds, self.counts, strict=True):
+            below += count
+            sums.append((bound, below))
+        return sums
 
 
 class PrometheusMetrics:
-    """Counters, gauges and latency histograms; the same calls as `metrics.Metrics`."""
+    """Counters, gauges and latency histograms; the same calls as `metrics.Metrics`.
+
+    `values` holds numbers and `timings` durations, by name and then by tag.
+    """
 
     def __init__(self):
-        self.registry = CollectorRegistry()
-        self.made = {}
-
-    def series(self, name, kind, tag):
-        """Return the series of a name and tag, made at its first use."""
-        check_use(name, kind, tag)
-        made = self.made.get(name)
-        if made is None:
-            made = self.made[name] = self.make(name)
-        return made.labels(tag) if tag else made
-
-    def make(self, name):
-        """Register a name of the table."""
-        entry = next(entry for entry in ENTRIES if entry.name == name)
-        labels = (TAG,) if entry.tags else ()
-        if entry.kind is Kind.TIMER:
-            return Histogram(
-                PREFIX + name + "_seconds",
-                entry.meaning,
-                labels,
-                buckets=BUCKETS,
-                registry=self.registry,
-            )
-        return MAKERS[entry.kind](PREFIX + name, entry.meaning, labels, registry=self.registry)
+        self.values = {}
+        self.timings = {}
 
     def count(self, name, amount=1, tag=""):
         """Add `amount` to a counter."""
-        self.series(name, Kind.COUNTER, tag).inc(amount)
+        check_use(name, Kind.COUNTER, tag)
+        values = self.values.setdefault(name, {})
+        values[tag] = values.get(tag, 0) + amount
 
     def gauge(self, name, value, tag=""):
         """Set a gauge."""
-        self.series(name, Kind.GAUGE, tag).set(value)
+        check_use(name, Kind.GAUGE, tag)
+        self.values.setdefault(name, {})[tag] = value
 
     def timing(self, name, seconds, tag=""):
         """Record one duration in seconds."""
-        self.series(name, Kind.TIMER, tag).observe(seconds)
+        check_use(name, Kind.TIMER, tag)
+        by_tag = self.timings.setdefault(name, {})
+        if tag not in by_tag:
+            by_tag[tag] = Timings()
+        by_tag[tag].add(seconds)
 
     def violation(self, name, detail=""):
         """Count a violated invariant; fits `Invariants(on_violation=...)`."""
@@ -63,7 +80,9 @@
 
     def text(self):
         """Return all series in the collector's text format, as bytes."""
-        return prometheus_client.generate_latest(self.registry)
+        from .exposition import render
+
+        return render(self)
 
     async def run(self):
         """Nothing is sent: the collector fetches.  Waits until cancelled."""
--- a/packages/daemon/tests/test_direct_observe.py
+++ b/packages/daemon/tests/test_direct_observe.py
@@ -62,3 +62,22 @@
         PrometheusMetrics().count("no_such_name")
     with pytest.raises(KeyError):
         PrometheusMetrics().count("direct_refusals")
+
+
+def test_histogram_counts_each_duration_once_and_adds_them_up():
+    metrics = PrometheusMetrics()
+    for seconds in (0.005, 0.3, 99.0):
+        metrics.timing("direct_answer", seconds)
+    text = metrics.text().decode()
+    assert 'persimmonstall_direct_answer_seconds_bucket{le="0.005"} 1.0' in text
+    assert 'persimmonstall_direct_answer_seconds_bucket{le="0.3"} 2.0' in text
+    assert 'persimmonstall_direct_answer_seconds_bucket{le="+Inf"} 3.0' in text
+    assert "persimmonstall_direct_answer_seconds_count 3.0" in text
+    assert "persimmonstall_direct_answer_seconds_sum 99.305" in text
+
+
+def test_gauge_keeps_its_last_value():
+    metrics = PrometheusMetrics()
+    metrics.gauge("direct_peers", 7)
+    metrics.gauge("direct_peers", 3)
+    assert "persimmonstall_direct_peers 3.0" in metrics.text().decode()
