Engines that work slower than their figures are found by the pauses of their streams

Ruled out: asking the engines for their pace (each question is priced as a probe and is some hundred ms old). Change: Paces keeps the last three pauses of each engine's streams against the predicted pass; the shortest one counts; beacons tell slow ones; the estimate lapses after 1.5 s, so that the engine is probed; a new stream counts in the room that the passes leave.

--- a/packages/core/persimmonstall/direct/beacon.py
+++ b/packages/core/persimmonstall/direct/beacon.py
@@ -18,7 +18,7 @@
 
     `reached_age` is the time in seconds since the directory last answered it or a peer.  `used`
     has (calls, retries) by service, `crashers` (content, lifetimes) and `troubles` (endpoint,
-    score) pairs.
+    score) and `paces` (endpoint, pace) pairs.
     """
 
     address: str
@@ -33,6 +33,7 @@
     crashers: tuple = ()
     peers: tuple[str, ...] = ()
     troubles: tuple[tuple[str, float], ...] = ()
+    paces: tuple[tuple[str, float], ...] = ()
 
 
 TENTHS_OF_MILLISECONDS = 10_000
@@ -103,7 +104,13 @@
             for content, lifetimes in fields[9]
         )
         beacon = Beacon(
-            *fields[:7], flights, used, crashers, tuple(fields[10]), tuple(map(tuple, fields[11]))
+            *fields[:7],
+            flights,
+            used,
+            crashers,
+            tuple(fields[10]),
+            tuple(map(tuple, fields[11])),
+            tuple(map(tuple, fields[12])),
         )
     except (msgspec.MsgspecError, AttributeError, IndexError, TypeError, ValueError) as error:
         return Failure(Reason.BAD_REQUEST, STEP, detail=repr(error))
--- a/packages/core/persimmonstall/direct/engine_model.py
+++ b/packages/core/persimmonstall/direct/engine_model.py
@@ -109,6 +109,11 @@
             room -= part
         self.busy_until += self.write_seconds() + sum(self.taken.values())
 
+    def usual_pause(self):
+        """Return the seconds between two events of a stream at the pace of the figures."""
+        reading = min(self.pending(), self.longest_pass())
+        return (self.write_seconds() + reading) / self.pace
+
     def finish_pass(self):
         """Take what the last pass read off the reads; whole ones begin to write."""
         for flight, part in self.taken.items():
@@ -179,7 +184,8 @@
             gaps.append(gap)
         if not gaps:
             return float("inf")
-        return min(gaps) - self.write_seconds() - self.pending()
+        extra = 0 if gap is None else 1
+        return min(gaps) - self.write_seconds(extra=extra) - self.pending()
 
     def harm(self, read, now):
         """Return the worth of calls here that `read` more seconds, read first, would make late.
--- a/packages/core/persimmonstall/direct/loads.py
+++ b/packages/core/persimmonstall/direct/loads.py
@@ -3,6 +3,7 @@
 import attrs
 
 from .engine_model import EngineModel
+from .paces import Paces
 
 SILENT_OWNER = 3.0
 """Seconds after which the flights of an entry that is not heard are dropped."""
@@ -39,6 +40,7 @@
 class PlainLoad:
     """Calls in flight at a plain service's endpoint."""
 
+    pace: float = 1.0
     flights: set = attrs.field(factory=set)
 
     def begin(self, flight, _piece, _now):
@@ -55,6 +57,9 @@
     def advance(self, now):
         """Nothing changes with time."""
 
+    def usual_pause(self):
+        """Return None: a plain service writes no streams whose pauses could be predicted."""
+
     def running(self):
         """Return the number of calls in flight."""
         return len(self.flights)
@@ -68,6 +73,7 @@
     flights: dict = attrs.field(factory=dict)
     owned: dict = attrs.field(factory=dict)
     heard: dict = attrs.field(factory=dict)
+    paces: Paces = attrs.field(factory=Paces)
 
     def of(self, endpoint, service, now):
         """Return the load of an `Endpoint` of `service`, followed up to `now`."""
@@ -75,6 +81,7 @@
         figures = service.engine
         if load is None or getattr(load, "figures", None) != figures:
             load = self.make(endpoint, figures, now)
+        load.pace = self.paces.of(endpoint.name, now)
         load.advance(now)
         return load
 
@@ -103,6 +110,13 @@
             if load is not None:
                 load.began_writing(name)
 
+    def paused(self, endpoint_name, seconds, now):
+        """Note a pause between two events of a stream that an endpoint writes."""
+        load = self.loads.get(endpoint_name)
+        usual = load.usual_pause() if load is not None else None
+        if usual is not None:
+            self.paces.observe(endpoint_name, seconds / usual, now)
+
     def end(self, name, owner=""):
         """Remove a flight."""
         flight = self.flights.pop(name, None)
@@ -141,6 +155,7 @@
         """Drop the loads of all endpoints but those in `names`."""
         for name in set(self.loads) - set(names):
             del self.loads[name]
+        self.paces.forget(names)
 
 
 def add_flight(loads, flight, now, only=""):
--- /dev/null
+++ b/packages/core/persimmonstall/direct/paces.py
@@ -0,0 +1,72 @@
+"""How slow model engines are against their figures, by the pauses of the streams they write.
+
+Answers days on which some engines work several times as long as usual while their health is good.
+"""
+
+import collections
+
+import attrs
+
+SAMPLES = 3
+"""Latest pauses of an engine that are looked at; the shortest one counts, since a single long
+pause may come from a prompt that this entry does not know of."""
+
+SLOW_PACE = 2.0
+"""Ratio of a pause to the predicted one from which an engine counts as slow."""
+
+MOST_PACE = 8.0
+
+LAPSE_SECONDS = 1.5
+"""Time after the last pause seen after which an engine is taken to be as fast as its figures."""
+
+
+@attrs.define
+class Paces:
+    """Ratios of seen to predicted pauses by endpoint name; 1 is as fast as the figures say.
+
+    >>> paces = Paces()
+    >>> for ratio in (5.0, 4.0, 6.0):
+    ...     paces.observe("e", ratio, 0.0)
+    >>> paces.of("e", 0.1), paces.of("e", 9.0), paces.of("f", 0.1)
+    (4.0, 1.0, 1.0)
+    """
+
+    samples: dict = attrs.field(factory=dict)
+    others: dict = attrs.field(factory=dict)
+
+    def observe(self, name, ratio, now):
+        """Note that a pause of a stream was `ratio` times the predicted one."""
+        samples = self.samples.setdefault(name, collections.deque(maxlen=SAMPLES))
+        samples.append((ratio, now))
+
+    def of(self, name, now):
+        """Return an endpoint's pace, by this entry or another, whichever is slower."""
+        return max(self.own(name, now), self.heard(name, now))
+
+    def own(self, name, now):
+        """Return an endpoint's pace by the streams of this entry."""
+        fresh = [ratio for ratio, at in self.samples.get(name, ()) if now - at < LAPSE_SECONDS]
+        if len(fresh) < SAMPLES or min(fresh) < SLOW_PACE:
+            return 1.0
+        return min(MOST_PACE, *fresh)
+
+    def heard(self, name, now):
+        """Return an endpoint's pace as another entry told it."""
+        pace, at = self.others.get(name, (1.0, now))
+        return pace if now - at < LAPSE_SECONDS else 1.0
+
+    def told(self, now):
+        """Return the (name, pace) pairs of slow endpoints, as other entries are told."""
+        paces = ((name, self.own(name, now)) for name in self.samples)
+        return tuple((name, round(pace, 1)) for name, pace in paces if pace > 1.0)
+
+    def learn(self, told, now):
+        """Take the paces that another entry tells."""
+        for name, pace in told:
+            self.others[name] = (pace, now)
+
+    def forget(self, names):
+        """Drop all endpoints but those in `names`."""
+        for known in (self.samples, self.others):
+            for name in set(known) - set(names):
+                del known[name]
--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -174,10 +174,13 @@
 
     async def pass_on(self, whole, reader):
         """Send whole events to the caller, after the head if these are the first."""
-        if not self.begun_writing:
+        now = self.entry.now()
+        if self.begun_writing:
+            self.entry.loads.paused(self.endpoint.name, now - self.history.newest_event)
+        else:
             self.begun_writing = True
             self.entry.loads.started(self.placed.flight.name)
         if not self.sink.started:
             await self.sink.start(self.answer.head.status, self.answer.head.headers)
-        self.history.event(reader.last, self.entry.now())
+        self.history.event(reader.last, now)
         await self.sink.write(whole)
--- a/packages/daemon/persimmonstall_daemon/direct/loads.py
+++ b/packages/daemon/persimmonstall_daemon/direct/loads.py
@@ -25,6 +25,10 @@
         self.book.started(name)
         self.changed(False)
 
+    def paused(self, endpoint_name, seconds):
+        """Note a pause between two events of a stream."""
+        self.book.paused(endpoint_name, seconds, self.entry.now())
+
     def end(self, name):
         """Remove a flight."""
         self.book.end(name)
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -180,6 +180,7 @@
             state.crashers.told(),
             tuple(peer.address for peer in self.heard()) if named else (),
             state.troubles.told(now),
+            state.book.paces.told(now),
         )
 
     def on_datagram(self, data):
@@ -213,6 +214,7 @@
         state.budget.learn(beacon.address, beacon.used)
         state.crashers.learn(beacon.crashers, now)
         state.troubles.learn(beacon.troubles, now)
+        state.book.paces.learn(beacon.paces, now)
         state.peer_reached(now - beacon.reached_age)
 
     async def run(self):
