make demo shows the platform's way too

Cause: the demo played the product's own way only; an operator of the platform could not see it run.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -39,8 +39,20 @@
 
 
 def demo():
-    """Run the mixed load against a new deployment and stop it; return the exit code."""
+    """Show the product's own way, then the platform's; return the exit code."""
     signal.signal(signal.SIGTERM, interrupt)
+    return demo_own_way() or demo_platform_way()
+
+
+def demo_platform_way():
+    """Run a mixed load through entries on a stand-in of the users' platform."""
+    print("on a platform that brings store, balancer and model servers:")
+    command = [sys.executable, "-m", "persimmonstall_platform_standins.demo"]
+    return subprocess.run(command, check=False).returncode
+
+
+def demo_own_way():
+    """Run the mixed load against a new deployment and stop it; return the exit code."""
     deployment = bring_up()
     try:
         return run_load(deployment)
