--- a/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -31,6 +31,12 @@
 UNSENT_MILLISECONDS = 1500
 """Time for which sent bytes may stay unacknowledged."""
 
+STILL_SECONDS = 0.3
+"""Time by which a timeout is late from which the process counts as having stood still."""
+
+CATCH_UP_SECONDS = 0.1
+"""Time after that in which what has come meanwhile is read."""
+
 LINE_BYTES = 16384
 """Longest line of an endpoint's answer head."""
 
@@ -104,16 +110,35 @@
     response: object
     closed: object
 
-    async def read(self):
-        """Return the next bytes, empty at the end of a whole body, or a `Failure`."""
+    async def read(self, patience):
+        """Return the next bytes, empty at the end of a whole body, or a `Failure`.
+
+        Raises TimeoutError when nothing has come within `patience` seconds.
+        """
         try:
-            data = await self.response.content.readany()
+            data = await self.wait(patience)
             if not data and not await self.ended_cleanly():
                 return lost(self.head, "reset at the end of an unframed body")
+        except TimeoutError:
+            raise
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return lost(self.head, repr(error))
         return data
 
+    async def wait(self, patience):
+        """Return the next bytes, also those that came while this process stood still."""
+        content = self.response.content
+        clock = asyncio.get_running_loop().time
+        due = clock() + patience
+        try:
+            async with asyncio.timeout(patience):
+                return await content.readany()
+        except TimeoutError:
+            if clock() - due < STILL_SECONDS:
+                raise
+        async with asyncio.timeout(CATCH_UP_SECONDS):
+            return await content.readany()
+
     async def ended_cleanly(self):
         """Say whether an unframed body ended with a proper close of the connection."""
         if self.framed:
--- a/packages/daemon/persimmonstall_daemon/direct/exchange.py
+++ b/packages/daemon/persimmonstall_daemon/direct/exchange.py
@@ -41,6 +41,7 @@
     def __init__(self, entry):
         self.entry = entry
         self.log = logs.get("exchange")
+        self.limits = {}
         self.checks = (
             self.check_configured,
             self.check_route,
@@ -91,14 +92,25 @@
         last = Ended(Ending.OVERDUE, Failure(Reason.DEADLINE, STEP))
         left = routed.deadline - REPLY_MARGIN - self.entry.now()
         self.entry.state.budget.call(routed.service.name, self.entry.now())
+        limit = asyncio.timeout(max(0.0, left))
         try:
-            async with asyncio.timeout(max(0.0, left)):
+            async with limit:
+                self.limits[limit] = routed.deadline
                 while True:
                     last = await self.attempt(routed, sink, history)
                     if not self.goes_on(routed, history, last):
                         return last
         except TimeoutError:
             return Ended(Ending.OVERDUE, last.failure or Failure(Reason.DEADLINE, STEP))
+        finally:
+            self.limits.pop(limit, None)
+
+    def resumed(self):
+        """Set all deadlines anew after a time in which the event loop's clock stood still."""
+        loop = asyncio.get_running_loop()
+        for limit, deadline in self.limits.items():
+            left = deadline - REPLY_MARGIN - self.entry.now()
+            limit.reschedule(loop.time() + max(0.0, left))
 
     def goes_on(self, routed, history, ended):
         """Say whether another attempt is made, and take it from the shared budget."""
