One base for entry and endpoint daemons; engine figures of tests and tools in one place

Change: LinkedDaemon; an endpoint daemon now logs a violated invariant as an entry does; persimmonstall_standins.figures.

--- a/packages/core/tests/direct_parts.py
+++ b/packages/core/tests/direct_parts.py
@@ -7,7 +7,6 @@
 from persimmonstall.direct.messages import (
     Call,
     Endpoint,
-    EngineFigures,
     Repeat,
     Route,
     Routed,
@@ -16,18 +15,8 @@
 )
 from persimmonstall.direct.placing import Placer
 from persimmonstall.direct.troubles import Troubles
+from persimmonstall_standins.figures import FIGURES
 
-FIGURES = EngineFigures(
-    slots=8,
-    memory=232_000,
-    step=0.00102,
-    per_sequence=4.5e-6,
-    per_context=4.31e-9,
-    token_read=1 / 206_000,
-    pair_read=1.38e-10,
-    chunk=2048,
-    stride=43,
-)
 LLM = Service("llm", engine=FIGURES)
 PLAIN = Service("plain")
 SHORT = Route(
--- a/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
@@ -1,13 +1,12 @@
 """The endpoint daemon: listens for entries and fronts one or more endpoints."""
 
 import asyncio
-import uuid
 
 from persimmonstall.failures import Outcome, Reason
-from persimmonstall.invariants import Invariants
 from persimmonstall.messages import control, requests
 
 from ..claims import ClaimKeeper
+from ..linked import LinkedDaemon
 from ..quarantine import QuarantineKeeper
 from .session import Session
 
@@ -16,21 +15,14 @@
 FLUSH_SECONDS = 1.0
 
 
-class EndpointDaemon:
+class EndpointDaemon(LinkedDaemon):
     """Owns the sessions with entries and one backend task for each endpoint.
 
-    `network` opens the port, `context` gives clock and random source, `metrics` counts,
-    `follower` holds the catalogue, `stores` the platform's table and object store.
+    `stores` are the platform's table and object store; the rest as in `LinkedDaemon`.
     """
 
     def __init__(self, settings, network, context, metrics, follower, stores, strict=False):
-        self.settings = settings
-        self.network = network
-        self.context = context
-        self.metrics = metrics
-        self.follower = follower
-        self.invariants = Invariants(strict, metrics.violation)
-        self.run_id = uuid.UUID(int=context.random.getrandbits(128)).hex
+        super().__init__(settings, network, context, metrics, follower, strict)
         self.stopping = False
         self.claims = ClaimKeeper(settings, stores.table, stores.objects, context, self.run_id)
         self.quarantine = QuarantineKeeper(
@@ -46,15 +38,8 @@
         self.backends = {}
         self.sessions = set()
         self.owners = {}
-        self.controls = {}
         self.quarantine.register(self.controls)
         self.listener = None
-        self.tasks = []
-
-    @property
-    def version(self):
-        """The version of the catalogue in force here."""
-        return self.follower.version
 
     def add(self, backend):
         """Front one more endpoint; call before `start`."""
@@ -98,16 +83,6 @@
         """Return the answer to a heartbeat."""
         return control.Pong(sequence, self.version, self.loads())
 
-    def heard(self, version, session):
-        """Note the catalogue version that a peer has."""
-        self.follower.heard(version, session.name)
-
-    def control(self, message, session):
-        """Hand a message that concerns no attempt to its handler in `controls`."""
-        handler = self.controls.get(type(message))
-        if handler:
-            handler(message, session)
-
     def linked(self):
         """Return the sessions whose entry has introduced itself."""
         return [session for session in self.sessions if session.name]
--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -1,18 +1,17 @@
 """The entry daemon: pipeline, links to endpoint daemons and what the filters share."""
 
 import asyncio
-import uuid
 
 import attrs
 
 from persimmonstall.burn import BurnRecorder
 from persimmonstall.failures import Failure, Reason
-from persimmonstall.invariants import Invariants
 from persimmonstall.membership import subset_of
 from persimmonstall.messages import control
 
 from ..claims import ClaimCleaner, ClaimFilter
 from ..limits import Budgets, EntryPeers
+from ..linked import LinkedDaemon
 from ..membership import Membership
 from ..observe import logs
 from ..quarantine import Flights, QuarantineFilter, QuarantineKeeper
@@ -36,7 +35,7 @@
     reason: str = ""
 
 
-class EntryDaemon:
+class EntryDaemon(LinkedDaemon):
     """What the filters of one entry share.
 
     `follower` holds the catalogue, `placer` chooses endpoints, `network` opens links,
@@ -57,16 +56,9 @@
         instances=None,
         strict=False,
     ):
-        self.settings = settings
-        self.network = network
-        self.context = context
-        self.metrics = metrics
-        self.follower = follower
+        super().__init__(settings, network, context, metrics, follower, strict)
         self.placer = placer
         self.vocabulary = vocabulary
-        self.invariants = Invariants(strict, self.violated)
-        self.run_id = uuid.UUID(int=context.random.getrandbits(128)).hex
-        self.controls = {}
         self.exchanges = Exchanges(metrics)
         self.links = EndpointLinks(self)
         self.membership = Membership(settings, context, self.invariants, metrics, instances)
@@ -91,7 +83,6 @@
         self.quarantine.register(self.controls)
         self.suspects = QuarantineFilter(self, self.quarantine)
         self.flights = Flights()
-        self.tasks = []
         self.long_prompts = LongDispatch(self)
         by_size = DispatchBySize(Dispatch(self), self.long_prompts)
         self.pipeline = Pipeline(make_filters(self), by_size)
@@ -103,11 +94,6 @@
         """The catalogue in force here."""
         return self.follower.current
 
-    @property
-    def version(self):
-        """The version of the catalogue in force here."""
-        return self.follower.version
-
     def hello(self):
         """Return the first message on a link."""
         daemon = self.settings.daemon
@@ -115,11 +101,6 @@
             daemon.instance, daemon.role, daemon.data_centre, self.run_id, self.version
         )
 
-    def violated(self, name, detail):
-        """Count and log a violated invariant."""
-        self.metrics.violation(name, detail)
-        LOG.error("invariant violated", invariant=name, detail=detail)
-
     def entry_names(self):
         """Return the names of the live entries."""
         return [instance.name for instance in self.membership.entries()]
@@ -247,16 +228,6 @@
         """Stop placing work behind an instance that is out of reach."""
         self.placer.on_link_down(instance.name)
 
-    def heard(self, version, link):
-        """Note the catalogue version that a peer has."""
-        self.follower.heard(version, link.name)
-
-    def control(self, message, link):
-        """Hand a message that concerns no request to its handler in `controls`."""
-        handler = self.controls.get(type(message))
-        if handler:
-            handler(message, link)
-
     def bug(self, step, error):
         """Count and log an unexpected error."""
         self.metrics.count("bugs")
--- a/tools/direct_costs.py
+++ b/tools/direct_costs.py
@@ -10,7 +10,6 @@
 from persimmonstall.direct.messages import (
     Call,
     Endpoint,
-    EngineFigures,
     Route,
     Routed,
     Service,
@@ -18,6 +17,7 @@
 )
 from persimmonstall.direct.placing import Placer
 from persimmonstall.direct.troubles import Troubles
+from persimmonstall_standins.figures import FIGURES
 
 FLEET_SIZES = (21, 78, 600)
 KINDS = (("short", 5_000, 0.3, 0.25), ("long", 133_000, 2.5, 1.0))
@@ -26,18 +26,6 @@
 IN_FLIGHT_PER_ENDPOINT = 2
 MILLISECONDS = 1000.0
 
-FIGURES = EngineFigures(
-    slots=8,
-    memory=232_000,
-    step=0.00102,
-    per_sequence=4.5e-6,
-    per_context=4.31e-9,
-    token_read=1 / 206_000,
-    pair_read=1.38e-10,
-    chunk=2048,
-    stride=43,
-)
-
 
 def make_placer(size):
     """Return a placer over `size` idle engines."""
