--- a/packages/core/persimmonstall/direct/loads.py
+++ b/packages/core/persimmonstall/direct/loads.py
@@ -110,12 +110,15 @@
             if load is not None:
                 load.began_writing(name)
 
-    def paused(self, endpoint_name, seconds, now):
-        """Note a pause between two events of a stream that an endpoint writes."""
+    def paused(self, endpoint_name, seconds, events, now):
+        """Note that `events` events of a stream came `seconds` after the one before them.
+
+        Several come together where this entry was late to read them.
+        """
         load = self.loads.get(endpoint_name)
         usual = load.usual_pause() if load is not None else None
         if usual is not None:
-            self.paces.observe(endpoint_name, seconds / usual, now)
+            self.paces.observe(endpoint_name, seconds / (events * usual), now)
 
     def end(self, name, owner=""):
         """Remove a flight."""
--- a/packages/core/tests/test_direct_paces.py
+++ b/packages/core/tests/test_direct_paces.py
@@ -10,12 +10,15 @@
 SLOWNESS = 5.0
 
 
-def watch(placer, name, times, now, count=SAMPLES):
-    """Let this entry see pauses of a stream at an engine, `times` as long as predicted."""
+def watch(placer, name, times, now, count=SAMPLES, events=1):
+    """Let this entry see pauses of a stream at an engine, `times` as long as predicted.
+
+    Each ends with `events` events that are read together.
+    """
     placer.book.of(placer.fleet.endpoints[name], LLM, now)
     usual = placer.book.loads[name].usual_pause()
     for _ in range(count):
-        placer.book.paused(name, times * usual, now)
+        placer.book.paused(name, times * usual, events, now)
 
 
 def engines_of(placer, count, now=0.0):
@@ -45,6 +48,14 @@
     assert engines_of(placer, 1, 0.2) == usual
 
 
+def test_entry_that_reads_late_does_not_take_engines_for_slow():
+    placer = make_placer(3)
+    usual = engines_of(placer, 1)
+    (first,) = usual
+    watch(placer, first, SLOWNESS, 0.0, events=5)
+    assert engines_of(placer, 1, 0.1) == usual
+
+
 def test_service_whose_engines_are_all_slow_is_still_used():
     placer = make_placer(3)
     for name in placer.fleet.endpoints:
--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -174,7 +174,9 @@
         """Send whole events to the caller, after the head if these are the first."""
         now = self.entry.now()
         if self.begun_writing:
-            self.entry.loads.paused(self.endpoint.name, now - self.history.newest_event)
+            events = max(1, reader.last - self.history.last_event)
+            pause = now - self.history.newest_event
+            self.entry.loads.paused(self.endpoint.name, pause, events)
         else:
             self.begun_writing = True
             self.entry.loads.started(self.placed.flight.name)
--- a/packages/daemon/persimmonstall_daemon/direct/loads.py
+++ b/packages/daemon/persimmonstall_daemon/direct/loads.py
@@ -25,9 +25,9 @@
         self.book.started(name)
         self.changed(False)
 
-    def paused(self, endpoint_name, seconds):
-        """Note a pause between two events of a stream."""
-        self.book.paused(endpoint_name, seconds, self.entry.now())
+    def paused(self, endpoint_name, seconds, events):
+        """Note the pause before events of a stream that came together."""
+        self.book.paused(endpoint_name, seconds, events, self.entry.now())
 
     def end(self, name):
         """Remove a flight."""
