A suspension noticed while a deadline passes does not end the entry's tick

Cause (found in the read of the diff): a limit that is expiring cannot be set anew; the error would have ended the tick, and with it the process. test_suspension_noticed_while_a_deadline_passes_breaks_nothing failed first (RuntimeError). Change: expired limits are passed over.

--- a/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -120,6 +120,7 @@
             if not data and not await self.ended_cleanly():
                 return lost(self.head, "reset at the end of an unframed body")
         except TimeoutError:
+            # A subclass of OSError, but no failure of the connection.
             raise
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return lost(self.head, repr(error))
--- a/packages/daemon/persimmonstall_daemon/direct/exchange.py
+++ b/packages/daemon/persimmonstall_daemon/direct/exchange.py
@@ -108,7 +108,8 @@
     def resumed(self):
         """Set all deadlines anew after a time in which the event loop's clock stood still."""
         loop = asyncio.get_running_loop()
-        for limit, deadline in self.limits.items():
+        running = [(limit, due) for limit, due in self.limits.items() if not limit.expired()]
+        for limit, deadline in running:
             left = deadline - REPLY_MARGIN - self.entry.now()
             limit.reschedule(loop.time() + max(0.0, left))
 
