--- a/packages/core/persimmonstall/direct/loads.py
+++ b/packages/core/persimmonstall/direct/loads.py
@@ -113,12 +113,14 @@
     def paused(self, endpoint_name, seconds, events, now):
         """Note that `events` events of a stream came `seconds` after the one before them.
 
-        Several come together where this entry was late to read them.
+        Several come together where this entry was late to read them.  Return whether the
+        endpoint counts as slow from now on, or no more.
         """
         load = self.loads.get(endpoint_name)
         usual = load.usual_pause() if load is not None else None
-        if usual is not None:
-            self.paces.observe(endpoint_name, seconds / (events * usual), now)
+        if usual is None:
+            return False
+        return self.paces.observe(endpoint_name, seconds / (events * usual), now)
 
     def end(self, name, owner=""):
         """Remove a flight."""
--- a/packages/core/persimmonstall/direct/paces.py
+++ b/packages/core/persimmonstall/direct/paces.py
@@ -26,7 +26,9 @@
 
     >>> paces = Paces()
     >>> for ratio in (5.0, 4.0, 6.0):
-    ...     paces.observe("e", ratio, 0.0)
+    ...     changed = paces.observe("e", ratio, 0.0)
+    >>> changed
+    True
     >>> paces.of("e", 0.1), paces.of("e", 9.0), paces.of("f", 0.1)
     (4.0, 1.0, 1.0)
     """
@@ -35,9 +37,14 @@
     others: dict = attrs.field(factory=dict)
 
     def observe(self, name, ratio, now):
-        """Note that a pause of a stream was `ratio` times the predicted one."""
+        """Note that a pause of a stream was `ratio` times the predicted one.
+
+        Return whether the engine counts as slow from now on, or no more.
+        """
+        was_slow = self.own(name, now) > 1.0
         samples = self.samples.setdefault(name, collections.deque(maxlen=SAMPLES))
         samples.append((ratio, now))
+        return (self.own(name, now) > 1.0) is not was_slow
 
     def of(self, name, now):
         """Return an endpoint's pace, by this entry or another, whichever is slower."""
--- a/packages/core/tests/test_direct_paces.py
+++ b/packages/core/tests/test_direct_paces.py
@@ -13,12 +13,12 @@
 def watch(placer, name, times, now, count=SAMPLES, events=1):
     """Let this entry see pauses of a stream at an engine, `times` as long as predicted.
 
-    Each ends with `events` events that are read together.
+    Each ends with `events` events that are read together.  Return whether each changed the
+    engine's standing.
     """
     placer.book.of(placer.fleet.endpoints[name], LLM, now)
     usual = placer.book.loads[name].usual_pause()
-    for _ in range(count):
-        placer.book.paused(name, times * usual, events, now)
+    return [placer.book.paused(name, times * usual, events, now) for _ in range(count)]
 
 
 def engines_of(placer, count, now=0.0):
@@ -48,6 +48,18 @@
     assert engines_of(placer, 1, 0.2) == usual
 
 
+def test_change_of_an_engines_standing_is_told_once():
+    placer = make_placer(1)
+    assert watch(placer, "e0", SLOWNESS, 0.0, count=SAMPLES + 2) == [
+        False,
+        False,
+        True,
+        False,
+        False,
+    ]
+    assert watch(placer, "e0", 1.0, 0.1, count=2) == [True, False]
+
+
 def test_entry_that_reads_late_does_not_take_engines_for_slow():
     placer = make_placer(3)
     usual = engines_of(placer, 1)
--- a/packages/daemon/persimmonstall_daemon/direct/loads.py
+++ b/packages/daemon/persimmonstall_daemon/direct/loads.py
@@ -2,6 +2,10 @@
 
 import attrs
 
+from ..observe import logs
+
+LOG = logs.get("loads")
+
 
 @attrs.define
 class Loads:
@@ -27,7 +31,10 @@
 
     def paused(self, endpoint_name, seconds, events):
         """Note the pause before events of a stream that came together."""
-        self.book.paused(endpoint_name, seconds, events, self.entry.now())
+        now = self.entry.now()
+        if self.book.paused(endpoint_name, seconds, events, now):
+            pace = self.book.paces.own(endpoint_name, now)
+            LOG.warning("pace_changed", endpoint=endpoint_name, pace=round(pace, 1))
 
     def end(self, name):
         """Remove a flight."""
--- a/packages/daemon/tests/test_direct_observe.py
+++ b/packages/daemon/tests/test_direct_observe.py
@@ -1,12 +1,18 @@
 import json
 import os
+from types import SimpleNamespace
 
 import pytest
+import structlog
 
+from persimmonstall.direct.loads import LoadBook
+from persimmonstall.direct.messages import Endpoint, Service
 from persimmonstall.settings.schema import Settings
+from persimmonstall_daemon.direct.loads import Loads
 from persimmonstall_daemon.observe import bounded, logs
 from persimmonstall_daemon.observe.bounded import BoundedStream
 from persimmonstall_daemon.observe.prometheus import PrometheusMetrics
+from persimmonstall_standins.figures import FIGURES
 
 
 @pytest.fixture
@@ -81,3 +87,17 @@
     metrics.gauge("direct_peers", 7)
     metrics.gauge("direct_peers", 3)
     assert "persimmonstall_direct_peers 3.0" in metrics.text().decode()
+
+
+def test_engine_that_turns_slow_is_written_down_once():
+    book = LoadBook()
+    service = Service("llm", engine=FIGURES)
+    book.of(Endpoint("e", "llm", "10.0.0.1:80"), service, 0.0)
+    loads = Loads(SimpleNamespace(state=SimpleNamespace(book=book), now=lambda: 0.0), None)
+    usual = book.loads["e"].usual_pause()
+    with structlog.testing.capture_logs() as lines:
+        for _ in range(6):
+            loads.paused("e", 5 * usual, 1)
+    assert [(line["event"], line["endpoint"], line["pace"]) for line in lines] == [
+        ("pace_changed", "e", 5.0)
+    ]
