A refusal names its cause: failures are falsy, and "failure or ..." always took the fallback

Ruled out: lost log lines (the attempts' own lines were there). Change: the fallback only where there is no failure; a call that its deadline ended is told so, with the last attempt's failure as detail. Statuses stay but for that moment before a deadline: 504 instead of 502.

--- a/packages/core/persimmonstall/direct/retrying.py
+++ b/packages/core/persimmonstall/direct/retrying.py
@@ -97,7 +97,7 @@
 
 def final_refusal(routed, history, failure, now, random):
     """Return the `Refusal` that ends a call whose caller has nothing of an answer yet."""
-    if now >= routed.deadline:
+    if now >= routed.deadline or failure.reason is Reason.DEADLINE:
         outcome = Outcome.UNKNOWN if history.may_have_run else Outcome.NOT_RUN
         return refuse(
             Failure(Reason.DEADLINE, failure.step, failure.peer, failure.detail), outcome=outcome
--- a/packages/core/tests/test_direct_retrying.py
+++ b/packages/core/tests/test_direct_retrying.py
@@ -74,3 +74,11 @@
     failure = Failure(Reason.DEADLINE, "exchange")
     refusal = final_refusal(routed(), History(), failure, 20.0, random.Random(1))
     assert refusal.outcome is Outcome.NOT_RUN
+
+
+def test_call_whose_timer_fires_a_moment_early_has_still_passed_its_deadline():
+    history = History()
+    history.send()
+    failure = Failure(Reason.DEADLINE, "exchange")
+    refusal = final_refusal(routed(), history, failure, 9.9995, random.Random(1))
+    assert (refusal.reason, refusal.outcome) == (Reason.DEADLINE, Outcome.UNKNOWN)
--- a/packages/daemon/persimmonstall_daemon/direct/exchange.py
+++ b/packages/daemon/persimmonstall_daemon/direct/exchange.py
@@ -89,7 +89,7 @@
 
     async def run(self, routed, sink, history):
         """Make attempts up to the deadline; return how the last one `Ended`."""
-        last = Ended(Ending.OVERDUE, Failure(Reason.DEADLINE, STEP))
+        last = Ended(Ending.OVERDUE)
         left = routed.deadline - REPLY_MARGIN - self.entry.now()
         self.entry.state.budget.call(routed.service.name, self.entry.now())
         limit = asyncio.timeout(max(0.0, left))
@@ -101,7 +101,7 @@
                     if not self.goes_on(routed, history, last):
                         return last
         except TimeoutError:
-            return Ended(Ending.OVERDUE, last.failure or Failure(Reason.DEADLINE, STEP))
+            return last_failure(last)
         finally:
             self.limits.pop(limit, None)
 
@@ -220,7 +220,9 @@
             self.entry.metrics.count("direct_broken_off")
         else:
             now = self.entry.now() + REPLY_MARGIN
-            failure = ended.failure or Failure(Reason.ENDPOINT_LOST, STEP)
+            failure = ended.failure
+            if failure is None:
+                failure = Failure(Reason.ENDPOINT_LOST, STEP)
             await self.refuse(
                 routed.call,
                 sink,
@@ -268,6 +270,13 @@
         await sink.reply(reply)
 
 
+def last_failure(last):
+    """Return how a call `Ended` whose deadline passed, after the attempt that ended last."""
+    detail = "" if last.failure is None else f"after {last.failure.reason}: {last.failure.detail}"
+    peer = "" if last.failure is None else last.failure.peer
+    return Ended(Ending.OVERDUE, Failure(Reason.DEADLINE, STEP, peer, detail))
+
+
 def expected_seconds(routed):
     """Return the time that a call is expected to take, with some margin."""
     call, route, figures = routed.call, routed.route, routed.service.engine
