Read of the whole change: one piece each for what was written twice, dead state removed

Change: writing_piece, engine_sending, used_by, join, complete; rank_of is remembered. Tests keep their assertions; first_event lost its unused argument there.

--- a/packages/core/persimmonstall/direct/engine_model.py
+++ b/packages/core/persimmonstall/direct/engine_model.py
@@ -63,12 +63,12 @@
     taken: dict = attrs.field(factory=dict)
     memory: dict = attrs.field(factory=dict)
 
-    def write_seconds(self, extra_context=0, extra=0):
+    def write_seconds(self, extra=0):
         """Return the time of a pass that only writes, with `extra` more sequences."""
         count = len(self.writes) + extra
         if not count:
             return self.figures.step * self.pace
-        context = sum(write.context for write in self.writes.values()) + extra_context
+        context = sum(write.context for write in self.writes.values())
         step = (
             self.figures.step
             + count * self.figures.per_sequence
@@ -121,13 +121,16 @@
             if read is None:
                 continue
             read.seconds -= part
-            if read.seconds > DONE:
-                continue
-            del self.reads[flight]
-            if read.writes:
-                self.writes[flight] = Write(read.context, read.gap, read.worth)
+            if read.seconds <= DONE:
+                self.complete(flight)
         self.taken.clear()
 
+    def complete(self, flight):
+        """Note that a prompt has been read; one of this engine's own begins to write."""
+        read = self.reads.pop(flight, None)
+        if read is not None and read.writes:
+            self.writes[flight] = Write(read.context, read.gap, read.worth)
+
     def begin(self, flight, piece, now):
         """Add a `Piece` of a flight."""
         self.advance(now)
@@ -153,10 +156,8 @@
 
     def began_writing(self, flight):
         """Note that a flight's first event was seen: its prompt has been read."""
-        read = self.reads.pop(flight, None)
         self.taken.pop(flight, None)
-        if read is not None and read.writes:
-            self.writes[flight] = Write(read.context, read.gap, read.worth)
+        self.complete(flight)
 
     def free_memory(self):
         """Return the tokens of memory that no flight is expected to use."""
@@ -166,22 +167,14 @@
         """Return the number of sequences that hold or will hold a slot."""
         return len(self.writes) + sum(1 for read in self.reads.values() if read.writes)
 
-    def first_event(self, read, context, now):
+    def first_event(self, read, now):
         """Return the seconds until a new call that takes `read` seconds has its first event.
 
         It comes at the end of the pass in which the prompt has been read.
         """
         wait = max(0.0, self.busy_until - now)
         reading = self.pending() + read * self.pace
-        return wait + reading + self.next_pass_writes()
-
-    def next_pass_writes(self):
-        """Return the writing time of a pass that reads what is pending, in seconds.
-
-        Prompts that are read before a new one begin to write in the pass that reads it.
-        """
-        writers = bool(self.writes) or any(read.writes for read in self.reads.values())
-        return self.write_seconds() if writers else self.figures.step * self.pace
+        return wait + reading + self.write_seconds()
 
     def room(self, gap=None):
         """Return the seconds of reading that the next pass can take within all pauses allowed.
--- a/packages/core/persimmonstall/direct/events.py
+++ b/packages/core/persimmonstall/direct/events.py
@@ -21,7 +21,6 @@
 
     last: int = -1
     rest: bytes = b""
-    count: int = 0
     broken: bool = False
 
     @property
@@ -48,7 +47,6 @@
 
     def accept(self, event):
         """Note an event's id; False when it does not follow."""
-        self.count += 1
         for line in event.split(b"\n"):
             if line.startswith(ID_FIELD):
                 number = line[len(ID_FIELD) :].strip()
--- a/packages/core/persimmonstall/direct/loads.py
+++ b/packages/core/persimmonstall/direct/loads.py
@@ -90,14 +90,22 @@
         load = PlainLoad() if figures is None else EngineModel(figures, busy_until=now)
         self.loads[endpoint.name] = load
         for flight in self.flights.values():
-            add_flight(self.loads, flight, now, only=endpoint.name)
+            for piece in flight.pieces:
+                if piece.endpoint == endpoint.name:
+                    join(load, flight, piece, now)
         return load
 
+    def used_by(self, flight):
+        """Return the (load, piece) pairs of a flight, as far as there are loads."""
+        pairs = ((self.loads.get(piece.endpoint), piece) for piece in flight.pieces)
+        return [(load, piece) for load, piece in pairs if load is not None]
+
     def begin(self, flight, now, owner=""):
         """Add a flight; `owner` is the entry that made it, empty for this one."""
         self.flights[flight.name] = flight
         self.owned.setdefault(owner, set()).add(flight.name)
-        add_flight(self.loads, flight, now)
+        for load, piece in self.used_by(flight):
+            join(load, flight, piece, now)
 
     def started(self, name):
         """Note that a flight's first event was seen."""
@@ -105,10 +113,8 @@
         if flight is None or flight.started:
             return
         self.flights[name] = attrs.evolve(flight, started=True)
-        for piece in flight.pieces:
-            load = self.loads.get(piece.endpoint)
-            if load is not None:
-                load.began_writing(name)
+        for load, _ in self.used_by(flight):
+            load.began_writing(name)
 
     def paused(self, endpoint_name, seconds, events, now):
         """Note that `events` events of a stream came `seconds` after the one before them.
@@ -128,10 +134,8 @@
         self.owned.get(owner, set()).discard(name)
         if flight is None:
             return
-        for piece in flight.pieces:
-            load = self.loads.get(piece.endpoint)
-            if load is not None:
-                load.end(name)
+        for load, _ in self.used_by(flight):
+            load.end(name)
 
     def own(self):
         """Return this entry's flights, as other entries are told of them."""
@@ -163,12 +167,8 @@
         self.paces.forget(names)
 
 
-def add_flight(loads, flight, now, only=""):
-    """Add a flight to those of `loads` that it uses; `only` names a single one."""
-    for piece in flight.pieces:
-        load = loads.get(piece.endpoint)
-        if load is None or (only and piece.endpoint != only):
-            continue
-        load.begin(flight.name, piece, now)
-        if flight.started:
-            load.began_writing(flight.name)
+def join(load, flight, piece, now):
+    """Add a piece of a flight to the load of the endpoint that it uses."""
+    load.begin(flight.name, piece, now)
+    if flight.started:
+        load.began_writing(flight.name)
--- a/packages/core/persimmonstall/direct/placing.py
+++ b/packages/core/persimmonstall/direct/placing.py
@@ -5,6 +5,7 @@
 days on which floods of short and of long prompts alternate or meet.
 """
 
+import functools
 import math
 
 import attrs
@@ -32,6 +33,9 @@
 AWAY_COST = 0.1
 """Cost of an endpoint in another data centre, in loads of an endpoint."""
 
+MOST_RANKS = 4096
+"""Places in the order that are remembered instead of being hashed for each call."""
+
 FIRST_URGENCY = 3
 LATER_URGENCY = 5
 """Urgency of calls below and above `URGENT_OBJECTIVE`; a lower one is admitted first."""
@@ -63,6 +67,7 @@
     trouble: float
 
 
+@functools.lru_cache(maxsize=MOST_RANKS)
 def rank_of(name, salt=""):
     """Return the endpoint's place in the order of entries that share a salt, from 0 to 1."""
     return xxhash.xxh3_64_intdigest((salt + name).encode()) / 2**64
@@ -94,7 +99,7 @@
         return self.place_short(routed, candidates, now, name, resume_after)
 
     def candidates(self, routed, now, avoid):
-        """Return the usable endpoints, those of `avoid` only where there are no others."""
+        """Return the usable endpoints but those whose names are in `avoid`."""
         usable = self.fleet.usable(routed.service.name)
         fresh = [endpoint for endpoint in usable if endpoint.name not in avoid]
         return [
@@ -127,64 +132,56 @@
 
     def place_short(self, routed, candidates, now, name, resume_after):
         """Choose one engine for a prompt that is not split."""
-        call, route = routed.call, routed.route
+        call = routed.call
         fit = choose_engine(routed, candidates, now, alone=bool(self.salt))
-        candidate = fit.candidate
-        piece = Piece(
-            candidate.endpoint.name,
-            fit.read,
-            call.prompt_tokens,
-            memory_of(call),
-            gap=route.gap_objective * GAP_SHARE,
-            patience=route.objective * PATIENCE_SHARE,
-            worth=worth_of(call),
-        )
-        sending = Sending(
-            candidate.endpoint,
-            routed.deadline - now,
-            urgency=urgency_of(route),
-            resume_after=resume_after,
-        )
+        first = fit.candidate.endpoint
+        piece = writing_piece(routed, first, fit.read, call.prompt_tokens, memory_of(call))
+        sending = engine_sending(routed, first, now, resume_after)
         return Placed(sending, Flight(name, (piece,)), fit.expected)
 
     def place_long(self, routed, candidates, now, name, resume_after):
         """Split a prompt into even parts over several engines."""
-        call, route = routed.call, routed.route
+        call = routed.call
         memory = memory_of(call)
         split = best_split(routed, candidates, memory, now)
         share = math.ceil(memory / split.count) if split.spread else 0
-        gap = route.gap_objective * GAP_SHARE
         context = call.prompt_tokens // split.count if share else call.prompt_tokens
         first = split.first.endpoint
-        patience = route.objective * PATIENCE_SHARE
-        worth = worth_of(call)
-        pieces = [
-            Piece(
-                first.name,
-                split.part,
-                context,
-                share or memory,
-                gap=gap,
-                patience=patience,
-                worth=worth,
-            )
-        ]
+        pieces = [writing_piece(routed, first, split.part, context, share or memory)]
         helpers = []
         for number, candidate in enumerate(split.helpers):
             ticket = f"{name}-{number}" if share else ""
             helpers.append(Helper(candidate.endpoint, ticket))
             pieces.append(Piece(candidate.endpoint.name, split.part, 0, share, writes=False))
-        sending = Sending(
-            first,
-            routed.deadline - now,
-            urgency=urgency_of(route),
-            helpers=tuple(helpers),
-            resume_after=resume_after,
-        )
+        sending = engine_sending(routed, first, now, resume_after, tuple(helpers))
         tickets = tuple((helper, share) for helper in helpers) if share else ()
         return Placed(sending, Flight(name, tuple(pieces)), split.expected, tickets)
 
 
+def writing_piece(routed, endpoint, read, context, memory):
+    """Return what a call asks of the engine that writes its answer."""
+    return Piece(
+        endpoint.name,
+        read,
+        context,
+        memory,
+        gap=routed.route.gap_objective * GAP_SHARE,
+        patience=routed.route.objective * PATIENCE_SHARE,
+        worth=worth_of(routed.call),
+    )
+
+
+def engine_sending(routed, endpoint, now, resume_after, helpers=()):
+    """Return the `Sending` of a call to the engine that writes its answer."""
+    return Sending(
+        endpoint,
+        routed.deadline - now,
+        urgency=urgency_of(routed.route),
+        helpers=helpers,
+        resume_after=resume_after,
+    )
+
+
 def urgency_of(route):
     """Return the urgency of a route's calls at the engine."""
     return FIRST_URGENCY if route.objective <= URGENT_OBJECTIVE else LATER_URGENCY
--- a/packages/core/persimmonstall/direct/retrying.py
+++ b/packages/core/persimmonstall/direct/retrying.py
@@ -6,8 +6,6 @@
 
 from ..failures import Failure, Outcome, Reason, refuse
 
-STEP = "retry"
-
 MOST_SENDINGS = 6
 """Endpoints that one call is offered to, whether or not they ran it."""
 
@@ -17,9 +15,6 @@
 RETRY_AFTER_SPREAD = 0.5
 """Seconds over which callers that were refused together return."""
 
-LEAST_USEFUL = 0.02
-"""Seconds of remaining time below which no further attempt is worth sending."""
-
 
 class Ending(enum.StrEnum):
     """How an attempt ended."""
@@ -38,15 +33,14 @@
     """The attempts of one call so far.
 
     `runs` counts ended attempts that may have run, `underway` says whether one is out whose
-    outcome is not known yet.  `sent_out` says whether the caller has a part of the answer,
-    `last_event` is the last event that it has.  `first_event` is when it got its first event,
-    `newest_event` its last one, `longest_gap` the longest pause between two.
+    outcome is not known yet.  `last_event` is the last event that the caller has, `first_event`
+    when it got its first event, None while it has nothing of the answer, `newest_event` when it
+    got its last one, `longest_gap` the longest pause between two.
     """
 
     sendings: int = 0
     runs: int = 0
     underway: bool = False
-    sent_out: bool = False
     last_event: int = -1
     first_event: float | None = None
     newest_event: float | None = None
@@ -58,6 +52,11 @@
         """Whether any attempt may have run at its endpoint."""
         return self.underway or self.runs > 0
 
+    @property
+    def sent_out(self):
+        """Whether the caller has a part of the answer."""
+        return self.first_event is not None
+
     def send(self):
         """Note that an attempt is about to be sent."""
         self.underway = True
@@ -77,7 +76,6 @@
         else:
             self.longest_gap = max(self.longest_gap, now - self.newest_event)
         self.newest_event = now
-        self.sent_out = True
         self.last_event = number
 
 
--- a/packages/core/persimmonstall/direct/routing.py
+++ b/packages/core/persimmonstall/direct/routing.py
@@ -44,13 +44,10 @@
         route = self.match(call.host, call.path)
         if route is None:
             return Failure(Reason.NOT_FOUND, STEP, detail=f"{call.host}{call.path}")
-        organisation = None
-        if self.configuration.keyed and not route.public:
-            organisation = self.configuration.keys.get(call.key)
-            if organisation is None:
-                return Failure(Reason.UNAUTHENTICATED, "authenticate")
-        elif self.configuration.keyed:
-            organisation = self.configuration.keys.get(call.key)
+        keyed = self.configuration.keyed
+        organisation = self.configuration.keys.get(call.key) if keyed else None
+        if keyed and organisation is None and not route.public:
+            return Failure(Reason.UNAUTHENTICATED, "authenticate")
         name = self.choose(route, call.call_id)
         service = self.configuration.services.get(name)
         if service is None:
