--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -61,7 +61,11 @@
                 return
         history = AttemptHistory(last_event=call.resume_after)
         started_at = self.entry.now()
-        result = await self.run(routed, sink, history)
+        try:
+            result = await self.run(routed, sink, history)
+        except asyncio.CancelledError:
+            self.log_caller_left(routed, history, started_at, sink.seconds_since_close())
+            raise
         await self.finish(routed, sink, history, result, started_at)
 
     def check_configured(self, call):
@@ -250,6 +254,19 @@
             took_ms=round(elapsed * 1000),
         )
 
+    def log_caller_left(self, routed, history, started_at, since_close):
+        """Log a call whose caller left; its attempt has ended `since_close` seconds later."""
+        self.entry.metrics.count("direct_callers_left")
+        self.log.info(
+            "caller_left",
+            request_id=routed.call.call_id,
+            route=routed.route.name,
+            sendings=history.attempts,
+            last_event=history.last_event,
+            took_ms=round((self.entry.now() - started_at) * 1000),
+            since_close_ms=round(since_close * 1000),
+        )
+
     async def relay_answer(self, sink, result):
         """Give the caller an endpoint's complete answer."""
         headers = tuple((n.decode("latin-1"), v.decode("latin-1")) for n, v in result.head.headers)
--- a/packages/daemon/persimmonstall_daemon/direct/callers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/callers.py
@@ -51,6 +51,11 @@
         """Whether any part of an answer has been sent."""
         return self.response is not None
 
+    def seconds_since_close(self):
+        """Return how long ago the caller's connection closed, 0 while it is open."""
+        lost_at = self.request.protocol.lost_at
+        return 0.0 if lost_at is None else asyncio.get_running_loop().time() - lost_at
+
     async def start(self, status, headers):
         """Send the head of an answer whose body is streamed."""
         self.response = web.StreamResponse(status=status)
@@ -99,7 +104,8 @@
 class Connection(web.RequestHandler):
     """A caller's connection; it is closed if the head of a request is not complete in time.
 
-    `caps` are the limits that applied when the connection was opened.
+    `caps` are the limits that applied when the connection was opened; `lost_at` is the time of the
+    event loop at which it closed, None while it is open.
     """
 
     def __init__(self, server, caps, **options):
@@ -107,6 +113,7 @@
         self.caps = caps
         self.timer = None
         self.in_request = False
+        self.lost_at = None
 
     def connection_made(self, transport):
         """Start the idle timeout of the first request, the same as for later ones."""
@@ -148,7 +155,8 @@
             self.timer = None
 
     def connection_lost(self, exc):
-        """Cancel the timeout of a connection that has closed."""
+        """Cancel the timeout of a connection that has closed, and the call in progress."""
+        self.lost_at = asyncio.get_running_loop().time()
         self.cancel_timeout()
         super().connection_lost(exc)
 
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -23,6 +23,9 @@
 TICK_SECONDS = 0.1
 """Interval at which state that changes with time alone is updated."""
 
+LATE_TICK_SECONDS = 0.1
+"""Lateness of a tick from which it is logged."""
+
 SUSPENSION_SECONDS = 0.7
 """Suspended time between two ticks from which the directory is read again and deadlines reset."""
 
@@ -170,6 +173,7 @@
             await asyncio.sleep(TICK_SECONDS)
             now, monotonic = self.now(), time.monotonic()
             suspended = (now - last) - (monotonic - last_monotonic)
+            self.record_lag(monotonic - last_monotonic - TICK_SECONDS)
             last, last_monotonic = now, monotonic
             if suspended > SUSPENSION_SECONDS:
                 self.log.warning("suspended", seconds=round(suspended, 2))
@@ -180,6 +184,12 @@
             if self.log_stream is not None:
                 self.metrics.gauge("log_lines_dropped", self.log_stream.dropped)
 
+    def record_lag(self, seconds):
+        """Record how late a tick of the event loop was; log it if callers notice."""
+        self.metrics.timing("loop_lag", max(0.0, seconds))
+        if seconds > LATE_TICK_SECONDS:
+            self.log.warning("loop_late", ms=round(seconds * 1000))
+
     async def wait_until_configured(self, arrived):
         """Wait until calls can be served, but only while this entry is starting up."""
         until = self.started_at + STARTUP_SECONDS
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -172,6 +172,7 @@
             host, _, port = peer.address.rpartition(":")
             self.transport.sendto(data, (host, int(port)))
         self.entry.metrics.count("direct_beacons", len(self.peers), tag="sent")
+        self.entry.metrics.count("direct_beacon_bytes", len(self.peers) * len(data), tag="sent")
 
     def make_beacon(self, include_peers):
         """Return a beacon with the present state of this entry."""
@@ -216,6 +217,7 @@
             if address not in self.peers:
                 self.add_peer(address)
         self.entry.metrics.count("direct_beacons", tag="received")
+        self.entry.metrics.count("direct_beacon_bytes", len(data), tag="received")
         self.merge_beacon(beacon)
 
     def merge_beacon(self, beacon):
@@ -291,10 +293,12 @@
         url = f"http://{peer.address}{SNAPSHOT_PATH}"
         try:
             async with self.session.get(url) as response:
-                snapshot = snapshots.decode(await response.read())
+                data = await response.read()
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             self.log.warning("snapshot_failed", peer=peer.address, reason=repr(error))
             return
+        self.entry.metrics.count("direct_snapshot_bytes", len(data), tag="received")
+        snapshot = snapshots.decode(data)
         if isinstance(snapshot, Failure):
             logs.log_failure(self.log, "snapshot_unreadable", snapshot)
             return
@@ -312,4 +316,5 @@
             changes = tuple(EndpointChange(n, e) for n, e in state.fleet.endpoints.items())
             endpoints = EndpointUpdate(changes, state.fleet.revision, whole=True)
         body = snapshots.encode(Snapshot(configuration, endpoints))
+        self.entry.metrics.count("direct_snapshot_bytes", len(body), tag="sent")
         return web.Response(body=body, content_type="application/octet-stream")
