--- /dev/null
+++ b/packages/daemon/tests/test_direct_peers.py
@@ -0,0 +1,116 @@
+"""The messages between the entries of a large fleet, on virtual time and modelled links."""
+
+import asyncio
+import itertools
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from persimmonstall.clock import Context
+from persimmonstall.direct.loads import EndpointDemand, InFlightAttempt
+from persimmonstall.direct.retry_budget import SharedRetryBudget
+from persimmonstall.direct.state import State
+from persimmonstall.settings.schema import Settings
+from persimmonstall_daemon.direct.loads import LoadReporter
+from persimmonstall_daemon.direct.peers import Peers
+from persimmonstall_daemon.observe.prometheus import PrometheusMetrics
+from persimmonstall_standins.virtual import loop as virtual_loop
+
+LINK_MBPS = 7.0
+LINK_BYTES_PER_SECOND = LINK_MBPS * 1e6 / 8
+PEER_COUNT = 33
+DATAGRAM_HEADER_BYTES = 28
+CANCEL_SECONDS = 0.5
+"""Time after a caller's close within which its engine must have stopped work."""
+
+CALLS_PER_SECOND = 6
+CALL_SECONDS = 3.0
+LONG_CALL_EVERY = 4
+LONG_CALL_ENGINES = 17
+BUSY_SECONDS = 8.0
+
+
+class QueueingLink:
+    """Transport whose datagrams share a link; `waits` holds (seconds to wait, bytes) of each."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.free_at = 0.0
+        self.waits = []
+
+    def sendto(self, data, _address):
+        """Queue a datagram behind those that the link has not carried yet."""
+        size = len(data) + DATAGRAM_HEADER_BYTES
+        now = self.clock()
+        self.free_at = max(self.free_at, now) + size / LINK_BYTES_PER_SECOND
+        self.waits.append((self.free_at - now, size))
+
+    def is_closing(self):
+        """Return false: the link stays open."""
+        return False
+
+
+def make_entry(clock):
+    settings = Settings()
+    settings.daemon.address = "10.0.0.1:7340"
+    if hasattr(settings.direct, "link_mbps"):
+        settings.direct.link_mbps = LINK_MBPS
+    entry = SimpleNamespace(
+        settings=settings,
+        clock=Context(now=clock, random=random.Random(1)),
+        now=clock,
+        state=State(SharedRetryBudget(0.2, 200.0, 10.0)),
+        metrics=PrometheusMetrics(),
+        leaving=False,
+    )
+    entry.peers = Peers(entry)
+    entry.loads = LoadReporter(entry, entry.peers.schedule_beacon)
+    return entry
+
+
+def demand(number):
+    """Return the demand of a call at an engine, with names as long as those of a platform."""
+    return EndpointDemand(
+        f"i-7f3a91c2{number:02d}", 0.0712, 5000, 6100, number == 0, 0.2, 0.27, 1.1
+    )
+
+
+async def serve_call(entry, number):
+    """Do what a call does to the entry's loads; every fourth one is split over many engines."""
+    engines = LONG_CALL_ENGINES if number % LONG_CALL_EVERY == 0 else 1
+    demands = tuple(demand(engine) for engine in range(engines))
+    attempt = InFlightAttempt(f"abcdef123456-{number}", demands)
+    entry.loads.begin(attempt)
+    await asyncio.sleep(CALL_SECONDS / 2)
+    entry.loads.record_first_event(attempt.name)
+    await asyncio.sleep(CALL_SECONDS / 2)
+    entry.loads.end(attempt.name)
+
+
+@pytest.fixture
+def busy_link():
+    """Return the link of an entry that was busy for a while in a fleet of many peers."""
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        entry = make_entry(loop.time)
+        link = entry.peers.transport = QueueingLink(loop.time)
+        for number in range(PEER_COUNT):
+            entry.peers.add_peer(f"10.0.1.{number}:7340")
+        tasks = [asyncio.create_task(entry.peers.run())]
+        numbers = itertools.count()
+        while loop.time() < BUSY_SECONDS:
+            for peer in entry.peers.peers.values():
+                peer.last_heard = peer.last_named = loop.time()
+            tasks.append(asyncio.create_task(serve_call(entry, next(numbers))))
+            await asyncio.sleep(1 / CALLS_PER_SECOND)
+        for task in tasks:
+            task.cancel()
+        return link
+
+    return virtual_loop.run(run())
+
+
+def test_a_close_does_not_wait_behind_beacons_until_its_engine_is_late(busy_link):
+    assert max(wait for wait, _ in busy_link.waits) < CANCEL_SECONDS
