Beacons carry changes and keep to a share of the slowest link

Cause: each beacon held all calls in flight and went to 33 peers at each placed call, with no bound. At the peak one entry sent 1.5 to 2.9 MB/s into a link of 0.875 MB/s; the end of a connection, new ones and answers queued behind its own datagrams. More calls in flight made larger beacons.

Change: beacons carry the changes of attempts, each in two beacons; each peer gets the complete state at intervals, spread over the peers. A token bucket keeps the sum within a quarter of the slowest link among the entries, each of which names its own; so neither direction of any link carries more. New setting [direct] link_mbps.

--- a/packages/core/persimmonstall/direct/beacon.py
+++ b/packages/core/persimmonstall/direct/beacon.py
@@ -1,5 +1,7 @@
 """Datagrams in which entries broadcast their state to each other, many times a second."""
 
+import math
+
 import attrs
 import msgspec
 
@@ -19,8 +21,12 @@
     `configuration` and `endpoints` are the versions that the entry has, 0 for none.
     `directory_age` is the time in seconds since the directory last answered this entry or a peer.
     `retry_usage` maps a service to (calls, retries); `crashes` holds (content, lifetimes),
-    `failure_scores` (endpoint, score) and `slowdowns` (endpoint, slowdown) pairs.  The fields are
-    sent as an array, so their order is part of the wire format.
+    `failure_scores` (endpoint, score) and `slowdowns` (endpoint, slowdown) pairs.
+
+    `whole` says that the beacon carries the complete state.  Otherwise it has no `crashes`,
+    `peers`, `failure_scores` and `slowdowns`, and its `attempts` are those that changed lately;
+    `ended` names the ones that ended.  `link` is the bandwidth of the entry's link in bytes per
+    second.  The fields are sent as an array, so their order is part of the wire format.
     """
 
     address: str
@@ -36,6 +42,9 @@
     peers: tuple[str, ...] = ()
     failure_scores: tuple[tuple[str, float], ...] = ()
     slowdowns: tuple[tuple[str, float], ...] = ()
+    whole: bool = True
+    ended: tuple[str, ...] = ()
+    link: float = math.inf
 
 
 TIME_UNITS_PER_SECOND = 10_000
@@ -94,6 +103,14 @@
     return msgspec.msgpack.encode([*fields[:7], rows, *fields[8:]])
 
 
+def decode_changes(fields):
+    """Return `whole`, `ended` and `link`; an entry of an earlier version does not send them."""
+    if not fields:
+        return ()
+    whole, ended, link = fields
+    return whole, tuple(ended), link
+
+
 def decode(data):
     """Return the beacon in a datagram, or a `Failure` if it is malformed.
 
@@ -121,6 +138,7 @@
             tuple(fields[10]),
             tuple(map(tuple, fields[11])),
             tuple(map(tuple, fields[12])),
+            *decode_changes(fields[13:]),
         )
     except (msgspec.MsgspecError, AttributeError, IndexError, TypeError, ValueError) as error:
         return Failure(Reason.BAD_REQUEST, STEP, detail=repr(error))
--- a/packages/core/persimmonstall/direct/loads.py
+++ b/packages/core/persimmonstall/direct/loads.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from .attempt_changes import AttemptChanges
 from .engine_model import EngineModel
 from .slowdowns import Slowdowns
 
@@ -75,7 +76,7 @@
     """Attempts of all entries, and the predicted load of each endpoint that they use.
 
     `names_by_entry` holds the attempt names of each entry, `last_beacon_at` the time of its last
-    beacon; the key of this entry is empty.
+    beacon; the key of this entry is empty.  `changes` are those of this entry's attempts.
     """
 
     loads: dict = attrs.field(factory=dict)
@@ -83,6 +84,7 @@
     names_by_entry: dict = attrs.field(factory=dict)
     last_beacon_at: dict = attrs.field(factory=dict)
     slowdowns: Slowdowns = attrs.field(factory=Slowdowns)
+    changes: AttemptChanges = attrs.field(factory=AttemptChanges)
 
     def load_of(self, endpoint, service, now):
         """Return the load of an `Endpoint` of `service`, advanced to `now`."""
@@ -113,6 +115,7 @@
         """Add an attempt; `entry` is the address of its entry, empty for this one."""
         self.attempts[attempt.name] = attempt
         self.names_by_entry.setdefault(entry, set()).add(attempt.name)
+        self.record_change(attempt.name)
         for load, demand in self.loads_and_demands(attempt):
             add_to_load(load, attempt, demand, now)
 
@@ -122,6 +125,7 @@
         if attempt is None or attempt.started:
             return
         self.attempts[name] = attrs.evolve(attempt, started=True)
+        self.record_change(name)
         for load, _ in self.loads_and_demands(attempt):
             load.prefill_done(name)
 
@@ -139,6 +143,7 @@
 
     def end(self, name, entry=""):
         """Remove an attempt."""
+        self.record_change(name)
         attempt = self.attempts.pop(name, None)
         self.names_by_entry.get(entry, set()).discard(name)
         if attempt is None:
@@ -146,15 +151,34 @@
         for load, _ in self.loads_and_demands(attempt):
             load.end(name)
 
+    def record_change(self, name):
+        """Record a change of an attempt if it is one of this entry's."""
+        if name in self.names_by_entry.get("", ()):
+            self.changes.record(name)
+
     def local_attempts(self):
         """Return this entry's attempts, to be sent to other entries."""
         return tuple(self.attempts[name] for name in self.names_by_entry.get("", ()))
 
+    def local_changes(self, number):
+        """Return this entry's attempts that changed after `number`, and the names of those ended.
+
+        `number` is one that `changes.last` had.
+        """
+        names = self.changes.since(number)
+        attempts = tuple(self.attempts[name] for name in names if name in self.attempts)
+        return attempts, tuple(name for name in names if name not in self.attempts)
+
     def merge_remote(self, entry, attempts, now):
         """Replace the attempts of another entry by the list that it sent."""
-        self.last_beacon_at[entry] = now
         named = {attempt.name for attempt in attempts}
-        for name in self.names_by_entry.get(entry, set()) - named:
+        ended = self.names_by_entry.get(entry, set()) - named
+        self.merge_remote_changes(entry, attempts, ended, now)
+
+    def merge_remote_changes(self, entry, attempts, ended, now):
+        """Apply what changed at another entry; `ended` names the attempts that ended."""
+        self.last_beacon_at[entry] = now
+        for name in ended:
             self.end(name, entry)
         for attempt in attempts:
             if attempt.name not in self.attempts:
--- a/packages/core/persimmonstall/settings/schema.py
+++ b/packages/core/persimmonstall/settings/schema.py
@@ -236,6 +236,9 @@
     budget_ratio: float = option(0.2, "Retries allowed as a share of calls.", low=0, high=10)
     budget_slack: float = option(100.0, "Retries allowed in addition in each window.", low=0)
     budget_window: float = option(10.0, "Window of the retry budget.", "s", low=0.1)
+    link_mbps: float = option(
+        1000.0, "Bandwidth of the machine's link.", "Mbit/s", low=0.001, high=1_000_000
+    )
     unused_memory_ms: int = option(
         4000, "Time for which reserved engine memory may remain unused.", "ms", low=100
     )
--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -190,7 +190,7 @@
         state.failure_scores.record_failure(endpoint.name, now, DEAD_ENDPOINT_WEIGHT)
         contents = state.crash_tracker.confirm_crash(endpoint.lifetime, now)
         self.log.warning("endpoint_crashed", endpoint=endpoint.name, contents=contents)
-        self.entry.peers.schedule_beacon(True)
+        self.entry.peers.schedule_whole_beacons()
 
     def log_placed(self, routed, placed, history, now):
         """Log which endpoint an attempt goes to and the data behind the choice."""
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -1,11 +1,13 @@
 """Gossip between entries: beacons by datagram, snapshots on request.
 
-Each beacon carries the complete state that other entries need, so the next one makes up for a
-lost one.  Beacons are sent at once after urgent changes, above all when a call is placed, shortly
-after other changes, and periodically.
+Beacons are sent at once after urgent changes, above all when a call is placed, shortly after other
+changes, and periodically.  Most carry only the latest changes of attempts; each peer also gets the
+complete state at intervals, which makes up for lost datagrams.  A pacer keeps them within a share
+of the slowest link.
 """
 
 import asyncio
+import math
 
 import aiohttp
 import attrs
@@ -14,6 +16,7 @@
 from persimmonstall.direct import beacon as beacons
 from persimmonstall.direct import snapshot as snapshots
 from persimmonstall.direct.beacon import Beacon
+from persimmonstall.direct.beacon_pacing import BeaconPacer, heartbeat_interval
 from persimmonstall.direct.snapshot import Snapshot
 from persimmonstall.direct.updates import ConfigurationUpdate, EndpointChange, EndpointUpdate
 from persimmonstall.failures import Failure
@@ -33,10 +36,6 @@
 MANY_PEERS_CHANGE_DELAY_SECONDS = 0.15
 """The same delays with more than `MANY_PEERS` peers."""
 
-MIN_INTERVAL = 0.1
-INTERVAL_PER_PEER = 0.012
-"""Interval of beacons without a change: a minimum in seconds, and seconds for each peer."""
-
 ACTIVE_TIMEOUT_SECONDS = 3.0
 """Silence after which a peer no longer counts as active."""
 
@@ -54,6 +53,8 @@
 
 SNAPSHOT_PATH = "/snapshot"
 
+BYTES_PER_MEGABIT = 125_000
+
 
 @attrs.define
 class Peer:
@@ -61,7 +62,8 @@
 
     `last_heard` is when its last beacon arrived, None before the first.  `last_named` is when
     its address was last received, from itself or from another source.  `configuration` and
-    `endpoints` are the versions that it has.
+    `endpoints` are the versions that it has, `link` is its bandwidth in bytes per second.
+    `whole_due` is when it gets the next beacon with the complete state.
     """
 
     address: str
@@ -72,6 +74,8 @@
     configuration: int = 0
     endpoints: int = 0
     leaving: bool = False
+    link: float = math.inf
+    whole_due: float = 0.0
 
 
 class BeaconProtocol(asyncio.DatagramProtocol):
@@ -105,6 +109,9 @@
         self.transport = None
         self.timer = None
         self.due = 0.0
+        self.pacer = BeaconPacer()
+        self.last_change_sent = 0
+        self.last_change_repeated = 0
         self.behind_since = None
         self.session = None
         self.runner = None
@@ -147,14 +154,29 @@
             if peer.last_heard is not None and now - peer.last_heard <= ACTIVE_TIMEOUT_SECONDS
         ]
 
+    @property
+    def link(self):
+        """The bandwidth of this entry's link in bytes per second."""
+        return self.entry.settings.direct.link_mbps * BYTES_PER_MEGABIT
+
     def schedule_beacon(self, urgent):
         """Schedule a beacon; after an `urgent` change, such as a new attempt, it goes sooner."""
         if len(self.peers) > MANY_PEERS:
             delay = MANY_PEERS_URGENT_DELAY_SECONDS if urgent else MANY_PEERS_CHANGE_DELAY_SECONDS
         else:
             delay = URGENT_DELAY_SECONDS if urgent else CHANGE_DELAY_SECONDS
+        self.schedule_in(delay)
+
+    def schedule_whole_beacons(self):
+        """Schedule a beacon with the complete state for every peer."""
+        for peer in self.peers.values():
+            peer.whole_due = 0.0
+        self.schedule_beacon(True)
+
+    def schedule_in(self, delay):
+        """Schedule a beacon in `delay` seconds, or as soon after it as the link allows."""
         loop = asyncio.get_running_loop()
-        due = loop.time() + delay
+        due = loop.time() + max(delay, self.pacer.wait(self.entry.now()))
         if self.timer is not None:
             if self.due <= due:
                 return
@@ -162,23 +184,45 @@
         self.due = due
         self.timer = loop.call_at(due, self.send_beacons)
 
-    def send_beacons(self, include_peers=False):
-        """Send a beacon to every peer; with `include_peers` it always lists the active peers."""
+    def send_beacons(self):
+        """Send a beacon to every peer: the complete state where it is due, else the changes."""
         self.timer = None
         if self.transport is None or self.transport.is_closing():
             return
-        data = beacons.encode(self.make_beacon(include_peers))
+        now = self.entry.now()
+        self.pacer.set_links([self.link, *(peer.link for peer in self.peers.values())], now)
+        self.sequence += 1
+        changes = beacons.encode(self.make_changes_beacon())
+        whole = None
         for peer in self.peers.values():
-            host, _, port = peer.address.rpartition(":")
-            self.transport.sendto(data, (host, int(port)))
-        self.entry.metrics.count("direct_beacons", len(self.peers), tag="sent")
-        self.entry.metrics.count("direct_beacon_bytes", len(self.peers) * len(data), tag="sent")
-
-    def make_beacon(self, include_peers):
-        """Return a beacon with the present state of this entry."""
+            if now < peer.whole_due:
+                self.send(peer, changes)
+                continue
+            if whole is None:
+                whole = beacons.encode(self.make_whole_beacon())
+            interval = self.pacer.whole_interval(len(whole), len(self.peers))
+            peer.whole_due = now + self.entry.clock.jitter(interval)
+            self.send(peer, whole)
+        self.record_changes_sent()
+
+    def send(self, peer, data):
+        """Send one datagram to a peer."""
+        host, _, port = peer.address.rpartition(":")
+        self.transport.sendto(data, (host, int(port)))
+        self.pacer.record_sent(len(data), self.entry.now())
+        self.entry.metrics.count("direct_beacons", tag="sent")
+        self.entry.metrics.count("direct_beacon_bytes", len(data), tag="sent")
+
+    def record_changes_sent(self):
+        """Record that the changes up to now were sent; each is sent in two beacons."""
+        changes = self.entry.state.load_tracker.changes
+        self.last_change_repeated, self.last_change_sent = self.last_change_sent, changes.last
+        changes.forget(self.last_change_repeated)
+
+    def make_changes_beacon(self):
+        """Return a beacon with the latest changes of this entry's attempts."""
         state, now = self.entry.state, self.entry.now()
-        list_peers = include_peers or len(self.peers) <= MANY_PEERS
-        self.sequence += 1
+        attempts, ended = state.load_tracker.local_changes(self.last_change_repeated)
         return Beacon(
             self.address,
             self.run_id,
@@ -187,12 +231,25 @@
             state.configuration.version if state.configuration else 0,
             state.fleet.revision if state.endpoints_known else 0,
             now - state.directory_seen_at,
-            state.load_tracker.local_attempts(),
+            attempts,
             state.budget.local_state(now),
-            state.crash_tracker.local_state(),
-            tuple(peer.address for peer in self.active()) if list_peers else (),
-            state.failure_scores.local_state(now),
-            state.load_tracker.slowdowns.local_state(now),
+            whole=False,
+            ended=ended,
+            link=self.link,
+        )
+
+    def make_whole_beacon(self):
+        """Return a beacon with the complete state of this entry."""
+        state, now = self.entry.state, self.entry.now()
+        return attrs.evolve(
+            self.make_changes_beacon(),
+            attempts=state.load_tracker.local_attempts(),
+            crashes=state.crash_tracker.local_state(),
+            peers=tuple(peer.address for peer in self.active()),
+            failure_scores=state.failure_scores.local_state(now),
+            slowdowns=state.load_tracker.slowdowns.local_state(now),
+            whole=True,
+            ended=(),
         )
 
     def on_datagram(self, data):
@@ -208,11 +265,12 @@
             return
         if peer.last_heard is None or peer.run != beacon.run:
             self.log.info("peer_found", peer=beacon.address, run=beacon.run)
+            peer.whole_due = 0.0
             self.schedule_beacon(True)
         peer.run, peer.sequence = beacon.run, beacon.sequence
         peer.last_heard = peer.last_named = self.entry.now()
         peer.configuration, peer.endpoints = beacon.configuration, beacon.endpoints
-        peer.leaving = beacon.leaving
+        peer.leaving, peer.link = beacon.leaving, beacon.link
         for address in beacon.peers:
             if address not in self.peers:
                 self.add_peer(address)
@@ -223,7 +281,12 @@
     def merge_beacon(self, beacon):
         """Merge a beacon into the state of this entry."""
         state, now = self.entry.state, self.entry.now()
-        state.load_tracker.merge_remote(beacon.address, beacon.attempts, now)
+        if beacon.whole:
+            state.load_tracker.merge_remote(beacon.address, beacon.attempts, now)
+        else:
+            state.load_tracker.merge_remote_changes(
+                beacon.address, beacon.attempts, beacon.ended, now
+            )
         state.budget.merge_remote(beacon.address, beacon.retry_usage)
         state.crash_tracker.merge_remote(beacon.crashes, now)
         state.failure_scores.merge_remote(beacon.failure_scores, now)
@@ -234,14 +297,14 @@
         """Send beacons periodically, fetch newer snapshots and remove peers that are gone."""
         last_discovery = -DISCOVERY_INTERVAL_SECONDS
         while True:
-            self.send_beacons(include_peers=True)
+            self.schedule_in(0.0)
             self.expire()
             await self.catch_up()
             now = self.entry.now()
             if not self.active() and now - last_discovery > DISCOVERY_INTERVAL_SECONDS:
                 last_discovery = now
                 await self.discover()
-            pause = max(MIN_INTERVAL, INTERVAL_PER_PEER * len(self.peers))
+            pause = heartbeat_interval(len(self.peers))
             await asyncio.sleep(self.entry.clock.jitter(pause))
 
     async def discover(self):
