--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -1,4 +1,4 @@
-"""Gossip between entries: beacons by datagram, snapshots on request.
+"""Gossip between entries by datagrams, their beacons.
 
 Beacons are sent at once after urgent changes, above all when a call is placed, shortly after other
 changes, and periodically.  Most carry only the latest changes of attempts; each peer also gets the
@@ -9,19 +9,15 @@
 import asyncio
 import math
 
-import aiohttp
 import attrs
-from aiohttp import web
 
 from persimmonstall.direct import beacon as beacons
-from persimmonstall.direct import snapshot as snapshots
 from persimmonstall.direct.beacon import Beacon
 from persimmonstall.direct.beacon_pacing import BeaconPacer, heartbeat_interval
-from persimmonstall.direct.snapshot import Snapshot
-from persimmonstall.direct.updates import ConfigurationUpdate, EndpointChange, EndpointUpdate
 from persimmonstall.failures import Failure
 
 from ..observe import logs
+from .snapshots import SnapshotExchange
 
 URGENT_DELAY_SECONDS = 0.0
 """Delay of a beacon after an urgent change; calls placed in one loop iteration share it."""
@@ -45,14 +41,6 @@
 DISCOVERY_INTERVAL_SECONDS = 5.0
 """Interval at which an entry without active peers looks for others in the directory."""
 
-CATCH_UP_DELAY_SECONDS = 0.15
-"""Time for which a peer may have newer data before its snapshot is fetched."""
-
-FETCH_TIMEOUT_SECONDS = 1.0
-"""Timeout for fetching a snapshot."""
-
-SNAPSHOT_PATH = "/snapshot"
-
 BYTES_PER_MEGABIT = 125_000
 
 
@@ -97,7 +85,7 @@
 
 
 class Peers:
-    """The other entries, and the exchange of beacons and snapshots with them."""
+    """The other entries, and the exchange of beacons with them."""
 
     def __init__(self, entry):
         self.entry = entry
@@ -112,31 +100,23 @@
         self.pacer = BeaconPacer()
         self.last_change_sent = 0
         self.last_change_repeated = 0
-        self.behind_since = None
-        self.session = None
-        self.runner = None
+        self.snapshots = SnapshotExchange(entry, self)
 
     async def start(self):
-        """Listen for beacons and snapshot requests, and add the seeds as peers."""
+        """Listen for beacons and requests for snapshots, and add the seeds as peers."""
         host, _, port = self.address.rpartition(":")
         loop = asyncio.get_running_loop()
         self.transport, _ = await loop.create_datagram_endpoint(
             lambda: BeaconProtocol(self), local_addr=(host, int(port))
         )
-        self.runner = web.ServerRunner(web.Server(self.serve_snapshot, access_log=None))
-        await self.runner.setup()
-        await web.TCPSite(self.runner, host, int(port)).start()
-        self.session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=FETCH_TIMEOUT_SECONDS)
-        )
+        await self.snapshots.start(host, int(port))
         for seed in self.entry.settings.direct.seeds:
             self.add_peer(f"{seed.rpartition(':')[0]}:{port}")
 
     async def stop(self):
         """Close the sockets."""
         self.transport.close()
-        await self.session.close()
-        await self.runner.cleanup()
+        await self.snapshots.stop()
 
     def add_peer(self, address):
         """Add a peer that may exist at `address`, or update when it was last named."""
@@ -299,7 +279,7 @@
         while True:
             self.schedule_in(0.0)
             self.expire()
-            await self.catch_up()
+            await self.snapshots.catch_up()
             now = self.entry.now()
             if not self.active() and now - last_discovery > DISCOVERY_INTERVAL_SECONDS:
                 last_discovery = now
@@ -326,58 +306,3 @@
                 self.entry.state.budget.forget(address)
                 self.log.info("peer_lost", peer=address)
         self.entry.metrics.gauge("direct_peers", len(self.active()))
-
-    def newer_peer(self):
-        """Return a peer with a newer configuration or endpoint list than this entry, or None."""
-        state = self.entry.state
-        version = state.configuration.version if state.configuration else 0
-        revision = state.fleet.revision if state.endpoints_known else 0
-        for peer in self.active():
-            if peer.configuration > version or peer.endpoints > revision:
-                return peer
-        return None
-
-    async def catch_up(self):
-        """Fetch the snapshot of a peer that has had newer data for a while."""
-        now = self.entry.now()
-        peer = self.newer_peer()
-        if peer is None:
-            self.behind_since = None
-            return
-        if self.behind_since is None:
-            self.behind_since = now
-        if self.entry.state.ready and now - self.behind_since < CATCH_UP_DELAY_SECONDS:
-            return
-        self.behind_since = None
-        await self.fetch(peer)
-
-    async def fetch(self, peer):
-        """Fetch and apply a peer's snapshot."""
-        url = f"http://{peer.address}{SNAPSHOT_PATH}"
-        try:
-            async with self.session.get(url) as response:
-                data = await response.read()
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            self.log.warning("snapshot_failed", peer=peer.address, reason=repr(error))
-            return
-        self.entry.metrics.count("direct_snapshot_bytes", len(data), tag="received")
-        snapshot = snapshots.decode(data)
-        if isinstance(snapshot, Failure):
-            logs.log_failure(self.log, "snapshot_unreadable", snapshot)
-            return
-        for update in (snapshot.configuration, snapshot.endpoints):
-            if update is not None:
-                self.entry.apply_update(update, source=peer.address)
-
-    async def serve_snapshot(self, _request):
-        """Return a snapshot of the configuration and endpoints that this entry knows."""
-        state = self.entry.state
-        configuration = endpoints = None
-        if state.configuration is not None:
-            configuration = ConfigurationUpdate(state.configuration)
-        if state.endpoints_known:
-            changes = tuple(EndpointChange(n, e) for n, e in state.fleet.endpoints.items())
-            endpoints = EndpointUpdate(changes, state.fleet.revision, whole=True)
-        body = snapshots.encode(Snapshot(configuration, endpoints))
-        self.entry.metrics.count("direct_snapshot_bytes", len(body), tag="sent")
-        return web.Response(body=body, content_type="application/octet-stream")
