--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -48,6 +48,11 @@
         """Whether calls can be served: configuration and endpoints are known."""
         return self.routes is not None and self.endpoints_known
 
+    def versions(self):
+        """Return the version of the configuration and the revision of the endpoints, 0 for none."""
+        version = self.configuration.version if self.configuration else 0
+        return version, self.fleet.revision if self.endpoints_known else 0
+
     def apply_update(self, update, now):
         """Apply an update; return whether configuration or endpoints were updated."""
         if isinstance(update, ConfigurationUpdate):
--- a/packages/daemon/persimmonstall_daemon/direct/snapshots.py
+++ b/packages/daemon/persimmonstall_daemon/direct/snapshots.py
@@ -17,6 +17,9 @@
 """Timeout for fetching a snapshot."""
 
 SNAPSHOT_PATH = "/snapshot"
+CONFIGURATION_QUERY = "configuration"
+ENDPOINTS_QUERY = "endpoints"
+"""Parameters of the request: the versions that the asking entry has."""
 
 
 class SnapshotExchange:
@@ -46,9 +49,7 @@
 
     def newer_peer(self):
         """Return a peer with a newer configuration or endpoint list than this entry, or None."""
-        state = self.entry.state
-        version = state.configuration.version if state.configuration else 0
-        revision = state.fleet.revision if state.endpoints_known else 0
+        version, revision = self.entry.state.versions()
         for peer in self.peers.active():
             if peer.configuration > version or peer.endpoints > revision:
                 return peer
@@ -69,10 +70,12 @@
         await self.fetch(peer)
 
     async def fetch(self, peer):
-        """Fetch and apply a peer's snapshot."""
+        """Fetch what is newer in a peer's snapshot, and apply it."""
         url = f"http://{peer.address}{SNAPSHOT_PATH}"
+        version, revision = self.entry.state.versions()
+        known = {CONFIGURATION_QUERY: version, ENDPOINTS_QUERY: revision}
         try:
-            async with self.session.get(url) as response:
+            async with self.session.get(url, params=known) as response:
                 data = await response.read()
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             self.log.warning("snapshot_failed", peer=peer.address, reason=repr(error))
@@ -86,15 +89,22 @@
             if update is not None:
                 self.entry.apply_update(update, source=peer.address)
 
-    async def serve(self, _request):
-        """Return a snapshot of the configuration and endpoints that this entry knows."""
+    async def serve(self, request):
+        """Return a snapshot of what this entry knows and the asking one lacks."""
         state = self.entry.state
+        version, revision = state.versions()
         configuration = endpoints = None
-        if state.configuration is not None:
+        if version > version_in(request, CONFIGURATION_QUERY):
             configuration = ConfigurationUpdate(state.configuration)
-        if state.endpoints_known:
+        if revision > version_in(request, ENDPOINTS_QUERY):
             changes = tuple(EndpointChange(n, e) for n, e in state.fleet.endpoints.items())
             endpoints = EndpointUpdate(changes, state.fleet.revision, whole=True)
         body = snapshots.encode(Snapshot(configuration, endpoints))
         self.entry.metrics.count("direct_snapshot_bytes", len(body), tag="sent")
         return web.Response(body=body, content_type="application/octet-stream")
+
+
+def version_in(request, name):
+    """Return a version that a request names, -1 if it names none."""
+    text = request.query.get(name, "")
+    return int(text) if text.isdecimal() else -1
--- a/packages/daemon/tests/test_direct_peers.py
+++ b/packages/daemon/tests/test_direct_peers.py
@@ -6,11 +6,15 @@
 from types import SimpleNamespace
 
 import pytest
+from aiohttp.test_utils import make_mocked_request
 
 from persimmonstall.clock import Context
+from persimmonstall.direct import snapshot as snapshots
 from persimmonstall.direct.loads import EndpointDemand, InFlightAttempt
+from persimmonstall.direct.messages import Configuration, Endpoint
 from persimmonstall.direct.retry_budget import SharedRetryBudget
 from persimmonstall.direct.state import State
+from persimmonstall.direct.updates import ConfigurationUpdate, EndpointChange, EndpointUpdate
 from persimmonstall.settings.schema import Settings
 from persimmonstall_daemon.direct.loads import LoadReporter
 from persimmonstall_daemon.direct.peers import Peers
@@ -114,3 +118,32 @@
 
 def test_a_close_does_not_wait_behind_beacons_until_its_engine_is_late(busy_link):
     assert max(wait for wait, _ in busy_link.waits) < CANCEL_SECONDS
+
+
+@pytest.fixture
+def informed_entry():
+    """Return an entry with version 3 of the configuration and revision 5 of the endpoints."""
+    entry = make_entry(lambda: 0.0)
+    endpoint = Endpoint("e", "llm", "10.0.0.9:80", born=1, slots=8)
+    change = EndpointChange("e", endpoint)
+    entry.state.apply_update(ConfigurationUpdate(Configuration(3, (), {})), 0.0)
+    entry.state.apply_update(EndpointUpdate((change,), 5, whole=True), 0.0)
+    return entry
+
+
+@pytest.mark.parametrize(
+    ("query", "sent"),
+    [
+        ("", (True, True)),
+        ("?configuration=3&endpoints=4", (False, True)),
+        ("?configuration=2&endpoints=5", (True, False)),
+        ("?configuration=x&endpoints=", (True, True)),
+    ],
+)
+def test_snapshot_does_not_repeat_what_the_peer_has(informed_entry, query, sent):
+    async def serve():
+        request = make_mocked_request("GET", f"/snapshot{query}")
+        return await informed_entry.peers.snapshots.serve(request)
+
+    snapshot = snapshots.decode(virtual_loop.run(serve()).body)
+    assert (snapshot.configuration is not None, snapshot.endpoints is not None) == sent
