--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -49,7 +49,7 @@
         return self.routes is not None and self.endpoints_known
 
     def versions(self):
-        """Return the version of the configuration and the revision of the endpoints, 0 for none."""
+        """Return the versions of the configuration and of the endpoints, 0 for none."""
         version = self.configuration.version if self.configuration else 0
         return version, self.fleet.revision if self.endpoints_known else 0
 
--- a/packages/daemon/persimmonstall_daemon/direct/snapshots.py
+++ b/packages/daemon/persimmonstall_daemon/direct/snapshots.py
@@ -13,6 +13,9 @@
 CATCH_UP_DELAY_SECONDS = 0.15
 """Time for which a peer may have newer data before its snapshot is fetched."""
 
+DIRECTORY_DELAY_SECONDS = 0.5
+"""The same time while the directory answers, since it sends the data too."""
+
 FETCH_TIMEOUT_SECONDS = 1.0
 """Timeout for fetching a snapshot."""
 
@@ -48,12 +51,22 @@
         await self.runner.cleanup()
 
     def newer_peer(self):
-        """Return a peer with a newer configuration or endpoint list than this entry, or None."""
+        """Return a random peer with a newer configuration or endpoint list, None if none has."""
         version, revision = self.entry.state.versions()
-        for peer in self.peers.active():
-            if peer.configuration > version or peer.endpoints > revision:
-                return peer
-        return None
+        newer = [
+            peer
+            for peer in self.peers.active()
+            if peer.configuration > version or peer.endpoints > revision
+        ]
+        return self.entry.clock.random.choice(newer) if newer else None
+
+    def catch_up_delay(self):
+        """Return the time in seconds for which a peer may have newer data."""
+        state = self.entry.state
+        if not state.ready:
+            return 0.0
+        directory_answers = state.unreachable_since is None
+        return DIRECTORY_DELAY_SECONDS if directory_answers else CATCH_UP_DELAY_SECONDS
 
     async def catch_up(self):
         """Fetch the snapshot of a peer that has had newer data for a while."""
@@ -64,7 +77,7 @@
             return
         if self.behind_since is None:
             self.behind_since = now
-        if self.entry.state.ready and now - self.behind_since < CATCH_UP_DELAY_SECONDS:
+        if now - self.behind_since < self.catch_up_delay():
             return
         self.behind_since = None
         await self.fetch(peer)
--- a/packages/daemon/tests/test_direct_peers.py
+++ b/packages/daemon/tests/test_direct_peers.py
@@ -14,10 +14,15 @@
 from persimmonstall.direct.messages import Configuration, Endpoint
 from persimmonstall.direct.retry_budget import SharedRetryBudget
 from persimmonstall.direct.state import State
-from persimmonstall.direct.updates import ConfigurationUpdate, EndpointChange, EndpointUpdate
+from persimmonstall.direct.updates import (
+    ConfigurationUpdate,
+    EndpointChange,
+    EndpointUpdate,
+    ReachabilityUpdate,
+)
 from persimmonstall.settings.schema import Settings
 from persimmonstall_daemon.direct.loads import LoadReporter
-from persimmonstall_daemon.direct.peers import Peers
+from persimmonstall_daemon.direct.peers import Peer, Peers
 from persimmonstall_daemon.observe.prometheus import PrometheusMetrics
 from persimmonstall_standins.virtual import loop as virtual_loop
 
@@ -147,3 +152,42 @@
 
     snapshot = snapshots.decode(virtual_loop.run(serve()).body)
     assert (snapshot.configuration is not None, snapshot.endpoints is not None) == sent
+
+
+def hear_of_news(entry, peer_count):
+    """Make peers known that have a newer configuration than the entry."""
+    for number in range(peer_count):
+        address = f"10.0.1.{number}:7340"
+        entry.peers.peers[address] = Peer(address, last_heard=0.0, configuration=4)
+
+
+def test_entries_that_lag_do_not_all_fetch_from_the_same_peer(informed_entry):
+    hear_of_news(informed_entry, peer_count=8)
+    chosen = {informed_entry.peers.snapshots.newer_peer().address for _ in range(32)}
+    assert len(chosen) >= 4
+
+
+@pytest.mark.parametrize(("reachable", "seconds"), [(False, 0.2), (True, 0.5)])
+def test_peers_are_asked_for_news_only_if_the_directory_is_late_with_them(
+    informed_entry, reachable, seconds
+):
+    now = [0.0]
+    entry = informed_entry
+    entry.now = entry.clock.now = lambda: now[0]
+    entry.state.apply_update(ReachabilityUpdate(reachable), 0.0)
+    hear_of_news(entry, peer_count=1)
+    exchange = entry.peers.snapshots
+    fetched_at = []
+
+    async def fetch(_peer):
+        fetched_at.append(round(now[0], 2))
+
+    exchange.fetch = fetch
+
+    async def wait_for_news():
+        while not fetched_at:
+            await exchange.catch_up()
+            now[0] += 0.1
+
+    virtual_loop.run(wait_for_news())
+    assert fetched_at == [seconds]
