A restarted entry does not make all others fetch its list of endpoints

A beacon now carries a digest of the list, and an entry fetches only what differs. The test failed before.

--- a/packages/core/persimmonstall/direct/beacon.py
+++ b/packages/core/persimmonstall/direct/beacon.py
@@ -26,7 +26,9 @@
     `whole` says that the beacon carries the complete state.  Otherwise it has no `crashes`,
     `peers`, `failure_scores` and `slowdowns`, and its `attempts` are those that changed lately;
     `ended` names the ones that ended.  `link` is the bandwidth of the entry's link in bytes per
-    second.  The fields are sent as an array, so their order is part of the wire format.
+    second, `endpoints_digest` the digest of its list of endpoints.
+
+    The fields are sent as an array, so their order is part of the wire format.
     """
 
     address: str
@@ -45,6 +47,7 @@
     whole: bool = True
     ended: tuple[str, ...] = ()
     link: float = math.inf
+    endpoints_digest: int = 0
 
 
 TIME_UNITS_PER_SECOND = 10_000
@@ -104,11 +107,11 @@
 
 
 def decode_changes(fields):
-    """Return `whole`, `ended` and `link`; an entry of an earlier version does not send them."""
+    """Return the fields from `whole` on; an entry of an earlier version does not send them."""
     if not fields:
         return ()
-    whole, ended, link = fields
-    return whole, tuple(ended), link
+    whole, ended, link, endpoints_digest = fields
+    return whole, tuple(ended), link, endpoints_digest
 
 
 def decode(data):
--- a/packages/core/persimmonstall/direct/fleet.py
+++ b/packages/core/persimmonstall/direct/fleet.py
@@ -1,6 +1,8 @@
 """Endpoints known to an entry, from a list that can be stale, incomplete or unreachable."""
 
 import attrs
+import msgspec
+import xxhash
 
 OUTAGE_GRACE_SECONDS = 2.0
 """Seconds for which endpoints missing from the list are still used once the list is reachable
@@ -13,13 +15,22 @@
 
     An endpoint that is removed from the list is dropped at once, except after an outage of the
     list: then live endpoints may be missing from it for a while.  `missing` maps the names of such
-    endpoints to the time at which they are dropped.
+    endpoints to the time at which they are dropped.  `cached_digest` is None after a change.
     """
 
     revision: int = 0
     endpoints: dict = attrs.field(factory=dict)
     missing: dict = attrs.field(factory=dict)
     grace_until: float = 0.0
+    cached_digest: int | None = None
+
+    @property
+    def digest(self):
+        """Hash of the endpoints, the same at all entries that know the same ones."""
+        if self.cached_digest is None:
+            endpoints = [self.endpoints[name] for name in sorted(self.endpoints)]
+            self.cached_digest = xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(endpoints))
+        return self.cached_digest
 
     def replace(self, endpoints, revision, now):
         """Apply a complete read of the list: endpoints by name."""
@@ -45,6 +56,7 @@
     def put(self, endpoint):
         """Add an endpoint or replace its state."""
         self.endpoints[endpoint.name] = endpoint
+        self.cached_digest = None
         self.missing.pop(endpoint.name, None)
 
     def remove(self, name, now):
@@ -54,8 +66,13 @@
         if now < self.grace_until and not self.endpoints[name].leaving:
             self.missing.setdefault(name, self.grace_until)
         else:
-            del self.endpoints[name]
-            self.missing.pop(name, None)
+            self.drop(name)
+
+    def drop(self, name):
+        """Drop an endpoint at once."""
+        self.endpoints.pop(name, None)
+        self.missing.pop(name, None)
+        self.cached_digest = None
 
     def start_grace(self, now):
         """Start the grace period: the list is reachable again after an outage."""
@@ -65,8 +82,7 @@
         """Drop endpoints that are still missing after the grace period; return their names."""
         gone = [name for name, until in self.missing.items() if until <= now]
         for name in gone:
-            del self.missing[name]
-            self.endpoints.pop(name, None)
+            self.drop(name)
         return gone
 
     def usable(self, service):
--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -53,6 +53,17 @@
         version = self.configuration.version if self.configuration else 0
         return version, self.fleet.revision if self.endpoints_known else 0
 
+    def lacks(self, version, revision, digest):
+        """Return whether a peer with these versions, and this digest of endpoints, knows more.
+
+        The revision alone does not show it: an entry that has just read the list has a later
+        revision than those that wait for the list to change.
+        """
+        own_version, own_revision = self.versions()
+        if version > own_version:
+            return True
+        return revision > own_revision and (own_revision == 0 or digest != self.fleet.digest)
+
     def apply_update(self, update, now):
         """Apply an update; return whether configuration or endpoints were updated."""
         if isinstance(update, ConfigurationUpdate):
--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -174,7 +174,7 @@
                 endpoint=endpoint.name,
             )
         if result.ending is AttemptOutcome.WRONG_ENDPOINT:
-            state.fleet.endpoints.pop(endpoint.name, None)
+            state.fleet.drop(endpoint.name)
         else:
             state.failure_scores.record_failure(endpoint.name, now)
         if result.ending is AttemptOutcome.BROKEN and not result.event_relayed:
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -50,8 +50,9 @@
 
     `last_heard` is when its last beacon arrived, None before the first.  `last_named` is when
     its address was last received, from itself or from another source.  `configuration` and
-    `endpoints` are the versions that it has, `link` is its bandwidth in bytes per second.
-    `whole_due` is when it gets the next beacon with the complete state.
+    `endpoints` are the versions that it has, `endpoints_digest` is the digest of its list.  `link`
+    is its bandwidth in bytes per second, `whole_due` the time of the next beacon to it with the
+    complete state.
     """
 
     address: str
@@ -64,6 +65,7 @@
     leaving: bool = False
     link: float = math.inf
     whole_due: float = 0.0
+    endpoints_digest: int = 0
 
 
 class BeaconProtocol(asyncio.DatagramProtocol):
@@ -215,6 +217,7 @@
             whole=False,
             ended=ended,
             link=self.link,
+            endpoints_digest=state.fleet.digest,
         )
 
     def make_whole_beacon(self):
@@ -249,6 +252,7 @@
         peer.run, peer.sequence = beacon.run, beacon.sequence
         peer.last_heard = peer.last_named = self.entry.now()
         peer.configuration, peer.endpoints = beacon.configuration, beacon.endpoints
+        peer.endpoints_digest = beacon.endpoints_digest
         peer.leaving, peer.link = beacon.leaving, beacon.link
         for address in beacon.peers:
             if address not in self.peers:
--- a/packages/daemon/persimmonstall_daemon/direct/snapshots.py
+++ b/packages/daemon/persimmonstall_daemon/direct/snapshots.py
@@ -52,11 +52,11 @@
 
     def newer_peer(self):
         """Return a random peer with a newer configuration or endpoint list, None if none has."""
-        version, revision = self.entry.state.versions()
+        state = self.entry.state
         newer = [
             peer
             for peer in self.peers.active()
-            if peer.configuration > version or peer.endpoints > revision
+            if state.lacks(peer.configuration, peer.endpoints, peer.endpoints_digest)
         ]
         return self.entry.clock.random.choice(newer) if newer else None
 
--- a/packages/daemon/tests/test_direct_peers.py
+++ b/packages/daemon/tests/test_direct_peers.py
@@ -9,6 +9,7 @@
 from aiohttp.test_utils import make_mocked_request
 
 from persimmonstall.clock import Context
+from persimmonstall.direct import beacon as beacons
 from persimmonstall.direct import snapshot as snapshots
 from persimmonstall.direct.loads import EndpointDemand, InFlightAttempt
 from persimmonstall.direct.messages import Configuration, Endpoint
@@ -154,6 +155,28 @@
     assert (snapshot.configuration is not None, snapshot.endpoints is not None) == sent
 
 
+def informed_state(revision, *names):
+    """Return the state of an entry that read the endpoints `names` as of a revision."""
+    state = State(SharedRetryBudget(0.2, 200.0, 10.0))
+    endpoints = [Endpoint(name, "llm", "10.0.0.9:80", born=1, slots=8) for name in names]
+    changes = tuple(EndpointChange(endpoint.name, endpoint) for endpoint in endpoints)
+    state.apply_update(EndpointUpdate(changes, revision, whole=True), 0.0)
+    return state
+
+
+@pytest.mark.parametrize(("names", "fetches"), [(("e",), False), (("e", "f"), True)])
+def test_restarted_entry_does_not_make_all_others_fetch_the_same_endpoints(
+    informed_entry, names, fetches
+):
+    restarted = make_entry(informed_entry.now)
+    restarted.settings.daemon.address = restarted.peers.address = "10.0.0.2:7340"
+    restarted.state = informed_state(9, *names)
+    beacon = beacons.encode(restarted.peers.make_whole_beacon())
+    informed_entry.peers.schedule_beacon = lambda urgent: None
+    informed_entry.peers.on_datagram(beacon)
+    assert (informed_entry.peers.snapshots.newer_peer() is not None) == fetches
+
+
 def hear_of_news(entry, peer_count):
     """Make peers known that have a newer configuration than the entry."""
     for number in range(peer_count):
