An answer whose head came while the process was suspended is read

Cause: the stop signal sometimes fell between the sending of the call and the head of its answer. After a suspension timers fire before sockets are read; reads of the body allowed for that, the wait for the head did not, and its result is lost with the cancelled request.

--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -1,7 +1,5 @@
 """One attempt of a call at one endpoint: sends it, checks the answer and relays it."""
 
-import asyncio
-
 import attrs
 
 from persimmonstall.direct.events import EventReader
@@ -9,7 +7,7 @@
 from persimmonstall.direct.retrying import AttemptOutcome
 from persimmonstall.failures import Failure, Reason
 
-from .endpoint_client import never_connected
+from .endpoint_client import never_connected, wait_past_suspension
 
 STEP = "relay"
 
@@ -80,8 +78,8 @@
     async def send_and_relay(self, started_at):
         """Send the call and relay its answer; raise TimeoutError if the endpoint is too slow."""
         self.history.attempt_sent()
-        async with asyncio.timeout(self.initial_timeout()):
-            answer = await self.entry.client.send(self.routed, self.placed.request)
+        sending = self.entry.client.send(self.routed, self.placed.request)
+        answer = await wait_past_suspension(sending, self.initial_timeout())
         if isinstance(answer, Failure):
             return self.unanswered_result(answer)
         self.answer = answer
--- a/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -167,6 +167,27 @@
     return Failure(Reason.ENDPOINT_LOST, STEP, detail=f"status {head.status}: {detail}")
 
 
+async def wait_past_suspension(awaitable, timeout):
+    """Return the result of an awaitable; raise TimeoutError after `timeout` seconds.
+
+    After a suspension of the process, timers fire before the sockets are read; what arrived
+    meanwhile is then still read.
+    """
+    clock = asyncio.get_running_loop().time
+    deadline = clock() + timeout
+    task = asyncio.ensure_future(awaitable)
+    try:
+        await asyncio.wait((task,), timeout=timeout)
+        if not task.done() and clock() - deadline >= SUSPENSION_SECONDS:
+            await asyncio.wait((task,), timeout=CATCH_UP_SECONDS)
+        if not task.done():
+            raise TimeoutError
+        return task.result()
+    finally:
+        if task.cancel():
+            await asyncio.wait((task,))
+
+
 class EndpointClient:
     """Sends attempts to endpoints in the wire format of a `Dialect`."""
 
