--- a/packages/daemon/tests/test_direct_peers.py
+++ b/packages/daemon/tests/test_direct_peers.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import itertools
+import math
 import random
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 from aiohttp.test_utils import make_mocked_request
 
@@ -126,6 +128,81 @@
     assert max(wait for wait, _ in busy_link.waits) < CANCEL_SECONDS
 
 
+def test_beacons_leave_three_quarters_of_the_link_to_calls(busy_link):
+    sent = sum(size for _, size in busy_link.waits)
+    one_round = PEER_COUNT * max(size for _, size in busy_link.waits)
+    assert sent <= LINK_BYTES_PER_SECOND / 4 * BUSY_SECONDS + one_round
+
+
+def attempt_named(name):
+    return InFlightAttempt(name, (demand(0),))
+
+
+@pytest.fixture
+def sender_and_receiver():
+    """Return two entries and a function that delivers the first one's beacon to the second."""
+    sender, receiver = make_entry(lambda: 0.0), make_entry(lambda: 0.0)
+    receiver.peers.address = "10.0.0.2:7340"
+    receiver.peers.schedule_beacon = lambda urgent: None
+
+    def deliver(whole=False, lost=False):
+        peers = sender.peers
+        peers.sequence += 1
+        beacon = peers.make_whole_beacon() if whole else peers.make_changes_beacon()
+        peers.record_changes_sent()
+        if not lost:
+            receiver.peers.on_datagram(beacons.encode(beacon))
+
+    return sender.state.load_tracker, receiver.state.load_tracker, deliver
+
+
+def test_lost_changes_are_in_the_next_beacon(sender_and_receiver):
+    sent, received, deliver = sender_and_receiver
+    sent.begin(attempt_named("a"), 0.0)
+    deliver()
+    sent.record_first_event("a")
+    sent.begin(attempt_named("b"), 0.0)
+    deliver(lost=True)
+    deliver()
+    assert {name: found.started for name, found in received.attempts.items()} == {
+        "a": True,
+        "b": False,
+    }
+    sent.end("a")
+    deliver(lost=True)
+    deliver()
+    assert set(received.attempts) == {"b"}
+
+
+def test_whole_beacon_makes_up_for_all_lost_changes(sender_and_receiver):
+    sent, received, deliver = sender_and_receiver
+    for name in "abc":
+        sent.begin(attempt_named(name), 0.0)
+        deliver(lost=name == "b")
+    sent.end("a")
+    for _ in range(3):
+        deliver(lost=True)
+    deliver()
+    assert set(received.attempts) == {"a", "b", "c"}
+    deliver(whole=True)
+    assert set(received.attempts) == {"b", "c"}
+
+
+def test_sent_changes_are_not_kept(sender_and_receiver):
+    sent, _, deliver = sender_and_receiver
+    for number in range(100):
+        sent.begin(attempt_named(f"a{number}"), 0.0)
+        sent.end(f"a{number}")
+        deliver()
+    assert len(sent.changes.numbers) <= 2
+
+
+def test_beacon_of_an_earlier_version_carries_the_complete_state(informed_entry):
+    fields = msgspec.msgpack.decode(beacons.encode(informed_entry.peers.make_whole_beacon()))
+    beacon = beacons.decode(msgspec.msgpack.encode(fields[:13]))
+    assert (beacon.whole, beacon.ended, beacon.link) == (True, (), math.inf)
+
+
 @pytest.fixture
 def informed_entry():
     """Return an entry with version 3 of the configuration and revision 5 of the endpoints."""
