--- a/packages/core/persimmonstall/direct/beacon_pacing.py
+++ b/packages/core/persimmonstall/direct/beacon_pacing.py
@@ -20,8 +20,8 @@
 DATAGRAM_HEADER_BYTES = 28
 """Bytes of the IP and UDP headers of a datagram."""
 
-MIN_INTERVAL = 0.1
-INTERVAL_PER_PEER = 0.012
+MIN_INTERVAL_SECONDS = 0.1
+INTERVAL_SECONDS_PER_PEER = 0.012
 """Interval of beacons without a change: a minimum in seconds, and seconds for each peer."""
 
 MAX_WHOLE_INTERVAL = 1.0
@@ -30,7 +30,7 @@
 
 def heartbeat_interval(peer_count):
     """Return the interval in seconds of beacons without a change."""
-    return max(MIN_INTERVAL, INTERVAL_PER_PEER * peer_count)
+    return max(MIN_INTERVAL_SECONDS, INTERVAL_SECONDS_PER_PEER * peer_count)
 
 
 @attrs.define
--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -12,20 +12,20 @@
 
 STEP = "exchange"
 
-REPLY_MARGIN = 0.03
+REPLY_MARGIN_SECONDS = 0.03
 """Seconds before the deadline that are reserved for sending the answer."""
 
-STARTING_RETRY_AFTER = 2.5
+STARTING_RETRY_AFTER_SECONDS = 2.5
 """Retry-After in seconds of an entry without a configuration: it started while the store was
 unavailable, so neither an early retry nor another entry would succeed."""
 
 EVENT_INTERVAL_SECONDS = 0.07
 """Typical time between two events of a stream."""
 
-ANSWER_MARGIN = 1.5
+ANSWER_LENGTH_FACTOR = 1.5
 """Factor by which an answer may be longer than its estimate."""
 
-LEAVING_RETRY_AFTER = 0.05
+LEAVING_RETRY_AFTER_SECONDS = 0.05
 """Retry-After in seconds of an entry that is stopping; a retry goes to another entry."""
 
 CRASH_CHECK_DELAY_SECONDS = 0.02
@@ -73,7 +73,7 @@
         if self.entry.state.ready:
             return call
         failure = Failure(Reason.NO_ENDPOINT, "configure", detail="no configuration received yet")
-        return refuse(failure, STARTING_RETRY_AFTER)
+        return refuse(failure, STARTING_RETRY_AFTER_SECONDS)
 
     def check_route(self, call):
         """Return the call with its route, service and organisation."""
@@ -89,12 +89,12 @@
         """Refuse a call that would not end before this process exits."""
         if self.entry.has_time_for(expected_seconds(routed)):
             return routed
-        return refuse(Failure(Reason.LEAVING, "leaving"), LEAVING_RETRY_AFTER)
+        return refuse(Failure(Reason.LEAVING, "leaving"), LEAVING_RETRY_AFTER_SECONDS)
 
     async def run(self, routed, sink, history):
         """Make attempts until one is final or time is up; return the last `AttemptResult`."""
         last = AttemptResult(AttemptOutcome.OVERDUE)
-        remaining = routed.deadline - REPLY_MARGIN - self.entry.now()
+        remaining = routed.deadline - REPLY_MARGIN_SECONDS - self.entry.now()
         self.entry.state.budget.record_call(routed.service.name, self.entry.now())
         limit = asyncio.timeout(max(0.0, remaining))
         try:
@@ -114,7 +114,7 @@
         loop = asyncio.get_running_loop()
         running = [(limit, due) for limit, due in self.deadlines.items() if not limit.expired()]
         for limit, deadline in running:
-            remaining = deadline - REPLY_MARGIN - self.entry.now()
+            remaining = deadline - REPLY_MARGIN_SECONDS - self.entry.now()
             limit.reschedule(loop.time() + max(0.0, remaining))
 
     def should_retry(self, routed, history, result):
@@ -225,7 +225,7 @@
             sink.abort()
             self.entry.metrics.count("direct_broken_off")
         else:
-            now = self.entry.now() + REPLY_MARGIN
+            now = self.entry.now() + REPLY_MARGIN_SECONDS
             failure = result.failure
             if failure is None:
                 failure = Failure(Reason.ENDPOINT_LOST, STEP)
@@ -301,6 +301,6 @@
     call, route, profile = routed.call, routed.route, routed.service.engine
     if profile is None:
         return route.timeout
-    tokens = ANSWER_MARGIN * (call.output_estimate or call.max_output_tokens)
+    tokens = ANSWER_LENGTH_FACTOR * (call.output_estimate or call.max_output_tokens)
     passes = min(tokens, call.max_output_tokens) / profile.stride
     return min(route.timeout, route.objective + passes * EVENT_INTERVAL_SECONDS)
--- a/packages/daemon/persimmonstall_daemon/direct/callers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/callers.py
@@ -19,8 +19,8 @@
 """Time for which the unread rest of a request body is still read and discarded."""
 
 SHUTDOWN_SECONDS = 0.1
-IDLE_MARGIN = 2.0
-"""Seconds added to the idle timeout, so that a call rarely arrives while its connection closes."""
+IDLE_MARGIN_SECONDS = 2.0
+"""Added to the idle timeout, so that a call rarely arrives while its connection closes."""
 
 BACKLOG = 1024
 """Length of the queue of connections to accept."""
@@ -104,13 +104,13 @@
 class Connection(web.RequestHandler):
     """A caller's connection; it is closed if the head of a request is not complete in time.
 
-    `caps` are the limits that applied when the connection was opened; `lost_at` is the time of the
+    `limits` are those that applied when the connection was opened; `lost_at` is the time of the
     event loop at which it closed, None while it is open.
     """
 
-    def __init__(self, server, caps, **options):
+    def __init__(self, server, limits, **options):
         super().__init__(server, **options)
-        self.caps = caps
+        self.limits = limits
         self.timer = None
         self.in_request = False
         self.lost_at = None
@@ -118,12 +118,12 @@
     def connection_made(self, transport):
         """Start the idle timeout of the first request, the same as for later ones."""
         super().connection_made(transport)
-        self.start_timeout(self.caps.idle_timeout + IDLE_MARGIN)
+        self.start_timeout(self.limits.idle_timeout + IDLE_MARGIN_SECONDS)
 
     def data_received(self, data):
         """Pass data to the parser; the first bytes of a request start its header timeout."""
         if not self.in_request:
-            self.start_timeout(self.caps.header_timeout)
+            self.start_timeout(self.limits.header_timeout)
         super().data_received(data)
 
     def start_timeout(self, seconds):
@@ -175,7 +175,7 @@
         self.in_flight = 0
 
     @property
-    def caps(self):
+    def limits(self):
         """The limits of the current configuration."""
         configuration = self.entry.state.configuration
         return configuration.caps if configuration else CallerLimits()
@@ -190,15 +190,15 @@
 
     def accept(self):
         """Return the protocol of a new connection, with the current limits."""
-        caps = self.caps
+        limits = self.limits
         return Connection(
             self.server,
-            caps,
+            limits,
             loop=asyncio.get_running_loop(),
             access_log=None,
-            keepalive_timeout=caps.idle_timeout + IDLE_MARGIN,
-            max_line_size=caps.header_bytes * HEADER_LIMIT_FACTOR,
-            max_field_size=caps.header_bytes * HEADER_LIMIT_FACTOR,
+            keepalive_timeout=limits.idle_timeout + IDLE_MARGIN_SECONDS,
+            max_line_size=limits.header_bytes * HEADER_LIMIT_FACTOR,
+            max_field_size=limits.header_bytes * HEADER_LIMIT_FACTOR,
             auto_decompress=False,
             lingering_time=LINGER_SECONDS,
         )
@@ -206,7 +206,7 @@
     def make_request(self, message, payload, protocol, writer, task):
         """Return a request whose body may be as large as the configuration allows."""
         protocol.request_started()
-        max_size = self.caps.body_bytes or 2**40
+        max_size = self.limits.body_bytes or 2**40
         loop = asyncio.get_running_loop()
         return web.BaseRequest(
             message, payload, protocol, writer, task, loop, client_max_size=max_size
@@ -256,10 +256,10 @@
     async def read_body(self, request):
         """Return the body, or a `Failure` if it is too large, too slow or malformed."""
         size = sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
-        if size > self.caps.header_bytes > 0:
+        if size > self.limits.header_bytes > 0:
             return Failure(Reason.HEADERS_TOO_LARGE, STEP, detail=f"{size} bytes")
         try:
-            async with asyncio.timeout(self.caps.idle_timeout):
+            async with asyncio.timeout(self.limits.idle_timeout):
                 return await request.read()
         except TimeoutError:
             return Failure(Reason.BODY_TOO_SLOW, STEP, detail="body incomplete at the timeout")
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -40,7 +40,7 @@
 """Interval at which the settings file is checked for changes."""
 
 DRAIN_POLL_SECONDS = 0.05
-GRACE_MARGIN = 1.0
+GRACE_MARGIN_SECONDS = 1.0
 """Seconds of the grace period that are reserved for an orderly exit."""
 
 RELEASE_SECONDS = 0.2
@@ -61,11 +61,13 @@
 
     def __init__(self, settings, adapter, listener=None, log_stream=None):
         super().__init__(settings, PrometheusMetrics(), boottime_context())
-        direct = settings.direct
+        options = settings.direct
         self.adapter = adapter
         self.dialect = adapter.dialect
         self.log = logs.get("direct")
-        budget = SharedRetryBudget(direct.budget_ratio, direct.budget_slack, direct.budget_window)
+        budget = SharedRetryBudget(
+            options.budget_ratio, options.budget_slack, options.budget_window
+        )
         self.state = State(budget, settings.daemon.data_centre)
         self.client = EndpointClient(self.dialect)
         adapter.attach(self)
@@ -81,7 +83,7 @@
         self.log_stream = log_stream
         self.leaving = False
         self.started_at = self.now()
-        self.taken_out_at = None
+        self.balancer_informed_at = None
         self.kill_at = None
         self.next_attempt = 0
 
@@ -158,12 +160,12 @@
 
     def apply_settings(self, settings):
         """Apply changed settings; the entry keeps listening at the same addresses."""
-        direct = settings.direct
+        options = settings.direct
         self.settings = settings
-        self.state.budget.ratio = direct.budget_ratio
-        self.state.budget.slack = direct.budget_slack
-        self.state.budget.window = direct.budget_window
-        self.log.info("settings_reloaded", directory=direct.directory)
+        self.state.budget.ratio = options.budget_ratio
+        self.state.budget.slack = options.budget_slack
+        self.state.budget.window = options.budget_window
+        self.log.info("settings_reloaded", directory=options.directory)
 
     async def tick(self):
         """Update the state as time passes, and detect that the process was suspended."""
@@ -202,7 +204,7 @@
         Shortly after the stop signal every call is accepted, since the load balancer does not
         know of the shutdown yet.
         """
-        if self.kill_at is None or self.now() < self.taken_out_at:
+        if self.kill_at is None or self.now() < self.balancer_informed_at:
             return True
         return self.now() + seconds < self.kill_at
 
@@ -212,11 +214,11 @@
         Connections are accepted for as long as calls arrive: if many entries stop at once, the
         load balancer keeps sending to entries that are not ready.
         """
-        direct = self.settings.direct
+        options = self.settings.direct
         self.leaving = True
-        takeout = min(direct.takeout, direct.grace / 2)
-        self.taken_out_at = self.now() + takeout
-        self.kill_at = self.now() + direct.grace - GRACE_MARGIN
+        takeout = min(options.takeout, options.grace / 2)
+        self.balancer_informed_at = self.now() + takeout
+        self.kill_at = self.now() + options.grace - GRACE_MARGIN_SECONDS
         self.peers.schedule_beacon(True)
         await asyncio.sleep(takeout)
         while self.callers.in_flight and self.now() < self.kill_at:
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -62,7 +62,6 @@
     last_named: float = 0.0
     configuration: int = 0
     endpoints: int = 0
-    leaving: bool = False
     link: float = math.inf
     whole_due: float = 0.0
     endpoints_digest: int = 0
@@ -253,7 +252,7 @@
         peer.last_heard = peer.last_named = self.entry.now()
         peer.configuration, peer.endpoints = beacon.configuration, beacon.endpoints
         peer.endpoints_digest = beacon.endpoints_digest
-        peer.leaving, peer.link = beacon.leaving, beacon.link
+        peer.link = beacon.link
         for address in beacon.peers:
             if address not in self.peers:
                 self.add_peer(address)
