--- a/packages/core/persimmonstall/direct/beacon.py
+++ b/packages/core/persimmonstall/direct/beacon.py
@@ -111,6 +111,8 @@
     if not fields:
         return ()
     whole, ended, link, endpoints_digest = fields
+    if not link > 0:
+        raise ValueError(f"bandwidth of {link} bytes per second")
     return whole, tuple(ended), link, endpoints_digest
 
 
--- a/packages/daemon/tests/test_direct_peers.py
+++ b/packages/daemon/tests/test_direct_peers.py
@@ -6,6 +6,7 @@
 import random
 from types import SimpleNamespace
 
+import attrs
 import msgspec
 import pytest
 from aiohttp.test_utils import make_mocked_request
@@ -203,6 +204,12 @@
     assert (beacon.whole, beacon.ended, beacon.link) == (True, (), math.inf)
 
 
+@pytest.mark.parametrize("link", [0, -1, math.nan, "fast", None])
+def test_beacon_with_an_invalid_bandwidth_does_not_stop_an_entry(informed_entry, link):
+    beacon = attrs.evolve(informed_entry.peers.make_whole_beacon(), link=link)
+    assert not beacons.decode(beacons.encode(beacon))
+
+
 @pytest.fixture
 def informed_entry():
     """Return an entry with version 3 of the configuration and revision 5 of the endpoints."""
