Tests of beacons: failures of the entry's tasks count, and pacing does not silence an entry

An exception in a task of the modelled entry went unnoticed; it fails the test now. A new test bounds the pause between datagrams by a third of the time after which an entry counts as silent.

--- a/packages/daemon/tests/test_direct_peers.py
+++ b/packages/daemon/tests/test_direct_peers.py
@@ -26,7 +26,7 @@
 )
 from persimmonstall.settings.schema import Settings
 from persimmonstall_daemon.direct.loads import LoadReporter
-from persimmonstall_daemon.direct.peers import Peer, Peers
+from persimmonstall_daemon.direct.peers import ACTIVE_TIMEOUT_SECONDS, Peer, Peers
 from persimmonstall_daemon.observe.prometheus import PrometheusMetrics
 from persimmonstall_standins.virtual import loop as virtual_loop
 
@@ -45,12 +45,16 @@
 
 
 class QueueingLink:
-    """Transport whose datagrams share a link; `waits` holds (seconds to wait, bytes) of each."""
+    """Transport whose datagrams share a link.
+
+    `waits` holds the seconds to wait and the bytes of each, `sent_at` the times of sending.
+    """
 
     def __init__(self, clock):
         self.clock = clock
         self.free_at = 0.0
         self.waits = []
+        self.sent_at = []
 
     def sendto(self, data, _address):
         """Queue a datagram behind those that the link has not carried yet."""
@@ -58,6 +62,7 @@
         now = self.clock()
         self.free_at = max(self.free_at, now) + size / LINK_BYTES_PER_SECOND
         self.waits.append((self.free_at - now, size))
+        self.sent_at.append(now)
 
     def is_closing(self):
         """Return false: the link stays open."""
@@ -67,8 +72,7 @@
 def make_entry(clock):
     settings = Settings()
     settings.daemon.address = "10.0.0.1:7340"
-    if hasattr(settings.direct, "link_mbps"):
-        settings.direct.link_mbps = LINK_MBPS
+    settings.direct.link_mbps = LINK_MBPS
     entry = SimpleNamespace(
         settings=settings,
         clock=Context(now=clock, random=random.Random(1)),
@@ -119,6 +123,8 @@
             tasks.append(asyncio.create_task(serve_call(entry, next(numbers))))
             await asyncio.sleep(1 / CALLS_PER_SECOND)
         for task in tasks:
+            if task.done():
+                task.result()
             task.cancel()
         return link
 
@@ -135,6 +141,12 @@
     assert sent <= LINK_BYTES_PER_SECOND / 4 * BUSY_SECONDS + one_round
 
 
+def test_paced_beacons_still_come_several_times_before_an_entry_counts_as_silent(busy_link):
+    pauses = [later - earlier for earlier, later in itertools.pairwise(busy_link.sent_at)]
+    assert busy_link.sent_at[-1] > BUSY_SECONDS - 1
+    assert max(pauses) < ACTIVE_TIMEOUT_SECONDS / 3
+
+
 def attempt_named(name):
     return InFlightAttempt(name, (demand(0),))
 
