An answer that comes while its caller leaves is closed

If the head came in the same step of the event loop in which the caller left, nobody held the answer and its connection stayed open until it was collected: work for a caller that had left (GONE), if a rare one.

The attempt now holds the answer as soon as there is one, and closes it however it ends.

--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -78,13 +78,18 @@
     async def send_and_relay(self, started_at):
         """Send the call and relay its answer; raise TimeoutError if the endpoint is too slow."""
         self.history.attempt_sent()
-        sending = self.entry.client.send(self.routed, self.placed.request)
-        answer = await wait_past_suspension(sending, self.initial_timeout())
+        answer = await wait_past_suspension(self.send(), self.initial_timeout())
         if isinstance(answer, Failure):
             return self.unanswered_result(answer)
-        self.answer = answer
         return await self.relay(started_at)
 
+    async def send(self):
+        """Send the call; keep its answer at once, so that `run` closes it in any case."""
+        answer = await self.entry.client.send(self.routed, self.placed.request)
+        if not isinstance(answer, Failure):
+            self.answer = answer
+        return answer
+
     def initial_timeout(self):
         """Return the timeout in seconds of the first event, or of a non-streamed answer.
 
--- /dev/null
+++ b/packages/daemon/tests/test_direct_attempt.py
@@ -0,0 +1,58 @@
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from persimmonstall.direct.retrying import AttemptHistory
+from persimmonstall_daemon.direct.attempt import Attempt
+
+LOOP_STEPS = 8
+"""More steps of the event loop than pass between the head of an answer and its relay."""
+
+
+class OpenAnswer:
+    """An endpoint's answer whose connection is open until `close`."""
+
+    def __init__(self):
+        self.open = True
+
+    def close(self):
+        """Close the connection."""
+        self.open = False
+
+
+def make_attempt(client, now):
+    route = SimpleNamespace(repeatable=True, streaming=True, objective=0.3)
+    return Attempt(
+        SimpleNamespace(client=client, now=now),
+        SimpleNamespace(route=route, deadline=now() + 10.0),
+        SimpleNamespace(request=None, predicted_first_event=0.0),
+        AttemptHistory(),
+        sink=None,
+    )
+
+
+@pytest.mark.parametrize("steps", range(LOOP_STEPS))
+def test_answer_that_comes_while_its_caller_leaves_is_closed(steps):
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        head, answers = loop.create_future(), []
+
+        async def send(_routed, _request):
+            await head
+            answers.append(OpenAnswer())
+            return answers[-1]
+
+        attempt = make_attempt(SimpleNamespace(send=send), loop.time)
+        attempt.relay = lambda _started_at: asyncio.sleep(10)
+        running = asyncio.create_task(attempt.run())
+        await asyncio.sleep(0.01)
+        head.set_result(None)
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        running.cancel()
+        await asyncio.wait((running,))
+        assert running.cancelled()
+        assert not any(answer.open for answer in answers)
+
+    asyncio.run(scenario())
