--- a/packages/core/persimmonstall/direct/loads.py
+++ b/packages/core/persimmonstall/direct/loads.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from .attempt_changes import AttemptChanges
+from .change_log import ChangeLog
 from .engine_model import EngineModel
 from .slowdowns import Slowdowns
 
@@ -84,7 +84,7 @@
     names_by_entry: dict = attrs.field(factory=dict)
     last_beacon_at: dict = attrs.field(factory=dict)
     slowdowns: Slowdowns = attrs.field(factory=Slowdowns)
-    changes: AttemptChanges = attrs.field(factory=AttemptChanges)
+    changes: ChangeLog = attrs.field(factory=ChangeLog)
 
     def load_of(self, endpoint, service, now):
         """Return the load of an `Endpoint` of `service`, advanced to `now`."""
@@ -160,12 +160,9 @@
         """Return this entry's attempts, to be sent to other entries."""
         return tuple(self.attempts[name] for name in self.names_by_entry.get("", ()))
 
-    def local_changes(self, number):
-        """Return this entry's attempts that changed after `number`, and the names of those ended.
-
-        `number` is one that `changes.last` had.
-        """
-        names = self.changes.since(number)
+    def local_changes(self):
+        """Return this entry's attempts that changed lately, and the names of those that ended."""
+        names = self.changes.pending()
         attempts = tuple(self.attempts[name] for name in names if name in self.attempts)
         return attempts, tuple(name for name in names if name not in self.attempts)
 
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -99,8 +99,6 @@
         self.timer = None
         self.due = 0.0
         self.pacer = BeaconPacer()
-        self.last_change_sent = 0
-        self.last_change_repeated = 0
         self.snapshots = SnapshotExchange(entry, self)
 
     async def start(self):
@@ -196,14 +194,12 @@
 
     def record_changes_sent(self):
         """Record that the changes up to now were sent; each is sent in two beacons."""
-        changes = self.entry.state.load_tracker.changes
-        self.last_change_repeated, self.last_change_sent = self.last_change_sent, changes.last
-        changes.forget(self.last_change_repeated)
+        self.entry.state.load_tracker.changes.mark_sent()
 
     def make_changes_beacon(self):
         """Return a beacon with the latest changes of this entry's attempts."""
         state, now = self.entry.state, self.entry.now()
-        attempts, ended = state.load_tracker.local_changes(self.last_change_repeated)
+        attempts, ended = state.load_tracker.local_changes()
         return Beacon(
             self.address,
             self.run_id,
