Test of log lines resets the log configuration that it sets

test_log_lines_are_json_on_the_stream left structlog writing to a closed pipe. The fixture resets the configuration; both files pass in one process.

--- a/packages/daemon/tests/test_direct_observe.py
+++ b/packages/daemon/tests/test_direct_observe.py
@@ -23,6 +23,13 @@
     os.close(writer)
 
 
+@pytest.fixture
+def configure_logs():
+    """Return `logs.configure`; its effect ends with the test."""
+    yield logs.configure
+    structlog.reset_defaults()
+
+
 def test_log_volume_is_bounded(pipe):
     reader, writer = pipe
     now = [0.0]
@@ -44,9 +51,9 @@
     assert stream.dropped > 0
 
 
-def test_log_lines_are_json_on_the_stream(pipe):
+def test_log_lines_are_json_on_the_stream(pipe, configure_logs):
     reader, writer = pipe
-    logs.configure(Settings(), BoundedStream(writer))
+    configure_logs(Settings(), BoundedStream(writer))
     logs.get("test").info("placed", request_id="r1")
     line = json.loads(os.read(reader, 4096))
     assert (line["event"], line["request_id"], line["module"]) == ("placed", "r1", "test")
