Entries keep together to the request limit that an endpoint names

Cause: no entry read the header; it was passed through with the others.

Now the adapter decodes the header into ResponseHead.request_limit. One entry owns the limit of an endpoint, by rendezvous hashing, and grants a permit for each request; calls go elsewhere while others are free, wait for their turn up to their objective, or are refused with the time of the next turn. An answer without a limit lifts it only if its call was sent after the limit was last named; the owner sends a call every two seconds to see that.

--- a/packages/core/persimmonstall/direct/fleet.py
+++ b/packages/core/persimmonstall/direct/fleet.py
@@ -85,6 +85,10 @@
             self.drop(name)
         return gone
 
+    def lifetimes(self):
+        """Return the lifetimes of all endpoints."""
+        return {endpoint.lifetime for endpoint in self.endpoints.values()}
+
     def usable(self, service):
         """Return the endpoints of a service that accept new calls."""
         return [e for e in self.endpoints.values() if e.service == service and not e.leaving]
--- a/packages/core/persimmonstall/direct/loads.py
+++ b/packages/core/persimmonstall/direct/loads.py
@@ -106,6 +106,11 @@
                     add_to_load(load, attempt, demand, now)
         return load
 
+    def count_in_flight(self, endpoint_name):
+        """Return the number of calls in flight at an endpoint, 0 if none has used it."""
+        load = self.loads.get(endpoint_name)
+        return 0 if load is None else load.running()
+
     def loads_and_demands(self, attempt):
         """Return the (load, demand) pairs of an attempt, without endpoints that have no load."""
         pairs = ((self.loads.get(demand.endpoint), demand) for demand in attempt.demands)
--- a/packages/core/persimmonstall/direct/messages.py
+++ b/packages/core/persimmonstall/direct/messages.py
@@ -226,7 +226,8 @@
     """Status and headers of an endpoint's answer, and what they mean.
 
     `headers` are the ones to pass on to the caller.  `blamed_address` is the address of another
-    endpoint that the answer blames for its failure, empty if none.
+    endpoint that the answer blames for its failure, empty if none.  `request_limit` is the limit
+    that the endpoint names, in requests per second from all entries together, None if it does not.
     """
 
     status: int
@@ -234,6 +235,7 @@
     kind: ResponseKind
     blamed_address: str = ""
     event_stream: bool = False
+    request_limit: float | None = None
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/core/persimmonstall/direct/permits.py
@@ -0,0 +1,82 @@
+"""Datagrams by which an entry asks the owner of an endpoint's request limit for a permit."""
+
+import attrs
+
+from ..failures import Failure, Reason
+from . import datagrams
+from .datagrams import Kind
+from .request_limits import Permit
+
+STEP = "permit"
+
+
+@attrs.frozen
+class PermitRequest:
+    """Asks for one request to an endpoint; `address` is that of the asking entry.
+
+    `number` identifies the request at the asking entry.  `rate` is the limit that this entry
+    knows, in requests per second, `patience` the longest wait in seconds that it can use.
+    """
+
+    address: str
+    number: int
+    endpoint: str
+    born: int
+    rate: float
+    patience: float
+
+    @property
+    def lifetime(self):
+        """Identifier of the endpoint's lifetime."""
+        return self.endpoint, self.born
+
+
+@attrs.frozen
+class PermitReply:
+    """The owner's answer to the request `number`."""
+
+    number: int
+    permit: Permit
+
+
+def encode_request(request):
+    """Return the datagram that encodes a `PermitRequest`."""
+    return datagrams.encode(Kind.PERMIT_REQUEST, attrs.astuple(request))
+
+
+def decode_request(fields):
+    """Return the `PermitRequest` in the fields of a datagram, or a `Failure`.
+
+    >>> sent = PermitRequest("10.0.0.1:7340", 3, "e", 1, 2.5, 0.3)
+    >>> decode_request(datagrams.decode(encode_request(sent)).fields) == sent
+    True
+    """
+    try:
+        address, number, endpoint, born, rate, patience = fields
+        return PermitRequest(address, number, endpoint, born, float(rate), float(patience))
+    except (TypeError, ValueError) as error:
+        return malformed(error)
+
+
+def encode_reply(reply):
+    """Return the datagram that encodes a `PermitReply`."""
+    fields = (reply.number, reply.permit.granted, reply.permit.wait)
+    return datagrams.encode(Kind.PERMIT_REPLY, fields)
+
+
+def decode_reply(fields):
+    """Return the `PermitReply` in the fields of a datagram, or a `Failure`.
+
+    >>> decode_reply((3, True, 0.5))
+    PermitReply(number=3, permit=Permit(granted=True, wait=0.5))
+    """
+    try:
+        number, granted, wait = fields
+        return PermitReply(number, Permit(bool(granted), float(wait)))
+    except (TypeError, ValueError) as error:
+        return malformed(error)
+
+
+def malformed(error):
+    """Return the failure of a datagram whose fields cannot be read."""
+    return Failure(Reason.BAD_REQUEST, STEP, detail=repr(error))
--- a/packages/core/persimmonstall/direct/placing.py
+++ b/packages/core/persimmonstall/direct/placing.py
@@ -89,24 +89,59 @@
     fleet: object
     load_tracker: object
     failure_scores: object
+    request_limits: object
     salt: str = ""
     data_centre: str = ""
 
-    def place(self, routed, now, name, avoid=frozenset(), resume_after=-1):
-        """Return `PlacedAttempt` for the attempt `name`, or a `Failure`."""
-        candidates = self.candidates(routed, now, avoid)
+    def place(self, routed, now, name, avoid=frozenset(), resume_after=-1, only=""):
+        """Return `PlacedAttempt` for the attempt `name`, or a `Failure`.
+
+        It goes to the endpoint `only` if one is named, else to endpoints without a request limit.
+        """
+        candidates = self.candidates(routed, now, avoid, only)
         if not candidates:
             return Failure(Reason.NO_ENDPOINT, STEP, detail=routed.service.name)
         if routed.service.engine is None:
             return self.place_plain(routed, candidates, now, name)
-        if prefill_seconds(routed.service.engine, routed.call.prompt_tokens) > SPLIT_SECONDS:
+        if self.is_split(routed):
             return self.place_long(routed, candidates, now, name, resume_after)
         return self.place_short(routed, candidates, now, name, resume_after)
 
-    def candidates(self, routed, now, avoid):
+    def is_split(self, routed):
+        """Return whether the prompt of a call is long enough to be split over several engines."""
+        profile = routed.service.engine
+        if profile is None:
+            return False
+        return prefill_seconds(profile, routed.call.prompt_tokens) > SPLIT_SECONDS
+
+    def untried_endpoints(self, routed, avoid):
         """Return the usable endpoints except those whose names are in `avoid`."""
         usable = self.fleet.usable(routed.service.name)
-        untried = [endpoint for endpoint in usable if endpoint.name not in avoid]
+        return [endpoint for endpoint in usable if endpoint.name not in avoid]
+
+    def is_limited(self, endpoint):
+        """Return whether an endpoint names a limit on the requests that it takes."""
+        return self.request_limits.rate(endpoint.lifetime) is not None
+
+    def limited_endpoints(self, routed, avoid):
+        """Return the untried endpoints that name a limit, the least busy ones first."""
+        limited = [e for e in self.untried_endpoints(routed, avoid) if self.is_limited(e)]
+        return sorted(limited, key=lambda e: self.load_tracker.count_in_flight(e.name))
+
+    def has_free_endpoint(self, routed, now, avoid):
+        """Return whether an untried endpoint without a limit has a free slot."""
+        return any(
+            candidate.load.running() < candidate.endpoint.slots
+            for candidate in self.candidates(routed, now, avoid)
+        )
+
+    def candidates(self, routed, now, avoid, only=""):
+        """Return the untried endpoints without a limit, or the endpoint `only` if it is one."""
+        untried = [
+            endpoint
+            for endpoint in self.untried_endpoints(routed, avoid)
+            if (endpoint.name == only if only else not self.is_limited(endpoint))
+        ]
         return [
             Candidate(
                 endpoint,
--- a/packages/core/persimmonstall/direct/retrying.py
+++ b/packages/core/persimmonstall/direct/retrying.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ..failures import Failure, Outcome, Reason, refuse
+from ..failures import Failure, Outcome, Postponed, Reason, refuse
 
 MAX_ATTEMPTS = 6
 """Maximum number of attempts of one call, whether or not the endpoints ran it."""
@@ -114,4 +114,6 @@
         unknown = Failure(reason, failure.step, failure.peer, failure.detail)
         return refuse(unknown, outcome=Outcome.UNKNOWN)
     wait = RETRY_AFTER_BASE + RETRY_AFTER_SPREAD * random.random()
+    if isinstance(failure, Postponed):
+        wait += failure.delay
     return refuse(failure, retry_after=wait)
--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -8,6 +8,7 @@
 from .loads import LoadTracker
 from .messages import Configuration
 from .placing import Placer
+from .request_limits import RequestLimits
 from .retry_budget import SharedRetryBudget
 from .routing import RouteTable
 from .updates import ConfigurationUpdate, EndpointUpdate, ReachabilityUpdate
@@ -33,6 +34,7 @@
     load_tracker: LoadTracker = attrs.field(factory=LoadTracker)
     failure_scores: FailureScores = attrs.field(factory=FailureScores)
     crash_tracker: CrashTracker = attrs.field(factory=CrashTracker)
+    request_limits: RequestLimits = attrs.field(factory=RequestLimits)
     endpoints_known: bool = False
     unreachable_since: float | None = None
     directory_seen_at: float = 0.0
@@ -40,7 +42,11 @@
 
     def __attrs_post_init__(self):
         self.placer = Placer(
-            self.fleet, self.load_tracker, self.failure_scores, data_centre=self.data_centre
+            self.fleet,
+            self.load_tracker,
+            self.failure_scores,
+            self.request_limits,
+            data_centre=self.data_centre,
         )
 
     @property
@@ -86,7 +92,7 @@
         """Apply changes of endpoints; the end of a lifetime can confirm a crash."""
         if update.revision < self.fleet.revision:
             return False
-        before = {endpoint.lifetime for endpoint in self.fleet.endpoints.values()}
+        before = self.fleet.lifetimes()
         if update.whole:
             listed = {c.name: c.endpoint for c in update.changes if c.endpoint is not None}
             self.fleet.replace(listed, update.revision, now)
@@ -99,7 +105,7 @@
 
     def handle_ended_lifetimes(self, before, now):
         """Clean up after lifetimes that are in `before` but have ended since."""
-        after = {endpoint.lifetime for endpoint in self.fleet.endpoints.values()}
+        after = self.fleet.lifetimes()
         for lifetime in before - after:
             self.crash_tracker.confirm_crash(lifetime, now)
         if before != after:
@@ -124,8 +130,9 @@
 
     def tick(self, now):
         """Drop endpoints, attempts and lost connections that have expired."""
-        before = {endpoint.lifetime for endpoint in self.fleet.endpoints.values()}
+        before = self.fleet.lifetimes()
         if self.fleet.expire(now):
             self.handle_ended_lifetimes(before, now)
         self.load_tracker.expire(now)
         self.crash_tracker.expire(now)
+        self.request_limits.expire(self.fleet.lifetimes(), now)
--- a/packages/core/tests/direct_parts.py
+++ b/packages/core/tests/direct_parts.py
@@ -15,6 +15,7 @@
     Share,
 )
 from persimmonstall.direct.placing import Placer
+from persimmonstall.direct.request_limits import RequestLimits
 from persimmonstall_standins.engine_profile import ENGINE_PROFILE
 
 LLM = Service("llm", engine=ENGINE_PROFILE)
@@ -75,4 +76,5 @@
 
 
 def make_placer(count=23, service="llm", slots=8):
-    return Placer(make_fleet(count, service, slots), LoadTracker(), FailureScores())
+    fleet = make_fleet(count, service, slots)
+    return Placer(fleet, LoadTracker(), FailureScores(), RequestLimits())
--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -127,6 +127,7 @@
     async def relay(self, started_at):
         """Check the head of the answer and relay the body."""
         head = self.answer.head
+        self.entry.limits.record_answer(self.endpoint, head, started_at)
         if head.kind is ResponseKind.NOT_RUN:
             refused = self.failed_result(
                 AttemptOutcome.NOT_RUN, Reason.BUSY, f"status {head.status}"
--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -131,14 +131,11 @@
     async def attempt(self, routed, sink, history):
         """Choose the endpoints of one attempt and run it."""
         entry = self.entry
-        now = entry.now()
         name = entry.new_attempt_name()
-        placed = entry.state.placer.place(
-            routed, now, name, history.tried_endpoints, history.last_event
-        )
+        placed = await entry.chooser.choose(routed, name, history)
         if isinstance(placed, Failure):
             return AttemptResult(AttemptOutcome.OVERDUE, placed)
-        self.log_placed(routed, placed, history, now)
+        self.log_placed(routed, placed, history, entry.now())
         attempt = Attempt(entry, routed, placed, history, sink)
         entry.loads.begin(placed.attempt)
         try:
@@ -206,6 +203,7 @@
             tokens=routed.call.prompt_tokens,
             helpers=[helper.endpoint.name for helper in placed.request.helpers],
             tickets=len(placed.tickets),
+            request_limit=state.request_limits.rate(placed.request.endpoint.lifetime),
             expected_ms=round(placed.predicted_first_event * 1000),
             left_ms=round((routed.deadline - now) * 1000),
             configuration=state.configuration.version,
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -14,9 +14,12 @@
 from ..service import DaemonService
 from .call_handler import CallHandler
 from .callers import CallerServer, listen
+from .chooser import EndpointChooser
 from .endpoint_client import EndpointClient
+from .limits import LimitReporter
 from .loads import LoadReporter
 from .peers import Peers
+from .permits import PermitExchange
 from .reservations import Reservations
 from .status import StatusServer
 
@@ -74,7 +77,10 @@
         self.directory = adapter.directory
         self.memory_reservations = adapter.memory_reservations
         self.peers = Peers(self)
+        self.permits = PermitExchange(self, self.peers)
         self.loads = LoadReporter(self, self.peers.schedule_beacon)
+        self.limits = LimitReporter(self, self.peers.schedule_beacon)
+        self.chooser = EndpointChooser(self)
         self.reservations = Reservations(self)
         self.call_handler = CallHandler(self)
         self.callers = CallerServer(self)
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -1,9 +1,10 @@
-"""Gossip between entries by datagrams, their beacons.
+"""Gossip between entries by datagrams: their beacons, and findings about endpoints.
 
 Beacons are sent at once after urgent changes, above all when a call is placed, shortly after other
 changes, and periodically.  Most carry only the latest changes of attempts; each peer also gets the
-complete state at intervals, which makes up for lost datagrams.  A pacer keeps them within a share
-of the slowest link.
+complete state at intervals, which makes up for lost datagrams.  Findings go with the beacons in
+datagrams of their own, which earlier versions ignore.  A pacer keeps all within a share of the
+slowest link.
 """
 
 import asyncio
@@ -12,8 +13,11 @@
 import attrs
 
 from persimmonstall.direct import beacon as beacons
+from persimmonstall.direct import datagrams, findings
 from persimmonstall.direct.beacon import Beacon
 from persimmonstall.direct.beacon_pacing import BeaconPacer, heartbeat_interval
+from persimmonstall.direct.datagrams import Kind
+from persimmonstall.direct.findings import Findings
 from persimmonstall.failures import Failure
 
 from ..observe import logs
@@ -52,7 +56,7 @@
     its address was last received, from itself or from another source.  `configuration` and
     `endpoints` are the versions that it has, `endpoints_digest` is the digest of its list.  `link`
     is its bandwidth in bytes per second, `whole_due` the time of the next beacon to it with the
-    complete state.
+    complete state.  `leaving` says that it is stopping.
     """
 
     address: str
@@ -65,6 +69,7 @@
     link: float = math.inf
     whole_due: float = 0.0
     endpoints_digest: int = 0
+    leaving: bool = False
 
 
 class BeaconProtocol(asyncio.DatagramProtocol):
@@ -74,7 +79,7 @@
         self.peers = peers
 
     def datagram_received(self, data, _address):
-        """Pass on one beacon."""
+        """Pass on one datagram."""
         self.peers.on_datagram(data)
 
     def error_received(self, error):
@@ -171,30 +176,50 @@
         now = self.entry.now()
         self.pacer.set_links([self.link, *(peer.link for peer in self.peers.values())], now)
         self.sequence += 1
-        changes = beacons.encode(self.make_changes_beacon())
+        changes = self.changes_datagrams()
         whole = None
         for peer in self.peers.values():
             if now < peer.whole_due:
-                self.send(peer, changes)
+                self.send_all(peer, changes)
                 continue
             if whole is None:
-                whole = beacons.encode(self.make_whole_beacon())
-            interval = self.pacer.whole_interval(len(whole), len(self.peers))
+                whole = self.whole_datagrams()
+            interval = self.pacer.whole_interval(sum(map(len, whole)), len(self.peers))
             peer.whole_due = now + self.entry.clock.jitter(interval)
-            self.send(peer, whole)
+            self.send_all(peer, whole)
         self.record_changes_sent()
 
-    def send(self, peer, data):
-        """Send one datagram to a peer."""
-        host, _, port = peer.address.rpartition(":")
+    def changes_datagrams(self):
+        """Return the datagrams that carry the latest changes."""
+        limits = self.entry.state.request_limits.local_changes(self.entry.now())
+        return with_findings(
+            beacons.encode(self.make_changes_beacon()), Findings(self.address, limits)
+        )
+
+    def whole_datagrams(self):
+        """Return the datagrams that carry the complete state."""
+        limits = self.entry.state.request_limits.local_state(self.entry.now())
+        return with_findings(
+            beacons.encode(self.make_whole_beacon()), Findings(self.address, limits)
+        )
+
+    def send_all(self, peer, batch):
+        """Send several datagrams to a peer."""
+        for data in batch:
+            self.send(peer.address, data)
+
+    def send(self, address, data):
+        """Send one datagram to the entry at `address`."""
+        host, _, port = address.rpartition(":")
         self.transport.sendto(data, (host, int(port)))
         self.pacer.record_sent(len(data), self.entry.now())
         self.entry.metrics.count("direct_beacons", tag="sent")
         self.entry.metrics.count("direct_beacon_bytes", len(data), tag="sent")
 
     def record_changes_sent(self):
-        """Record that the changes up to now were sent; each is sent in two beacons."""
+        """Record that the changes up to now were sent."""
         self.entry.state.load_tracker.changes.mark_sent()
+        self.entry.state.request_limits.changes.mark_sent()
 
     def make_changes_beacon(self):
         """Return a beacon with the latest changes of this entry's attempts."""
@@ -230,6 +255,29 @@
         )
 
     def on_datagram(self, data):
+        """Process a datagram of another entry."""
+        if datagrams.is_typed(data):
+            self.on_typed_datagram(datagrams.decode(data))
+        else:
+            self.on_beacon(data)
+
+    def on_typed_datagram(self, datagram):
+        """Process findings, or pass on a message about permits."""
+        if isinstance(datagram, Failure):
+            logs.log_failure(self.log, "datagram_unreadable", datagram)
+        elif datagram.kind is Kind.FINDINGS:
+            self.merge_findings(findings.decode(datagram.fields))
+        else:
+            self.entry.permits.on_datagram(datagram)
+
+    def merge_findings(self, found):
+        """Merge the findings of another entry."""
+        if isinstance(found, Failure):
+            logs.log_failure(self.log, "findings_unreadable", found)
+            return
+        self.entry.limits.merge_remote(found.limits, found.address)
+
+    def on_beacon(self, data):
         """Process a beacon; one that is older than the last of its sender is dropped."""
         beacon = beacons.decode(data)
         if isinstance(beacon, Failure):
@@ -249,6 +297,7 @@
         peer.configuration, peer.endpoints = beacon.configuration, beacon.endpoints
         peer.endpoints_digest = beacon.endpoints_digest
         peer.link = beacon.link
+        peer.leaving = beacon.leaving
         for address in beacon.peers:
             if address not in self.peers:
                 self.add_peer(address)
@@ -304,3 +353,8 @@
                 self.entry.state.budget.forget(address)
                 self.log.info("peer_lost", peer=address)
         self.entry.metrics.gauge("direct_peers", len(self.active()))
+
+
+def with_findings(beacon, found):
+    """Return the datagrams of a beacon and of the findings that go with it, if there are any."""
+    return (beacon, findings.encode(found)) if found else (beacon,)
--- a/packages/daemon/tests/test_direct_peers.py
+++ b/packages/daemon/tests/test_direct_peers.py
@@ -3,15 +3,12 @@
 import asyncio
 import itertools
 import math
-import random
-from types import SimpleNamespace
 
 import attrs
 import msgspec
 import pytest
 from aiohttp.test_utils import make_mocked_request
 
-from persimmonstall.clock import Context
 from persimmonstall.direct import beacon as beacons
 from persimmonstall.direct import snapshot as snapshots
 from persimmonstall.direct.loads import EndpointDemand, InFlightAttempt
@@ -24,13 +21,11 @@
     EndpointUpdate,
     ReachabilityUpdate,
 )
-from persimmonstall.settings.schema import Settings
-from persimmonstall_daemon.direct.loads import LoadReporter
-from persimmonstall_daemon.direct.peers import ACTIVE_TIMEOUT_SECONDS, Peer, Peers
-from persimmonstall_daemon.observe.prometheus import PrometheusMetrics
+from persimmonstall_daemon.direct.peers import ACTIVE_TIMEOUT_SECONDS, Peer
 from persimmonstall_standins.virtual import loop as virtual_loop
 
-LINK_MBPS = 7.0
+from .direct_fleet import LINK_MBPS, make_entry
+
 LINK_BYTES_PER_SECOND = LINK_MBPS * 1e6 / 8
 PEER_COUNT = 33
 DATAGRAM_HEADER_BYTES = 28
@@ -69,23 +64,6 @@
         return False
 
 
-def make_entry(clock):
-    settings = Settings()
-    settings.daemon.address = "10.0.0.1:7340"
-    settings.direct.link_mbps = LINK_MBPS
-    entry = SimpleNamespace(
-        settings=settings,
-        clock=Context(now=clock, random=random.Random(1)),
-        now=clock,
-        state=State(SharedRetryBudget(0.2, 200.0, 10.0)),
-        metrics=PrometheusMetrics(),
-        leaving=False,
-    )
-    entry.peers = Peers(entry)
-    entry.loads = LoadReporter(entry, entry.peers.schedule_beacon)
-    return entry
-
-
 def demand(number):
     """Return the demand of a call at an engine, with names as long as those of a platform."""
     return EndpointDemand(
--- a/tools/direct_costs.py
+++ b/tools/direct_costs.py
@@ -17,6 +17,7 @@
     Share,
 )
 from persimmonstall.direct.placing import Placer
+from persimmonstall.direct.request_limits import RequestLimits
 from persimmonstall_standins.engine_profile import ENGINE_PROFILE
 
 FLEET_SIZES = (21, 78, 600)
@@ -32,7 +33,7 @@
     fleet = Fleet()
     for number in range(size):
         fleet.put(Endpoint(f"e{number}", "llm", f"10.0.0.{number}:80", slots=ENGINE_PROFILE.slots))
-    return Placer(fleet, LoadTracker(), FailureScores())
+    return Placer(fleet, LoadTracker(), FailureScores(), RequestLimits())
 
 
 def make_call(number, tokens, objective, gap, now):
