Entries of a fleet of 300 do not count each other as silent between beacons

Found while looking for the cause of LIMIT elsewhere: the owner of a limit is chosen among the entries heard lately. Beacons without a change came every 0.012 s for each peer, with 300 entries every 3.6 s, and a peer counts as silent after 3 s. Idle entries would each have taken themselves for the owner. The interval now ends at 1 s, as that of complete states.

--- a/packages/core/persimmonstall/direct/beacon_pacing.py
+++ b/packages/core/persimmonstall/direct/beacon_pacing.py
@@ -24,13 +24,19 @@
 INTERVAL_SECONDS_PER_PEER = 0.012
 """Interval of beacons without a change: a minimum in seconds, and seconds for each peer."""
 
-MAX_WHOLE_INTERVAL = 1.0
-"""Longest interval in seconds of complete states, so that several fit into a peer's timeout."""
+MAX_INTERVAL_SECONDS = 1.0
+"""Longest interval of beacons without a change, and of complete states, so that several fit into
+the time after which a peer counts as silent."""
 
 
 def heartbeat_interval(peer_count):
-    """Return the interval in seconds of beacons without a change."""
-    return max(MIN_INTERVAL_SECONDS, INTERVAL_SECONDS_PER_PEER * peer_count)
+    """Return the interval in seconds of beacons without a change.
+
+    >>> heartbeat_interval(1), heartbeat_interval(50), heartbeat_interval(300)
+    (0.1, 0.6, 1.0)
+    """
+    interval = INTERVAL_SECONDS_PER_PEER * peer_count
+    return min(MAX_INTERVAL_SECONDS, max(MIN_INTERVAL_SECONDS, interval))
 
 
 @attrs.define
@@ -70,4 +76,4 @@
         """
         bytes_for_all = peer_count * (size + DATAGRAM_HEADER_BYTES)
         affordable = bytes_for_all / (WHOLE_SHARE * self.bucket.rate)
-        return min(MAX_WHOLE_INTERVAL, max(heartbeat_interval(peer_count), affordable))
+        return min(MAX_INTERVAL_SECONDS, max(heartbeat_interval(peer_count), affordable))
--- a/packages/daemon/tests/test_direct_peers.py
+++ b/packages/daemon/tests/test_direct_peers.py
@@ -3,14 +3,17 @@
 import asyncio
 import itertools
 import math
+import random
 
 import attrs
 import msgspec
 import pytest
 from aiohttp.test_utils import make_mocked_request
 
+from persimmonstall.clock import Context
 from persimmonstall.direct import beacon as beacons
 from persimmonstall.direct import snapshot as snapshots
+from persimmonstall.direct.beacon_pacing import heartbeat_interval
 from persimmonstall.direct.loads import EndpointDemand, InFlightAttempt
 from persimmonstall.direct.messages import Configuration, Endpoint
 from persimmonstall.direct.retry_budget import SharedRetryBudget
@@ -125,6 +128,13 @@
     assert max(pauses) < ACTIVE_TIMEOUT_SECONDS / 3
 
 
+@pytest.mark.parametrize("peer_count", [1, 7, 33, 299, 999])
+def test_one_lost_beacon_does_not_make_an_idle_entry_of_a_large_fleet_count_as_silent(peer_count):
+    clock = Context(random=random.Random(1))
+    longest = max(clock.jitter(heartbeat_interval(peer_count)) for _ in range(1000))
+    assert 2 * longest < ACTIVE_TIMEOUT_SECONDS
+
+
 def attempt_named(name):
     return InFlightAttempt(name, (demand(0),))
 
