Ownership of a key among the entries is a class of its own

PermitExchange found the owner of a limit itself. The trials of calls that may crash engines need an owner as well, so the rendezvous hashing over the entries heard lately moves to Ownership. No change of behaviour; test_direct_limits passes.

--- a/packages/daemon/persimmonstall_daemon/direct/chooser.py
+++ b/packages/daemon/persimmonstall_daemon/direct/chooser.py
@@ -48,7 +48,7 @@
             return None
         for endpoint in limited:
             lifetime = endpoint.lifetime
-            if not limits.probe_due(lifetime, now) or not self.entry.permits.owns(endpoint.name):
+            if not limits.probe_due(lifetime, now) or not self.entry.ownership.owns(endpoint.name):
                 continue
             if limits.acquire(lifetime, limits.rate(lifetime), 0.0, now).granted:
                 return endpoint
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -18,6 +18,7 @@
 from .endpoint_client import EndpointClient
 from .limits import LimitReporter
 from .loads import LoadReporter
+from .ownership import Ownership
 from .peers import Peers
 from .permits import PermitExchange
 from .reservations import Reservations
@@ -77,6 +78,7 @@
         self.directory = adapter.directory
         self.memory_reservations = adapter.memory_reservations
         self.peers = Peers(self)
+        self.ownership = Ownership(self, self.peers)
         self.permits = PermitExchange(self, self.peers)
         self.loads = LoadReporter(self, self.peers.schedule_beacon)
         self.limits = LimitReporter(self, self.peers.schedule_beacon)
--- a/packages/daemon/persimmonstall_daemon/direct/permits.py
+++ b/packages/daemon/persimmonstall_daemon/direct/permits.py
@@ -7,7 +7,6 @@
 from persimmonstall.direct.permits import PermitReply, PermitRequest
 from persimmonstall.direct.request_limits import Permit
 from persimmonstall.failures import Failure
-from persimmonstall.membership import rendezvous
 
 from ..observe import logs
 
@@ -17,12 +16,9 @@
 RETRY_SECONDS = 0.25
 """Time after which another request may be granted if the owner did not reply."""
 
-OWNER_SECONDS = 0.5
-"""Time for which the owner of a limit is remembered."""
-
 
 class PermitExchange:
-    """Finds the owners of limits, asks them for permits and grants those of this entry."""
+    """Asks the owners of limits for permits, and grants those of this entry's limits."""
 
     def __init__(self, entry, peers):
         self.entry = entry
@@ -30,27 +26,6 @@
         self.log = logs.get("permits")
         self.last_number = 0
         self.replies = {}
-        self.owners = {}
-
-    def owner(self, endpoint_name):
-        """Return the address of the entry that owns an endpoint's limit."""
-        now = self.entry.now()
-        address, expires = self.owners.get(endpoint_name, ("", now))
-        if expires <= now:
-            address = rendezvous.owner(endpoint_name, self.members())
-            self.owners[endpoint_name] = (address, now + OWNER_SECONDS)
-        return address
-
-    def members(self):
-        """Return the addresses of the entries that may own limits; those that stop may not."""
-        members = [peer.address for peer in self.peers.active() if not peer.leaving]
-        if not members or not self.entry.leaving:
-            members.append(self.peers.address)
-        return members
-
-    def owns(self, endpoint_name):
-        """Return whether this entry owns an endpoint's limit."""
-        return self.owner(endpoint_name) == self.peers.address
 
     async def acquire(self, endpoint, patience):
         """Return the `Permit` for one request to an endpoint that names a limit."""
@@ -58,7 +33,7 @@
         rate = limits.rate(endpoint.lifetime)
         if rate is None:
             return Permit(True, 0.0)
-        owner = self.owner(endpoint.name)
+        owner = self.entry.ownership.owner(endpoint.name)
         if owner == self.peers.address:
             permit = limits.acquire(endpoint.lifetime, rate, patience, self.entry.now())
         else:
@@ -100,7 +75,7 @@
 
     def grant(self, request):
         """Answer a request; one for a limit that this entry does not own is denied."""
-        if self.owns(request.endpoint):
+        if self.entry.ownership.owns(request.endpoint):
             permit = self.entry.state.request_limits.acquire(
                 request.lifetime, request.rate, request.patience, self.entry.now()
             )
--- a/packages/daemon/tests/direct_fleet.py
+++ b/packages/daemon/tests/direct_fleet.py
@@ -12,6 +12,7 @@
 from persimmonstall_daemon.direct.chooser import EndpointChooser
 from persimmonstall_daemon.direct.limits import LimitReporter
 from persimmonstall_daemon.direct.loads import LoadReporter
+from persimmonstall_daemon.direct.ownership import Ownership
 from persimmonstall_daemon.direct.peers import Peers
 from persimmonstall_daemon.direct.permits import PermitExchange
 from persimmonstall_daemon.observe.prometheus import PrometheusMetrics
@@ -39,6 +40,7 @@
         told_at=math.inf,
     )
     entry.peers = Peers(entry)
+    entry.ownership = Ownership(entry, entry.peers)
     entry.permits = PermitExchange(entry, entry.peers)
     entry.loads = LoadReporter(entry, entry.peers.schedule_beacon)
     entry.limits = LimitReporter(entry, entry.peers.schedule_beacon)
--- a/packages/daemon/tests/test_direct_limits.py
+++ b/packages/daemon/tests/test_direct_limits.py
@@ -258,5 +258,5 @@
 
 def test_old_limit_is_probed_by_one_entry_only(limited_entry):
     limited_entry.time[0] += PROBE_SECONDS
-    limited_entry.permits.owner = lambda name: "10.0.0.9:7340"
+    limited_entry.ownership.owner = lambda name: "10.0.0.9:7340"
     assert choose(limited_entry).request.endpoint.name == "free"
