A part of prompts that crashes engines is found and refused by all entries

Cause: entries knew a call that crashes engines by a fingerprint of all of its content, and no two of these calls are alike. Evidence: each crash was logged within 30 ms, and no two named the same content.

Now lost calls count by the parts of their prompts, the last one left out. A part is blocked once different calls with it crashed engines at two different moments, no complete answer had it, and there were ten complete answers at all; a crash counts against the part that most crashes share. Crashes go to the other entries with the next beacons, and an entry that knows a suspected part to be sound says so. A failed call is not sent again if its part was blocked meanwhile. Blocked parts are kept in the store, so that they hold after all entries have restarted; up to the fifth crash their owner tries a call now and then.

On virtual time fleets of 1, 8 and 34 entries block the part and refuse at most 5 in 100 of the sound calls.

--- a/packages/core/persimmonstall/direct/crash_tracker.py
+++ b/packages/core/persimmonstall/direct/crash_tracker.py
@@ -1,8 +1,10 @@
-"""Call contents that crash the endpoints that run them, identified by a fingerprint."""
+"""Call contents and parts of prompts that crash the endpoints that run them."""
 
 import attrs
 import xxhash
 
+from .crashing_parts import CrashingParts, LostCall
+
 BLOCK_CRASHES = 2
 """Number of crashed endpoint lifetimes from which the content that crashed them is refused."""
 
@@ -29,23 +31,31 @@
     """Endpoint lifetimes that ended while they ran a content, by content fingerprint.
 
     A lost connection alone is weak evidence: it counts as a crash only once the endpoint no
-    longer accepts connections or its lifetime has ended.
+    longer accepts connections or its lifetime has ended.  `parts` counts by parts of prompts.
     """
 
     crashes: dict = attrs.field(factory=dict)
     lost_connections: dict = attrs.field(factory=dict)
+    parts: CrashingParts = attrs.field(factory=CrashingParts)
+
+    def record_lost_connection(self, content, lifetime, now, parts=(), begun=False):
+        """Record that an endpoint dropped the connection while it ran a content.
 
-    def record_lost_connection(self, content, lifetime, now):
-        """Record that an endpoint dropped the connection while it ran a content."""
-        self.lost_connections.setdefault(lifetime, {})[content] = now
+        `parts` are those of the prompt that other calls may share.  A call whose answer had
+        `begun` counts for them, but not for its content.
+        """
+        call = LostCall(content, parts, now, begun)
+        self.lost_connections.setdefault(lifetime, {})[content] = call
 
     def confirm_crash(self, lifetime, now):
         """Record that an endpoint lifetime has ended; return the contents that crashed it."""
         lost = self.lost_connections.pop(lifetime, {})
-        crashing = [content for content, at in lost.items() if now - at <= CONFIRM_SECONDS]
-        for content in crashing:
+        calls = [call for call in lost.values() if now - call.at <= CONFIRM_SECONDS]
+        contents = [call.content for call in calls if not call.begun]
+        for content in contents:
             self.add_crashes(content, (lifetime,), now)
-        return crashing
+        self.parts.add_crash(lifetime, calls, now)
+        return contents
 
     def add_crashes(self, content, lifetimes, now):
         """Add lifetimes that ended while they ran a content."""
@@ -73,9 +83,10 @@
         return tuple((content, tuple(sorted(known))) for content, (known, _) in newest)
 
     def expire(self, now):
-        """Drop lost connections that are too old to be confirmed as crashes."""
+        """Drop lost connections too old to be confirmed as crashes, and old suspicions."""
+        self.parts.expire(now)
         for lifetime, lost in list(self.lost_connections.items()):
-            kept = {content: at for content, at in lost.items() if now - at <= CONFIRM_SECONDS}
+            kept = {name: call for name, call in lost.items() if now - call.at <= CONFIRM_SECONDS}
             if kept:
                 self.lost_connections[lifetime] = kept
             else:
--- /dev/null
+++ b/packages/core/persimmonstall/direct/crashing_parts.py
@@ -0,0 +1,300 @@
+"""Parts of prompts that crash the endpoints which begin to answer a call with them.
+
+Calls with such a part are all different, and share their other parts and their caller with sound
+ones.  A part is therefore known only by what different crashes have in common and no complete
+answer has; without complete answers nothing is known.  Calls beside such a one are lost with it:
+a crash counts against the part that most crashes have in common, not against the others.
+"""
+
+import itertools
+
+import attrs
+
+from .change_log import ChangeLog
+
+BLOCK_CRASHES = 2
+"""Number of crashes, and of different calls in them, from which a part is blocked."""
+
+MIN_WHOLE_ANSWERS = 10
+"""Number of complete answers of all entries before which no part is blocked by its crashes."""
+
+FINAL_CRASHES = 5
+"""Number of crashes and trials from which a blocked part gets no more trials."""
+
+TRIAL_SECONDS = 3.0
+"""Time after the last crash or trial of a blocked part from which one call may be tried."""
+
+MOMENT_SECONDS = 0.1
+"""Time within which the crashes of several endpoints count as one: they have another cause."""
+
+BLOCK_SECONDS = 600.0
+"""Time after its last crash for which a part is suspected."""
+
+SOUND_SECONDS = 120.0
+"""Time after a complete answer for which its parts are not suspected."""
+
+MAX_SOUND_PARTS = 2048
+MAX_SUSPECTS = 512
+"""Maximum numbers of parts that are remembered; the oldest are dropped first."""
+
+MAX_REPORTS = 64
+"""Maximum number of crashes, and of sound parts, in one datagram; the newest ones are sent."""
+
+
+@attrs.frozen
+class PartCrash:
+    """The crash of an endpoint's lifetime, `age` seconds ago, with a call that had a part.
+
+    `content` is the fingerprint of the call.
+    """
+
+    part: str
+    content: str
+    endpoint: str
+    born: int
+    age: float
+
+    @property
+    def lifetime(self):
+        """Identifier of the endpoint's lifetime."""
+        return self.endpoint, self.born
+
+
+@attrs.frozen
+class LostCall:
+    """A call whose connection was lost at the time `at`.
+
+    `parts` are those of its prompt that other calls may share; `begun` says that an event of its
+    answer had arrived.
+    """
+
+    content: str
+    parts: tuple[str, ...]
+    at: float
+    begun: bool = False
+
+
+@attrs.define
+class Suspect:
+    """The crashes that calls with one part have in common.
+
+    `crashes` maps (lifetime, content) to the time of the crash.  `earlier` is the number of
+    crashes that another entry recorded before this process started.  `last_trial` is the time of
+    the last of the `trials`, None before the first.
+    """
+
+    crashes: dict = attrs.field(factory=dict)
+    earlier: int = 0
+    trials: int = 0
+    last_trial: float | None = None
+
+    @property
+    def last_crash(self):
+        """Time of the last crash, 0 if none is known to this process."""
+        return max(self.crashes.values(), default=0.0)
+
+    def count(self):
+        """Return the number of crashes; those of the same moment count as one."""
+        return max(self.earlier, count_moments(self.crashes.values()))
+
+    def lifetimes(self):
+        """Return the lifetimes of the endpoints that crashed."""
+        return {lifetime for lifetime, _ in self.crashes}
+
+    def stands_out(self, unexplained):
+        """Return whether different calls with the part crashed endpoints at different moments.
+
+        Only the crashes of the lifetimes in `unexplained` count, and those before a restart.
+        """
+        if self.earlier >= BLOCK_CRASHES:
+            return True
+        crashes = {key: at for key, at in self.crashes.items() if key[0] in unexplained}
+        contents = {content for _, content in crashes}
+        moments = count_moments(crashes.values())
+        return len(contents) >= BLOCK_CRASHES and moments >= BLOCK_CRASHES
+
+    def trial_due(self, now):
+        """Return whether one call with the blocked part may be tried."""
+        if self.count() + self.trials >= FINAL_CRASHES:
+            return False
+        last = self.last_crash if self.last_trial is None else self.last_trial
+        return now - max(last, self.last_crash) >= TRIAL_SECONDS
+
+
+def count_moments(times):
+    """Return the number of different moments among `times`.
+
+    >>> count_moments([1.0, 1.05, 7.0])
+    2
+    """
+    pairs = itertools.pairwise(sorted(times))
+    pauses = sum(later - earlier > MOMENT_SECONDS for earlier, later in pairs)
+    return pauses + 1 if times else 0
+
+
+@attrs.define
+class CrashingParts:
+    """Suspected and sound parts, of this entry and as reported by others.
+
+    `changes` has the keys (part, lifetime, content) of crashes and `cleared` the parts that are
+    found sound although an entry suspects them.  `whole_answers` is the number of complete answers
+    of this entry to prompts with parts, `remote_whole_answers` that of the others by address.
+    `cached_culprits` is None after a change of the suspects.
+    """
+
+    suspects: dict = attrs.field(factory=dict)
+    sound: dict = attrs.field(factory=dict)
+    changes: ChangeLog = attrs.field(factory=ChangeLog)
+    cleared: ChangeLog = attrs.field(factory=ChangeLog)
+    whole_answers: int = 0
+    remote_whole_answers: dict = attrs.field(factory=dict)
+    cached_culprits: set | None = None
+
+    def record_whole(self, parts, now):
+        """Record a complete answer: its parts crash nothing."""
+        self.whole_answers += bool(parts)
+        for part in parts:
+            if self.mark_sound(part, now):
+                self.cleared.record(part)
+
+    def mark_sound(self, part, now):
+        """Remember a part as sound; return whether it was suspected."""
+        self.sound.pop(part, None)
+        self.sound[part] = now
+        while len(self.sound) > MAX_SOUND_PARTS:
+            del self.sound[next(iter(self.sound))]
+        if self.suspects.pop(part, None) is None:
+            return False
+        self.cached_culprits = None
+        return True
+
+    def is_sound(self, part, now):
+        """Return whether a recent answer with a part was complete."""
+        at = self.sound.get(part)
+        return at is not None and now - at < SOUND_SECONDS
+
+    def add_crash(self, lifetime, calls, now):
+        """Record the crash of an endpoint lifetime that ran the `LostCall`s `calls`."""
+        for call in calls:
+            for part in call.parts:
+                if not self.is_sound(part, now):
+                    self.add(part, lifetime, call.content, call.at)
+                    self.changes.record((part, lifetime, call.content))
+
+    def add(self, part, lifetime, content, at):
+        """Record a crash of one call with a part; the earliest report of it counts."""
+        suspect = self.suspects.setdefault(part, Suspect())
+        key = lifetime, content
+        suspect.crashes[key] = min(at, suspect.crashes.get(key, at))
+        while len(self.suspects) > MAX_SUSPECTS:
+            del self.suspects[next(iter(self.suspects))]
+        self.cached_culprits = None
+
+    def add_earlier(self, part, crashes, now):
+        """Record the number of crashes of a part that was kept from before a restart."""
+        if not self.is_sound(part, now):
+            suspect = self.suspects.setdefault(part, Suspect())
+            suspect.earlier = max(suspect.earlier, crashes)
+            suspect.last_trial = now
+            self.cached_culprits = None
+
+    def merge_remote(self, crashes, sound, entry, whole_answers, now):
+        """Merge the crashes and the sound parts that the entry at the address `entry` reports.
+
+        A part that this entry knows to be sound is reported back as such.
+        """
+        self.remote_whole_answers[entry] = whole_answers
+        for part in sound:
+            self.mark_sound(part, now)
+        for crash in crashes:
+            if self.is_sound(crash.part, now):
+                self.cleared.record(crash.part)
+            else:
+                self.add(crash.part, crash.lifetime, crash.content, now - crash.age)
+
+    def is_blocked(self, part):
+        """Return whether calls with a part are refused."""
+        suspect = self.suspects.get(part)
+        if suspect is None:
+            return False
+        if suspect.earlier >= BLOCK_CRASHES:
+            return True
+        whole_answers = self.whole_answers + sum(self.remote_whole_answers.values())
+        return whole_answers >= MIN_WHOLE_ANSWERS and part in self.culprits()
+
+    def culprits(self):
+        """Return the suspects that stand out by crashes which no stronger suspect explains."""
+        if self.cached_culprits is None:
+            self.cached_culprits = self.find_culprits()
+        return self.cached_culprits
+
+    def find_culprits(self):
+        """Find the culprits; of suspects with as many crashes none explains those of another."""
+        lifetimes = {part: suspect.lifetimes() for part, suspect in self.suspects.items()}
+        unexplained = set().union(*lifetimes.values())
+        culprits = set()
+        by_crashes = sorted(self.suspects, key=lambda part: -len(lifetimes[part]))
+        for _, tied in itertools.groupby(by_crashes, key=lambda part: len(lifetimes[part])):
+            found = {part for part in tied if self.suspects[part].stands_out(unexplained)}
+            culprits |= found
+            unexplained.difference_update(*(lifetimes[part] for part in found))
+        return culprits
+
+    def blocked_parts(self, parts):
+        """Return the blocked ones of `parts`."""
+        return [part for part in parts if self.is_blocked(part)]
+
+    def blocked(self):
+        """Return the number of crashes by blocked part."""
+        return {part: self.suspects[part].count() for part in self.blocked_parts(self.suspects)}
+
+    def start_trial(self, part, now):
+        """Return whether a call with a blocked part may be tried; if so, record the trial."""
+        suspect = self.suspects[part]
+        if not suspect.trial_due(now):
+            return False
+        suspect.trials += 1
+        suspect.last_trial = now
+        return True
+
+    def local_changes(self, now):
+        """Return the (crashes, sound parts) that changed lately, to be sent to other entries."""
+        keys = [key for key in self.changes.pending() if self.crash_time(key) is not None]
+        return self.reports(keys, now), self.cleared.pending()[-MAX_REPORTS:]
+
+    def local_state(self, now):
+        """Return all (crashes, sound parts) that other entries may lack."""
+        keys = [
+            (part, lifetime, content)
+            for part, suspect in self.suspects.items()
+            for lifetime, content in suspect.crashes
+        ]
+        return self.reports(keys, now), self.cleared.pending()[-MAX_REPORTS:]
+
+    def crash_time(self, key):
+        """Return the time of the crash (part, lifetime, content), None if it is unknown."""
+        part, lifetime, content = key
+        suspect = self.suspects.get(part)
+        return None if suspect is None else suspect.crashes.get((lifetime, content))
+
+    def reports(self, keys, now):
+        """Return reports of the newest `MAX_REPORTS` crashes among `keys`."""
+        newest = sorted(keys, key=self.crash_time)[-MAX_REPORTS:]
+        return tuple(
+            PartCrash(part, content, *lifetime, round(now - self.crash_time(key), 3))
+            for key in newest
+            for part, lifetime, content in (key,)
+        )
+
+    def mark_sent(self):
+        """Record that the pending changes were sent."""
+        self.changes.mark_sent()
+        self.cleared.mark_sent()
+
+    def expire(self, now):
+        """Drop suspects whose last crash is long ago."""
+        for part, suspect in list(self.suspects.items()):
+            last = max(suspect.last_crash, suspect.last_trial or 0.0)
+            if now - last >= BLOCK_SECONDS:
+                del self.suspects[part]
+                self.cached_culprits = None
--- a/packages/core/persimmonstall/direct/findings.py
+++ b/packages/core/persimmonstall/direct/findings.py
@@ -6,6 +6,7 @@
 
 from ..failures import Failure, Reason
 from . import datagrams
+from .crashing_parts import PartCrash
 from .datagrams import Kind
 from .request_limits import LimitReport
 
@@ -14,27 +15,38 @@
 
 @attrs.frozen
 class Findings:
-    """Findings of the entry at `address`: limits that endpoints named.
+    """Findings of the entry at `address`.
 
-    Merging the same findings again changes nothing, so datagrams may be lost or repeated.
+    `limits` are those that endpoints named, `crashes` what crashed calls have in common, and
+    `sound_parts` the suspected parts of prompts of which an answer was complete.
+    `whole_answers` is the number of complete answers to prompts with parts.  Merging the same
+    findings again changes nothing, so datagrams may be lost or repeated.
     """
 
     address: str
     limits: tuple[LimitReport, ...] = ()
+    crashes: tuple[PartCrash, ...] = ()
+    sound_parts: tuple[str, ...] = ()
+    whole_answers: int = 0
 
     def __bool__(self):
-        return bool(self.limits)
+        return bool(self.limits or self.crashes or self.sound_parts)
 
 
 def encode(findings):
     """Return the datagram that encodes findings.
 
-    >>> sent = Findings("10.0.0.1:7340", (LimitReport("e", 1, 2.5, 0.1),))
+    >>> limit, crash = LimitReport("e", 1, 2.5, 0.1), PartCrash("5a", "c1", "e", 1, 0.2)
+    >>> sent = Findings("10.0.0.1:7340", (limit,), (crash,), ("5b",), 7)
     >>> decode(datagrams.decode(encode(sent)).fields) == sent
     True
     """
     limits = [attrs.astuple(report) for report in findings.limits]
-    return datagrams.encode(Kind.FINDINGS, (findings.address, limits))
+    crashes = [attrs.astuple(crash) for crash in findings.crashes]
+    return datagrams.encode(
+        Kind.FINDINGS,
+        (findings.address, limits, crashes, findings.sound_parts, findings.whole_answers),
+    )
 
 
 def decode(fields):
@@ -42,12 +54,18 @@
 
     Fields that a later version adds are ignored.
 
-    >>> decode(("10.0.0.1:7340", [("e", 1, float("nan"), 0.1)])).detail
+    >>> decode(("10.0.0.1:7340", [("e", 1, float("nan"), 0.1)], [], [], 0)).detail
     "ValueError('limit of nan requests per second')"
     """
     try:
-        address, limits = fields[:2]
-        return Findings(address, tuple(map(read_limit, limits)))
+        address, limits, crashes, sound_parts, whole_answers = fields[:5]
+        return Findings(
+            address,
+            tuple(map(read_limit, limits)),
+            tuple(map(read_crash, crashes)),
+            tuple(sound_parts),
+            int(whole_answers),
+        )
     except (TypeError, ValueError) as error:
         return Failure(Reason.BAD_REQUEST, STEP, detail=repr(error))
 
@@ -58,3 +76,9 @@
     if rate is not None and not 0.0 <= rate < math.inf:
         raise ValueError(f"limit of {rate} requests per second")
     return LimitReport(name, born, rate, max(0.0, float(age)))
+
+
+def read_crash(row):
+    """Return the crash in a row; raise TypeError or ValueError if it is malformed."""
+    part, content, name, born, age = row
+    return PartCrash(part, content, name, born, max(0.0, float(age)))
--- a/packages/core/persimmonstall/direct/messages.py
+++ b/packages/core/persimmonstall/direct/messages.py
@@ -141,7 +141,8 @@
 
     `arrived` and `deadline` are on the local monotonic clock.  `resume_after` is the id of the
     last event that the caller has; `output_estimate` is the caller's estimate of the output
-    tokens, 0 if it gave none.
+    tokens, 0 if it gave none.  `shared_parts` are the ids of the parts of the prompt that other
+    calls may have too.
     """
 
     call_id: str
@@ -157,6 +158,7 @@
     max_output_tokens: int = 0
     output_estimate: int = 0
     resume_after: int = NO_RESUME
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def path(self):
--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -4,6 +4,7 @@
 
 from .crash_tracker import CrashTracker
 from .failure_scores import FailureScores
+from .findings import Findings
 from .fleet import Fleet
 from .loads import LoadTracker
 from .messages import Configuration
@@ -54,6 +55,24 @@
         """Whether calls can be served: configuration and endpoints are known."""
         return self.routes is not None and self.endpoints_known
 
+    def findings_changes(self, address, now):
+        """Return the `Findings` that changed lately, as those of the entry at `address`."""
+        parts = self.crash_tracker.parts
+        limits = self.request_limits.local_changes(now)
+        return Findings(address, limits, *parts.local_changes(now), parts.whole_answers)
+
+    def findings(self, address, now):
+        """Return all `Findings`, as those of the entry at `address`."""
+        parts = self.crash_tracker.parts
+        limits = self.request_limits.local_state(now)
+        return Findings(address, limits, *parts.local_state(now), parts.whole_answers)
+
+    def mark_changes_sent(self):
+        """Record that the latest changes of attempts and findings were sent."""
+        self.load_tracker.changes.mark_sent()
+        self.request_limits.changes.mark_sent()
+        self.crash_tracker.parts.mark_sent()
+
     def versions(self):
         """Return the versions of the configuration and of the endpoints, 0 for none."""
         version = self.configuration.version if self.configuration else 0
@@ -124,6 +143,11 @@
             self.unreachable_since = None
         self.directory_seen_at = max(self.directory_seen_at, now)
 
+    def forget_peer(self, address):
+        """Drop what the entry at `address` reported of itself, since it is gone."""
+        self.budget.forget(address)
+        self.crash_tracker.parts.remote_whole_answers.pop(address, None)
+
     def peer_saw_directory(self, at):
         """Record that the directory answered a peer at the time `at`."""
         self.directory_seen_at = max(self.directory_seen_at, at)
--- a/packages/core/persimmonstall/outside/direct.py
+++ b/packages/core/persimmonstall/outside/direct.py
@@ -26,6 +26,18 @@
     async def register(self, address):
         """Store this entry's address; return those of other entries, or a `Failure`."""
 
+    @abc.abstractmethod
+    async def read_blocked_parts(self):
+        """Return the (part, crashes) pairs of the blocked parts of prompts, or a `Failure`."""
+
+    @abc.abstractmethod
+    async def save_blocked_part(self, part, crashes):
+        """Store the number of crashes of a blocked part; return True or a `Failure`."""
+
+    @abc.abstractmethod
+    async def remove_blocked_part(self, part):
+        """Remove a part that is no longer blocked; return True or a `Failure`."""
+
 
 class Dialect(abc.ABC):
     """The HTTP headers and bodies in which callers and endpoints exchange calls and answers."""
--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -4,11 +4,10 @@
 
 from persimmonstall.direct.messages import Reply
 from persimmonstall.direct.retrying import AttemptHistory, AttemptOutcome, final_refusal, may_retry
-from persimmonstall.failures import Failure, Outcome, Reason, Refusal, refuse
+from persimmonstall.failures import Failure, Reason, Refusal, refuse
 
 from ..observe import logs
 from .attempt import Attempt, AttemptResult
-from .endpoint_client import accepts_connections
 
 STEP = "exchange"
 
@@ -28,12 +27,6 @@
 LEAVING_RETRY_AFTER_SECONDS = 0.05
 """Retry-After in seconds of an entry that is stopping; a retry goes to another entry."""
 
-CRASH_CHECK_DELAY_SECONDS = 0.02
-"""Delay before checking whether an endpoint that cut off a call still accepts connections."""
-
-DEAD_ENDPOINT_WEIGHT = 2.0
-"""Weight of the failure that is recorded for a dead endpoint."""
-
 
 class CallHandler:
     """Serves calls; there is one object for the entry and one run of `serve` for each call."""
@@ -80,10 +73,9 @@
         return self.entry.state.routes.admit(call)
 
     def check_content(self, routed):
-        """Refuse content that has crashed several endpoints."""
-        if self.entry.state.crash_tracker.is_blocked(routed.content, self.entry.now()):
-            return Refusal(Reason.QUARANTINED, "content", outcome=Outcome.NOT_RUN)
-        return routed
+        """Refuse calls that have crashed several endpoints, by their content or its parts."""
+        refusal = self.entry.crash_reporter.check(routed)
+        return routed if refusal is None else refusal
 
     def check_leaving(self, routed):
         """Refuse a call that would not end before this process exits."""
@@ -121,6 +113,9 @@
         """Return whether to make another attempt; if so, charge it to the shared retry budget."""
         if not may_retry(routed, history, result.ending):
             return False
+        if not self.entry.crash_reporter.may_retry(routed):
+            self.log.warning("retry_quarantined", request_id=routed.call.call_id)
+            return False
         taken = self.entry.state.budget.try_acquire(routed.service.name, self.entry.now())
         if not taken:
             self.log.warning(
@@ -159,6 +154,7 @@
         state, now = self.entry.state, self.entry.now()
         if result.ending is AttemptOutcome.WHOLE:
             state.failure_scores.record_success(endpoint.name, now)
+            self.entry.crash_reporter.record_whole(routed)
             return
         self.entry.metrics.count("direct_failed_attempts", tag=str(result.ending))
         if result.failure is not None:
@@ -174,20 +170,7 @@
             state.fleet.drop(endpoint.name)
         else:
             state.failure_scores.record_failure(endpoint.name, now)
-        if result.ending is AttemptOutcome.BROKEN and not result.event_relayed:
-            state.crash_tracker.record_lost_connection(routed.content, endpoint.lifetime, now)
-            self.entry.spawn(self.check_for_crash(endpoint))
-
-    async def check_for_crash(self, endpoint):
-        """Check whether an endpoint that cut off a call is dead; if so, record a crash."""
-        await asyncio.sleep(CRASH_CHECK_DELAY_SECONDS)
-        if await accepts_connections(endpoint):
-            return
-        state, now = self.entry.state, self.entry.now()
-        state.failure_scores.record_failure(endpoint.name, now, DEAD_ENDPOINT_WEIGHT)
-        contents = state.crash_tracker.confirm_crash(endpoint.lifetime, now)
-        self.log.warning("endpoint_crashed", endpoint=endpoint.name, contents=contents)
-        self.entry.peers.schedule_whole_beacons()
+        self.entry.crash_reporter.record_lost(routed, endpoint, result)
 
     def log_placed(self, routed, placed, history, now):
         """Log which endpoint an attempt goes to and the data behind the choice."""
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -15,6 +15,8 @@
 from .call_handler import CallHandler
 from .callers import CallerServer, listen
 from .chooser import EndpointChooser
+from .crash_records import CrashRecords
+from .crash_reports import CrashReporter
 from .endpoint_client import EndpointClient
 from .limits import LimitReporter
 from .loads import LoadReporter
@@ -83,6 +85,8 @@
         self.loads = LoadReporter(self, self.peers.schedule_beacon)
         self.limits = LimitReporter(self, self.peers.schedule_beacon)
         self.chooser = EndpointChooser(self)
+        self.crash_reporter = CrashReporter(self)
+        self.crash_records = CrashRecords(self)
         self.reservations = Reservations(self)
         self.call_handler = CallHandler(self)
         self.callers = CallerServer(self)
@@ -152,6 +156,7 @@
         await self.callers.start(self.listener or listen(self.settings.daemon.http))
         self.spawn(self.directory.follow(self.apply_update))
         self.spawn(self.peers.run())
+        self.spawn(self.crash_records.run())
         self.spawn(self.tick())
         self.spawn(self.watch_settings())
 
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -17,7 +17,6 @@
 from persimmonstall.direct.beacon import Beacon
 from persimmonstall.direct.beacon_pacing import BeaconPacer, heartbeat_interval
 from persimmonstall.direct.datagrams import Kind
-from persimmonstall.direct.findings import Findings
 from persimmonstall.failures import Failure
 
 from ..observe import logs
@@ -191,17 +190,13 @@
 
     def changes_datagrams(self):
         """Return the datagrams that carry the latest changes."""
-        limits = self.entry.state.request_limits.local_changes(self.entry.now())
-        return with_findings(
-            beacons.encode(self.make_changes_beacon()), Findings(self.address, limits)
-        )
+        found = self.entry.state.findings_changes(self.address, self.entry.now())
+        return with_findings(beacons.encode(self.make_changes_beacon()), found)
 
     def whole_datagrams(self):
         """Return the datagrams that carry the complete state."""
-        limits = self.entry.state.request_limits.local_state(self.entry.now())
-        return with_findings(
-            beacons.encode(self.make_whole_beacon()), Findings(self.address, limits)
-        )
+        found = self.entry.state.findings(self.address, self.entry.now())
+        return with_findings(beacons.encode(self.make_whole_beacon()), found)
 
     def send_all(self, peer, batch):
         """Send several datagrams to a peer."""
@@ -218,8 +213,7 @@
 
     def record_changes_sent(self):
         """Record that the changes up to now were sent."""
-        self.entry.state.load_tracker.changes.mark_sent()
-        self.entry.state.request_limits.changes.mark_sent()
+        self.entry.state.mark_changes_sent()
 
     def make_changes_beacon(self):
         """Return a beacon with the latest changes of this entry's attempts."""
@@ -276,6 +270,7 @@
             logs.log_failure(self.log, "findings_unreadable", found)
             return
         self.entry.limits.merge_remote(found.limits, found.address)
+        self.entry.crash_reporter.merge_remote(found)
 
     def on_beacon(self, data):
         """Process a beacon; one that is older than the last of its sender is dropped."""
@@ -350,7 +345,7 @@
         for address, peer in list(self.peers.items()):
             if now - peer.last_named > REMOVAL_TIMEOUT_SECONDS:
                 del self.peers[address]
-                self.entry.state.budget.forget(address)
+                self.entry.state.forget_peer(address)
                 self.log.info("peer_lost", peer=address)
         self.entry.metrics.gauge("direct_peers", len(self.active()))
 
--- a/packages/daemon/tests/direct_fleet.py
+++ b/packages/daemon/tests/direct_fleet.py
@@ -10,6 +10,7 @@
 from persimmonstall.direct.state import State
 from persimmonstall.settings.schema import Settings
 from persimmonstall_daemon.direct.chooser import EndpointChooser
+from persimmonstall_daemon.direct.crash_reports import CrashReporter
 from persimmonstall_daemon.direct.limits import LimitReporter
 from persimmonstall_daemon.direct.loads import LoadReporter
 from persimmonstall_daemon.direct.ownership import Ownership
@@ -45,6 +46,7 @@
     entry.loads = LoadReporter(entry, entry.peers.schedule_beacon)
     entry.limits = LimitReporter(entry, entry.peers.schedule_beacon)
     entry.chooser = EndpointChooser(entry)
+    entry.crash_reporter = CrashReporter(entry)
     return entry
 
 
--- /dev/null
+++ b/packages/daemon/tests/test_direct_crashes.py
@@ -0,0 +1,277 @@
+"""Parts of prompts that crash engines, found by fleets of different sizes on virtual time."""
+
+import asyncio
+import itertools
+import random
+
+import attrs
+import pytest
+
+from persimmonstall.direct.crashing_parts import (
+    FINAL_CRASHES,
+    MIN_WHOLE_ANSWERS,
+    MOMENT_SECONDS,
+    SOUND_SECONDS,
+    TRIAL_SECONDS,
+    CrashingParts,
+    LostCall,
+    PartCrash,
+)
+from persimmonstall_standins.virtual import loop as virtual_loop
+
+from .direct_fleet import GossipFleet
+
+STABLE_SECONDS = 3.0
+ALLOWED_ARRIVALS = 3
+PLAY_SECONDS = 20.0
+CALLS_PER_SECOND = 15.0
+ATTEMPTS = 2
+CRASH_SECONDS = 0.1
+ANSWER_SECONDS = 1.5
+CALLS_BESIDE = 3
+FIRST_EVENT_SECONDS = 0.4
+"""Age up to which a call that is lost in the crash of another one has sent no event."""
+
+WARM_UP_SECONDS = 3.0
+BAD = "bad"
+
+
+@attrs.define
+class PartCall:
+    """A call as `CrashReporter` sees it, itself a routed call and its call."""
+
+    content: str
+    shared_parts: tuple
+
+    @property
+    def call(self):
+        """The call itself."""
+        return self
+
+    @property
+    def call_id(self):
+        """The content, which no two calls share."""
+        return self.content
+
+
+@attrs.define
+class Play:
+    """Calls to engines that `BAD` crashes, and what came of them."""
+
+    fleet: GossipFleet
+    numbers: random.Random
+    arrivals: list = attrs.field(factory=list)
+    crashes: list = attrs.field(factory=list)
+    refused: int = 0
+    sound: int = 0
+    in_flight: list = attrs.field(factory=list)
+    number: itertools.count = attrs.field(factory=itertools.count)
+
+    def make_call(self, crashing):
+        """Return a call; of the parts of a crashing one, a sound one has all but `BAD`."""
+        middle = BAD if crashing else f"c{self.numbers.randrange(60)}"
+        parts = ("5a", f"t{self.numbers.randrange(4)}", middle)
+        return PartCall(f"{next(self.number):x}", parts)
+
+    async def serve_sound(self, entry):
+        """Serve a sound call, unless its part is blocked or its engine crashes."""
+        call = self.make_call(False)
+        self.sound += 1
+        if entry.crash_reporter.check(call) is not None:
+            self.refused += 1
+            return
+        flight = (entry, call, self.fleet.clock())
+        self.in_flight.append(flight)
+        await asyncio.sleep(ANSWER_SECONDS)
+        if flight in self.in_flight:
+            self.in_flight.remove(flight)
+            entry.crash_reporter.record_whole(call)
+
+    async def serve_crashing(self, entry):
+        """Serve a call that crashes its engines, together with calls beside it."""
+        call = self.make_call(True)
+        if entry.crash_reporter.check(call) is not None:
+            return
+        for attempt in range(ATTEMPTS):
+            if attempt and not entry.crash_reporter.may_retry(call):
+                return
+            self.arrivals.append(self.fleet.clock())
+            await asyncio.sleep(CRASH_SECONDS)
+            self.crash((f"e{call.content}-{attempt}", 1), entry, call)
+            await asyncio.sleep(CRASH_SECONDS / 2)
+
+    def crash(self, lifetime, entry, call):
+        """Crash an engine that runs `call` and some others."""
+        self.crashes.append(self.fleet.clock())
+        now = self.fleet.clock()
+        count = min(CALLS_BESIDE, len(self.in_flight))
+        beside = self.numbers.sample(self.in_flight, count)
+        young = [flight for flight in beside if now - flight[2] <= FIRST_EVENT_SECONDS]
+        for lost_entry, lost, _ in [(entry, call, now), *young]:
+            tracker = lost_entry.state.crash_tracker
+            tracker.record_lost_connection(lost.content, lifetime, now, lost.shared_parts)
+            tracker.confirm_crash(lifetime, now)
+            lost_entry.peers.schedule_beacon(True)
+        for flight in beside:
+            self.in_flight.remove(flight)
+
+    async def run(self, disturbed):
+        """Send calls to random entries, of which some are killed if `disturbed`."""
+        calls = []
+        crashing_from = self.fleet.clock() + WARM_UP_SECONDS
+        until = crashing_from + PLAY_SECONDS
+        disturbing = asyncio.create_task(self.disturb()) if disturbed else None
+        while self.fleet.clock() < until:
+            crashing = self.numbers.random() < 0.15 and self.fleet.clock() > crashing_from
+            serve = self.serve_crashing if crashing else self.serve_sound
+            calls.append(asyncio.create_task(serve(self.fleet.random_entry())))
+            await asyncio.sleep(self.numbers.expovariate(CALLS_PER_SECOND))
+        await asyncio.gather(*calls)
+        if disturbing is not None:
+            disturbing.cancel()
+
+    async def disturb(self):
+        """Kill and restart random entries."""
+        while True:
+            await asyncio.sleep(self.numbers.uniform(1.0, 4.0))
+            address = self.fleet.random_entry().settings.daemon.address
+            self.fleet.kill(address)
+            await asyncio.sleep(1.0)
+            self.fleet.start(address)
+
+    def late_arrivals(self):
+        """Return the number of calls with `BAD` that came too late after the first crashes."""
+        if len(self.crashes) < FINAL_CRASHES:
+            return 0
+        known_at = self.crashes[FINAL_CRASHES - 1] + STABLE_SECONDS
+        return sum(at > known_at for at in self.arrivals)
+
+
+def play(count, seed, loss=0.0, disturbed=False):
+    """Return the `Play` of a fleet of `count` entries."""
+
+    async def run():
+        numbers = random.Random(seed)
+        fleet = GossipFleet(count, numbers, loss)
+        await asyncio.sleep(2.0)
+        played = Play(fleet, numbers)
+        await played.run(disturbed)
+        fleet.stop()
+        return played
+
+    return virtual_loop.run(run())
+
+
+@pytest.mark.parametrize("count", [1, 8, 34])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_crashing_part_is_blocked_and_the_parts_beside_it_are_not(count, seed):
+    played = play(count, seed)
+    assert played.crashes
+    assert played.late_arrivals() <= ALLOWED_ARRIVALS
+    assert played.refused <= 0.05 * played.sound
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_part_stays_blocked_while_entries_restart_and_datagrams_are_lost(seed):
+    played = play(8, seed, loss=0.05, disturbed=True)
+    assert played.late_arrivals() <= ALLOWED_ARRIVALS
+    assert played.refused <= 0.1 * played.sound
+
+
+@pytest.mark.soak
+@pytest.mark.parametrize("seed", range(60))
+@pytest.mark.parametrize("count", [2, 8, 34])
+def test_part_is_blocked_over_many_seeds(count, seed):
+    played = play(count, seed, loss=0.1, disturbed=True)
+    assert played.late_arrivals() <= ALLOWED_ARRIVALS
+    assert played.refused <= 0.1 * played.sound
+
+
+@pytest.fixture
+def parts():
+    """Return the parts of an entry that has had complete answers of other parts."""
+    parts = CrashingParts()
+    for number in range(MIN_WHOLE_ANSWERS):
+        parts.record_whole((f"w{number}",), 0.0)
+    return parts
+
+
+def crash(parts, number, at, *names):
+    parts.add_crash((f"e{number}", 1), [LostCall(f"c{number}", names, at)], at)
+
+
+def test_crashes_of_one_moment_have_another_cause_than_a_part(parts):
+    for number in range(20):
+        crash(parts, number, 5.0 + number * MOMENT_SECONDS / 2, "p")
+    assert not parts.is_blocked("p")
+    crash(parts, 20, 8.0, "p")
+    assert parts.is_blocked("p")
+
+
+def test_one_call_that_is_sent_again_does_not_make_its_parts_suspect(parts):
+    for number in range(4):
+        at = 5.0 + number
+        parts.add_crash((f"e{number}", 1), [LostCall("same", ("p",), at)], at)
+    assert not parts.is_blocked("p")
+
+
+def test_part_of_a_complete_answer_is_cleared_at_once_and_at_the_other_entries(parts):
+    other = CrashingParts()
+    for number in range(2):
+        crash(parts, number, 5.0 + number, "p")
+    other.record_whole(("p",), 6.0)
+    other.merge_remote(*parts.local_changes(7.0), "a", 0, 7.0)
+    assert parts.is_blocked("p")
+    parts.merge_remote(*other.local_changes(7.0), "b", 1, 7.0)
+    assert not parts.is_blocked("p")
+    assert not parts.suspects
+
+
+def test_part_is_suspected_again_long_after_its_last_complete_answer(parts):
+    parts.record_whole(("p",), 0.0)
+    for number in range(2):
+        crash(parts, number, SOUND_SECONDS + number, "p")
+    assert parts.is_blocked("p")
+
+
+def test_nothing_is_blocked_before_there_are_complete_answers():
+    parts = CrashingParts()
+    for number in range(3):
+        crash(parts, number, 5.0 + number, "everywhere", "p")
+    assert not parts.blocked()
+    parts.merge_remote((), (), "a", MIN_WHOLE_ANSWERS, 9.0)
+    assert set(parts.blocked()) == {"everywhere", "p"}
+
+
+def test_blocked_part_is_tried_a_few_times_and_then_not_any_more(parts):
+    for number in range(2):
+        crash(parts, number, 5.0 + number, "p")
+    now, trials = 6.0, 0
+    for number in range(2, 50):
+        now += TRIAL_SECONDS
+        if parts.start_trial("p", now):
+            trials += 1
+            crash(parts, number, now, "p")
+    assert 1 <= trials <= FINAL_CRASHES - 2
+
+
+def test_part_blocked_before_a_restart_is_blocked_after_it():
+    parts = CrashingParts()
+    parts.add_earlier("p", FINAL_CRASHES, 1.0)
+    assert parts.is_blocked("p")
+    assert not parts.start_trial("p", 1.0 + 2 * TRIAL_SECONDS)
+
+
+def test_crashes_count_against_the_part_that_most_of_them_share(parts):
+    for number in range(4):
+        crash(parts, number, 5.0 + number, "p")
+    for number in range(2):
+        crash(parts, number, 5.0 + number, "beside")
+    assert parts.is_blocked("p")
+    assert not parts.is_blocked("beside")
+
+
+def test_report_of_a_crash_that_is_known_already_changes_nothing(parts):
+    crash(parts, 1, 5.0, "p")
+    parts.merge_remote((PartCrash("p", "c1", "e1", 1, 0.5),), (), "a", 3, 5.5)
+    assert parts.suspects["p"].count() == 1
