--- a/packages/daemon/tests/direct_fleet.py
+++ b/packages/daemon/tests/direct_fleet.py
@@ -10,6 +10,7 @@
 from persimmonstall.direct.state import State
 from persimmonstall.settings.schema import Settings
 from persimmonstall_daemon.direct.chooser import EndpointChooser
+from persimmonstall_daemon.direct.crash_records import CrashRecords
 from persimmonstall_daemon.direct.crash_reports import CrashReporter
 from persimmonstall_daemon.direct.limits import LimitReporter
 from persimmonstall_daemon.direct.loads import LoadReporter
@@ -47,9 +48,31 @@
     entry.limits = LimitReporter(entry, entry.peers.schedule_beacon)
     entry.chooser = EndpointChooser(entry)
     entry.crash_reporter = CrashReporter(entry)
+    entry.crash_records = CrashRecords(entry)
     return entry
 
 
+class MemoryDirectory:
+    """The directory's table of blocked parts, which outlives the entries."""
+
+    def __init__(self):
+        self.blocked_parts = {}
+
+    async def read_blocked_parts(self):
+        """Return the (part, crashes) pairs."""
+        return tuple(self.blocked_parts.items())
+
+    async def save_blocked_part(self, part, crashes):
+        """Store the number of crashes of a part."""
+        self.blocked_parts[part] = crashes
+        return True
+
+    async def remove_blocked_part(self, part):
+        """Remove a part."""
+        self.blocked_parts.pop(part, None)
+        return True
+
+
 class NetworkPort:
     """An entry's transport on a `Network`; `open` is false while the entry is stopped."""
 
@@ -101,6 +124,7 @@
         self.numbers = numbers
         self.network = Network(numbers, loss)
         self.gossips = gossips
+        self.directory = MemoryDirectory()
         self.clock = asyncio.get_running_loop().time
         self.addresses = [f"10.0.{n // 200}.{n % 200 + 1}:7340" for n in range(count)]
         self.entries = {}
@@ -116,7 +140,9 @@
         for other in self.addresses:
             entry.peers.add_peer(other)
         if self.gossips:
-            self.tasks[address] = asyncio.create_task(entry.peers.run())
+            entry.directory = self.directory
+            running = asyncio.gather(entry.peers.run(), entry.crash_records.run())
+            self.tasks[address] = running
             return
         entry.peers.schedule_beacon = entry.limits.on_change = lambda urgent: None
         for peer in entry.peers.peers.values():
