--- a/packages/core/persimmonstall/direct/retrying.py
+++ b/packages/core/persimmonstall/direct/retrying.py
@@ -85,6 +85,11 @@
         self.last_event = number
 
 
+def is_last_run(routed, history):
+    """Return whether no other endpoint may run a call after the attempt in progress."""
+    return history.runs + 1 >= routed.route.attempts
+
+
 def may_retry(routed, history, ending):
     """Return whether a call may be sent to another endpoint after an attempt with this ending.
 
