--- a/packages/core/persimmonstall/direct/fleet.py
+++ b/packages/core/persimmonstall/direct/fleet.py
@@ -4,11 +4,29 @@
 import msgspec
 import xxhash
 
+from .messages import Endpoint
+
 OUTAGE_GRACE_SECONDS = 2.0
 """Seconds for which endpoints missing from the list are still used once the list is reachable
 again after an outage."""
 
 
+RESTORE_SECONDS = 3.0
+"""Time after the list came back from an old copy in which endpoints have written again; until then
+those that had left the list before are not used."""
+
+DEPARTED_SECONDS = 60.0
+"""Time for which an endpoint that left the list is remembered."""
+
+
+@attrs.frozen
+class Departed:
+    """An endpoint that left the list at the time `at`."""
+
+    endpoint: Endpoint
+    at: float
+
+
 @attrs.define
 class Fleet:
     """Endpoints by name, as of a `revision` of the list, which never decreases.
@@ -16,6 +34,10 @@
     An endpoint that is removed from the list is dropped at once, except after an outage of the
     list: then live endpoints may be missing from it for a while.  `missing` maps the names of such
     endpoints to the time at which they are dropped.  `cached_digest` is None after a change.
+
+    Until `restored_until`, after the list came back from an old copy, it may name endpoints that
+    are gone.  `departed` maps the lifetimes of those that left it to `Departed`; if they are
+    listed again meanwhile, `held` maps their names to the time until which they are not used.
     """
 
     revision: int = 0
@@ -23,6 +45,9 @@
     missing: dict = attrs.field(factory=dict)
     grace_until: float = 0.0
     cached_digest: int | None = None
+    restored_until: float = 0.0
+    departed: dict = attrs.field(factory=dict)
+    held: dict = attrs.field(factory=dict)
 
     @property
     def digest(self):
@@ -39,7 +64,7 @@
         for name in set(self.endpoints) - set(endpoints):
             self.remove(name, now)
         for endpoint in endpoints.values():
-            self.put(endpoint)
+            self.put(endpoint, now)
         self.revision = revision
 
     def change(self, changes, revision, now):
@@ -50,11 +75,20 @@
             if endpoint is None:
                 self.remove(name, now)
             else:
-                self.put(endpoint)
+                self.put(endpoint, now)
         self.revision = revision
 
-    def put(self, endpoint):
-        """Add an endpoint or replace its state."""
+    def put(self, endpoint, now=0.0):
+        """Add an endpoint or replace its state; one that was leaving stays so for its lifetime."""
+        known = self.endpoints.get(endpoint.name)
+        departed = self.departed.pop(endpoint.lifetime, None)
+        if departed is not None and now < self.restored_until:
+            self.held[endpoint.name] = self.restored_until
+        elif known is not None and known.lifetime != endpoint.lifetime:
+            self.held.pop(endpoint.name, None)
+        earlier = known if departed is None else departed.endpoint
+        if was_leaving(endpoint, earlier):
+            endpoint = attrs.evolve(endpoint, leaving=True)
         self.endpoints[endpoint.name] = endpoint
         self.cached_digest = None
         self.missing.pop(endpoint.name, None)
@@ -66,23 +100,40 @@
         if now < self.grace_until and not self.endpoints[name].leaving:
             self.missing.setdefault(name, self.grace_until)
         else:
-            self.drop(name)
+            self.drop(name, now)
 
-    def drop(self, name):
+    def drop(self, name, now=0.0):
         """Drop an endpoint at once."""
-        self.endpoints.pop(name, None)
+        endpoint = self.endpoints.pop(name, None)
+        if endpoint is not None:
+            self.departed[endpoint.lifetime] = Departed(endpoint, now)
         self.missing.pop(name, None)
+        self.held.pop(name, None)
         self.cached_digest = None
 
     def start_grace(self, now):
         """Start the grace period: the list is reachable again after an outage."""
         self.grace_until = now + OUTAGE_GRACE_SECONDS
 
+    def start_restore(self, now):
+        """Start the time in which the list, come back from an old copy, is written again."""
+        self.start_grace(now)
+        self.restored_until = now + RESTORE_SECONDS
+
+    def is_restoring(self, now):
+        """Return whether the list, come back from an old copy, may still be outdated."""
+        return now < self.restored_until
+
     def expire(self, now):
         """Drop endpoints that are still missing after the grace period; return their names."""
         gone = [name for name, until in self.missing.items() if until <= now]
         for name in gone:
-            self.drop(name)
+            self.drop(name, now)
+        for name in [name for name, until in self.held.items() if until <= now]:
+            del self.held[name]
+        for lifetime, departed in list(self.departed.items()):
+            if now - departed.at > DEPARTED_SECONDS:
+                del self.departed[lifetime]
         return gone
 
     def lifetimes(self):
@@ -91,4 +142,13 @@
 
     def usable(self, service):
         """Return the endpoints of a service that accept new calls."""
-        return [e for e in self.endpoints.values() if e.service == service and not e.leaving]
+        return [
+            endpoint
+            for name, endpoint in self.endpoints.items()
+            if endpoint.service == service and not endpoint.leaving and name not in self.held
+        ]
+
+
+def was_leaving(endpoint, earlier):
+    """Return whether an `earlier` state of an endpoint's lifetime, None for none, was leaving."""
+    return earlier is not None and earlier.lifetime == endpoint.lifetime and earlier.leaving
--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -112,6 +112,8 @@
         if update.revision < self.fleet.revision:
             return False
         before = self.fleet.lifetimes()
+        if update.restored:
+            self.fleet.start_restore(now)
         if update.whole:
             listed = {c.name: c.endpoint for c in update.changes if c.endpoint is not None}
             self.fleet.replace(listed, update.revision, now)
--- a/packages/core/persimmonstall/direct/updates.py
+++ b/packages/core/persimmonstall/direct/updates.py
@@ -26,7 +26,10 @@
 
 @attrs.frozen
 class EndpointUpdate:
-    """Changes of endpoints up to `revision`; `whole` marks a complete list."""
+    """Changes of endpoints up to `revision`; `whole` marks a complete list.
+
+    `restored` says that the list has just come back from an old copy and may be outdated.
+    """
 
     LOG_NAME = "EndpointNews"
     """Name of the update in log lines."""
@@ -34,6 +37,7 @@
     changes: tuple[EndpointChange, ...]
     revision: int
     whole: bool = False
+    restored: bool = False
 
 
 @attrs.frozen
@@ -42,3 +46,8 @@
 
     reachable: bool
     detail: str = ""
+
+
+@attrs.frozen
+class RestoredUpdate:
+    """The directory has come back from an old copy: what was written lately is lost."""
--- a/packages/daemon/persimmonstall_daemon/direct/crash_records.py
+++ b/packages/daemon/persimmonstall_daemon/direct/crash_records.py
@@ -77,5 +77,5 @@
             if isinstance(result, Failure):
                 logs.log_failure(self.log, "blocked_part_unsaved", result, part=part)
                 return False
-        del self.saved[part]
+        self.saved.pop(part, None)
         return True
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -8,6 +8,7 @@
 from persimmonstall.clock import Context
 from persimmonstall.direct.retry_budget import SharedRetryBudget
 from persimmonstall.direct.state import State
+from persimmonstall.direct.updates import RestoredUpdate
 
 from ..observe import logs
 from ..observe.prometheus import PrometheusMetrics
@@ -115,6 +116,9 @@
 
     def apply_update(self, update, source="directory"):
         """Apply an update to the state; log a change and send it to the peers."""
+        if isinstance(update, RestoredUpdate):
+            self.write_again()
+            return
         was_ready = self.state.ready
         changed = self.state.apply_update(update, self.now())
         if self.state.ready and not was_ready:
@@ -123,6 +127,11 @@
             self.log_change(update, source)
             self.peers.schedule_beacon(True)
 
+    def write_again(self):
+        """Write again what the directory may have lost."""
+        self.crash_records.saved.clear()
+        self.spawn(self.peers.discover())
+
     def use_own_engine_order(self):
         """Rank engines in an order of this entry's own until it knows the other entries' calls.
 
--- a/packages/daemon/persimmonstall_daemon/direct/snapshots.py
+++ b/packages/daemon/persimmonstall_daemon/direct/snapshots.py
@@ -111,7 +111,10 @@
             configuration = ConfigurationUpdate(state.configuration)
         if revision > version_in(request, ENDPOINTS_QUERY):
             changes = tuple(EndpointChange(n, e) for n, e in state.fleet.endpoints.items())
-            endpoints = EndpointUpdate(changes, state.fleet.revision, whole=True)
+            restored = state.fleet.is_restoring(self.entry.now())
+            endpoints = EndpointUpdate(
+                changes, state.fleet.revision, whole=True, restored=restored
+            )
         body = snapshots.encode(Snapshot(configuration, endpoints))
         self.entry.metrics.count("direct_snapshot_bytes", len(body), tag="sent")
         return web.Response(body=body, content_type="application/octet-stream")
