--- a/packages/core/persimmonstall/direct/permits.py
+++ b/packages/core/persimmonstall/direct/permits.py
@@ -53,8 +53,10 @@
     """
     try:
         address, number, endpoint, born, rate, patience = fields
+        if not address.rpartition(":")[2].isdigit():
+            raise ValueError(f"address without a port: {address!r}")
         return PermitRequest(address, number, endpoint, born, float(rate), float(patience))
-    except (TypeError, ValueError) as error:
+    except (AttributeError, TypeError, ValueError) as error:
         return malformed(error)
 
 
--- a/packages/core/persimmonstall/direct/placing.py
+++ b/packages/core/persimmonstall/direct/placing.py
@@ -93,12 +93,27 @@
     salt: str = ""
     data_centre: str = ""
 
-    def place(self, routed, now, name, avoid=frozenset(), resume_after=-1, only=""):
+    def place(
+        self,
+        routed,
+        now,
+        name,
+        avoid=frozenset(),
+        resume_after=-1,
+        only="",
+        include_limited=False,
+    ):
         """Return `PlacedAttempt` for the attempt `name`, or a `Failure`.
 
-        It goes to the endpoint `only` if one is named, else to endpoints without a request limit.
+        It goes to the endpoint `only` if one is named, else to endpoints without a request limit
+        unless `include_limited`.
         """
-        candidates = self.candidates(routed, now, avoid, only)
+        endpoints = self.untried_endpoints(routed, avoid)
+        if only:
+            endpoints = [endpoint for endpoint in endpoints if endpoint.name == only]
+        elif not include_limited:
+            endpoints = [endpoint for endpoint in endpoints if not self.is_limited(endpoint)]
+        candidates = self.candidates(routed, now, endpoints)
         if not candidates:
             return Failure(Reason.NO_ENDPOINT, STEP, detail=routed.service.name)
         if routed.service.engine is None:
@@ -128,20 +143,19 @@
         limited = [e for e in self.untried_endpoints(routed, avoid) if self.is_limited(e)]
         return sorted(limited, key=lambda e: self.load_tracker.count_in_flight(e.name))
 
-    def has_free_endpoint(self, routed, now, avoid):
+    def has_free_slot(self, endpoint):
+        """Return whether fewer calls are in flight at an endpoint than it has slots."""
+        return self.load_tracker.count_in_flight(endpoint.name) < endpoint.slots
+
+    def has_free_endpoint(self, routed, avoid):
         """Return whether an untried endpoint without a limit has a free slot."""
         return any(
-            candidate.load.running() < candidate.endpoint.slots
-            for candidate in self.candidates(routed, now, avoid)
+            self.has_free_slot(endpoint) and not self.is_limited(endpoint)
+            for endpoint in self.untried_endpoints(routed, avoid)
         )
 
-    def candidates(self, routed, now, avoid, only=""):
-        """Return the untried endpoints without a limit, or the endpoint `only` if it is one."""
-        untried = [
-            endpoint
-            for endpoint in self.untried_endpoints(routed, avoid)
-            if (endpoint.name == only if only else not self.is_limited(endpoint))
-        ]
+    def candidates(self, routed, now, endpoints):
+        """Return the `Candidate` of each endpoint."""
         return [
             Candidate(
                 endpoint,
@@ -149,7 +163,7 @@
                 rank_of(endpoint.name, self.salt),
                 self.failure_scores.score(endpoint.name, now),
             )
-            for endpoint in untried
+            for endpoint in endpoints
         ]
 
     def place_plain(self, routed, candidates, now, name):
