Suspect and Peer are modules of their own

The crashes of one suspected part and what an entry knows of another one are classes without I/O and move out; BeaconProtocol is DatagramReceiver, as it takes other datagrams too. No change of behaviour.

--- /dev/null
+++ b/packages/core/persimmonstall/direct/suspect.py
@@ -0,0 +1,75 @@
+"""A part of prompts that may crash endpoints: its crashes, and when a call with it is tried."""
+
+import itertools
+
+import attrs
+
+BLOCK_CRASHES = 2
+"""Number of crashes, and of different calls in them, from which a part is blocked."""
+
+FINAL_CRASHES = 5
+"""Number of crashes and trials from which a blocked part gets no more trials."""
+
+TRIAL_SECONDS = 3.0
+"""Time after the last crash or trial of a blocked part from which one call may be tried."""
+
+MOMENT_SECONDS = 0.1
+"""Time within which the crashes of several endpoints count as one: they have another cause."""
+
+
+@attrs.define
+class Suspect:
+    """The crashes that calls with one part have in common.
+
+    `crashes` maps (lifetime, content) to the time of the crash.  `earlier` is the number of
+    crashes that another entry recorded before this process started.  `last_trial` is the time of
+    the last of the `trials`, None before the first.
+    """
+
+    crashes: dict = attrs.field(factory=dict)
+    earlier: int = 0
+    trials: int = 0
+    last_trial: float | None = None
+
+    @property
+    def last_crash(self):
+        """Time of the last crash, 0 if none is known to this process."""
+        return max(self.crashes.values(), default=0.0)
+
+    def count(self):
+        """Return the number of crashes; those of the same moment count as one."""
+        return max(self.earlier, count_moments(self.crashes.values()))
+
+    def lifetimes(self):
+        """Return the lifetimes of the endpoints that crashed."""
+        return {lifetime for lifetime, _ in self.crashes}
+
+    def stands_out(self, unexplained):
+        """Return whether different calls with the part crashed endpoints at different moments.
+
+        Only the crashes of the lifetimes in `unexplained` count, and those before a restart.
+        """
+        if self.earlier >= BLOCK_CRASHES:
+            return True
+        crashes = {key: at for key, at in self.crashes.items() if key[0] in unexplained}
+        contents = {content for _, content in crashes}
+        moments = count_moments(crashes.values())
+        return len(contents) >= BLOCK_CRASHES and moments >= BLOCK_CRASHES
+
+    def trial_due(self, now):
+        """Return whether one call with the blocked part may be tried."""
+        if self.count() + self.trials >= FINAL_CRASHES:
+            return False
+        last = self.last_crash if self.last_trial is None else self.last_trial
+        return now - max(last, self.last_crash) >= TRIAL_SECONDS
+
+
+def count_moments(times):
+    """Return the number of different moments among `times`.
+
+    >>> count_moments([1.0, 1.05, 7.0])
+    2
+    """
+    pairs = itertools.pairwise(sorted(times))
+    pauses = sum(later - earlier > MOMENT_SECONDS for earlier, later in pairs)
+    return pauses + 1 if times else 0
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import math
 
 import attrs
 
@@ -20,6 +19,7 @@
 from persimmonstall.failures import Failure
 
 from ..observe import logs
+from .peer import DatagramReceiver, Peer
 from .snapshots import SnapshotExchange
 
 URGENT_DELAY_SECONDS = 0.0
@@ -35,9 +35,6 @@
 MANY_PEERS_CHANGE_DELAY_SECONDS = 0.15
 """The same delays with more than `MANY_PEERS` peers."""
 
-ACTIVE_TIMEOUT_SECONDS = 3.0
-"""Silence after which a peer no longer counts as active."""
-
 REMOVAL_TIMEOUT_SECONDS = 15.0
 """Silence after which a peer is removed and no more beacons are sent to it."""
 
@@ -47,48 +44,6 @@
 BYTES_PER_MEGABIT = 125_000
 
 
-@attrs.define
-class Peer:
-    """Another entry.
-
-    `last_heard` is when its last beacon arrived, None before the first.  `last_named` is when
-    its address was last received, from itself or from another source.  `configuration` and
-    `endpoints` are the versions that it has, `endpoints_digest` is the digest of its list.  `link`
-    is its bandwidth in bytes per second, `whole_due` the time of the next beacon to it with the
-    complete state.  `leaving` says that it is stopping.
-    """
-
-    address: str
-    run: int = 0
-    sequence: int = 0
-    last_heard: float | None = None
-    last_named: float = 0.0
-    configuration: int = 0
-    endpoints: int = 0
-    link: float = math.inf
-    whole_due: float = 0.0
-    endpoints_digest: int = 0
-    leaving: bool = False
-
-
-class BeaconProtocol(asyncio.DatagramProtocol):
-    """Receives datagrams and passes them to `peers`."""
-
-    def __init__(self, peers):
-        self.peers = peers
-
-    def datagram_received(self, data, _address):
-        """Pass on one datagram."""
-        self.peers.on_datagram(data)
-
-    def error_received(self, error):
-        """Log that a datagram could not be sent.
-
-        It is not sent again, because the next beacon carries the complete state.
-        """
-        self.peers.log.debug("datagram_refused", reason=repr(error))
-
-
 class Peers:
     """The other entries, and the exchange of beacons with them."""
 
@@ -110,7 +65,7 @@
         host, _, port = self.address.rpartition(":")
         loop = asyncio.get_running_loop()
         self.transport, _ = await loop.create_datagram_endpoint(
-            lambda: BeaconProtocol(self), local_addr=(host, int(port))
+            lambda: DatagramReceiver(self), local_addr=(host, int(port))
         )
         await self.snapshots.start(host, int(port))
         for seed in self.entry.settings.direct.seeds:
@@ -131,11 +86,7 @@
     def active(self):
         """Return the active peers: those with a recent beacon."""
         now = self.entry.now()
-        return [
-            peer
-            for peer in self.peers.values()
-            if peer.last_heard is not None and now - peer.last_heard <= ACTIVE_TIMEOUT_SECONDS
-        ]
+        return [peer for peer in self.peers.values() if peer.is_active(now)]
 
     @property
     def link(self):
--- a/packages/daemon/tests/test_direct_crashes.py
+++ b/packages/daemon/tests/test_direct_crashes.py
@@ -8,15 +8,13 @@
 import pytest
 
 from persimmonstall.direct.crashing_parts import (
-    FINAL_CRASHES,
     MIN_WHOLE_ANSWERS,
-    MOMENT_SECONDS,
     SOUND_SECONDS,
-    TRIAL_SECONDS,
     CrashingParts,
     LostCall,
     PartCrash,
 )
+from persimmonstall.direct.suspect import FINAL_CRASHES, MOMENT_SECONDS, TRIAL_SECONDS
 from persimmonstall_standins.virtual import loop as virtual_loop
 
 from .direct_fleet import GossipFleet
--- a/packages/daemon/tests/test_direct_peers.py
+++ b/packages/daemon/tests/test_direct_peers.py
@@ -24,7 +24,7 @@
     EndpointUpdate,
     ReachabilityUpdate,
 )
-from persimmonstall_daemon.direct.peers import ACTIVE_TIMEOUT_SECONDS, Peer
+from persimmonstall_daemon.direct.peer import ACTIVE_TIMEOUT_SECONDS, Peer
 from persimmonstall_standins.virtual import loop as virtual_loop
 
 from .direct_fleet import LINK_MBPS, make_entry
