Tests of beacons on a slow link also with findings

The three tests that keep beacons within a quarter of a link of 7 Mbit/s now run with a request limit and a crash of eight parts found at each call too. They pass: findings are paced with the beacons, and 64 of a kind is the most that one datagram carries.

--- a/packages/daemon/tests/test_direct_peers.py
+++ b/packages/daemon/tests/test_direct_peers.py
@@ -14,6 +14,7 @@
 from persimmonstall.direct import beacon as beacons
 from persimmonstall.direct import snapshot as snapshots
 from persimmonstall.direct.beacon_pacing import heartbeat_interval
+from persimmonstall.direct.crashing_parts import LostCall
 from persimmonstall.direct.loads import EndpointDemand, InFlightAttempt
 from persimmonstall.direct.messages import Configuration, Endpoint
 from persimmonstall.direct.retry_budget import SharedRetryBudget
@@ -86,9 +87,20 @@
     entry.loads.end(attempt.name)
 
 
-@pytest.fixture
-def busy_link():
-    """Return the link of an entry that was busy for a while in a fleet of many peers."""
+def find_out(entry, number, now):
+    """Let an entry find a request limit and a crash of calls with many parts."""
+    entry.state.request_limits.observe((f"i-7f3a91c2{number % 78:02d}", 1), number, now, now)
+    parts = tuple(f"5c1e07a2{part:04d}" for part in range(number, number + 8))
+    lost = [LostCall(f"c{number}", parts, now)]
+    entry.state.crash_tracker.parts.add_crash((f"e{number}", 1), lost, now)
+
+
+@pytest.fixture(params=[False, True], ids=["attempts", "attempts_and_findings"])
+def busy_link(request):
+    """Return the link of an entry that was busy for a while in a fleet of many peers.
+
+    With findings, each call makes it find a request limit and a crash.
+    """
 
     async def run():
         loop = asyncio.get_running_loop()
@@ -101,7 +113,10 @@
         while loop.time() < BUSY_SECONDS:
             for peer in entry.peers.peers.values():
                 peer.last_heard = peer.last_named = loop.time()
-            tasks.append(asyncio.create_task(serve_call(entry, next(numbers))))
+            number = next(numbers)
+            tasks.append(asyncio.create_task(serve_call(entry, number)))
+            if request.param:
+                find_out(entry, number, loop.time())
             await asyncio.sleep(1 / CALLS_PER_SECOND)
         for task in tasks:
             if task.done():
