What entries send each other about crashes is bounded, and repeated reports cost nothing

Each complete state carried all crashes of the last ten minutes, up to 3 kB to each peer each second, and each report that was known already made the culprits be found anew. Now a complete state has crashes of the last 15 s and the newest ten of each blocked part, known reports change nothing, and parts that are only suspected are forgotten after two minutes. How much of an answer had been sent before a crash is counted by batches, as event ids need not begin at 0.

--- a/packages/core/persimmonstall/direct/crashing_parts.py
+++ b/packages/core/persimmonstall/direct/crashing_parts.py
@@ -17,7 +17,12 @@
 """Number of complete answers of all entries before which no part is blocked by its crashes."""
 
 BLOCK_SECONDS = 600.0
-"""Time after its last crash for which a part is suspected."""
+SUSPECT_SECONDS = 120.0
+"""Times after its last crash or trial for which a part is blocked, or only suspected."""
+
+RECENT_SECONDS = 15.0
+"""Age up to which all crashes are sent to other entries with the complete state; of older ones
+those of blocked parts are."""
 
 SOUND_SECONDS = 120.0
 """Time after a complete answer for which its parts are not suspected."""
@@ -113,10 +118,10 @@
                     self.changes.record((part, lifetime, call.content))
 
     def add(self, part, lifetime, content, at):
-        """Record a crash of one call with a part; the earliest report of it counts."""
+        """Record a crash of one call with a part."""
         suspect = self.suspects.setdefault(part, Suspect())
-        key = lifetime, content
-        suspect.crashes[key] = min(at, suspect.crashes.get(key, at))
+        if not suspect.add_crash((lifetime, content), at):
+            return
         while len(self.suspects) > MAX_SUSPECTS:
             del self.suspects[next(iter(self.suspects))]
         self.cached_culprits = None
@@ -177,7 +182,7 @@
 
     def blocked(self):
         """Return the number of crashes by blocked part."""
-        return {part: self.suspects[part].count() for part in self.blocked_parts(self.suspects)}
+        return {part: self.suspects[part].count() for part in self.blocked_parts(self.culprits())}
 
     def start_trial(self, part, now):
         """Return whether a call with a blocked part may be tried; if so, record the trial."""
@@ -195,10 +200,12 @@
 
     def local_state(self, now):
         """Return all (crashes, sound parts) that other entries may lack."""
+        culprits = self.culprits()
         keys = [
             (part, lifetime, content)
             for part, suspect in self.suspects.items()
-            for lifetime, content in suspect.crashes
+            for (lifetime, content), at in suspect.newest_crashes()
+            if part in culprits or now - at < RECENT_SECONDS
         ]
         return self.reports(keys, now), self.cleared.pending()[-MAX_REPORTS:]
 
@@ -224,8 +231,9 @@
 
     def expire(self, now):
         """Drop suspects whose last crash is long ago."""
+        culprits = self.culprits()
         for part, suspect in list(self.suspects.items()):
             last = max(suspect.last_crash, suspect.last_trial or 0.0)
-            if now - last >= BLOCK_SECONDS:
+            if now - last >= (BLOCK_SECONDS if part in culprits else SUSPECT_SECONDS):
                 del self.suspects[part]
                 self.cached_culprits = None
--- a/packages/core/persimmonstall/direct/suspect.py
+++ b/packages/core/persimmonstall/direct/suspect.py
@@ -16,6 +16,9 @@
 MOMENT_SECONDS = 0.1
 """Time within which the crashes of several endpoints count as one: they have another cause."""
 
+MAX_CRASHES_SENT = 2 * FINAL_CRASHES
+"""Maximum number of crashes of one part that are sent to other entries together."""
+
 
 @attrs.define
 class Suspect:
@@ -36,6 +39,18 @@
         """Time of the last crash, 0 if none is known to this process."""
         return max(self.crashes.values(), default=0.0)
 
+    def add_crash(self, key, at):
+        """Record a crash; return false if it is known, as it is by about the same time."""
+        known = self.crashes.get(key)
+        if known is not None and at > known - MOMENT_SECONDS / 2:
+            return False
+        self.crashes[key] = at
+        return True
+
+    def newest_crashes(self):
+        """Return the (key, time) pairs of the newest crashes."""
+        return sorted(self.crashes.items(), key=crash_time)[-MAX_CRASHES_SENT:]
+
     def count(self):
         """Return the number of crashes; those of the same moment count as one."""
         return max(self.earlier, count_moments(self.crashes.values()))
@@ -64,6 +79,11 @@
         return now - max(last, self.last_crash) >= TRIAL_SECONDS
 
 
+def crash_time(item):
+    """Return the time of an item of `Suspect.crashes`."""
+    return item[1]
+
+
 def count_moments(times):
     """Return the number of different moments among `times`.
 
--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -30,7 +30,7 @@
     """The result of an attempt; `failure` says why it did not return a complete answer.
 
     `blamed_address` is the address of a helper endpoint that made the attempt fail, empty for
-    none.  `events_relayed` is the number of events of the answer that were relayed.
+    none.  `batches_relayed` is how often events of the answer were relayed.
     """
 
     ending: AttemptOutcome
@@ -38,7 +38,7 @@
     head: object = None
     body: bytes = b""
     blamed_address: str = ""
-    events_relayed: int = 0
+    batches_relayed: int = 0
 
 
 class Attempt:
@@ -51,7 +51,7 @@
         self.history = history
         self.sink = sink
         self.answer = None
-        self.events_relayed = 0
+        self.batches_relayed = 0
 
     @property
     def endpoint(self):
@@ -73,7 +73,7 @@
         finally:
             if self.answer is not None:
                 self.answer.close()
-        return attrs.evolve(result, events_relayed=self.events_relayed)
+        return attrs.evolve(result, batches_relayed=self.batches_relayed)
 
     async def send_and_relay(self, started_at):
         """Send the call and relay its answer; raise TimeoutError if the endpoint is too slow."""
@@ -204,14 +204,14 @@
     async def forward_events(self, complete_events, reader):
         """Send complete events to the caller, preceded by the head if they are the first."""
         now = self.entry.now()
-        events = max(1, reader.last - self.history.last_event)
-        if self.events_relayed:
+        if self.batches_relayed:
+            events = max(1, reader.last - self.history.last_event)
             gap = now - self.history.last_event_at
             self.entry.loads.record_gap(self.endpoint.name, gap, events)
         else:
             self.entry.loads.record_first_event(self.placed.attempt.name)
         if not self.sink.started:
             await self.sink.start(self.answer.head.status, self.answer.head.headers)
-        self.events_relayed += events
+        self.batches_relayed += 1
         self.history.event_sent(reader.last, now)
         await self.sink.write(complete_events)
--- a/packages/daemon/persimmonstall_daemon/direct/crash_reports.py
+++ b/packages/daemon/persimmonstall_daemon/direct/crash_reports.py
@@ -16,8 +16,8 @@
 DEAD_ENDPOINT_WEIGHT = 2.0
 """Weight of the failure that is recorded for a dead endpoint."""
 
-MAX_EVENTS_BEFORE_CRASH = 1
-"""Maximum number of events that a call which crashes its endpoint may have sent before."""
+MAX_BATCHES_BEFORE_CRASH = 1
+"""How often a call that crashes its endpoint may have sent events before."""
 
 
 class CrashReporter:
@@ -71,14 +71,14 @@
         """Record a connection that an endpoint cut off, and check whether it is dead."""
         if result.ending is not AttemptOutcome.BROKEN:
             return
-        if result.events_relayed > MAX_EVENTS_BEFORE_CRASH:
+        if result.batches_relayed > MAX_BATCHES_BEFORE_CRASH:
             return
         self.crash_tracker.record_lost_connection(
             routed.content,
             endpoint.lifetime,
             self.entry.now(),
             routed.call.shared_parts,
-            begun=result.events_relayed > 0,
+            begun=result.batches_relayed > 0,
         )
         self.entry.spawn(self.check_for_crash(endpoint))
 
