A silent endpoint is left only for an attempt that is certain to follow

Cause: an attempt ended at its timeout, and only then was it found out that the retry budget was used up, that there was no other endpoint, or that the call may run at no more of them. The timeout of the last attempt cut it as well. The timeouts of streams lay within the length of such a silence.

Change: at the timeout the endpoint's address is tried. If it accepts no connection, the endpoint is left as before. If it does, a stream waits on until shortly before callers lose patience (core/direct/silence.py), and any call leaves it only once the next attempt is charged and placed at an endpoint with a free slot; else it is considered again every 0.5 s, until the deadline. Silence counts from the last event, no longer anew from each read.

--- a/packages/core/persimmonstall/direct/retry_budget.py
+++ b/packages/core/persimmonstall/direct/retry_budget.py
@@ -59,14 +59,18 @@
         slices = self.local[service]
         return sum(u.calls for u in slices), sum(u.retries for u in slices)
 
-    def try_acquire(self, service, now):
-        """Count a retry and return True, or return False if the budget is used up."""
+    def has_room(self, service, now):
+        """Return whether the budget allows another retry."""
         calls, retries = self.usage(service, now)
         for usage in self.remote.values():
             remote_calls, remote_retries = usage.get(service, (0, 0))
             calls += remote_calls
             retries += remote_retries
-        if retries + 1 > USABLE_SHARE * (self.ratio * calls + self.slack):
+        return retries + 1 <= USABLE_SHARE * (self.ratio * calls + self.slack)
+
+    def try_acquire(self, service, now):
+        """Count a retry and return True, or return False if the budget is used up."""
+        if not self.has_room(service, now):
             return False
         self.current_slice(service, now).retries += 1
         return True
--- a/packages/core/persimmonstall/direct/retrying.py
+++ b/packages/core/persimmonstall/direct/retrying.py
@@ -75,6 +75,12 @@
         if ending not in (AttemptOutcome.NOT_RUN, AttemptOutcome.WRONG_ENDPOINT):
             self.runs += 1
 
+    def after(self, endpoint_name, ending):
+        """Return a copy in which the attempt in progress has ended."""
+        later = attrs.evolve(self, tried_endpoints=set(self.tried_endpoints))
+        later.attempt_ended(endpoint_name, ending)
+        return later
+
     def event_sent(self, number, now):
         """Record that the event `number` is sent to the caller."""
         if self.first_event_at is None:
--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -1,13 +1,21 @@
 """One attempt of a call at one endpoint: sends it, checks the answer and relays it."""
 
+import asyncio
+
 import attrs
 
 from persimmonstall.direct.events import EventReader
 from persimmonstall.direct.messages import ResponseKind
 from persimmonstall.direct.retrying import AttemptOutcome, is_last_run
+from persimmonstall.direct.silence import longest_silence
 from persimmonstall.failures import Failure, Reason
 
-from .endpoint_client import never_connected, wait_past_suspension
+from .endpoint_client import (
+    CONNECT_SECONDS,
+    accepts_connections,
+    never_connected,
+    wait_past_suspension,
+)
 
 STEP = "relay"
 
@@ -24,13 +32,17 @@
 MIN_GAP_SECONDS = 1.2
 """Timeout between events: a multiple of the gap objective, and a minimum in seconds."""
 
+RECONSIDER_SECONDS = 0.5
+"""Interval at which it is checked again whether a silent endpoint can be left."""
+
 
 @attrs.frozen
 class AttemptResult:
     """The result of an attempt; `failure` says why it did not return a complete answer.
 
     `blamed_address` is the address of a helper endpoint that made the attempt fail, empty for
-    none.  `batches_relayed` is how often events of the answer were relayed.
+    none.  `batches_relayed` is how often events of the answer were relayed.  `followed_by` is the
+    `PlacedAttempt` for which a silent endpoint was left, None for none.
     """
 
     ending: AttemptOutcome
@@ -39,6 +51,7 @@
     body: bytes = b""
     blamed_address: str = ""
     batches_relayed: int = 0
+    followed_by: object = None
 
 
 class Attempt:
@@ -52,6 +65,8 @@
         self.sink = sink
         self.answer = None
         self.batches_relayed = 0
+        self.heard_at = 0.0
+        self.followed_by = None
 
     @property
     def endpoint(self):
@@ -63,7 +78,7 @@
 
         The connection is closed before this returns, which ends the call at the endpoint too.
         """
-        started_at = self.entry.now()
+        started_at = self.heard_at = self.entry.now()
         try:
             result = await self.send_and_relay(started_at)
         except TimeoutError:
@@ -73,16 +88,63 @@
         finally:
             if self.answer is not None:
                 self.answer.close()
-        return attrs.evolve(result, batches_relayed=self.batches_relayed)
+        return attrs.evolve(
+            result, batches_relayed=self.batches_relayed, followed_by=self.followed_by
+        )
 
     async def send_and_relay(self, started_at):
         """Send the call and relay its answer; raise TimeoutError if the endpoint is too slow."""
         self.history.attempt_sent()
-        answer = await wait_past_suspension(self.send(), self.initial_timeout())
+        sending = asyncio.ensure_future(self.send())
+        try:
+            answer = await self.receive(
+                lambda timeout: wait_past_suspension(asyncio.shield(sending), timeout),
+                self.initial_timeout(),
+            )
+        finally:
+            if sending.cancel():
+                await asyncio.wait((sending,))
         if isinstance(answer, Failure):
             return self.unanswered_result(answer)
         return await self.relay(started_at)
 
+    async def receive(self, read, timeout):
+        """Return the result of `read(seconds)`; raise TimeoutError to leave a silent endpoint.
+
+        `timeout` counts from the last event.  A sound endpoint may go on, so one that accepts
+        connections is left later, and only for an attempt that is certain to follow.
+        """
+        limit = min(longest_silence(self.routed.route, timeout), self.longest_wait())
+        if limit > timeout:
+            timeout -= CONNECT_SECONDS
+        seconds = timeout - self.silent_seconds()
+        while True:
+            try:
+                return await read(max(0.0, seconds))
+            except TimeoutError:
+                seconds = await self.seconds_to_wait(limit)
+
+    async def seconds_to_wait(self, limit):
+        """Return how long to wait on for a silent endpoint; raise TimeoutError to leave it."""
+        silent = self.silent_seconds()
+        if silent >= self.longest_wait():
+            raise TimeoutError
+        if silent >= limit:
+            self.followed_by = await self.entry.call_handler.prepare_retry(
+                self.routed, self.history, self.endpoint
+            )
+        if self.followed_by is not None or not await accepts_connections(self.endpoint):
+            raise TimeoutError
+        return limit - silent if silent < limit else RECONSIDER_SECONDS
+
+    def silent_seconds(self):
+        """Return the seconds since the last event, or since the call was sent."""
+        return self.entry.now() - self.heard_at
+
+    def longest_wait(self):
+        """Return the seconds from the last event, or from the sending, to the deadline."""
+        return self.routed.deadline - self.heard_at
+
     async def send(self):
         """Send the call; keep its answer at once, so that `run` closes it in any case."""
         answer = await self.entry.client.send(self.routed, self.placed.request)
@@ -98,7 +160,7 @@
         times out early while another endpoint can still answer within the objective.
         """
         route = self.routed.route
-        remaining = self.routed.deadline - self.entry.now()
+        remaining = self.longest_wait()
         last = is_last_run(self.routed, self.history)
         if not route.repeatable or (last and self.history.response_started):
             return remaining
@@ -109,11 +171,11 @@
         return min(remaining, factor * route.objective)
 
     def read_timeout(self):
-        """Return the timeout of the next read.
+        """Return the timeout of the next event, or of the rest of a non-streamed answer.
 
         Only a stream that another endpoint may resume times out before its deadline.
         """
-        remaining = self.routed.deadline - self.entry.now()
+        remaining = self.longest_wait()
         if not self.routed.route.resumable or is_last_run(self.routed, self.history):
             return remaining
         return min(remaining, max(MIN_GAP_SECONDS, GAP_FACTOR * self.routed.route.gap_objective))
@@ -148,7 +210,7 @@
                 AttemptOutcome.BROKEN, Reason.ENDPOINT_ERROR, "the answer belongs to another call"
             )
         if head.event_stream and head.kind is ResponseKind.SUCCESS:
-            return await self.relay_events(started_at)
+            return await self.relay_events()
         return await self.collect_answer()
 
     def helper_at_fault(self, head):
@@ -160,7 +222,8 @@
         """Read a non-streamed answer; the caller gets it only once it is complete."""
         chunks = []
         while True:
-            data = await self.answer.read(self.read_timeout())
+            self.heard_at = self.entry.now()
+            data = await self.receive(self.answer.read, self.read_timeout())
             if isinstance(data, Failure):
                 return AttemptResult(
                     AttemptOutcome.BROKEN, attrs.evolve(data, peer=self.endpoint.name)
@@ -173,12 +236,12 @@
         ending = AttemptOutcome.ENDPOINT_ERROR if error else AttemptOutcome.WHOLE
         return AttemptResult(ending, head=head, body=b"".join(chunks))
 
-    async def relay_events(self, started_at):
+    async def relay_events(self):
         """Relay complete events as they arrive."""
         reader = EventReader(last=self.history.last_event)
-        timeout = self.initial_timeout() - (self.entry.now() - started_at)
+        timeout = self.initial_timeout()
         while True:
-            data = await self.answer.read(max(0.0, timeout))
+            data = await self.receive(self.answer.read, timeout)
             if isinstance(data, Failure):
                 return AttemptResult(
                     AttemptOutcome.BROKEN, attrs.evolve(data, peer=self.endpoint.name)
@@ -215,3 +278,4 @@
         self.batches_relayed += 1
         self.history.event_sent(reader.last, now)
         await self.sink.write(complete_events)
+        self.heard_at = self.entry.now()
--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -80,6 +80,7 @@
     async def run(self, routed, sink, history):
         """Make attempts until one is final or time is up; return the last `AttemptResult`."""
         last = AttemptResult(AttemptOutcome.OVERDUE)
+        placed = None
         remaining = routed.deadline - REPLY_MARGIN_SECONDS - self.entry.now()
         self.entry.state.budget.record_call(routed.service.name, self.entry.now())
         limit = asyncio.timeout(max(0.0, remaining))
@@ -87,8 +88,9 @@
             async with limit:
                 self.deadlines[limit] = routed.deadline
                 while True:
-                    last = await self.attempt(routed, sink, history)
-                    if not self.should_retry(routed, history, last):
+                    last = await self.attempt(routed, sink, history, placed)
+                    placed = last.followed_by
+                    if placed is None and not self.should_retry(routed, history, last):
                         return last
         except TimeoutError:
             return deadline_result(last)
@@ -117,11 +119,29 @@
             )
         return taken
 
-    async def attempt(self, routed, sink, history):
-        """Choose the endpoints of one attempt and run it."""
+    async def prepare_retry(self, routed, history, endpoint):
+        """Return the attempt that may follow one at a silent endpoint, None if there is none.
+
+        It is charged to the shared retry budget, and placed at an endpoint with a free slot.
+        """
+        state, service = self.entry.state, routed.service.name
+        after = history.after(endpoint.name, AttemptOutcome.LATE)
+        if not may_retry(routed, after, AttemptOutcome.LATE):
+            return None
+        if not self.entry.crash_reporter.may_retry(routed):
+            return None
+        if not state.budget.has_room(service, self.entry.now()):
+            return None
+        placed = await self.entry.chooser.choose(routed, self.entry.new_attempt_name(), after)
+        if isinstance(placed, Failure) or not state.placer.has_free_slot(placed.request.endpoint):
+            return None
+        return placed if state.budget.try_acquire(service, self.entry.now()) else None
+
+    async def attempt(self, routed, sink, history, placed=None):
+        """Run one attempt, which is `placed` already or whose endpoints are chosen now."""
         entry = self.entry
-        name = entry.new_attempt_name()
-        placed = await entry.chooser.choose(routed, name, history)
+        if placed is None:
+            placed = await entry.chooser.choose(routed, entry.new_attempt_name(), history)
         if isinstance(placed, Failure):
             return AttemptResult(AttemptOutcome.OVERDUE, placed)
         self.log_placed(routed, placed, history, entry.now())
