An answer whose headers cannot be sent on counts as the endpoint's failure

Callers saw their connection close without a byte, though their call was read and had run: neither an answer nor a refusal. Cause: an endpoint in trouble put a control character into a header. aiohttp accepts it when it reads a head and raises when it writes one, which ended the call as a bug with its answer counted as begun. The head is now checked where it is read: the attempt failed at its endpoint, is repeated where the route allows it, else the caller gets a 502.

--- a/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import re
 import socket
 
 import aiohttp
@@ -45,6 +46,9 @@
 
 NOT_CONNECTED = "not connected"
 
+CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+"""Characters that aiohttp accepts in a header it reads, but refuses to send."""
+
 EXACT_TARGET = ":target"
 """Pseudo-header that passes a request's target to `ExactRequest`; it is never sent."""
 
@@ -224,6 +228,10 @@
             return Failure(Reason.ENDPOINT_LOST, STEP, peer, f"{NOT_CONNECTED}: {error!r}")
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
             return Failure(Reason.ENDPOINT_LOST, STEP, peer, repr(error))
+        if has_control_character(response.raw_headers):
+            response.close()
+            detail = f"status {response.status}: a header has a control character"
+            return Failure(Reason.ENDPOINT_ERROR, STEP, peer, detail)
         connection = response.connection
         protocol = None if connection is None else connection.protocol
         closed = None if protocol is None else protocol.closed
@@ -231,6 +239,15 @@
         return EndpointAnswer(head, response, closed)
 
 
+def has_control_character(headers):
+    r"""Return whether the value of a header cannot be sent on.
+
+    >>> has_control_character(((b"A", b"b\x01"),)), has_control_character(((b"A", b"b\t"),))
+    (True, False)
+    """
+    return any(CONTROL_CHARACTER.search(value) for _name, value in headers)
+
+
 async def accepts_connections(endpoint):
     """Return whether an endpoint's address still accepts connections."""
     host, _, port = endpoint.address.rpartition(":")
