What is in flight at the exit of an entry gets its final answer

Callers whose call had no byte of an answer 7 s after SIGTERM (it waited for a permit, a reservation or its endpoint, or its body was incomplete) saw the connection close. So did one whose call was read just before an idle entry exits: the exit looked for calls in flight once, and the handler of that one had not started. Class: the exit ended calls by cancelling them, beside the path on which every other call gets its final answer.

The exit is now a time limit like a deadline (TimeLimits, also rescheduled when the stop begins): a call that has not run is refused with 503, one that may have run gets 502; after the connections are closed to new calls the entry waits once more for those that were read. The limit of a body read is one of them.

Seven tests of test_unanswered_calls.py failed before (connection closed without an answer) and pass; test_stopping, test_links, test_path, test_processes pass.

--- a/packages/core/persimmonstall/direct/retrying.py
+++ b/packages/core/persimmonstall/direct/retrying.py
@@ -16,13 +16,17 @@
 """Time in seconds over which the retries of callers that were refused together are spread."""
 
 
+LEAVING_RETRY_AFTER = 0.05
+"""`Retry-After` of an entry that is stopping, in seconds; a retry goes to another entry."""
+
+
 class AttemptOutcome(enum.StrEnum):
     """How an attempt ended.
 
     `NOT_RUN`: the call has certainly not run.  `WRONG_ENDPOINT`: another endpoint or lifetime has
     the address.  `BROKEN`: the connection was lost or the answer is invalid.  `LATE`: the attempt
-    timed out before the deadline of the call.  `OVERDUE`: the deadline of the call passed, or
-    there was no endpoint for another attempt.
+    timed out before the deadline of the call.  `OVERDUE`: the deadline of the call passed,
+    the entry exits, or there was no endpoint for another attempt.
     """
 
     WHOLE = "whole"
@@ -109,11 +113,13 @@
 
 def final_refusal(routed, history, failure, now, random):
     """Return the `Refusal` of a call whose caller has received no part of an answer."""
+    outcome = Outcome.UNKNOWN if history.may_have_run else Outcome.NOT_RUN
     if now >= routed.deadline or failure.reason is Reason.DEADLINE:
-        outcome = Outcome.UNKNOWN if history.may_have_run else Outcome.NOT_RUN
         return refuse(
             Failure(Reason.DEADLINE, failure.step, failure.peer, failure.detail), outcome=outcome
         )
+    if failure.reason is Reason.LEAVING:
+        return refuse(failure, LEAVING_RETRY_AFTER, outcome)
     if history.may_have_run:
         reason = Reason.ENDPOINT_LOST
         unknown = Failure(reason, failure.step, failure.peer, failure.detail)
--- a/packages/core/persimmonstall/failures.py
+++ b/packages/core/persimmonstall/failures.py
@@ -104,7 +104,7 @@
     Reason.GIVEN_UP: "The attempt lost its claim, which had been given up.",
     Reason.OVERLOADED: "The fleet is overloaded and the organisation exceeds its fair share.",
     Reason.BUSY: "Every endpoint that could serve the request is busy.",
-    Reason.LEAVING: "The endpoint accepts no new work.",
+    Reason.LEAVING: "The endpoint or the entry is stopping and accepts no new work.",
     Reason.NO_ENDPOINT: "No endpoint currently serves this model or service.",
     Reason.TOO_LATE: "The request cannot finish before its deadline.",
     Reason.DEADLINE: "The deadline has passed.",
--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -3,24 +3,25 @@
 import asyncio
 
 from persimmonstall.direct.messages import Reply
-from persimmonstall.direct.retrying import AttemptHistory, AttemptOutcome, final_refusal, may_retry
+from persimmonstall.direct.retrying import (
+    LEAVING_RETRY_AFTER,
+    AttemptHistory,
+    AttemptOutcome,
+    final_refusal,
+    may_retry,
+)
 from persimmonstall.failures import Failure, Reason, Refusal, refuse
 
 from ..observe import logs
 from .attempt import Attempt, AttemptResult
+from .time_limits import REPLY_MARGIN_SECONDS
 
 STEP = "exchange"
 
-REPLY_MARGIN_SECONDS = 0.03
-"""Seconds before the deadline that are reserved for sending the answer."""
-
 STARTING_RETRY_AFTER_SECONDS = 2.5
 """Retry-After in seconds of an entry without a configuration: it started while the store was
 unavailable, so neither an early retry nor another entry would succeed."""
 
-LEAVING_RETRY_AFTER_SECONDS = 0.05
-"""Retry-After in seconds of an entry that is stopping; a retry goes to another entry."""
-
 
 class CallHandler:
     """Serves calls; there is one object for the entry and one run of `serve` for each call."""
@@ -28,7 +29,6 @@
     def __init__(self, entry):
         self.entry = entry
         self.log = logs.get("exchange")
-        self.deadlines = {}
         self.checks = (
             self.check_configured,
             self.check_route,
@@ -75,33 +75,21 @@
         """Refuse a call that might not end before this process exits."""
         if self.entry.ends_before_exit(routed.deadline):
             return routed
-        return refuse(Failure(Reason.LEAVING, "leaving"), LEAVING_RETRY_AFTER_SECONDS)
+        return refuse(Failure(Reason.LEAVING, "leaving"), LEAVING_RETRY_AFTER)
 
     async def run(self, routed, sink, history):
         """Make attempts until one is final or time is up; return the last `AttemptResult`."""
         last = AttemptResult(AttemptOutcome.OVERDUE)
-        remaining = routed.deadline - REPLY_MARGIN_SECONDS - self.entry.now()
         self.entry.state.budget.record_call(routed.service.name, self.entry.now())
-        limit = asyncio.timeout(max(0.0, remaining))
         try:
-            async with limit:
-                self.deadlines[limit] = routed.deadline
+            async with self.entry.time_limits.until(routed.deadline):
                 while True:
                     last = await self.attempt(routed, sink, history)
                     if not self.should_retry(routed, history, last):
                         return last
         except TimeoutError:
-            return deadline_result(last)
-        finally:
-            self.deadlines.pop(limit, None)
-
-    def reschedule_deadlines(self):
-        """Reschedule all deadlines after a suspension, in which the loop's clock stood still."""
-        loop = asyncio.get_running_loop()
-        running = [(limit, due) for limit, due in self.deadlines.items() if not limit.expired()]
-        for limit, deadline in running:
-            remaining = deadline - REPLY_MARGIN_SECONDS - self.entry.now()
-            limit.reschedule(loop.time() + max(0.0, remaining))
+            outlives_entry = routed.deadline > self.entry.exits_at
+            return overdue_result(Reason.LEAVING if outlives_entry else Reason.DEADLINE, last)
 
     def should_retry(self, routed, history, result):
         """Return whether to make another attempt; if so, charge it to the shared retry budget."""
@@ -264,8 +252,8 @@
         await sink.reply(reply)
 
 
-def deadline_result(last):
-    """Return the result of a call whose deadline passed; `last` is that of its latest attempt."""
+def overdue_result(reason, last):
+    """Return the result of a call whose time is up; `last` is that of its latest attempt."""
     detail = "" if last.failure is None else f"after {last.failure.reason}: {last.failure.detail}"
     peer = "" if last.failure is None else last.failure.peer
-    return AttemptResult(AttemptOutcome.OVERDUE, Failure(Reason.DEADLINE, STEP, peer, detail))
+    return AttemptResult(AttemptOutcome.OVERDUE, Failure(reason, STEP, peer, detail))
--- a/packages/daemon/persimmonstall_daemon/direct/callers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/callers.py
@@ -258,11 +258,13 @@
         size = sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
         if size > self.limits.header_bytes > 0:
             return Failure(Reason.HEADERS_TOO_LARGE, STEP, detail=f"{size} bytes")
+        deadline = self.entry.now() + self.limits.idle_timeout
         try:
-            async with asyncio.timeout(self.limits.idle_timeout):
+            async with self.entry.time_limits.until(deadline):
                 return await request.read()
         except TimeoutError:
-            return Failure(Reason.BODY_TOO_SLOW, STEP, detail="body incomplete at the timeout")
+            reason = Reason.LEAVING if deadline > self.entry.exits_at else Reason.BODY_TOO_SLOW
+            return Failure(reason, STEP, detail="body incomplete at the timeout")
         except web.HTTPRequestEntityTooLarge as error:
             return Failure(Reason.BODY_TOO_LARGE, STEP, detail=str(error))
         except (http.HttpProcessingError, ValueError) as error:
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -1,6 +1,7 @@
 """The entry of direct mode: its state, and the tasks that own its sockets."""
 
 import asyncio
+import math
 import random
 import signal
 import time
@@ -26,6 +27,7 @@
 from .permits import PermitExchange
 from .reservations import Reservations
 from .status import StatusServer
+from .time_limits import TimeLimits
 
 TICK_SECONDS = 0.1
 """Interval at which state that changes with time alone is updated."""
@@ -50,6 +52,9 @@
 GRACE_MARGIN_SECONDS = 1.0
 """Seconds of the grace period that are reserved for an orderly exit."""
 
+LAST_ANSWERS_SECONDS = 0.2
+"""Seconds for which a stopping entry waits for its last answers to be sent."""
+
 RELEASE_SECONDS = 0.2
 """Seconds for which a stopping entry waits for its last reservations to be released."""
 
@@ -89,6 +94,7 @@
         self.crash_reporter = CrashReporter(self)
         self.crash_records = CrashRecords(self)
         self.reservations = Reservations(self)
+        self.time_limits = TimeLimits(self)
         self.call_handler = CallHandler(self)
         self.callers = CallerServer(self)
         self.status = StatusServer(self)
@@ -96,8 +102,8 @@
         self.log_stream = log_stream
         self.leaving = False
         self.started_at = self.now()
-        self.balancer_informed_at = None
-        self.kill_at = None
+        self.balancer_informed_at = math.inf
+        self.exits_at = math.inf
         self.next_attempt = 0
 
     def now(self):
@@ -202,7 +208,7 @@
             if suspended > SUSPENSION_SECONDS:
                 self.log.warning("suspended", seconds=round(suspended, 2))
                 self.directory.reconnect()
-                self.call_handler.reschedule_deadlines()
+                self.time_limits.reschedule()
             self.state.tick(now)
             self.metrics.gauge("in_flight", self.callers.in_flight)
             if self.log_stream is not None:
@@ -226,31 +232,38 @@
         Shortly after the stop signal every call is accepted, since the load balancer does not
         know of the shutdown yet.
         """
-        if self.kill_at is None or self.now() < self.balancer_informed_at:
-            return True
-        return deadline < self.kill_at
+        return self.now() < self.balancer_informed_at or deadline < self.exits_at
 
     async def drain_role(self):
         """Report not ready, serve the calls that still arrive, and return when none is in flight.
 
         Connections are accepted for as long as calls arrive: if many entries stop at once, the
-        load balancer keeps sending to entries that are not ready.
+        load balancer keeps sending to entries that are not ready.  Calls that are still in flight
+        at the exit get their final answers before it.
         """
         options = self.settings.direct
         self.leaving = True
         takeout = min(options.takeout, options.grace / 2)
         self.balancer_informed_at = self.now() + takeout
-        self.kill_at = self.now() + options.grace - GRACE_MARGIN_SECONDS
+        self.exits_at = self.now() + options.grace - GRACE_MARGIN_SECONDS
+        self.time_limits.reschedule()
         self.peers.schedule_beacon(True)
         await asyncio.sleep(takeout)
-        while self.callers.in_flight and self.now() < self.kill_at:
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        await self.wait_for_calls(self.exits_at)
         await self.callers.stop_accepting()
         await self.callers.close_idle()
+        # A call that was read just before its connection closes has not started yet.
+        await asyncio.sleep(DRAIN_POLL_SECONDS)
+        await self.wait_for_calls(self.exits_at + LAST_ANSWERS_SECONDS)
         await asyncio.wait(
             [asyncio.create_task(self.reservations.drain())], timeout=RELEASE_SECONDS
         )
 
+    async def wait_for_calls(self, until):
+        """Wait until no call is in flight, at most until the time `until`."""
+        while self.callers.in_flight and self.now() < until:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
     async def stop_role(self):
         """Close all sockets."""
         await self.callers.stop()
