An answer counts as begun only when its head is sent

Callers whose answer met an error before any byte of it was sent saw their connection close without an answer: the sink counted it as begun as soon as the response object existed, so that the error was not answered but the connection aborted. Now the response becomes the call's answer when its head is sent.

test_error_before_the_head_of_an_answer_is_sent_is_answered failed before (connection closed, bug logged) and passes.

--- a/packages/daemon/persimmonstall_daemon/direct/callers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/callers.py
@@ -58,11 +58,9 @@
 
     async def start(self, status, headers):
         """Send the head of an answer whose body is streamed."""
-        self.response = web.StreamResponse(status=status)
-        set_headers(self.response, headers)
-        if self.closing():
-            self.response.force_close()
-        await self.response.prepare(self.request)
+        response = web.StreamResponse(status=status)
+        set_headers(response, headers)
+        await self.send_head(response)
 
     async def write(self, data):
         """Send a piece of the body."""
@@ -74,12 +72,19 @@
 
     async def reply(self, reply):
         """Send a complete `Reply`."""
-        self.response = web.Response(status=reply.status, body=reply.body)
-        set_headers(self.response, [(n.encode(), v.encode()) for n, v in reply.headers])
-        if reply.close or self.closing():
-            self.response.force_close()
-        await self.response.prepare(self.request)
-        await self.response.write_eof()
+        response = web.Response(status=reply.status, body=reply.body)
+        set_headers(response, [(n.encode(), v.encode()) for n, v in reply.headers])
+        if reply.close:
+            response.force_close()
+        await self.send_head(response)
+        await response.write_eof()
+
+    async def send_head(self, response):
+        """Send the head of a response, which from here on is the answer of the call."""
+        if self.closing():
+            response.force_close()
+        self.response = response
+        await response.prepare(self.request)
 
     def abort(self):
         """Abort the connection, so that the caller does not take the answer for complete."""
