A connection error counts as the caller's only if its connection is closed

CallerServer.handle took every ConnectionError for the caller's, logged caller_gone and aborted the caller's connection: a caller that was still there would get neither an answer nor a refusal. The caller's connection is now looked at; any other error is answered and logged as a bug.

test_connection_error_that_is_not_the_callers_is_answered failed before (no answer, caller_gone) and passes.

--- a/packages/daemon/persimmonstall_daemon/direct/callers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/callers.py
@@ -51,6 +51,12 @@
         """Whether any part of an answer has been sent."""
         return self.response is not None
 
+    @property
+    def caller_left(self):
+        """Whether the caller's connection is closed, or closing because it failed."""
+        transport = self.request.transport
+        return transport is None or transport.is_closing()
+
     def seconds_since_close(self):
         """Return how long ago the caller's connection closed, 0 while it is open."""
         lost_at = self.request.protocol.lost_at
@@ -223,18 +229,23 @@
         self.in_flight += 1
         try:
             await self.serve(request, sink)
-        except ConnectionError as error:
-            self.entry.log.info("caller_gone", step="relay", reason=repr(error))
-            sink.abort()
         except Exception as error:
-            self.entry.metrics.count("bugs")
-            self.entry.log.exception("bug", error=repr(error))
-            await self.reply_internal_error(sink)
+            await self.end_failed_call(sink, error)
         finally:
             self.in_flight -= 1
             request.protocol.request_ended()
         return sink.response or web.Response(status=500)
 
+    async def end_failed_call(self, sink, error):
+        """End a call that met an error: its caller left, or it is a bug."""
+        if isinstance(error, ConnectionError) and sink.caller_left:
+            self.entry.log.info("caller_gone", step="relay", reason=repr(error))
+            sink.abort()
+            return
+        self.entry.metrics.count("bugs")
+        self.entry.log.error("bug", error=repr(error), exc_info=error)
+        await self.reply_internal_error(sink)
+
     async def reply_internal_error(self, sink):
         """Answer a call that met an unexpected error; whether it has run is unknown."""
         if sink.started:
