A deadline that passes as a permit arrives ends the call

In Python 3.11 asyncio.wait_for returns the result and drops a cancellation that comes in the same step of the event loop. A call whose deadline (or whose entry's exit, or whose caller's departure) fell together with the reply of a permit's owner went on without any time limit. asyncio.timeout does not drop it; the wait for a budget lease of the product's own interface had the same call and is changed too.

test_deadline_that_passes_as_a_permit_arrives_still_ends_the_wait failed before (the task returned the permit) and passes.

--- a/packages/daemon/persimmonstall_daemon/direct/permits.py
+++ b/packages/daemon/persimmonstall_daemon/direct/permits.py
@@ -51,7 +51,9 @@
         self.replies[request.number] = reply
         self.peers.send(owner, permits.encode_request(request))
         try:
-            return await asyncio.wait_for(reply, REPLY_SECONDS)
+            # asyncio.wait_for would swallow a cancellation that comes with the reply.
+            async with asyncio.timeout(REPLY_SECONDS):
+                return await reply
         except TimeoutError:
             self.log.warning("permit_unanswered", endpoint=request.endpoint, peer=owner)
             return Permit(False, RETRY_SECONDS)
--- a/packages/daemon/persimmonstall_daemon/limits/task.py
+++ b/packages/daemon/persimmonstall_daemon/limits/task.py
@@ -80,7 +80,9 @@
         event = self.lease_events.setdefault(organisation.name, asyncio.Event())
         self.send_budget_request(organisation, insufficient)
         try:
-            await asyncio.wait_for(event.wait(), seconds)
+            # asyncio.wait_for would swallow a cancellation that comes with the event.
+            async with asyncio.timeout(seconds):
+                await event.wait()
         except TimeoutError:
             self.metrics.count("budget_fallbacks")
         finally:
--- a/packages/daemon/tests/test_direct_limits.py
+++ b/packages/daemon/tests/test_direct_limits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from types import SimpleNamespace
 
 import attrs
 import pytest
@@ -10,11 +11,14 @@
 from persimmonstall.direct import findings
 from persimmonstall.direct.findings import Findings
 from persimmonstall.direct.messages import Endpoint, Repeat, Route, RoutedCall, Service, Share
+from persimmonstall.direct.permits import PermitReply, PermitRequest
 from persimmonstall.direct.request_limits import (
     PROBE_SECONDS,
     LimitReport,
+    Permit,
     RequestLimits,
 )
+from persimmonstall_daemon.direct.permits import PermitExchange
 from persimmonstall_standins.virtual import loop as virtual_loop
 
 from .direct_fleet import GossipFleet, make_entry
@@ -260,3 +264,19 @@
     limited_entry.time[0] += PROBE_SECONDS
     limited_entry.ownership.owner = lambda name: "10.0.0.9:7340"
     assert choose(limited_entry).request.endpoint.name == "free"
+
+
+def test_deadline_that_passes_as_a_permit_arrives_still_ends_the_wait():
+    async def scenario():
+        peers = SimpleNamespace(address="10.0.0.1:7340", send=lambda owner, data: None)
+        permits = PermitExchange(SimpleNamespace(), peers)
+        asking = asyncio.create_task(
+            permits.ask("10.0.0.2:7340", PermitRequest("", 1, *LIMITED.lifetime, 1.0, 1.0))
+        )
+        await asyncio.sleep(0)
+        permits.settle(PermitReply(1, Permit(True, 0.0)))
+        asking.cancel()
+        await asyncio.wait((asking,))
+        assert asking.cancelled()
+
+    virtual_loop.run(scenario())
