Engine back end: one module for each job

endpoint/engine_backend.py (538 lines) held admission, jobs, output, delivery and recovery of one engine. Moved, with behaviour unchanged: - admission.py: Admission (on_submit, enqueue, cached_tokens); enqueue in three steps - engine_jobs.py: EngineJobs (job_of, hand_over -> submit, on_submitted, restart, mark_running, assign_new_job_id -> assign_new_id, cancel_job -> cancel), Submitted, certainly_not_run - engine_output.py: EngineOutput (on_step, apply_output, make_end, store_answer) - delivery.py: Delivery (flush, on_credit, on_attach, on_session_lost, stop_if_detached) - engine_recovery.py: EngineRecovery (on_steps_lost, on_jobs_listed, on_engine_died) - attempt_versions.py: AttemptVersions (choose, report, lacks_version) EngineBackend keeps the attempts, the load, the start and the end of attempts (188 lines). Backend.refuse replaces the copy in ServiceBackend; Attempt.outcome_if_stopped replaces three copies.

--- a/packages/daemon/persimmonstall_daemon/endpoint/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/attempt.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from persimmonstall.failures import Outcome
 from persimmonstall.messages.requests import Submit
 from persimmonstall.streams.send_buffer import SendBuffer
 
@@ -61,6 +62,11 @@
         """Whether an attached entry has yet to be sent the result."""
         return self.session is not None and not self.result_sent
 
+    @property
+    def outcome_if_stopped(self):
+        """The `Outcome` to report if the attempt ends now without an answer."""
+        return Outcome.UNKNOWN if self.handed_over else Outcome.NOT_RUN
+
     @property
     def ended(self):
         """Whether the attempt has its result."""
--- a/packages/daemon/persimmonstall_daemon/endpoint/backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/backend.py
@@ -133,6 +133,14 @@
         for session in sessions:
             session.send(loads)
 
+    @abc.abstractmethod
+    def end_attempt(self, attempt, result):
+        """End an attempt with `result`, an `End` or `Refused`, and send it."""
+
+    def refuse(self, attempt, reason, outcome, detail=""):
+        """End an attempt with a refusal."""
+        self.end_attempt(attempt, self.make_refusal(attempt.submit, reason, outcome, detail))
+
     def make_refusal(self, submit, reason, outcome, detail=""):
         """Return the `Refused` message for an attempt."""
         return Refused(
--- a/packages/daemon/persimmonstall_daemon/endpoint/service_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/service_backend.py
@@ -153,10 +153,6 @@
         outcome = Outcome.NOT_RUN if not_run else Outcome.UNKNOWN
         self.refuse(attempt, failure.reason, outcome, failure.detail)
 
-    def refuse(self, attempt, reason, outcome, detail=""):
-        """End an attempt with a refusal."""
-        self.end_attempt(attempt, self.make_refusal(attempt.submit, reason, outcome, detail))
-
     def end_attempt(self, attempt, result):
         """Set and send the result of an attempt; further results are dropped."""
         if attempt.ended:
@@ -190,8 +186,7 @@
 
     def stop_attempt(self, attempt, reason):
         """End an attempt before the service has answered."""
-        outcome = Outcome.UNKNOWN if attempt.handed_over else Outcome.NOT_RUN
-        self.refuse(attempt, reason, outcome)
+        self.refuse(attempt, reason, attempt.outcome_if_stopped)
 
     def on_attach(self, attach, session):
         """Attach a new session; send the result as soon as there is one."""
--- a/packages/daemon/persimmonstall_daemon/endpoint/trials.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/trials.py
@@ -116,7 +116,7 @@
             remaining = one.deadline - self.backend.now()
             if remaining > 0:
                 later = attrs.evolve(one.submit, remaining=remaining)
-                self.backend.on_submit(later, one.session)
+                self.backend.admission.on_submit(later, one.session)
 
     def engine_died(self):
         """Record a crash against all content that the engine may have been running."""
--- a/packages/daemon/persimmonstall_daemon/memory/manager.py
+++ b/packages/daemon/persimmonstall_daemon/memory/manager.py
@@ -189,6 +189,6 @@
         attempt = self.backend.attempts_by_job.get(job_id)
         if attempt and not attempt.ended:
             self.parked_streams.forget(attempt)
-            self.backend.restart(attempt)
+            self.backend.jobs.restart(attempt)
         else:
             self.ledger.remove(holding.name)
--- a/packages/daemon/persimmonstall_daemon/memory/parking.py
+++ b/packages/daemon/persimmonstall_daemon/memory/parking.py
@@ -84,7 +84,7 @@
             ticket, attempt = self.find_export(holding)
             self.ledger.unpark(holding.name)
             attempt.phase = AttemptPhase.STARTING
-            self.backend.assign_new_job_id(attempt)
+            self.backend.jobs.assign_new_id(attempt)
             self.backend.spawn(self.resume(attempt, ticket))
 
     def find_export(self, holding):
@@ -93,7 +93,7 @@
 
     async def resume(self, attempt, ticket):
         """Request the import of a parked stream and post the engine's answer."""
-        job = self.backend.job_of(attempt)
+        job = self.backend.jobs.job_of(attempt)
         result = await self.backend.engine.resume(ticket, job, self.manager.call_timeout)
         self.backend.post(Resumed(attempt, ticket, result))
 
@@ -115,7 +115,7 @@
             attempt.phase = AttemptPhase.PARKED
             return
         self.forget(attempt)
-        self.backend.restart(attempt)
+        self.backend.jobs.restart(attempt)
 
     def forget(self, attempt):
         """Discard the exports of an attempt, which are no longer needed."""
--- a/packages/daemon/persimmonstall_daemon/memory/reservations.py
+++ b/packages/daemon/persimmonstall_daemon/memory/reservations.py
@@ -80,7 +80,7 @@
         if attempt and not attempt.ended:
             self.backend.stop_attempt(attempt, Reason.CANCELLED)
         else:
-            self.backend.spawn(self.backend.cancel_job(holding.job_id))
+            self.backend.spawn(self.backend.jobs.cancel(holding.job_id))
 
     def check(self, submit):
         """Return None if the segment of a `Submit` has a reservation, else the `Failure`."""
