Entry: the relay of an attempt is a module of its own

entry/dispatch.py (362 lines) placed, sent, relayed and retried. Moved, with behaviour unchanged: - relay.py: Relay (relay -> run, relay_first, relay_rest, handle_message, relay_tokens, handle_end, send, cancel, attach, reattach, attach_to) and peer_lost; send_credit is cut out of relay_tokens - request_state.py: RequestState Dispatch (188 lines) keeps placement, sending and the decision on retries. Instead of several copies there are EntryDaemon.remaining, EndpointLinks.send, the constant NO_LINK and certainly_not_run.

Run: test_relay, test_long_prompts, test_at_most_once, test_moving_on, test_quarantine, test_planned_stop, test_claims_storm (daemon), test_whole_path (stand-ins): 83 passed.

--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -192,6 +192,10 @@
         """Return the seconds to wait before retrying `work`, or None if it must not be retried."""
         return self.placer.retry_delay(work, reason, attempt, self.context.now())
 
+    def remaining(self, work):
+        """Return the seconds left before the deadline of `work`."""
+        return work.deadline - self.context.now()
+
     def on_submit(self, work, placed):
         """Record an attempt that was sent."""
         self.placer.on_submit(work, placed, self.context.now())
--- a/packages/daemon/persimmonstall_daemon/entry/links.py
+++ b/packages/daemon/persimmonstall_daemon/entry/links.py
@@ -193,6 +193,11 @@
         """Return the link to the daemon that serves `endpoint`, or None."""
         return self.by_instance.get(self.by_endpoint.get(endpoint))
 
+    def send(self, endpoint, message):
+        """Send a message to the daemon that serves `endpoint`; return False without a link."""
+        link = self.link_to(endpoint)
+        return link is not None and link.send(message)
+
     async def close(self):
         """Cancel all link tasks and wait for them to end."""
         tasks = [link.task for link in self.by_instance.values()]
--- a/packages/daemon/persimmonstall_daemon/entry/long_prompts.py
+++ b/packages/daemon/persimmonstall_daemon/entry/long_prompts.py
@@ -26,6 +26,7 @@
 
 from .dispatch import Dispatch
 from .exchange import LinkUp
+from .relay import NO_LINK, peer_lost
 from .request import Answer
 
 STEP = "long_prompt"
@@ -200,7 +201,7 @@
                 renewed = await self.renew_claim(state, result)
                 if renewed is not None:
                     return renewed
-                self.cancel(state)
+                self.relay.cancel(state)
                 await self.confirm_parts(state, division, delay)
         finally:
             del self.divisions[request_id]
@@ -210,7 +211,7 @@
         """Reserve and prefill all parts; return None, or the `Failure` that ends the request."""
         division.generate = None
         while True:
-            if self.remaining(state) <= 0:
+            if self.entry.remaining(state.work) <= 0:
                 return Failure(
                     Reason.DEADLINE, STEP, detail="not all parts were prefilled in time"
                 )
@@ -234,10 +235,9 @@
         assignments = self.plan(state, division)
         if not assignments and assignments.reason is Reason.PROMPT_TOO_LONG:
             return assignments
-        if assignments and self.prefill_seconds(assignments) > self.remaining(state):
-            detail = (
-                f"needs {self.prefill_seconds(assignments):.1f} s of {self.remaining(state):.1f} s"
-            )
+        remaining = self.entry.remaining(state.work)
+        if assignments and self.prefill_seconds(assignments) > remaining:
+            detail = f"needs {self.prefill_seconds(assignments):.1f} s of {remaining:.1f} s"
             return Failure(Reason.TOO_LATE, STEP, detail=detail)
         if assignments:
             division.prompt = LongPrompt(state.work.request_id, assignments)
@@ -245,7 +245,7 @@
             return None
         division.avoided.clear()
         wait = self.entry.context.jitter(MEMORY_RETRY_SECONDS, 0.5)
-        await asyncio.sleep(min(wait, max(0.0, self.remaining(state))))
+        await asyncio.sleep(min(wait, max(0.0, self.entry.remaining(state.work))))
         return None
 
     async def generate(self, state, division):
@@ -253,8 +253,8 @@
         state.segments = division.generate.refs
         placed = PlacementDecision(division.generate.endpoint, state.work.priority, uncached=1)
         if not self.submit(state, placed):
-            return self.peer_lost(state, "no link")
-        relay = asyncio.create_task(self.relay(state))
+            return peer_lost(state, NO_LINK)
+        relay = asyncio.create_task(self.relay.run(state))
         try:
             while not relay.done() and not self.has_lost_part(division):
                 await self.handle_next(state, division, relay)
@@ -306,7 +306,7 @@
         """Handle the next message and check the parts; returns early if `task` is done."""
         getter = asyncio.ensure_future(division.mailbox.get())
         awaited = {getter, task} if task else {getter}
-        timeout = min(TICK_SECONDS, max(0.0, self.remaining(state)))
+        timeout = min(TICK_SECONDS, max(0.0, self.entry.remaining(state.work)))
         try:
             await asyncio.wait(awaited, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
             if getter.done():
@@ -348,7 +348,7 @@
         for part in division.prompt.in_state(PartState.PREFILLING):
             exchange = division.exchanges.get(part.reservation)
             if exchange and exchange.instance == link_up.instance:
-                left = self.remaining(state)
+                left = self.entry.remaining(state.work)
                 self.send_part(part, requests.Attach(part.reservation, 1, 0, left))
 
     def check_parts(self, state, division, generating):
@@ -447,7 +447,7 @@
             endpoint=part.endpoint,
             organisation=work.organisation,
             prompt=work.prompt,
-            remaining=self.remaining(state),
+            remaining=self.entry.remaining(state.work),
             model=work.model,
             adapter=work.adapter,
             prompt_tokens=work.prompt_tokens,
