Entry: the dispatch of long prompts in modules with one job each

Moved, with behaviour unchanged: - division.py: Division, which has its RequestState now (Division.started was never read: removed) - division_planner.py: DivisionPlanner (loads, engines, eligible, reachable, applies, plan, prefill_seconds, update_cost -> record_prefill) - part_commands.py: PartCommands (execute, on_refused, prefill, renew, release_parts -> release) - part_monitor.py: PartMonitor (handle_next, handle, check_parts in steps, repair, confirm_parts) - dispatch_by_size.py: DispatchBySize LongDispatch keeps the course of one request; prepare and divide_or_wait are cut into steps.

--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -16,10 +16,11 @@
 from ..observe import logs
 from ..quarantine import FirstCopyGate, QuarantineFilter, QuarantineManager
 from .dispatch import Dispatch
+from .dispatch_by_size import DispatchBySize
 from .exchange import Exchanges
 from .filters.authenticate import find_organisation
 from .links import EndpointLinks
-from .long_prompts import DispatchBySize, LongDispatch
+from .long_prompts import LongDispatch
 from .pipeline import Pipeline, make_filters
 
 LOG = logs.get("entry")
@@ -86,7 +87,7 @@
         self.quarantine_filter = QuarantineFilter(self, self.quarantine)
         self.first_copy_gate = FirstCopyGate()
         self.long_prompts = LongDispatch(self)
-        by_size = DispatchBySize(Dispatch(self), self.long_prompts)
+        by_size = DispatchBySize(Dispatch(self), self.long_prompts, self.long_prompts.planner)
         self.pipeline = Pipeline(make_filters(self), by_size)
         self.leaving = False
         self.active_requests = 0
@@ -222,7 +223,7 @@
     def on_loads(self, instance, loads):
         """Update the loads of an instance's endpoints."""
         self.links.record_endpoints(instance, loads)
-        self.long_prompts.on_loads(loads)
+        self.long_prompts.planner.on_loads(loads)
         self.membership.on_loads(instance.name, loads)
         self.placer.on_loads(instance, loads, self.context.now())
 
