Stand-in engine: one module for each job

standins/engine.py (597 lines) held calls, jobs, copies, steps, reports and faults. Moved, with behaviour unchanged: - engine_calls.py: Calls (run_call -> run, run_call_after_thaw -> run_after_thaw, run_deferred) - engine_jobs.py: JobTable (submit_now -> submit, cancel_now -> cancel, jobs_now -> states, ...) - engine_transfers.py: Transfers (park_now -> park, resume_now -> resume, discard_now -> discard) - engine_batch.py: Batch (planning and end of a step, decode, prefill) - engine_reports.py: Reports (streams of steps and cache events, delayed loads) EngineModel (186 lines) keeps the interface, the shared state and the faults. EngineModel counts prefilled_tokens itself; CountingEngine of the experiment, which counted the same, is gone. Two tests follow the new names (deferred_calls -> calls.deferred, jobs_now() -> job_table.states()), with the same assertions.

Run: all of packages/standins/tests, test_moving_on, test_memory_keeper, test_memory_soak, test_long_prompts, test_orders_keeper, test_adapters, test_quarantine (daemon): 113 passed.

--- a/packages/daemon/tests/test_memory_keeper.py
+++ b/packages/daemon/tests/test_memory_keeper.py
@@ -182,7 +182,7 @@
     await asyncio.sleep(60.0)
     harness.backend.post(requests.Cancel("a", 1), harness.caller)
     await asyncio.sleep(1.0)
-    assert JobKind.IMPORT in {state.kind for state in harness.engine.jobs_now()}
+    assert JobKind.IMPORT in {state.kind for state in harness.engine.job_table.states()}
     await asyncio.sleep(1.0)
     harness.engine.faults.drop_cancel = True
     await cancel_all(harness)
--- a/packages/daemon/tests/test_moving_on.py
+++ b/packages/daemon/tests/test_moving_on.py
@@ -22,7 +22,7 @@
     pending = asyncio.ensure_future(fleet.send_request(entry, 99, 1_000))
     started_at = loop.time()
     await asyncio.sleep(0.2)
-    accepted = [name for name, engine in fleet.engines.items() if engine.deferred_calls]
+    accepted = [name for name, engine in fleet.engines.items() if engine.calls.deferred]
     for name, engine in fleet.engines.items():
         if name not in accepted:
             engine.thaw()
--- a/packages/standins/persimmonstall_standins/engine_orders.py
+++ b/packages/standins/persimmonstall_standins/engine_orders.py
@@ -65,7 +65,7 @@
         engine.log.append(LogEntry(engine.now(), "ordered", detail=detail))
         if order.action is OrderAction.SET_ROLE:
             self.role = order.name
-            engine.record_load(force=True)
+            engine.reports.record_load(force=True)
             return True
         artifact = (order.name, order.version)
         if order.action is OrderAction.LOAD_MODEL:
@@ -94,7 +94,7 @@
                     return fetched
             await asyncio.sleep(self.engine.loop_seconds(seconds))
             loaded.add(artifact)
-            self.engine.record_load(force=True)
+            self.engine.reports.record_load(force=True)
             return True
         finally:
             self.loading.pop(artifact, None)
@@ -106,8 +106,10 @@
         loaded.discard(artifact)
         orphans = [run for run in engine.runs.values() if not self.serves(run.job)]
         if orphans:
-            engine.publish([engine.finish(run, Finish.CANCELLED) for run in orphans])
-        engine.record_load(force=True)
+            engine.reports.publish(
+                [engine.job_table.finish(run, Finish.CANCELLED) for run in orphans]
+            )
+        engine.reports.record_load(force=True)
         return True
 
 
--- a/packages/standins/persimmonstall_standins/experiment/run.py
+++ b/packages/standins/persimmonstall_standins/experiment/run.py
@@ -75,17 +75,6 @@
     prefilled: int
 
 
-class CountingEngine(EngineModel):
-    """Engine that counts the prompt tokens that it prefills."""
-
-    prefilled = 0
-
-    def prefill(self, outputs):
-        """Advance the planned prefills."""
-        self.prefilled += sum(take for _, take in self.prefill_plan)
-        super().prefill(outputs)
-
-
 class TimedSink(Sink):
     """Sink that records the time of the first token and the times between tokens."""
 
@@ -164,7 +153,7 @@
             tasks.append(asyncio.create_task(self.send_request(arrival, start)))
         await asyncio.gather(*tasks)
         fault.cancel()
-        prefilled = sum(engine.prefilled for engine in self.fleet.engines.values())
+        prefilled = sum(engine.prefilled_tokens for engine in self.fleet.engines.values())
         await self.fleet.stop()
         return Result(plan, tuple(self.records), dict(self.gaps), prefilled)
 
@@ -175,7 +164,7 @@
         self.fleet.policy = self.plan.policy
         self.fleet.short_share = self.mix.short_share
         for number in range(self.plan.engines):
-            engine = CountingEngine(f"e{number}", EngineSettings(models=("m",), seed=number))
+            engine = EngineModel(f"e{number}", EngineSettings(models=("m",), seed=number))
             data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
             await self.fleet.add_endpoint(f"e{number}", data_centre, engine)
         for data_centre in DATA_CENTRES:
