Queues of the endpoint daemon: one module each

core/placement/queue.py (368 lines) is engine_queue.py (QueuedAttempt, EngineQueue), fifo_queue.py (FifoQueue), due_time_queue.py (DueTimeQueue) and chunks.py (chunk_share, cut out of chunk_tokens and step_share); queue.py keeps make_engine_queue. DueTimeQueue.next uses may_start; fits was has_room under another name. Behaviour unchanged: chunk_share and the code before gave the same share in all cases of up to three prefills in progress (five classes, tried by hand). Tests only import from the new modules.

Run: test_engine_queue, test_queue, test_placement (core), doctests of placement: all passed.

--- a/packages/core/tests/test_engine_queue.py
+++ b/packages/core/tests/test_engine_queue.py
@@ -4,7 +4,8 @@
 
 from persimmonstall.failures import Reason
 from persimmonstall.messages.requests import Submit
-from persimmonstall.placement.queue import DueTimeQueue, FifoQueue
+from persimmonstall.placement.due_time_queue import DueTimeQueue
+from persimmonstall.placement.fifo_queue import FifoQueue
 from persimmonstall.settings import Settings
 
 
--- a/packages/core/tests/test_queue.py
+++ b/packages/core/tests/test_queue.py
@@ -3,7 +3,7 @@
 import pytest
 
 from persimmonstall.messages.requests import Submit
-from persimmonstall.placement.queue import DueTimeQueue
+from persimmonstall.placement.due_time_queue import DueTimeQueue
 from persimmonstall.settings import Settings
 
 
