--- a/packages/daemon/persimmonstall_daemon/direct/callers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/callers.py
@@ -51,6 +51,12 @@
         """Whether any part of an answer has been sent."""
         return self.response is not None
 
+    @property
+    def caller_left(self):
+        """Whether the caller's connection is closed, or closing because it failed."""
+        transport = self.request.transport
+        return transport is None or transport.is_closing()
+
     def seconds_since_close(self):
         """Return how long ago the caller's connection closed, 0 while it is open."""
         lost_at = self.request.protocol.lost_at
@@ -58,11 +64,9 @@
 
     async def start(self, status, headers):
         """Send the head of an answer whose body is streamed."""
-        self.response = web.StreamResponse(status=status)
-        set_headers(self.response, headers)
-        if self.closing():
-            self.response.force_close()
-        await self.response.prepare(self.request)
+        response = web.StreamResponse(status=status)
+        set_headers(response, headers)
+        await self.send_head(response)
 
     async def write(self, data):
         """Send a piece of the body."""
@@ -74,12 +78,19 @@
 
     async def reply(self, reply):
         """Send a complete `Reply`."""
-        self.response = web.Response(status=reply.status, body=reply.body)
-        set_headers(self.response, [(n.encode(), v.encode()) for n, v in reply.headers])
-        if reply.close or self.closing():
-            self.response.force_close()
-        await self.response.prepare(self.request)
-        await self.response.write_eof()
+        response = web.Response(status=reply.status, body=reply.body)
+        set_headers(response, [(n.encode(), v.encode()) for n, v in reply.headers])
+        if reply.close:
+            response.force_close()
+        await self.send_head(response)
+        await response.write_eof()
+
+    async def send_head(self, response):
+        """Send the head of a response, which from here on is the answer of the call."""
+        if self.closing():
+            response.force_close()
+        self.response = response
+        await response.prepare(self.request)
 
     def abort(self):
         """Abort the connection, so that the caller does not take the answer for complete."""
@@ -218,18 +229,23 @@
         self.in_flight += 1
         try:
             await self.serve(request, sink)
-        except ConnectionError as error:
-            self.entry.log.info("caller_gone", step="relay", reason=repr(error))
-            sink.abort()
         except Exception as error:
-            self.entry.metrics.count("bugs")
-            self.entry.log.exception("bug", error=repr(error))
-            await self.reply_internal_error(sink)
+            await self.end_failed_call(sink, error)
         finally:
             self.in_flight -= 1
             request.protocol.request_ended()
         return sink.response or web.Response(status=500)
 
+    async def end_failed_call(self, sink, error):
+        """End a call that met an error: its caller left, or it is a bug."""
+        if isinstance(error, ConnectionError) and sink.caller_left:
+            self.entry.log.info("caller_gone", step="relay", reason=repr(error))
+            sink.abort()
+            return
+        self.entry.metrics.count("bugs")
+        self.entry.log.error("bug", error=repr(error), exc_info=error)
+        await self.reply_internal_error(sink)
+
     async def reply_internal_error(self, sink):
         """Answer a call that met an unexpected error; whether it has run is unknown."""
         if sink.started:
@@ -258,11 +274,13 @@
         size = sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
         if size > self.limits.header_bytes > 0:
             return Failure(Reason.HEADERS_TOO_LARGE, STEP, detail=f"{size} bytes")
+        deadline = self.entry.now() + self.limits.idle_timeout
         try:
-            async with asyncio.timeout(self.limits.idle_timeout):
+            async with self.entry.time_limits.until(deadline):
                 return await request.read()
         except TimeoutError:
-            return Failure(Reason.BODY_TOO_SLOW, STEP, detail="body incomplete at the timeout")
+            reason = Reason.LEAVING if deadline > self.entry.exits_at else Reason.BODY_TOO_SLOW
+            return Failure(reason, STEP, detail="body incomplete at the timeout")
         except web.HTTPRequestEntityTooLarge as error:
             return Failure(Reason.BODY_TOO_LARGE, STEP, detail=str(error))
         except (http.HttpProcessingError, ValueError) as error:
