Bytes without end from an endpoint end its attempt, and nothing else

What callers saw: an endpoint that sent interim heads, blank lines, chunk extensions, chunk sizes, a body or an event without end was read until the deadline of the call (504, or a stream that broke off) instead of being given up; its bytes were held without bound, and calls to sound endpoints took up to 1.2 s meanwhile. Bytes after a complete answer, in the same segment, made that answer a 502.

Cause: aiohttp queues interim answers and counts neither them nor framing; `collect_answer` had no bound; each read of an event had the whole timeout anew, so that bytes which dribbled in kept an event alive.

Change: `bounded_http` bounds the head (64 KiB) and the framing of every answer, closes the connection at once, and parses the head apart from what follows it. Settings answer_bytes (one answer) and answers_bytes (all answers held at once; the largest is given up). One deadline covers all reads up to the next numbered event, or the whole of a non-streamed answer.

--- a/packages/core/persimmonstall/settings/schema.py
+++ b/packages/core/persimmonstall/settings/schema.py
@@ -239,6 +239,15 @@
     link_mbps: float = option(
         1000.0, "Bandwidth of the machine's link.", "Mbit/s", low=0.001, high=1_000_000
     )
+    answer_bytes: int = option(
+        16_777_216, "Largest answer of an endpoint that is not streamed.", "bytes", low=1024
+    )
+    answers_bytes: int = option(
+        50_331_648,
+        "Largest size of all answers that are held at once; above it the largest is given up.",
+        "bytes",
+        low=1024,
+    )
     unused_memory_ms: int = option(
         4000, "Time for which reserved engine memory may remain unused.", "ms", low=100
     )
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/bounded_http.py
@@ -0,0 +1,147 @@
+"""Bounds on what a peer may send in answer to a request: head, framing and body.
+
+A peer that exceeds a bound has its connection closed at once, and the reader of its answer gets
+an `AnswerRejected`.
+"""
+
+import functools
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.helpers import set_exception
+
+from .observe import logs
+
+LOG = logs.get("bounded_http")
+
+MAX_HEAD_BYTES = 65_536
+"""Most bytes before the body of an answer, interim answers included."""
+
+MAX_FRAMING_FACTOR = 1
+"""Most bytes of chunk sizes and trailers beyond `MAX_HEAD_BYTES`, as a multiple of the body."""
+
+READ_BUFFER_BYTES = 65_536
+"""Size of the read buffer of a connection; twice as much is read ahead of the reader."""
+
+END_OF_HEAD = b"\r\n\r\n"
+SWITCHING_PROTOCOLS = 101
+
+
+class AnswerRejected(aiohttp.ClientPayloadError):
+    """The bytes of a peer exceed a bound, or belong to no request."""
+
+
+class BoundedResponseHandler(ResponseHandler):
+    """A client connection that rejects answers whose head or framing does not end.
+
+    `received` counts the bytes since the request, `body` is the stream reader of the answer's
+    body, None before the head is complete.  Interim answers (1xx) are dropped.
+    """
+
+    def __init__(self, loop):
+        super().__init__(loop)
+        self.received = 0
+        self.body = None
+        self.rejected = False
+
+    def set_response_params(self, **options):
+        """Expect the answer to a request; bytes that came before it belong to no request."""
+        unasked = len(self._tail) + len(self)
+        self.received = 0
+        self.body = None
+        super().set_response_params(**options)
+        if unasked and not self.rejected:
+            self.reject("bytes before a request")
+
+    def data_received(self, data):
+        """Parse bytes of the answer; the end of each head is parsed apart from what follows it.
+
+        An error after the end of a complete answer then does not affect that answer.
+        """
+        start = 0
+        while self.body is None and start < len(data) and not self.rejected:
+            end = data.find(END_OF_HEAD, start, start + MAX_HEAD_BYTES)
+            end = start + MAX_HEAD_BYTES if end < 0 else end + len(END_OF_HEAD)
+            self.receive(data[start:end])
+            start = end
+        if not self.rejected and (start < len(data) or not data):
+            self.receive(data[start:])
+
+    def receive(self, data):
+        """Parse bytes, then check the bound on what is not part of the body."""
+        if data and self.body is not None and self.body.is_eof():
+            self.reject("bytes after a complete answer")
+            return
+        self.received += len(data)
+        super().data_received(data)
+        if self.rejected or self._reading_paused:
+            # While reading is paused, bytes of the body may wait in the parser.
+            return
+        body_bytes = 0 if self.body is None else self.body.total_bytes
+        if self.received - body_bytes > MAX_HEAD_BYTES + MAX_FRAMING_FACTOR * body_bytes:
+            self.reject(f"{self.received} bytes received, {body_bytes} of them a body")
+
+    def feed_data(self, answer, size=0):
+        """Pass on the head and body of a final answer; drop interim and unexpected answers."""
+        message, body = answer
+        if 100 <= message.code < 200 and message.code != SWITCHING_PROTOCOLS:
+            return
+        if self.rejected:
+            return
+        if self.body is not None or self._parser is None:
+            self.reject("another answer than the one expected")
+            return
+        self.body = body
+        super().feed_data(answer, size)
+
+    def reject(self, detail):
+        """Close the connection; an answer that is already complete stays readable."""
+        self.rejected = True
+        LOG.warning("answer_rejected", reason="endpoint_error", detail=detail, peer=self.peer())
+        error = AnswerRejected(detail)
+        if self.body is not None and not self.body.is_eof():
+            set_exception(self.body, error)
+        self._payload = self._parser = None
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def peer(self):
+        """Return the address of the peer, empty once the connection is closed."""
+        address = self.transport and self.transport.get_extra_info("peername")
+        return ":".join(map(str, address[:2])) if address else ""
+
+
+class BoundedConnector(aiohttp.TCPConnector):
+    """Opens connections whose answers are bounded."""
+
+    def __init__(self, **options):
+        super().__init__(**options)
+        self._factory = functools.partial(BoundedResponseHandler, loop=self._loop)
+
+
+def open_session(**options):
+    """Return an HTTP client session with bounded answers; `options` are those of aiohttp."""
+    connector = BoundedConnector(limit=0)
+    return aiohttp.ClientSession(connector=connector, read_bufsize=READ_BUFFER_BYTES, **options)
+
+
+async def read_body(response, limit):
+    """Return the complete body of a response.
+
+    Raise `AnswerRejected` and close the connection if it has more than `limit` bytes.
+    """
+    body = bytearray()
+    check_size(response, response.content_length or 0, limit)
+    while data := await response.content.readany():
+        body += data
+        check_size(response, len(body), limit)
+    return bytes(body)
+
+
+def check_size(response, size, limit):
+    """Close the connection and raise `AnswerRejected` if `size` exceeds `limit` (bytes)."""
+    if size <= limit:
+        return
+    response.close()
+    raise AnswerRejected(f"a body of {size} bytes or more, the limit is {limit}")
--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -8,6 +8,7 @@
 from persimmonstall.failures import Failure, Reason
 
 from .endpoint_client import never_connected, wait_past_suspension
+from .read_deadline import ReadDeadline
 
 STEP = "relay"
 
@@ -52,6 +53,7 @@
         self.sink = sink
         self.answer = None
         self.batches_relayed = 0
+        self.dropped = False
 
     @property
     def endpoint(self):
@@ -118,6 +120,16 @@
             return remaining
         return min(remaining, max(MIN_GAP_SECONDS, GAP_FACTOR * self.routed.route.gap_objective))
 
+    def answer_timeout(self):
+        """Return the timeout of a non-streamed answer whose head has arrived.
+
+        Unless another attempt cannot follow, it leaves time for one.
+        """
+        remaining = self.routed.deadline - self.entry.now()
+        if not self.routed.route.repeatable:
+            return remaining
+        return min(remaining, LAST_ANSWER_FACTOR * self.routed.route.objective)
+
     def unanswered_result(self, failure):
         """Return the result of an attempt that failed before the head of an answer arrived."""
         if never_connected(failure):
@@ -147,52 +159,89 @@
             return self.failed_result(
                 AttemptOutcome.BROKEN, Reason.ENDPOINT_ERROR, "the answer belongs to another call"
             )
-        if head.event_stream and head.kind is ResponseKind.SUCCESS:
-            return await self.relay_events(started_at)
-        return await self.collect_answer()
+        return await self.relay_body(started_at)
+
+    async def relay_body(self, started_at):
+        """Relay an event stream or collect another body, and account for the memory it takes."""
+        head = self.answer.head
+        result = None
+        try:
+            if head.event_stream and head.kind is ResponseKind.SUCCESS:
+                result = await self.relay_events(started_at)
+            else:
+                result = await self.collect_answer(started_at)
+            return result
+        finally:
+            if result is None or not result.body:
+                self.entry.answer_memory.release(self.sink)
+
+    def drop(self):
+        """Give up the answer, since the answers in progress take too much memory."""
+        self.dropped = True
+        self.answer.close()
+
+    def broken_result(self, failure):
+        """Return the result of an attempt whose answer was cut off or rejected."""
+        if self.dropped:
+            return self.too_large("the largest of the answers in progress, which are too many")
+        return AttemptResult(AttemptOutcome.BROKEN, attrs.evolve(failure, peer=self.endpoint.name))
+
+    def too_large(self, detail):
+        """Return the result of an attempt whose answer is given up for its size."""
+        return self.failed_result(AttemptOutcome.BROKEN, Reason.ENDPOINT_ERROR, detail)
 
     def helper_at_fault(self, head):
         """Return the address of the helper that the answer names as the cause, empty for none."""
         helpers = {helper.endpoint.address for helper in self.placed.request.helpers}
         return head.blamed_address if head.blamed_address in helpers else ""
 
-    async def collect_answer(self):
+    async def collect_answer(self, started_at):
         """Read a non-streamed answer; the caller gets it only once it is complete."""
-        chunks = []
-        while True:
-            data = await self.answer.read(self.read_timeout())
-            if isinstance(data, Failure):
-                return AttemptResult(
-                    AttemptOutcome.BROKEN, attrs.evolve(data, peer=self.endpoint.name)
-                )
+        deadline = ReadDeadline(self.answer_timeout() - (self.entry.now() - started_at))
+        limit = self.entry.settings.direct.answer_bytes
+        memory = self.entry.answer_memory
+        size = self.answer.announced_bytes
+        body = bytearray()
+        while size <= limit:
+            data = await self.answer.read(deadline.remaining())
+            if isinstance(data, Failure) or self.dropped:
+                return self.broken_result(data)
             if not data:
                 break
-            chunks.append(data)
+            body += data
+            size = len(body)
+            memory.hold(self.sink, size, self)
+        if size > limit:
+            return self.too_large(f"an answer of {size} bytes or more, the limit is {limit}")
+        memory.reading_ended(self.sink)
         head = self.answer.head
         error = head.kind is ResponseKind.ENDPOINT_ERROR
         ending = AttemptOutcome.ENDPOINT_ERROR if error else AttemptOutcome.WHOLE
-        return AttemptResult(ending, head=head, body=b"".join(chunks))
+        return AttemptResult(ending, head=head, body=bytes(body))
 
     async def relay_events(self, started_at):
         """Relay complete events as they arrive."""
         reader = EventReader(last=self.history.last_event)
-        timeout = self.initial_timeout() - (self.entry.now() - started_at)
+        deadline = ReadDeadline(self.initial_timeout() - (self.entry.now() - started_at))
         while True:
-            data = await self.answer.read(max(0.0, timeout))
-            if isinstance(data, Failure):
-                return AttemptResult(
-                    AttemptOutcome.BROKEN, attrs.evolve(data, peer=self.endpoint.name)
-                )
+            data = await self.answer.read(deadline.remaining())
+            if isinstance(data, Failure) or self.dropped:
+                return self.broken_result(data)
             if not data:
                 break
             complete_events = reader.feed(data)
+            self.entry.answer_memory.hold(self.sink, len(reader.buffer), self)
+            if reader.too_large:
+                return self.too_large(f"an event of {len(reader.buffer)} bytes or more")
             if reader.out_of_order:
                 return self.failed_result(
                     AttemptOutcome.BROKEN, Reason.ENDPOINT_ERROR, "event IDs out of order"
                 )
             if complete_events:
+                advanced = reader.last > self.history.last_event
                 await self.forward_events(complete_events, reader)
-                timeout = self.read_timeout()
+                if advanced or not self.routed.route.resumable:
+                    deadline.restart(self.read_timeout())
         if reader.partial or not self.history.response_started:
             return self.failed_result(
                 AttemptOutcome.BROKEN,
--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -53,7 +53,10 @@
         except asyncio.CancelledError:
             self.log_caller_left(routed, history, started_at, sink.seconds_since_close())
             raise
-        await self.finish(routed, sink, history, result, started_at)
+        try:
+            await self.finish(routed, sink, history, result, started_at)
+        finally:
+            self.entry.answer_memory.release(sink)
 
     def check_configured(self, call):
         """Refuse calls until this entry knows the configuration and the endpoints."""
--- a/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -15,6 +15,7 @@
 from persimmonstall.direct.messages import ResponseHead
 from persimmonstall.failures import Failure, Reason
 
+from ..bounded_http import READ_BUFFER_BYTES, AnswerRejected, BoundedConnector
 from ..observe import logs
 
 LOG = logs.get("endpoint_client")
@@ -82,8 +83,11 @@
 
 
 def make_session(request_class=aiohttp.ClientRequest, **options):
-    """Return an HTTP client session that neither adds headers nor decodes bodies."""
-    connector = aiohttp.TCPConnector(
+    """Return an HTTP client session with bounded answers.
+
+    It neither adds headers nor decodes bodies.
+    """
+    connector = BoundedConnector(
         limit=0, socket_factory=keepalive_socket, happy_eyeballs_delay=None, **options
     )
     return aiohttp.ClientSession(
@@ -94,6 +98,7 @@
         skip_auto_headers=SKIPPED_AUTO_HEADERS,
         max_line_size=MAX_LINE_BYTES,
         max_field_size=MAX_LINE_BYTES,
+        read_bufsize=READ_BUFFER_BYTES,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
     )
 
@@ -124,6 +129,8 @@
         except TimeoutError:
             # A subclass of OSError, but not a connection failure.
             raise
+        except AnswerRejected as error:
+            return Failure(Reason.ENDPOINT_ERROR, STEP, detail=str(error))
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return answer_lost(self.head, repr(error))
         return data
@@ -150,6 +157,11 @@
             return False
         return self.closed.exception() is None
 
+    @property
+    def announced_bytes(self):
+        """The length of the body according to the head, 0 if the head does not tell it."""
+        return self.response.content_length or 0
+
     @property
     def framed(self):
         """Whether length, chunks or status mark the end of the body."""
@@ -222,6 +234,8 @@
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Failure(Reason.ENDPOINT_LOST, STEP, peer, f"{NOT_CONNECTED}: {error!r}")
+        except AnswerRejected as error:
+            return Failure(Reason.ENDPOINT_ERROR, STEP, peer, str(error))
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
             return Failure(Reason.ENDPOINT_LOST, STEP, peer, repr(error))
         connection = response.connection
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -13,6 +13,7 @@
 from ..observe import logs
 from ..observe.prometheus import PrometheusMetrics
 from ..service import DaemonService
+from .answer_memory import AnswerMemory
 from .call_handler import CallHandler
 from .callers import CallerServer, listen
 from .chooser import EndpointChooser
@@ -89,6 +90,7 @@
         self.crash_reporter = CrashReporter(self)
         self.crash_records = CrashRecords(self)
         self.reservations = Reservations(self)
+        self.answer_memory = AnswerMemory(self)
         self.call_handler = CallHandler(self)
         self.callers = CallerServer(self)
         self.status = StatusServer(self)
