--- a/packages/core/persimmonstall/direct/silence.py
+++ b/packages/core/persimmonstall/direct/silence.py
@@ -1,7 +1,7 @@
 """Decides how long an attempt waits for an endpoint that sends nothing.
 
-A sound endpoint may fall silent for a second or so and go on.  It is left for another endpoint only
-when the caller would not wait much longer, unless its address accepts no connections.
+A sound endpoint may fall silent for a second or so and go on.  It is left for another endpoint
+only when the caller would not wait much longer, unless its address accepts no connections.
 """
 
 MIN_PATIENCE_SECONDS = 2.0
--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -7,15 +7,10 @@
 from persimmonstall.direct.events import EventReader
 from persimmonstall.direct.messages import ResponseKind
 from persimmonstall.direct.retrying import AttemptOutcome, is_last_run
-from persimmonstall.direct.silence import longest_silence
 from persimmonstall.failures import Failure, Reason
 
-from .endpoint_client import (
-    CONNECT_SECONDS,
-    accepts_connections,
-    never_connected,
-    wait_past_suspension,
-)
+from .endpoint_client import never_connected, wait_past_suspension
+from .silence_watch import SilenceWatch
 
 STEP = "relay"
 
@@ -32,9 +27,6 @@
 MIN_GAP_SECONDS = 1.2
 """Timeout between events: a multiple of the gap objective, and a minimum in seconds."""
 
-RECONSIDER_SECONDS = 0.5
-"""Interval at which it is checked again whether a silent endpoint can be left."""
-
 
 @attrs.frozen
 class AttemptResult:
@@ -65,8 +57,8 @@
         self.sink = sink
         self.answer = None
         self.batches_relayed = 0
-        self.heard_at = 0.0
-        self.followed_by = None
+        self.dropped = False
+        self.watch = SilenceWatch(self)
 
     @property
     def endpoint(self):
@@ -78,7 +70,8 @@
 
         The connection is closed before this returns, which ends the call at the endpoint too.
         """
-        started_at = self.heard_at = self.entry.now()
+        started_at = self.entry.now()
+        self.watch.hear()
         try:
             result = await self.send_and_relay(started_at)
         except TimeoutError:
@@ -89,7 +82,7 @@
             if self.answer is not None:
                 self.answer.close()
         return attrs.evolve(
-            result, batches_relayed=self.batches_relayed, followed_by=self.followed_by
+            result, batches_relayed=self.batches_relayed, followed_by=self.watch.followed_by
         )
 
     async def send_and_relay(self, started_at):
@@ -97,7 +90,7 @@
         self.history.attempt_sent()
         sending = asyncio.ensure_future(self.send())
         try:
-            answer = await self.receive(
+            answer = await self.watch.receive(
                 lambda timeout: wait_past_suspension(asyncio.shield(sending), timeout),
                 self.initial_timeout(),
             )
@@ -108,43 +101,6 @@
             return self.unanswered_result(answer)
         return await self.relay(started_at)
 
-    async def receive(self, read, timeout):
-        """Return the result of `read(seconds)`; raise TimeoutError to leave a silent endpoint.
-
-        `timeout` counts from the last event.  A sound endpoint may go on, so one that accepts
-        connections is left later, and only for an attempt that is certain to follow.
-        """
-        limit = min(longest_silence(self.routed.route, timeout), self.longest_wait())
-        if limit > timeout:
-            timeout -= CONNECT_SECONDS
-        seconds = timeout - self.silent_seconds()
-        while True:
-            try:
-                return await read(max(0.0, seconds))
-            except TimeoutError:
-                seconds = await self.seconds_to_wait(limit)
-
-    async def seconds_to_wait(self, limit):
-        """Return how long to wait on for a silent endpoint; raise TimeoutError to leave it."""
-        silent = self.silent_seconds()
-        if silent >= self.longest_wait():
-            raise TimeoutError
-        if silent >= limit:
-            self.followed_by = await self.entry.call_handler.prepare_retry(
-                self.routed, self.history, self.endpoint
-            )
-        if self.followed_by is not None or not await accepts_connections(self.endpoint):
-            raise TimeoutError
-        return limit - silent if silent < limit else RECONSIDER_SECONDS
-
-    def silent_seconds(self):
-        """Return the seconds since the last event, or since the call was sent."""
-        return self.entry.now() - self.heard_at
-
-    def longest_wait(self):
-        """Return the seconds from the last event, or from the sending, to the deadline."""
-        return self.routed.deadline - self.heard_at
-
     async def send(self):
         """Send the call; keep its answer at once, so that `run` closes it in any case."""
         answer = await self.entry.client.send(self.routed, self.placed.request)
@@ -160,7 +116,7 @@
         times out early while another endpoint can still answer within the objective.
         """
         route = self.routed.route
-        remaining = self.longest_wait()
+        remaining = self.watch.longest_wait()
         last = is_last_run(self.routed, self.history)
         if not route.repeatable or (last and self.history.response_started):
             return remaining
@@ -171,15 +127,25 @@
         return min(remaining, factor * route.objective)
 
     def read_timeout(self):
-        """Return the timeout of the next event, or of the rest of a non-streamed answer.
+        """Return the timeout of the next event.
 
         Only a stream that another endpoint may resume times out before its deadline.
         """
-        remaining = self.longest_wait()
+        remaining = self.watch.longest_wait()
         if not self.routed.route.resumable or is_last_run(self.routed, self.history):
             return remaining
         return min(remaining, max(MIN_GAP_SECONDS, GAP_FACTOR * self.routed.route.gap_objective))
 
+    def answer_timeout(self):
+        """Return the timeout of a non-streamed answer whose head has arrived.
+
+        Unless another attempt cannot follow, it leaves time for one.
+        """
+        remaining = self.watch.longest_wait()
+        if not self.routed.route.repeatable:
+            return remaining
+        return min(remaining, LAST_ANSWER_FACTOR * self.routed.route.objective)
+
     def unanswered_result(self, failure):
         """Return the result of an attempt that failed before the head of an answer arrived."""
         if never_connected(failure):
@@ -209,9 +175,36 @@
             return self.failed_result(
                 AttemptOutcome.BROKEN, Reason.ENDPOINT_ERROR, "the answer belongs to another call"
             )
-        if head.event_stream and head.kind is ResponseKind.SUCCESS:
-            return await self.relay_events()
-        return await self.collect_answer()
+        return await self.relay_body()
+
+    async def relay_body(self):
+        """Relay an event stream or collect another body, and account for the memory it takes."""
+        head = self.answer.head
+        result = None
+        try:
+            if head.event_stream and head.kind is ResponseKind.SUCCESS:
+                result = await self.relay_events()
+            else:
+                result = await self.collect_answer()
+            return result
+        finally:
+            if result is None or not result.body:
+                self.entry.answer_memory.release(self.sink)
+
+    def drop(self):
+        """Give up the answer, since the answers in progress take too much memory."""
+        self.dropped = True
+        self.answer.close()
+
+    def broken_result(self, failure):
+        """Return the result of an attempt whose answer was cut off or rejected."""
+        if self.dropped:
+            return self.too_large("the largest of the answers in progress, which are too many")
+        return AttemptResult(AttemptOutcome.BROKEN, attrs.evolve(failure, peer=self.endpoint.name))
+
+    def too_large(self, detail):
+        """Return the result of an attempt whose answer is given up for its size."""
+        return self.failed_result(AttemptOutcome.BROKEN, Reason.ENDPOINT_ERROR, detail)
 
     def helper_at_fault(self, head):
         """Return the address of the helper that the answer names as the cause, empty for none."""
@@ -220,42 +213,53 @@
 
     async def collect_answer(self):
         """Read a non-streamed answer; the caller gets it only once it is complete."""
-        chunks = []
-        while True:
-            self.heard_at = self.entry.now()
-            data = await self.receive(self.answer.read, self.read_timeout())
-            if isinstance(data, Failure):
-                return AttemptResult(
-                    AttemptOutcome.BROKEN, attrs.evolve(data, peer=self.endpoint.name)
-                )
+        self.watch.decide_at = None
+        timeout = self.answer_timeout()
+        limit = self.entry.settings.direct.answer_bytes
+        memory = self.entry.answer_memory
+        size = self.answer.announced_bytes
+        body = bytearray()
+        while size <= limit:
+            data = await self.watch.receive(self.answer.read, timeout)
+            if isinstance(data, Failure) or self.dropped:
+                return self.broken_result(data)
             if not data:
                 break
-            chunks.append(data)
+            body += data
+            size = len(body)
+            memory.hold(self.sink, size, self)
+        if size > limit:
+            return self.too_large(f"an answer of {size} bytes or more, the limit is {limit}")
+        memory.reading_ended(self.sink)
         head = self.answer.head
         error = head.kind is ResponseKind.ENDPOINT_ERROR
         ending = AttemptOutcome.ENDPOINT_ERROR if error else AttemptOutcome.WHOLE
-        return AttemptResult(ending, head=head, body=b"".join(chunks))
+        return AttemptResult(ending, head=head, body=bytes(body))
 
     async def relay_events(self):
         """Relay complete events as they arrive."""
         reader = EventReader(last=self.history.last_event)
         timeout = self.initial_timeout()
         while True:
-            data = await self.receive(self.answer.read, timeout)
-            if isinstance(data, Failure):
-                return AttemptResult(
-                    AttemptOutcome.BROKEN, attrs.evolve(data, peer=self.endpoint.name)
-                )
+            data = await self.watch.receive(self.answer.read, timeout)
+            if isinstance(data, Failure) or self.dropped:
+                return self.broken_result(data)
             if not data:
                 break
             complete_events = reader.feed(data)
+            self.entry.answer_memory.hold(self.sink, len(reader.buffer), self)
+            if reader.too_large:
+                return self.too_large(f"an event of {len(reader.buffer)} bytes or more")
             if reader.out_of_order:
                 return self.failed_result(
                     AttemptOutcome.BROKEN, Reason.ENDPOINT_ERROR, "event IDs out of order"
                 )
             if complete_events:
+                advanced = reader.last > self.history.last_event
                 await self.forward_events(complete_events, reader)
-                timeout = self.read_timeout()
+                if advanced or not self.routed.route.resumable:
+                    self.watch.hear()
+                    timeout = self.read_timeout()
         if reader.partial or not self.history.response_started:
             return self.failed_result(
                 AttemptOutcome.BROKEN,
@@ -278,4 +282,3 @@
         self.batches_relayed += 1
         self.history.event_sent(reader.last, now)
         await self.sink.write(complete_events)
-        self.heard_at = self.entry.now()
