Test of an answer that comes while its caller leaves uses a real route

Its stand-in route lacked the gap objective that an attempt reads since it decides how long a silent endpoint is waited for; the checks are as they were.

--- a/packages/daemon/tests/test_direct_attempt.py
+++ b/packages/daemon/tests/test_direct_attempt.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from persimmonstall.direct.messages import Repeat, Route
 from persimmonstall.direct.retrying import AttemptHistory
 from persimmonstall_daemon.direct.attempt import Attempt
 
@@ -22,7 +23,7 @@
 
 
 def make_attempt(client, now):
-    route = SimpleNamespace(repeatable=True, streaming=True, objective=0.3, attempts=2)
+    route = Route("r", "h", "/", (), Repeat.ALLOWED, streaming=True, objective=0.3, attempts=2)
     return Attempt(
         SimpleNamespace(client=client, now=now),
         SimpleNamespace(route=route, deadline=now() + 10.0),
