Content that crashed two engines stays refused after all entries restarted

What callers could see: a content that crashes every engine was known to the entries' memory alone. Besides, beacons named the 16 newest contents, so that after 16 later crashes a restarted entry heard nothing of a blocked one.

Cause: only blocked parts were kept in the store; `CrashTracker.local_state` did not tell blocked contents from suspected ones.

Change: a content is kept in the table `blocked_contents` from its second crash on (the first alone proves nothing, and the third is too late): fingerprint, crashed lifetimes (at most 4), time of the last crash on the store's clock; the newest 64, removed 600 s after the last crash. One entry writes each finding, its owner by rendezvous hashing, all changes in one call; a new owner writes what it has not seen in the store. Rows are read at the start, and again when an entry sees a crash with a content. Parts go through the same code: an entry that leaves a part to its owner no longer takes it for saved.

--- a/packages/core/persimmonstall/direct/crash_tracker.py
+++ b/packages/core/persimmonstall/direct/crash_tracker.py
@@ -1,8 +1,11 @@
 """Call contents and parts of prompts that crash the endpoints that run them."""
 
+import math
+
 import attrs
 import xxhash
 
+from .crash_record import CrashRecord
 from .crashing_parts import CrashingParts, LostCall
 
 BLOCK_CRASHES = 2
@@ -18,6 +21,15 @@
 MAX_CONTENTS = 2048
 """Maximum number of contents whose crashes are kept; the oldest are dropped first."""
 
+MAX_RECORDS = 64
+"""Maximum number of blocked contents that the directory keeps; the newest ones are kept."""
+
+MAX_LIFETIMES_SENT = 4
+"""Maximum number of crashed lifetimes of one content that are sent or kept by the directory."""
+
+MAX_CONTENTS_SENT = 16
+"""Maximum numbers of blocked contents, and of other ones, in one beacon; the newest are sent."""
+
 
 def content_fingerprint(call):
     """Return the fingerprint of a call's content; it is the same each time the call is sent."""
@@ -61,6 +73,10 @@
         """Add lifetimes that ended while they ran a content."""
         known, _ = self.crashes.pop(content, (frozenset(), now))
         self.crashes[content] = (known | frozenset(lifetimes), now)
+        self.drop_oldest()
+
+    def drop_oldest(self):
+        """Drop the contents that were added first if there are too many."""
         while len(self.crashes) > MAX_CONTENTS:
             del self.crashes[next(iter(self.crashes))]
 
@@ -77,10 +93,49 @@
         known, at = self.crashes.get(content, (frozenset(), now))
         return now - at < BLOCK_SECONDS and len(known) >= BLOCK_CRASHES
 
-    def local_state(self, limit=16):
-        """Return the newest (content, lifetimes) pairs, to be sent to other entries."""
-        newest = list(self.crashes.items())[-limit:]
-        return tuple((content, tuple(sorted(known))) for content, (known, _) in newest)
+    def local_state(self, now):
+        """Return the newest (content, lifetimes) pairs, to be sent to other entries.
+
+        However many contents are only suspected, the blocked ones are among them.
+        """
+        blocked = self.newest_blocked(now, MAX_CONTENTS_SENT)
+        suspected = [content for content in self.crashes if not self.is_blocked(content, now)]
+        sent = suspected[-MAX_CONTENTS_SENT:] + blocked
+        return tuple((content, self.lifetimes_sent(content)) for content in sent)
+
+    def lifetimes_sent(self, content):
+        """Return the lifetimes that a content crashed, as they are sent and kept."""
+        known, _ = self.crashes[content]
+        return tuple(sorted(known)[:MAX_LIFETIMES_SENT])
+
+    def newest_blocked(self, now, limit):
+        """Return the `limit` blocked contents whose last crashes are the newest."""
+        blocked = [content for content in self.crashes if self.is_blocked(content, now)]
+        return sorted(blocked, key=lambda content: self.crashes[content][1])[-limit:]
+
+    def records(self, now):
+        """Return the records of the newest blocked contents by content."""
+        records = {}
+        for content in self.newest_blocked(now, MAX_RECORDS):
+            known, at = self.crashes[content]
+            lifetimes = self.lifetimes_sent(content)
+            records[content] = CrashRecord(content, len(known), lifetimes, now - at)
+        return records
+
+    def add_record(self, record, now):
+        """Add a content that the directory kept; its record tells when it last crashed.
+
+        Crashes that other entries reported came without their times.
+        """
+        if record.age >= BLOCK_SECONDS:
+            return
+        kept = frozenset(record.lifetimes)
+        known, at = self.crashes.get(record.key, (frozenset(), -math.inf))
+        crashed_at = now - record.age
+        if not known <= kept:
+            crashed_at = max(at, crashed_at)
+        self.crashes[record.key] = (known | kept, crashed_at)
+        self.drop_oldest()
 
     def expire(self, now):
         """Drop lost connections too old to be confirmed as crashes, and old suspicions."""
--- a/packages/core/persimmonstall/outside/direct.py
+++ b/packages/core/persimmonstall/outside/direct.py
@@ -27,16 +27,15 @@
         """Store this entry's address; return those of other entries, or a `Failure`."""
 
     @abc.abstractmethod
-    async def read_blocked_parts(self):
-        """Return the (part, crashes) pairs of the blocked parts of prompts, or a `Failure`."""
+    async def read_crash_records(self, kind):
+        """Return the `CrashRecord`s of a `RecordKind`, or a `Failure`."""
 
     @abc.abstractmethod
-    async def save_blocked_part(self, part, crashes):
-        """Store the number of crashes of a blocked part; return True or a `Failure`."""
+    async def write_crash_records(self, kind, records, removed):
+        """Store `CrashRecord`s, and remove those with the keys `removed`, in one call.
 
-    @abc.abstractmethod
-    async def remove_blocked_part(self, part):
-        """Remove a part that is no longer blocked; return True or a `Failure`."""
+        Return True or a `Failure`.
+        """
 
 
 class Dialect(abc.ABC):
--- a/packages/daemon/persimmonstall_daemon/direct/crash_records.py
+++ b/packages/daemon/persimmonstall_daemon/direct/crash_records.py
@@ -1,7 +1,10 @@
-"""Keeps the blocked parts of prompts in the directory, for entries that start later."""
+"""Keeps blocked contents and parts of prompts in the directory, for entries that start later."""
 
+import abc
 import asyncio
+import math
 
+from persimmonstall.direct.crash_record import CrashRecord, RecordKind
 from persimmonstall.failures import Failure
 
 from ..observe import logs
@@ -12,70 +15,161 @@
 RETRY_SECONDS = 2.0
 """Time after a failed call of the directory before the next one."""
 
+SETTLE_SECONDS = 1.0
+"""Time after the start before an entry removes records: until it knows its peers, it owns all."""
+
+MAX_WRITTEN = 50
+"""Maximum numbers of records that are saved, and removed, in one call."""
+
 
 class CrashRecords:
-    """Reads the blocked parts at the start, and saves those that this entry owns.
+    """Reads the records of both kinds, and saves those that this entry owns."""
+
+    def __init__(self, entry):
+        self.tables = (PartRecords(entry), ContentRecords(entry))
+
+    async def run(self):
+        """Read the records, then save changes until cancelled."""
+        await asyncio.gather(*(table.run() for table in self.tables))
 
-    `saved` maps each part in the directory to its number of crashes, as far as is known.
+    def read_contents_again(self):
+        """Read the contents again, since other entries may have saved some meanwhile."""
+        _, contents = self.tables
+        contents.unread = True
+
+    def write_again(self):
+        """Save all records again, since the directory may have lost them."""
+        for table in self.tables:
+            table.saved.clear()
+
+
+class RecordTable(abc.ABC):
+    """The records of one kind.
+
+    `saved` maps the keys that the directory holds to their numbers of crashes, as far as this
+    entry has read or written them.  `listed` are the keys that it may hold.  `unread` says that it
+    has to be read.  `blocked_event` is the name of the log line of one that is blocked.
     """
 
+    kind: RecordKind
+    blocked_event: str
+
     def __init__(self, entry):
         self.entry = entry
         self.log = logs.get("crashes")
         self.saved = {}
+        self.listed = set()
+        self.unread = True
+        self.settled_at = math.inf
 
     @property
-    def parts(self):
-        """The parts that this entry suspects."""
-        return self.entry.state.crash_tracker.parts
+    def crash_tracker(self):
+        """The crashes that this entry knows."""
+        return self.entry.state.crash_tracker
+
+    @abc.abstractmethod
+    def blocked(self):
+        """Return the records of what is blocked now by key."""
+
+    @abc.abstractmethod
+    def add(self, record):
+        """Add a record that was read to what this entry knows."""
 
     async def run(self):
         """Read the records, then save changes until cancelled."""
         while not await self.load():
             await asyncio.sleep(RETRY_SECONDS)
+        self.settled_at = self.entry.now() + SETTLE_SECONDS
         while True:
-            saved = await self.save_changes()
-            await asyncio.sleep(SAVE_SECONDS if saved else RETRY_SECONDS)
+            done = (not self.unread or await self.load()) and await self.save_changes()
+            await asyncio.sleep(SAVE_SECONDS if done else RETRY_SECONDS)
 
     async def load(self):
-        """Read the blocked parts that entries saved before; return whether that succeeded."""
-        found = await self.entry.directory.read_blocked_parts()
+        """Read the records that entries saved before; return whether that succeeded."""
+        self.unread = False
+        found = await self.entry.directory.read_crash_records(self.kind)
         if isinstance(found, Failure):
-            logs.log_failure(self.log, "blocked_parts_unread", found)
+            self.unread = True
+            logs.log_failure(self.log, "crash_records_unread", found, kind=self.kind.value)
             return False
-        for part, crashes in found:
-            self.saved[part] = crashes
-            self.parts.add_earlier(part, crashes, self.entry.now())
-            self.log.info("part_blocked", part=part, crashes=crashes, source="directory")
+        before = set(self.blocked())
+        for record in found:
+            self.saved[record.key] = record.crashes
+            self.listed.add(record.key)
+            self.add(record)
+        self.log_blocked(before)
         return True
 
+    def log_blocked(self, before):
+        """Log what is blocked now and was not `before`."""
+        for key, record in self.blocked().items():
+            if key not in before:
+                self.log.warning(
+                    self.blocked_event,
+                    **{self.kind.value: key},
+                    crashes=record.crashes,
+                    source="directory",
+                )
+
     async def save_changes(self):
-        """Save what changed of the parts that this entry owns; return whether that succeeded."""
-        blocked = self.parts.blocked()
-        for part, crashes in blocked.items():
-            if self.saved.get(part, 0) < crashes and not await self.save(part, crashes):
-                return False
-        for part in set(self.saved) - set(blocked):
-            if not await self.remove(part):
-                return False
+        """Save and remove what this entry owns; return whether that succeeded."""
+        blocked = self.blocked()
+        self.listed.update(blocked)
+        owns = self.entry.ownership.owns
+        changed = [
+            record
+            for key, record in blocked.items()
+            if self.saved.get(key, 0) < record.crashes and owns(key)
+        ][:MAX_WRITTEN]
+        settled = self.entry.now() >= self.settled_at
+        ended = self.listed - set(blocked) if settled else ()
+        removed = [key for key in ended if owns(key)][:MAX_WRITTEN]
+        if (changed or removed) and not await self.write(changed, removed):
+            return False
+        self.saved.update((record.key, record.crashes) for record in changed)
+        for key in ended if len(removed) < MAX_WRITTEN else removed:
+            self.listed.discard(key)
+            self.saved.pop(key, None)
         return True
 
-    async def save(self, part, crashes):
-        """Save a blocked part, or leave that to its owner; return false if it failed."""
-        if self.entry.ownership.owns(part):
-            result = await self.entry.directory.save_blocked_part(part, crashes)
-            if isinstance(result, Failure):
-                logs.log_failure(self.log, "blocked_part_unsaved", result, part=part)
-                return False
-        self.saved[part] = crashes
-        return True
+    async def write(self, changed, removed):
+        """Save and remove records; return whether that succeeded."""
+        result = await self.entry.directory.write_crash_records(self.kind, changed, removed)
+        if not isinstance(result, Failure):
+            return True
+        keys = [record.key for record in changed] + removed
+        logs.log_failure(
+            self.log, "crash_records_unsaved", result, kind=self.kind.value, keys=keys
+        )
+        return False
 
-    async def remove(self, part):
-        """Remove a part that is not blocked any more, or leave that to its owner."""
-        if self.entry.ownership.owns(part):
-            result = await self.entry.directory.remove_blocked_part(part)
-            if isinstance(result, Failure):
-                logs.log_failure(self.log, "blocked_part_unsaved", result, part=part)
-                return False
-        self.saved.pop(part, None)
-        return True
+
+class PartRecords(RecordTable):
+    """The blocked parts of prompts."""
+
+    kind = RecordKind.PART
+    blocked_event = "part_blocked"
+
+    def blocked(self):
+        """Return the records of the blocked parts."""
+        blocked = self.crash_tracker.parts.blocked()
+        return {part: CrashRecord(part, crashes) for part, crashes in blocked.items()}
+
+    def add(self, record):
+        """Block a part from the start."""
+        self.crash_tracker.parts.add_earlier(record.key, record.crashes, self.entry.now())
+
+
+class ContentRecords(RecordTable):
+    """The blocked contents."""
+
+    kind = RecordKind.CONTENT
+    blocked_event = "content_blocked"
+
+    def blocked(self):
+        """Return the records of the blocked contents."""
+        return self.crash_tracker.records(self.entry.now())
+
+    def add(self, record):
+        """Add the crashes of a content."""
+        self.crash_tracker.add_record(record, self.entry.now())
--- a/packages/daemon/persimmonstall_daemon/direct/crash_reports.py
+++ b/packages/daemon/persimmonstall_daemon/direct/crash_reports.py
@@ -85,16 +85,34 @@
     async def check_for_crash(self, endpoint):
         """Check whether an endpoint that cut off a call is dead; if so, record a crash."""
         await asyncio.sleep(CRASH_CHECK_DELAY_SECONDS)
-        if await accepts_connections(endpoint):
-            return
+        if not await accepts_connections(endpoint):
+            self.record_crash(endpoint)
+
+    def record_crash(self, endpoint):
+        """Record the crash of an endpoint that cut off calls, and tell the peers.
+
+        The directory may know a content that is new to this entry: it is asked again.
+        """
         state, now = self.entry.state, self.entry.now()
         state.failure_scores.record_failure(endpoint.name, now, DEAD_ENDPOINT_WEIGHT)
         before = set(self.crash_tracker.parts.blocked())
         contents = self.crash_tracker.confirm_crash(endpoint.lifetime, now)
         self.log.warning("endpoint_crashed", endpoint=endpoint.name, contents=contents)
         self.log_blocked(before, "crash")
+        self.log_blocked_contents(contents, now)
+        if contents:
+            self.entry.crash_records.read_contents_again()
         self.entry.peers.schedule_whole_beacons()
 
+    def log_blocked_contents(self, contents, now):
+        """Log those of the contents that are blocked now."""
+        for content in contents:
+            if self.crash_tracker.is_blocked(content, now):
+                crashes = len(self.crash_tracker.crashes[content][0])
+                self.log.warning(
+                    "content_blocked", content=content, crashes=crashes, source="crash"
+                )
+
     def merge_remote(self, found):
         """Merge what another entry reports about parts of prompts in its `Findings`."""
         parts = self.crash_tracker.parts
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -129,7 +129,7 @@
 
     def write_again(self):
         """Write again what the directory may have lost."""
-        self.crash_records.saved.clear()
+        self.crash_records.write_again()
         self.spawn(self.peers.discover())
 
     def use_own_engine_order(self):
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -191,7 +191,7 @@
         return attrs.evolve(
             self.make_changes_beacon(),
             attempts=state.load_tracker.local_attempts(),
-            crashes=state.crash_tracker.local_state(),
+            crashes=state.crash_tracker.local_state(now),
             peers=tuple(peer.address for peer in self.active()),
             failure_scores=state.failure_scores.local_state(now),
             slowdowns=state.load_tracker.slowdowns.local_state(now),
--- a/packages/daemon/tests/direct_fleet.py
+++ b/packages/daemon/tests/direct_fleet.py
@@ -5,9 +5,13 @@
 import random
 from types import SimpleNamespace
 
+import attrs
+
 from persimmonstall.clock import Context
+from persimmonstall.direct.crash_record import RecordKind
 from persimmonstall.direct.retry_budget import SharedRetryBudget
 from persimmonstall.direct.state import State
+from persimmonstall.failures import Failure, Reason
 from persimmonstall.settings.schema import Settings
 from persimmonstall_daemon.direct.chooser import EndpointChooser
 from persimmonstall_daemon.direct.crash_records import CrashRecords
@@ -53,23 +57,42 @@
 
 
 class MemoryDirectory:
-    """The directory's table of blocked parts, which outlives the entries."""
-
-    def __init__(self):
-        self.blocked_parts = {}
-
-    async def read_blocked_parts(self):
-        """Return the (part, crashes) pairs."""
-        return tuple(self.blocked_parts.items())
+    """The directory's crash records, which outlive the entries.
 
-    async def save_blocked_part(self, part, crashes):
-        """Store the number of crashes of a part."""
-        self.blocked_parts[part] = crashes
-        return True
+    `records` maps each kind to its records by key, each with the time of its last crash.  No call
+    succeeds while it is `away`; `writes` counts the calls that write.
+    """
 
-    async def remove_blocked_part(self, part):
-        """Remove a part."""
-        self.blocked_parts.pop(part, None)
+    def __init__(self, clock):
+        self.clock = clock
+        self.records = {kind: {} for kind in RecordKind}
+        self.away = False
+        self.reads = 0
+        self.writes = 0
+
+    async def register(self, _address):
+        """Return no other entries."""
+        return ()
+
+    async def read_crash_records(self, kind):
+        """Return the records of a kind."""
+        self.reads += 1
+        if self.away:
+            return Failure(Reason.STORE_DOWN, "store")
+        return tuple(
+            attrs.evolve(record, age=self.clock() - at)
+            for record, at in self.records[kind].values()
+        )
+
+    async def write_crash_records(self, kind, records, removed):
+        """Store records of a kind and remove others."""
+        self.writes += 1
+        if self.away:
+            return Failure(Reason.STORE_DOWN, "store")
+        for record in records:
+            self.records[kind][record.key] = record, self.clock() - record.age
+        for key in removed:
+            self.records[kind].pop(key, None)
         return True
 
 
@@ -124,8 +147,8 @@
         self.numbers = numbers
         self.network = Network(numbers, loss)
         self.gossips = gossips
-        self.directory = MemoryDirectory()
         self.clock = asyncio.get_running_loop().time
+        self.directory = MemoryDirectory(self.clock)
         self.addresses = [f"10.0.{n // 200}.{n % 200 + 1}:7340" for n in range(count)]
         self.entries = {}
         self.tasks = {}
