Complete answers of an entry that restarted still count when a part is blocked

What callers could see: with few entries that restart soon after their start, calls with a part that crashes engines were not refused for long: in the soak of two entries (a tenth of the datagrams lost, an entry killed every 1 to 4 s) up to 68 reached engines too late.

Cause: a part is blocked only after 10 complete answers of all entries; the count of a restarted entry replaced the one before it.

Change: the highest count that an entry reported is kept. The new unit test failed before (the part was not blocked).

--- a/packages/core/persimmonstall/direct/crashing_parts.py
+++ b/packages/core/persimmonstall/direct/crashing_parts.py
@@ -137,9 +137,11 @@
     def merge_remote(self, crashes, sound, entry, whole_answers, now):
         """Merge the crashes and the sound parts that the entry at the address `entry` reports.
 
-        A part that this entry knows to be sound is reported back as such.
+        A part that this entry knows to be sound is reported back as such.  The count of an entry
+        that restarted begins anew, but the answers before were complete all the same.
         """
-        self.remote_whole_answers[entry] = whole_answers
+        known = self.remote_whole_answers.get(entry, 0)
+        self.remote_whole_answers[entry] = max(known, whole_answers)
         for part in sound:
             self.mark_sound(part, now)
         for crash in crashes:
--- a/packages/daemon/tests/test_direct_crashes.py
+++ b/packages/daemon/tests/test_direct_crashes.py
@@ -273,3 +273,12 @@
     crash(parts, 1, 5.0, "p")
     parts.merge_remote((PartCrash("p", "c1", "e1", 1, 0.5),), (), "a", 3, 5.5)
     assert parts.suspects["p"].count() == 1
+
+
+def test_complete_answers_of_an_entry_that_restarted_still_count():
+    parts = CrashingParts()
+    parts.merge_remote((), (), "a", MIN_WHOLE_ANSWERS, 1.0)
+    parts.merge_remote((), (), "a", 1, 2.0)
+    for number in range(3):
+        crash(parts, number, 5.0 + number, "p")
+    assert parts.is_blocked("p")
