Answers of the store, entries, engines and services are bounded

A line of an engine's steps longer than the limit, or one that is no step, ended the task that reads them.

Change: all of them read with `bounded_http.read_body` or `LineReader`, over bounded connections, with a limit for each reader; what exceeds it is the failure that a lost answer is, with the size in its detail.

--- a/packages/daemon/persimmonstall_daemon/adapters/engine.py
+++ b/packages/daemon/persimmonstall_daemon/adapters/engine.py
@@ -8,9 +8,13 @@
 from persimmonstall.failures import Reason
 from persimmonstall.outside.engine import CacheEvent, Engine, Step
 
+from ..bounded_http import LineReader
+from ..observe import logs
 from . import wire
 from .http_client import HttpClient
 
+LOG = logs.get("engine_client")
+
 MAX_LINE_BYTES = 1 << 22
 """Maximum length of a line in a stream, in bytes."""
 
@@ -29,13 +33,14 @@
         self.url = url
         self.decoder = msgspec.json.Decoder(record_type)
         self.response = None
+        self.lines = None
         self.connecting = asyncio.get_running_loop().create_task(self.connect())
 
     async def connect(self):
         """Open the connection and return the response, or None on failure."""
         limit = aiohttp.ClientTimeout(total=None)
         try:
-            return await self.session.get(self.url, timeout=limit, read_bufsize=MAX_LINE_BYTES)
+            return await self.session.get(self.url, timeout=limit)
         except (aiohttp.ClientError, OSError):
             return None
 
@@ -45,11 +50,15 @@
     async def __anext__(self):
         if self.response is None:
             self.response = await asyncio.shield(self.connecting)
+            self.lines = LineReader(self.response, MAX_LINE_BYTES)
         line = await self.read_line()
-        if not line:
-            await self.aclose()
-            raise StopAsyncIteration
-        return self.decoder.decode(line)
+        try:
+            if line:
+                return self.decoder.decode(line)
+        except msgspec.MsgspecError as error:
+            LOG.warning("step_unreadable", reason=repr(error), peer=self.url)
+        await self.aclose()
+        raise StopAsyncIteration
 
     async def read_line(self):
         """Return the next line, or empty bytes once the connection is lost.
@@ -59,7 +68,7 @@
         if self.response is None or self.response.status != 200:
             return b""
         try:
-            line = await self.response.content.readline()
+            line = await self.lines.read()
         except (aiohttp.ClientError, OSError, ValueError):
             return b""
         return line if line.endswith(b"\n") else b""
--- a/packages/daemon/persimmonstall_daemon/adapters/http_client.py
+++ b/packages/daemon/persimmonstall_daemon/adapters/http_client.py
@@ -5,6 +5,7 @@
 
 from persimmonstall.failures import Failure, Reason
 
+from ..bounded_http import AnswerRejected, open_session, read_body
 from .wire import decode_answer
 
 NOT_CONNECTED = "not connected"
@@ -16,6 +17,9 @@
 TIMEOUT = "timeout"
 CONNECTION_LOST = "connection lost"
 
+MAX_ANSWER_BYTES = 1 << 26
+"""Largest answer, in bytes; objects and pages of rows are encoded as base64."""
+
 
 class HttpClient:
     """Client of one external system at `url`; failures report `name` as their peer.
@@ -37,8 +41,7 @@
     def open_session(self):
         """Return the session; the first call creates it on the running event loop."""
         if self.session is None:
-            connector = aiohttp.TCPConnector(limit=0)
-            self.session = aiohttp.ClientSession(connector=connector)
+            self.session = open_session()
         return self.session
 
     async def close(self):
@@ -70,9 +73,11 @@
             async with self.open_session().post(
                 f"{self.url}/{step}", data=body, params={"timeout": str(timeout)}, timeout=limit
             ) as response:
-                return await response.read()
+                return await read_body(response, MAX_ANSWER_BYTES)
         except aiohttp.ClientConnectorError:
             return Failure(self.no_effect_reason, step, self.name, NOT_CONNECTED)
+        except AnswerRejected as error:
+            return Failure(unknown_outcome_reason, step, self.name, str(error))
         except TimeoutError:
             return Failure(unknown_outcome_reason, step, self.name, TIMEOUT)
         except (aiohttp.ClientError, OSError):
--- a/packages/daemon/persimmonstall_daemon/adapters/service.py
+++ b/packages/daemon/persimmonstall_daemon/adapters/service.py
@@ -5,9 +5,13 @@
 from persimmonstall.failures import Failure, Reason
 from persimmonstall.outside.service import PlainService, ServiceAnswer
 
+from ..bounded_http import AnswerRejected, read_body
 from . import wire
 from .http_client import CONNECTION_LOST, NOT_CONNECTED, TIMEOUT, HttpClient
 
+MAX_ANSWER_BYTES = 1 << 24
+"""Largest answer of a service, in bytes."""
+
 CALL_ID = "Call-Id"
 """Request header with an identifier that is unique to each submission of a call."""
 
@@ -36,12 +40,14 @@
                 headers=headers,
                 timeout=limit,
             ) as response:
-                body = await response.read()
+                body = await read_body(response, MAX_ANSWER_BYTES)
                 return self.read_answer(response, body)
         except aiohttp.ClientConnectorError:
             return self.failure(NOT_CONNECTED)
         except TimeoutError:
             return self.failure(TIMEOUT)
+        except AnswerRejected as error:
+            return self.failure(str(error))
         except (aiohttp.ClientError, OSError):
             return self.failure(CONNECTION_LOST)
 
--- a/packages/daemon/persimmonstall_daemon/direct/snapshots.py
+++ b/packages/daemon/persimmonstall_daemon/direct/snapshots.py
@@ -8,6 +8,7 @@
 from persimmonstall.direct.updates import ConfigurationUpdate, EndpointChange, EndpointUpdate
 from persimmonstall.failures import Failure
 
+from ..bounded_http import open_session, read_body
 from ..observe import logs
 
 CATCH_UP_DELAY_SECONDS = 0.15
@@ -19,6 +20,9 @@
 FETCH_TIMEOUT_SECONDS = 1.0
 """Timeout for fetching a snapshot."""
 
+MAX_SNAPSHOT_BYTES = 1 << 24
+"""Largest snapshot that is fetched, in bytes."""
+
 SNAPSHOT_PATH = "/snapshot"
 CONFIGURATION_QUERY = "configuration"
 ENDPOINTS_QUERY = "endpoints"
@@ -41,9 +45,7 @@
         self.runner = web.ServerRunner(web.Server(self.serve, access_log=None))
         await self.runner.setup()
         await web.TCPSite(self.runner, host, port).start()
-        self.session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=FETCH_TIMEOUT_SECONDS)
-        )
+        self.session = open_session(timeout=aiohttp.ClientTimeout(total=FETCH_TIMEOUT_SECONDS))
 
     async def stop(self):
         """Close the sockets."""
@@ -89,7 +91,7 @@
         known = {CONFIGURATION_QUERY: version, ENDPOINTS_QUERY: revision}
         try:
             async with self.session.get(url, params=known) as response:
-                data = await response.read()
+                data = await read_body(response, MAX_SNAPSHOT_BYTES)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             self.log.warning("snapshot_failed", peer=peer.address, reason=repr(error))
             return
--- /dev/null
+++ b/packages/daemon/tests/test_bounded_http.py
@@ -0,0 +1,232 @@
+"""Bounds on the answers of peers, against a server that sends given bytes."""
+
+import asyncio
+import itertools
+
+import aiohttp
+import pytest
+
+from persimmonstall.failures import Reason
+from persimmonstall.outside.service import ServiceCall
+from persimmonstall_daemon import bounded_http
+from persimmonstall_daemon.adapters.engine import HttpEngine
+from persimmonstall_daemon.adapters.http_client import HttpClient
+from persimmonstall_daemon.adapters.service import HttpService
+from persimmonstall_daemon.bounded_http import AnswerRejected, LineReader, open_session, read_body
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+PIECE = b"x" * 65_536
+SENT_ALLOWANCE_BYTES = 16 << 20
+"""More than the buffers of a connection on loopback."""
+
+
+class RawServer:
+    """Answers each request with the byte strings of `answer()`, which may not end."""
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.requests = 0
+        self.sent = 0
+        self.open = 0
+        self.closes = False
+        self.url = ""
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()
+        self.url = f"http://{host}:{port}"
+        return self
+
+    async def __aexit__(self, *_):
+        self.server.close()
+
+    async def serve(self, reader, writer):
+        self.open += 1
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                self.requests += 1
+                for piece in self.answer():
+                    writer.write(piece)
+                    await writer.drain()
+                    self.sent += len(piece)
+                    await asyncio.sleep(0)
+                if self.closes:
+                    writer.close()
+                    await writer.wait_closed()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.open -= 1
+            writer.transport.abort()
+
+    async def wait_closed(self):
+        async with asyncio.timeout(2):
+            while self.open:
+                await asyncio.sleep(0.01)
+
+
+def endless(start, piece):
+    return lambda: itertools.chain([start], itertools.repeat(piece))
+
+
+def on_server(answer, scenario):
+    async def main():
+        async with asyncio.timeout(10), RawServer(answer) as server:
+            async with open_session() as session:
+                return await scenario(server, session)
+
+    return asyncio.run(main())
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        endless(b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 1000),
+        endless(b"", b"\r\n" * 1000),
+        endless(HEAD + b"X: ", PIECE),
+        endless(HEAD, b"X: y\r\n" * 1000),
+        endless(HEAD + b"Content-Length: 99999999999999\r\n\r\n", PIECE),
+        endless(HEAD + b"\r\n", PIECE),
+        endless(CHUNKED, chunk(PIECE)),
+        endless(CHUNKED, b"1\r\nx\r\n" * 1000),
+        endless(CHUNKED, b"0" * 1000),
+        endless(CHUNKED + b"1;", PIECE),
+        endless(CHUNKED + b"0\r\n", b"X: y\r\n" * 1000),
+    ],
+)
+def test_answer_without_end_is_rejected_and_its_connection_closed(answer):
+    async def scenario(server, session):
+        with pytest.raises(aiohttp.ClientError):
+            async with session.get(server.url) as response:
+                await read_body(response, 1 << 20)
+        await server.wait_closed()
+        assert server.sent < SENT_ALLOWANCE_BYTES
+
+    on_server(answer, scenario)
+
+
+@pytest.mark.parametrize("size", [0, 1, 65_536, 8 << 20])
+@pytest.mark.parametrize("framing", ["length", "chunks", "small_chunks", "none"])
+def test_body_up_to_the_limit_is_read_whole(size, framing):
+    body = bytes(range(256)) * (size // 256) + b"y" * (size % 256)
+    piece = 64 if framing == "small_chunks" else 70_000
+    chunks = b"".join(chunk(body[i : i + piece]) for i in range(0, size, piece))
+    answer = {
+        "length": [HEAD + b"Content-Length: %d\r\n\r\n" % size, body],
+        "none": [HEAD + b"Connection: close\r\n\r\n", body],
+        "chunks": [CHUNKED, chunks, b"0\r\n\r\n"],
+        "small_chunks": [CHUNKED, chunks, b"0\r\n\r\n"],
+    }[framing]
+
+    async def scenario(server, session):
+        server.closes = framing == "none"
+        async with session.get(server.url) as response:
+            assert await read_body(response, size) == body
+
+    on_server(lambda: answer, scenario)
+
+
+def test_answer_larger_than_the_limit_is_rejected():
+    async def scenario(server, session):
+        async with session.get(server.url) as response:
+            with pytest.raises(AnswerRejected):
+                await read_body(response, 4)
+        await server.wait_closed()
+
+    on_server(lambda: [HEAD + b"Content-Length: 5\r\n\r\n", b"who"], scenario)
+
+
+@pytest.mark.parametrize(
+    "extra",
+    [
+        b"x",
+        b"\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong",
+        b"HTTP/1.1 200 OK\r\nX:",
+    ],
+)
+@pytest.mark.parametrize("pause", [0.0, 0.05])
+def test_bytes_after_an_answer_are_not_taken_for_the_next_one(extra, pause):
+    async def scenario(server, session):
+        for _ in range(3):
+            async with session.get(server.url) as response:
+                assert await read_body(response, 100) == b"whole"
+            await asyncio.sleep(pause)
+
+    on_server(lambda: [HEAD + b"Content-Length: 5\r\n\r\nwhole", extra], scenario)
+
+
+def test_sound_connection_is_used_again():
+    async def scenario(server, session):
+        for _ in range(3):
+            async with session.get(server.url) as response:
+                assert await read_body(response, 100) == b"whole"
+        assert server.open == 1
+
+    on_server(lambda: [HEAD + b"Content-Length: 5\r\n\r\n", b"whole"], scenario)
+
+
+def test_lines_are_read_whole_and_a_line_without_end_is_rejected():
+    lines = [b"a\n", b"\n", b"b" * 70_000 + b"\n"]
+    answer = endless(HEAD + b"\r\n" + b"".join(lines), PIECE)
+
+    async def scenario(server, session):
+        async with session.get(server.url) as response:
+            reader = LineReader(response, 1 << 20)
+            assert [await reader.read() for _ in lines] == lines
+            with pytest.raises(AnswerRejected):
+                await reader.read()
+        await server.wait_closed()
+        assert server.sent < SENT_ALLOWANCE_BYTES
+
+    on_server(answer, scenario)
+
+
+def test_engine_steps_end_at_a_line_without_end_or_that_is_no_step():
+    async def read_steps(url):
+        engine = HttpEngine(url)
+        steps = [step async for step in engine.steps()]
+        await engine.close()
+        return steps
+
+    async def scenario(server, _session):
+        assert await read_steps(server.url) == []
+        await server.wait_closed()
+        assert server.sent < SENT_ALLOWANCE_BYTES + (4 << 20)
+
+    for start in (b"", b"no step\n"):
+        on_server(endless(HEAD + b"\r\n" + start, PIECE), scenario)
+
+
+def test_clients_of_services_report_an_answer_without_end(monkeypatch):
+    monkeypatch.setattr("persimmonstall_daemon.adapters.http_client.MAX_ANSWER_BYTES", 1 << 20)
+    monkeypatch.setattr("persimmonstall_daemon.adapters.service.MAX_ANSWER_BYTES", 1 << 20)
+
+    async def scenario(server, _session):
+        client, service = HttpClient(server.url, "peer"), HttpService(server.url, "peer")
+        failures = [
+            await client.post("read", b"[]", 5.0, Reason.AMBIGUOUS),
+            await service.call(ServiceCall("c", "method", b"", "text/plain"), 5.0),
+        ]
+        await client.close()
+        await service.close()
+        assert [f.reason for f in failures] == [Reason.AMBIGUOUS, Reason.ENDPOINT_LOST]
+        assert all("limit" in f.detail and f.peer == "peer" for f in failures)
+        await server.wait_closed()
+        assert server.sent < 2 * SENT_ALLOWANCE_BYTES
+
+    on_server(endless(CHUNKED, chunk(PIECE)), scenario)
+
+
+def test_connector_opens_bounded_connections():
+    async def scenario(_server, session):
+        protocol = session.connector._factory()
+        assert isinstance(protocol, bounded_http.BoundedResponseHandler)
+
+    on_server(list, scenario)
