Placement: endpoint states, pools and usual times are modules of their own

core/placement/view.py (368 lines) held all of an entry's view. Moved, with behaviour unchanged: - endpoint_state.py: InFlightAttempt, EndpointState - pools.py: Pool, pool_key, stable_rank and Pools (pool_keys_of -> keys_of, remove_from_pools -> remove, update_pools -> update, choose_reserved) - usual_times.py: UsualTimes (the average ratios by length class; usual_seconds -> seconds) FleetView (164 lines) keeps joins, reports and attempts; record_if_overdue replaces two copies. view.pools[key] is view.pools.by_key[key], also in one test file.

--- a/packages/core/persimmonstall/memory/segments.py
+++ b/packages/core/persimmonstall/memory/segments.py
@@ -10,7 +10,7 @@
 import attrs
 
 from ..failures import Failure, Reason
-from ..placement.view import stable_rank
+from ..placement.pools import stable_rank
 
 STEP = "segments"
 
--- a/packages/core/persimmonstall/placement/view.py
+++ b/packages/core/persimmonstall/placement/view.py
@@ -4,179 +4,17 @@
 leaves or changes what it serves: then the affected pools are rebuilt.
 """
 
-import zlib
-from collections import deque
-
-import attrs
-
 from ..lengths import LONG_CLASSES
-from .cost import PRIOR_SECONDS_PER_TOKEN, PRIOR_STEP_SECONDS, weighted_tokens
+from .cost import weighted_tokens
+from .endpoint_state import EndpointState, InFlightAttempt
+from .pools import Pools, pool_key
 from .prefix import PrefixMap
-from .slow import FLOOR_SECONDS, MAX_RATIO, Slowness
-
-UNTRIED_STEP_SECONDS = PRIOR_STEP_SECONDS / 2
-"""Step time assumed of an endpoint that has not run yet; optimistic, so that it is tried."""
-
-REPORT_LAG_SECONDS = 0.05
-"""Age of a load report when the endpoint's daemon sends it."""
-
-MEAN_RATIO_WEIGHT = 0.02
-"""Weight of the newest attempt in the average ratio of observed to expected time to first token
-of its length class."""
+from .usual_times import UsualTimes
 
 WARM_UP_SECONDS = 10.0
 """Time over which a rejoined endpoint is brought back to its full share of requests."""
 
 
-@attrs.define(eq=False)
-class InFlightAttempt:
-    """An attempt in flight, with the load that it adds until its endpoint's reports include it."""
-
-    endpoint: "EndpointState"
-    tokens: float
-    long: bool
-    memory: int
-    sent_at: float
-    expected: float
-    length_class: str = ""
-    reported: bool = False
-    prefilled: bool = False
-
-
-@attrs.define(eq=False)
-class EndpointState:
-    """State of one endpoint as seen by the entry, in tokens and seconds.
-
-    `reported_*` are from the endpoint's last load report, `unreported_*` count what this entry
-    has sent since that report was made, `own_*` all that this entry has in flight.  `ahead` is
-    the number of prompt tokens to be prefilled before a new request, `long_ahead` those of long
-    prompts among them.
-    """
-
-    name: str
-    data_centre: str = ""
-    delay: float = 0.0
-    services: tuple[str, ...] = ()
-    models: tuple[str, ...] = ()
-    adapters: tuple[str, ...] = ()
-    leaving: bool = False
-    reported_leaving: bool = False
-    drained: bool = False
-    lost: bool = False
-    reserved: bool = False
-    warm_until: float = 0.0
-    slowness: Slowness = attrs.field(factory=Slowness)
-    step_seconds: float = UNTRIED_STEP_SECONDS
-    token_seconds: float = PRIOR_SECONDS_PER_TOKEN
-    memory_total: int = 0
-    reported_running: int = 0
-    reported_memory: int = 0
-    reported_ahead: int = 0
-    reported_long: int = 0
-    own_running: int = 0
-    own_ahead: float = 0.0
-    own_long: float = 0.0
-    unreported: deque = attrs.field(factory=deque)
-    unreported_ahead: float = 0.0
-    unreported_long: float = 0.0
-    unreported_memory: int = 0
-    unreported_running: int = 0
-    ahead: float = 0.0
-    long_ahead: float = 0.0
-    running: int = 0
-    memory_free: int = 0
-
-    @property
-    def usable(self):
-        """Return whether the endpoint accepts new requests."""
-        return not (self.leaving or self.reported_leaving or self.drained or self.lost)
-
-    def refresh(self):
-        """Recompute the corrected load."""
-        self.ahead = max(self.reported_ahead + self.unreported_ahead, self.own_ahead)
-        self.long_ahead = max(self.reported_long + self.unreported_long, self.own_long)
-        self.running = max(self.reported_running + self.unreported_running, self.own_running)
-        self.memory_free = self.memory_total - self.reported_memory - self.unreported_memory
-
-    def add(self, attempt):
-        """Add the load of an attempt that was just sent."""
-        while self.unreported and self.unreported[0].reported:
-            self.unreported.popleft()
-        self.unreported.append(attempt)
-        self.own_running += 1
-        self.own_ahead += attempt.tokens
-        self.unreported_ahead += attempt.tokens
-        self.unreported_memory += attempt.memory
-        self.unreported_running += 1
-        if attempt.long:
-            self.own_long += attempt.tokens
-            self.unreported_long += attempt.tokens
-        self.refresh()
-
-    def mark_reported(self, attempt):
-        """Remove an attempt from the unreported load once reported or ended; idempotent."""
-        if attempt.reported:
-            return
-        attempt.reported = True
-        self.unreported_memory -= attempt.memory
-        self.unreported_running -= 1
-        if not attempt.prefilled:
-            self.unreported_ahead -= attempt.tokens
-            self.unreported_long -= attempt.tokens if attempt.long else 0.0
-
-    def mark_prefilled(self, attempt):
-        """Remove an attempt's prefill from the load; idempotent."""
-        if attempt.prefilled:
-            return
-        if not attempt.reported:
-            self.unreported_ahead -= attempt.tokens
-            self.unreported_long -= attempt.tokens if attempt.long else 0.0
-        attempt.prefilled = True
-        self.own_ahead -= attempt.tokens
-        self.own_long -= attempt.tokens if attempt.long else 0.0
-
-    def apply_report(self, load, now):
-        """Replace the reported load; attempts sent after it was made are still added."""
-        made_at = now - self.delay - REPORT_LAG_SECONDS
-        while self.unreported and self.unreported[0].sent_at + self.delay < made_at:
-            self.mark_reported(self.unreported.popleft())
-        self.reported_running = load.running + load.waiting
-        self.reported_memory = load.memory_used
-        self.reported_ahead = load.prefill_backlog
-        self.reported_long = load.long_tokens
-        self.memory_total = load.memory_total
-        if load.step_seconds > 0.0:
-            self.step_seconds = load.step_seconds
-        if load.token_seconds > 0.0:
-            self.token_seconds = load.token_seconds
-        self.refresh()
-
-
-@attrs.define(eq=False)
-class Pool:
-    """The usable endpoints of a model, a model with an adapter, or a service.
-
-    `reserved` are those reserved for short prompts, `common` all others; every entry makes the
-    same choice.
-    """
-
-    members: list = attrs.field(factory=list)
-    common: list = attrs.field(factory=list)
-    reserved: list = attrs.field(factory=list)
-
-
-def pool_key(work):
-    """Return the key of the pool that can serve `work`."""
-    if work.service:
-        return ("service", work.service)
-    return ("model", work.model, work.adapter)
-
-
-def stable_rank(name):
-    """Return a pseudo-random sort key of an endpoint that is the same at every entry."""
-    return zlib.crc32(name.encode())
-
-
 class FleetView:
     """The endpoints known to an entry, by pool; `settings` is the root of the settings.
 
@@ -185,17 +23,17 @@
     >>> view = FleetView(Settings())
     >>> state = view.join("e1", "dc1")
     >>> view.report(EndpointLoad("e1", 0, 0, 0, 1000, 0, 0.02, models=("m",)), now=1.0)
-    >>> [member.name for member in view.pools["model", "m", ""].members]
+    >>> [member.name for member in view.pools.by_key["model", "m", ""].members]
     ['e1']
     """
 
     def __init__(self, settings):
         self.settings = settings
         self.endpoints = {}
-        self.pools = {}
+        self.pools = Pools(settings)
         self.attempts = {}
         self.prefixes = PrefixMap()
-        self.mean_ratios = {}
+        self.usual_times = UsualTimes()
 
     def join(self, name, data_centre="", delay=0.0, services=(), now=0.0):
         """Add an endpoint, or reinstate a lost one, and return its `EndpointState`."""
@@ -207,7 +45,7 @@
             state.warm_until = now + WARM_UP_SECONDS
         state.lost = False
         state.leaving = False
-        self.update_pools(state)
+        self.pools.update(state)
         return state
 
     def remove(self, name):
@@ -215,7 +53,7 @@
         state = self.endpoints.pop(name, None)
         if state is not None:
             state.lost = True
-            self.update_pools(state)
+            self.pools.update(state)
             self.prefixes.forget(name)
 
     def mark_lost(self, name):
@@ -223,7 +61,7 @@
         state = self.endpoints.get(name)
         if state is not None and not state.lost:
             state.lost = True
-            self.update_pools(state)
+            self.pools.update(state)
             self.prefixes.forget(name)
 
     def leave(self, name):
@@ -239,7 +77,7 @@
         state = self.endpoints.get(name)
         if state is not None and getattr(state, attribute) != value:
             setattr(state, attribute, value)
-            self.update_pools(state)
+            self.pools.update(state)
 
     def report(self, load, now):
         """Apply an `EndpointLoad`; one of an unknown endpoint is ignored."""
@@ -251,7 +89,7 @@
         reported = (load.models, load.adapters, load.services or state.services)
         if known == reported and load.leaving == state.reported_leaving:
             return
-        self.remove_from_pools(state)
+        self.pools.remove(state)
         state.models, state.adapters, state.services = reported
         if state.reported_leaving and not load.leaving:
             state.warm_until = now + WARM_UP_SECONDS
@@ -259,48 +97,11 @@
         if load.leaving:
             self.prefixes.forget(state.name)
         state.reported_leaving = load.leaving
-        self.update_pools(state)
-
-    def pool_keys_of(self, state):
-        """Return the keys of the pools that an endpoint belongs to."""
-        keys = [("service", name) for name in state.services]
-        for model in state.models:
-            keys.append(("model", model, ""))
-            keys.extend(("model", model, adapter) for adapter in state.adapters)
-        return keys
-
-    def remove_from_pools(self, state):
-        """Remove an endpoint from its pools."""
-        for key in self.pool_keys_of(state):
-            pool = self.pools.get(key)
-            if pool is not None and state in pool.members:
-                pool.members.remove(state)
-                self.choose_reserved(pool)
-
-    def update_pools(self, state):
-        """Add an endpoint to its pools if it is usable, else remove it."""
-        self.remove_from_pools(state)
-        if not state.usable:
-            return
-        for key in self.pool_keys_of(state):
-            pool = self.pools.setdefault(key, Pool())
-            pool.members.append(state)
-            pool.members.sort(key=lambda member: (stable_rank(member.name), member.name))
-            self.choose_reserved(pool)
-
-    def choose_reserved(self, pool):
-        """Choose the members that are reserved for short prompts."""
-        placing = self.settings.placing
-        count = len(pool.members)
-        reserved = min(round(placing.short_share * count), count - 1)
-        pool.common = pool.members[: count - reserved] if reserved > 0 else pool.members
-        pool.reserved = pool.members[count - reserved :] if reserved > 0 else []
-        for number, state in enumerate(pool.members):
-            state.reserved = number >= len(pool.common)
+        self.pools.update(state)
 
     def pool(self, work):
         """Return the `Pool` that can serve `work`, or None."""
-        return self.pools.get(pool_key(work))
+        return self.pools.by_key.get(pool_key(work))
 
     def sent(self, work, placed, now):
         """Record an attempt that is sent as `placed`."""
@@ -327,13 +128,8 @@
         state.mark_prefilled(attempt)
         state.refresh()
         observed = max(0.0, now - attempt.sent_at - 2.0 * state.delay)
-        # Observed times are compared with the average of the class over all endpoints: waits
-        # that exceed their estimates everywhere do not make a single endpoint slow.
-        ratio = (observed + FLOOR_SECONDS) / (attempt.expected + FLOOR_SECONDS)
-        mean_ratio = self.mean_ratios.get(attempt.length_class, 1.0)
-        mean_ratio += MEAN_RATIO_WEIGHT * (min(MAX_RATIO, ratio) - mean_ratio)
-        self.mean_ratios[attempt.length_class] = mean_ratio
-        state.slowness.observe(observed, self.usual_seconds(attempt), now)
+        self.usual_times.observe(attempt, observed)
+        state.slowness.observe(observed, self.usual_times.seconds(attempt), now)
 
     def ended(self, request_id, endpoint):
         """Remove an attempt that ended, with any outcome."""
@@ -352,17 +148,17 @@
         Called about once a second; takes time linear in the attempts in flight.
         """
         for attempt in self.attempts.values():
-            if not attempt.prefilled:
-                waited = now - attempt.sent_at
-                attempt.endpoint.slowness.record_overdue(waited, self.usual_seconds(attempt), now)
+            self.record_if_overdue(attempt, now)
 
     def mark_overdue(self, request_id, endpoint, now):
         """Update the endpoint's slowness if the attempt still waits for its first token."""
         attempt = self.attempts.get((request_id, endpoint))
-        if attempt is not None and not attempt.prefilled:
-            waited = now - attempt.sent_at
-            attempt.endpoint.slowness.record_overdue(waited, self.usual_seconds(attempt), now)
+        if attempt is not None:
+            self.record_if_overdue(attempt, now)
 
-    def usual_seconds(self, attempt):
-        """Return the time to first token, in seconds, that is usual for the attempt's class."""
-        return max(1.0, self.mean_ratios.get(attempt.length_class, 1.0)) * attempt.expected
+    def record_if_overdue(self, attempt, now):
+        """Update the slowness of the endpoint of an attempt without a first token."""
+        if not attempt.prefilled:
+            waited = now - attempt.sent_at
+            usual = self.usual_times.seconds(attempt)
+            attempt.endpoint.slowness.record_overdue(waited, usual, now)
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -73,7 +73,7 @@
 
 
 def test_long_and_medium_prompts_leave_reserved_endpoints_to_short_ones(view):
-    reserved = {state.name for state in view.pools["model", "m", ""].reserved}
+    reserved = {state.name for state in view.pools.by_key["model", "m", ""].reserved}
     assert len(reserved) == 2
     bulk = place_many(view, LengthAware(), 12, 60_000, "long")
     bulk += place_many(view, LengthAware(), 24, 10_000, "medium")
@@ -92,7 +92,7 @@
 
 
 def test_medium_prompt_takes_a_reserved_endpoint_rather_than_miss_its_deadline(view):
-    pool = view.pools["model", "m", ""]
+    pool = view.pools.by_key["model", "m", ""]
     for state in pool.common:
         view.report(load_of(state.name, backlog=500_000), 1.5)
     reserved = {state.name for state in pool.reserved}
--- a/packages/daemon/persimmonstall_daemon/entry/policy_placer.py
+++ b/packages/daemon/persimmonstall_daemon/entry/policy_placer.py
@@ -5,9 +5,10 @@
 from persimmonstall.placement.admission import admit
 from persimmonstall.placement.length_aware import LengthAware
 from persimmonstall.placement.policy import LeastOutstanding, RandomTwo, RoundRobin
+from persimmonstall.placement.pools import pool_key
 from persimmonstall.placement.prediction import OutputLengthPredictor
 from persimmonstall.placement.services import LeastRunning
-from persimmonstall.placement.view import FleetView, pool_key
+from persimmonstall.placement.view import FleetView
 from persimmonstall.retries.budget import RetryBudget
 from persimmonstall.retries.delays import retry_delay
 from persimmonstall.retries.late import first_token_timeout
@@ -70,7 +71,7 @@
 
     def pools(self):
         """Return the names of the available endpoints by pool key."""
-        pools = self.view.pools
+        pools = self.view.pools.by_key
         return {key: [one.name for one in pool.members] for key, pool in pools.items()}
 
     def retry_delay(self, work, reason, attempt, now):
