Ledger.committed -> committed_tokens

What is committed: the tokens of all holdings. A rename with its callers and tests; behaviour unchanged. Run: test_memory_ledger, test_memory_keeper: passed.

--- a/packages/core/persimmonstall/memory/ledger.py
+++ b/packages/core/persimmonstall/memory/ledger.py
@@ -79,7 +79,7 @@
         self.holdings = {}
         self.parked = {}
         self.by_job = {}
-        self.committed = 0
+        self.committed_tokens = 0
         self.in_use = 0
         self.unowned = 0
 
@@ -106,7 +106,7 @@
         """
         if not self.capacity:
             return math.inf
-        taken = self.committed + self.unowned
+        taken = self.committed_tokens + self.unowned
         return self.capacity * ADMIT_SHARE - taken if taken else self.capacity
 
     def fits_empty_engine(self, tokens):
@@ -206,7 +206,7 @@
 
     def add_to_totals(self, holding, sign):
         """Add a holding to the totals (`sign` 1) or subtract it (-1)."""
-        self.committed += sign * holding.counted
+        self.committed_tokens += sign * holding.counted
         if not holding.parked:
             self.in_use += sign * holding.actual
 
@@ -214,7 +214,9 @@
         """Check that the running total equals the sum over all holdings."""
         total = sum(holding.counted for holding in self.holdings.values())
         self.invariants.check(
-            "ledger_balanced", total == self.committed, f"{total} != {self.committed}"
+            "ledger_balanced",
+            total == self.committed_tokens,
+            f"{total} != {self.committed_tokens}",
         )
 
 
--- a/packages/core/tests/test_memory_ledger.py
+++ b/packages/core/tests/test_memory_ledger.py
@@ -43,9 +43,9 @@
 def test_estimate_is_raised_as_the_output_grows(ledger):
     ledger.add(stream("a"))
     ledger.grow("a", 160)
-    assert 160 < ledger.committed <= 1000
+    assert 160 < ledger.committed_tokens <= 1000
     ledger.grow("a", 1000)
-    assert ledger.committed == 1000
+    assert ledger.committed_tokens == 1000
     assert not ledger.fits(1)
 
 
--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -109,7 +109,7 @@
     def memory_promised(self):
         """Return the memory of all holdings and of the queued attempts, in tokens."""
         queued = sum(waiting.memory for waiting in self.queue.waiting.values())
-        return self.memory.ledger.committed + queued
+        return self.memory.ledger.committed_tokens + queued
 
     def on_load(self, load, _session):
         """Apply a load report, which also proves that the engine is alive."""
--- a/packages/daemon/tests/test_memory_keeper.py
+++ b/packages/daemon/tests/test_memory_keeper.py
@@ -279,7 +279,7 @@
         else:
             assert result.outcome == Outcome.NOT_RUN
     assert len(harness.caller.results) == 12
-    assert held_tokens(harness.engine) == 0 == harness.backend.memory.ledger.committed
+    assert held_tokens(harness.engine) == 0 == harness.backend.memory.ledger.committed_tokens
 
 
 def test_streams_are_cut_without_parking(monkeypatch):
