--- a/packages/core/persimmonstall/quarantine/trial.py
+++ b/packages/core/persimmonstall/quarantine/trial.py
@@ -10,12 +10,12 @@
 """
 
 
-def trial_endpoint(verdict, last_seen, now):
+def trial_endpoint(verdict, last_usable, now):
     """Return the endpoint on which the content may run, or None if there is none.
 
-    `last_seen` maps the endpoints that serve the content to the time they were last usable.
+    `last_usable` maps the endpoints that serve the content to the time they were last usable.
     The endpoints that crashed with it are avoided while there are others.
     """
-    recent = {name for name, seen in last_seen.items() if now - seen < PROPAGATION_SECONDS}
+    recent = {name for name, seen in last_usable.items() if now - seen < PROPAGATION_SECONDS}
     others = recent - {crash.endpoint for crash in verdict.crashes}
     return owner(verdict.fingerprint, sorted(others or recent))
--- a/packages/daemon/persimmonstall_daemon/quarantine/filter.py
+++ b/packages/daemon/persimmonstall_daemon/quarantine/filter.py
@@ -17,7 +17,7 @@
 class QuarantineFilter(Filter):
     """The entry's filter; `manager` is its `QuarantineManager`.
 
-    `last_seen` maps each pool of endpoints to the times at which they were last usable, so
+    `last_usable` maps each pool of endpoints to the times at which they were last usable, so
     that a trial does not move to another endpoint as soon as its own is lost.
     """
 
@@ -26,7 +26,7 @@
     def __init__(self, entry, manager):
         self.entry = entry
         self.manager = manager
-        self.last_seen = {}
+        self.last_usable = {}
 
     async def admit(self, work):
         """Return the work, or the `Refusal` of quarantined content."""
@@ -60,7 +60,7 @@
         """Record which endpoints are usable now; `pools` maps keys to endpoint names."""
         now = self.entry.context.now()
         for key, names in pools.items():
-            seen = self.last_seen.setdefault(key, {})
+            seen = self.last_usable.setdefault(key, {})
             seen.update(dict.fromkeys(names, now))
             for name in [name for name, at in seen.items() if now - at >= PROPAGATION_SECONDS]:
                 del seen[name]
@@ -80,7 +80,7 @@
         names = frozenset(self.entry.placer.pools().get(key, ())) - leaving
         self.record_usable({key: names})
         verdict = self.manager.verdict(work.fingerprint)
-        chosen = trial_endpoint(verdict, self.last_seen[key], self.entry.context.now())
+        chosen = trial_endpoint(verdict, self.last_usable[key], self.entry.context.now())
         if chosen not in names:
             detail = "content is suspect and its trial endpoint is not available"
             return Postponed(Reason.BUSY, self.name, chosen or "", detail, CHECK_SECONDS)
