Memory ledger: holding -> allocation, Holding -> Allocation

An entry of the ledger is engine memory that is allocated to an owner; 'holding' was a word of this project only. Attempt.holding_name is allocation_name, MemoryManager.add_holding add_allocation. Behaviour unchanged.

--- a/packages/core/persimmonstall/memory/ledger.py
+++ b/packages/core/persimmonstall/memory/ledger.py
@@ -1,7 +1,7 @@
 """The endpoint daemon's account of one engine's memory.
 
-A holding is engine memory that one owner uses or has reserved, for a stream or for a segment of a
-long prompt.  Every holding has an owner and an expiry time.  A holding counts with the size that
+An allocation is engine memory that one owner uses or has reserved, for a stream or for a segment
+of a long prompt.  Every allocation has an owner and an expiry time.  It counts with the size that
 it is expected to reach, not with its maximum, so that callers who ask for far more output than
 they use do not keep others out.  An estimate that proves too low is raised as the output grows.
 Memory is in tokens, times are in seconds of the local monotonic clock.
@@ -22,15 +22,15 @@
 """Fraction of the engine's memory that new and resumed work may fill; the rest is for growth."""
 
 
-class HoldingKind(enum.StrEnum):
-    """Purpose of a holding: a generating stream or a segment of a long prompt."""
+class AllocationKind(enum.StrEnum):
+    """Purpose of an allocation: a generating stream or a segment of a long prompt."""
 
     STREAM = "stream"
     SEGMENT = "segment"
 
 
 @attrs.define(eq=False)
-class Holding:
+class Allocation:
     """Engine memory that one owner uses or has reserved; sizes in tokens.
 
     `name` is unique in the ledger; `job_id` is the id of its job on the engine, empty until a
@@ -41,7 +41,7 @@
 
     name: str
     owner: str
-    kind: HoldingKind
+    kind: AllocationKind
     base: int
     expected: int
     maximum: int
@@ -57,26 +57,26 @@
 
     @property
     def counted(self):
-        """Tokens that this holding takes up in the engine; 0 while it is parked."""
+        """Tokens that this allocation takes up in the engine; 0 while it is parked."""
         return 0 if self.parked else max(self.expected, self.actual)
 
     @property
     def required(self):
-        """Tokens that this holding needs in the engine in order to run."""
+        """Tokens that this allocation needs in the engine in order to run."""
         return max(self.expected, self.actual)
 
 
 class Ledger:
-    """All holdings of one engine; `capacity` is 0 while it is unknown.
+    """All allocations of one engine; `capacity` is 0 while it is unknown.
 
-    `committed` is the sum of `counted` over the holdings, `in_use` that of `actual` over those
-    not parked, and `unowned` the engine memory outside the ledger.
+    `committed_tokens` is the sum of `counted` over the allocations, `in_use` that of `actual`
+    over those not parked, and `unowned` the engine memory outside the ledger.
     """
 
     def __init__(self, invariants, capacity=0):
         self.invariants = invariants
         self.capacity = capacity
-        self.holdings = {}
+        self.allocations = {}
         self.parked = {}
         self.by_job = {}
         self.committed_tokens = 0
@@ -88,11 +88,11 @@
         self.capacity = tokens
 
     def fits(self, tokens):
-        """Return whether new work of `tokens` fits beside all holdings and the next parked one.
+        """Return whether new work of `tokens` fits beside all allocations and the next parked one.
 
         >>> from ..invariants import Invariants
         >>> ledger = Ledger(Invariants(strict=True), capacity=100)
-        >>> ledger.add(Holding("a", "d", HoldingKind.STREAM, 50, 60, 100, expires_at=9.0))
+        >>> ledger.add(Allocation("a", "d", AllocationKind.STREAM, 50, 60, 100, expires_at=9.0))
         True
         >>> ledger.fits(37), ledger.fits(38)
         (True, False)
@@ -114,105 +114,107 @@
         return not self.capacity or tokens <= self.capacity
 
     def next_parked_tokens(self):
-        """Return the tokens that the parked holding next in line needs, 0 if none is parked."""
-        holding = self.next_to_resume()
-        return holding.required if holding else 0
+        """Return the tokens that the parked allocation next in line needs, 0 if none is parked."""
+        allocation = self.next_to_resume()
+        return allocation.required if allocation else 0
 
     def next_to_resume(self):
-        """Return the parked holding that is next in line to be resumed, or None."""
+        """Return the parked allocation that is next in line to be resumed, or None."""
         return min(self.parked.values(), key=resume_order, default=None)
 
-    def add(self, holding):
-        """Add a holding; return False if its name is already in use."""
-        if holding.name in self.holdings:
+    def add(self, allocation):
+        """Add an allocation; return False if its name is already in use."""
+        if allocation.name in self.allocations:
             return False
-        self.holdings[holding.name] = holding
-        self.add_to_totals(holding, 1)
-        if holding.job_id:
-            self.by_job[holding.job_id] = holding
+        self.allocations[allocation.name] = allocation
+        self.add_to_totals(allocation, 1)
+        if allocation.job_id:
+            self.by_job[allocation.job_id] = allocation
         return True
 
     def remove(self, name):
-        """Remove and return a holding, or return None if it does not exist."""
-        holding = self.holdings.pop(name, None)
-        if holding is None:
+        """Remove and return an allocation, or return None if it does not exist."""
+        allocation = self.allocations.pop(name, None)
+        if allocation is None:
             return None
-        self.add_to_totals(holding, -1)
+        self.add_to_totals(allocation, -1)
         self.parked.pop(name, None)
-        self.by_job.pop(holding.job_id, None)
+        self.by_job.pop(allocation.job_id, None)
         self.check_totals()
-        return holding
+        return allocation
 
     def assign_job(self, name, job_id):
-        """Assign an engine job to a holding; called before the job is submitted."""
-        holding = self.holdings[name]
-        self.by_job.pop(holding.job_id, None)
-        holding.job_id = job_id
-        holding.started = math.inf
-        self.by_job[job_id] = holding
+        """Assign an engine job to an allocation; called before the job is submitted."""
+        allocation = self.allocations[name]
+        self.by_job.pop(allocation.job_id, None)
+        allocation.job_id = job_id
+        allocation.started = math.inf
+        self.by_job[job_id] = allocation
 
     def confirm(self, name, now):
-        """Record that the engine has accepted the job of a holding."""
-        holding = self.holdings.get(name)
-        if holding:
-            holding.started = now
+        """Record that the engine has accepted the job of an allocation."""
+        allocation = self.allocations.get(name)
+        if allocation:
+            allocation.started = now
 
     def grow(self, name, actual):
-        """Set the current size of a holding; raise its estimate when that is exceeded."""
-        holding = self.holdings.get(name)
-        if holding is None or holding.parked:
+        """Set the current size of an allocation; raise its estimate when that is exceeded."""
+        allocation = self.allocations.get(name)
+        if allocation is None or allocation.parked:
             return
-        self.add_to_totals(holding, -1)
-        holding.actual = actual
-        if actual > holding.expected:
-            step = max(MIN_RAISE, int((actual - holding.base) * RAISE_SHARE))
-            holding.expected = max(actual, min(holding.maximum, actual + step))
-        self.add_to_totals(holding, 1)
+        self.add_to_totals(allocation, -1)
+        allocation.actual = actual
+        if actual > allocation.expected:
+            step = max(MIN_RAISE, int((actual - allocation.base) * RAISE_SHARE))
+            allocation.expected = max(actual, min(allocation.maximum, actual + step))
+        self.add_to_totals(allocation, 1)
 
     def expect(self, name, tokens):
-        """Set the size that a holding is expected to reach."""
-        holding = self.holdings[name]
-        self.add_to_totals(holding, -1)
-        holding.expected = tokens
-        self.add_to_totals(holding, 1)
+        """Set the size that an allocation is expected to reach."""
+        allocation = self.allocations[name]
+        self.add_to_totals(allocation, -1)
+        allocation.expected = tokens
+        self.add_to_totals(allocation, 1)
 
     def park(self, name, now):
-        """Stop counting a holding whose memory was exported from the engine."""
-        holding = self.holdings[name]
-        self.add_to_totals(holding, -1)
-        holding.parking = False
-        holding.parked = True
-        holding.parked_at = now
-        self.parked[name] = holding
+        """Stop counting an allocation whose memory was exported from the engine."""
+        allocation = self.allocations[name]
+        self.add_to_totals(allocation, -1)
+        allocation.parking = False
+        allocation.parked = True
+        allocation.parked_at = now
+        self.parked[name] = allocation
         self.check_totals()
 
     def unpark(self, name):
-        """Count a holding again, before its export is imported into the engine."""
-        holding = self.parked.pop(name)
-        holding.parked = False
-        self.add_to_totals(holding, 1)
+        """Count an allocation again, before its export is imported into the engine."""
+        allocation = self.parked.pop(name)
+        allocation.parked = False
+        self.add_to_totals(allocation, 1)
 
     def renew(self, name, expires_at):
-        """Extend the expiry time of a holding; return False if it does not exist."""
-        holding = self.holdings.get(name)
-        if holding is None:
+        """Extend the expiry time of an allocation; return False if it does not exist."""
+        allocation = self.allocations.get(name)
+        if allocation is None:
             return False
-        holding.expires_at = max(holding.expires_at, expires_at)
+        allocation.expires_at = max(allocation.expires_at, expires_at)
         return True
 
     def expired(self, now):
-        """Return the expired holdings; the caller removes them."""
-        return [holding for holding in self.holdings.values() if holding.expires_at <= now]
+        """Return the expired allocations; the caller removes them."""
+        return [
+            allocation for allocation in self.allocations.values() if allocation.expires_at <= now
+        ]
 
-    def add_to_totals(self, holding, sign):
-        """Add a holding to the totals (`sign` 1) or subtract it (-1)."""
-        self.committed_tokens += sign * holding.counted
-        if not holding.parked:
-            self.in_use += sign * holding.actual
+    def add_to_totals(self, allocation, sign):
+        """Add an allocation to the totals (`sign` 1) or subtract it (-1)."""
+        self.committed_tokens += sign * allocation.counted
+        if not allocation.parked:
+            self.in_use += sign * allocation.actual
 
     def check_totals(self):
-        """Check that the running total equals the sum over all holdings."""
-        total = sum(holding.counted for holding in self.holdings.values())
+        """Check that the running total equals the sum over all allocations."""
+        total = sum(allocation.counted for allocation in self.allocations.values())
         self.invariants.check(
             "ledger_balanced",
             total == self.committed_tokens,
@@ -220,6 +222,6 @@
         )
 
 
-def resume_order(holding):
-    """Return the sort key for resuming parked holdings: priority, then time of parking."""
-    return holding.priority, holding.parked_at, holding.name
+def resume_order(allocation):
+    """Return the sort key for resuming parked allocations: priority, then time of parking."""
+    return allocation.priority, allocation.parked_at, allocation.name
--- a/packages/core/persimmonstall/memory/parking.py
+++ b/packages/core/persimmonstall/memory/parking.py
@@ -5,7 +5,7 @@
 into the engine alone, so some stream always finishes and frees memory: there is no deadlock.
 """
 
-from .ledger import HoldingKind
+from .ledger import AllocationKind
 
 GROWTH_PER_STREAM = 64
 """Allowance in tokens for the growth of a stream while others are being parked."""
@@ -18,32 +18,37 @@
     """Return the tokens by which the engine will soon exceed its capacity, 0 if it will not.
 
     >>> from ..invariants import Invariants
-    >>> from .ledger import Holding, Ledger
+    >>> from .ledger import Allocation, Ledger
     >>> ledger = Ledger(Invariants(strict=True), capacity=1000)
-    >>> _ = ledger.add(Holding("a", "d", HoldingKind.STREAM, 900, 900, 2000, 9.0, job_id="j"))
+    >>> stream = AllocationKind.STREAM
+    >>> _ = ledger.add(Allocation("a", "d", stream, 900, 900, 2000, 9.0, job_id="j"))
     >>> ledger.grow("a", 990)
     >>> shortage(ledger)
     54
     """
-    upper_bound = ledger.in_use + ledger.unowned + len(ledger.holdings) * GROWTH_PER_STREAM
+    upper_bound = ledger.in_use + ledger.unowned + len(ledger.allocations) * GROWTH_PER_STREAM
     if not ledger.capacity or upper_bound <= ledger.capacity:
         return 0
     staying = [
-        holding
-        for holding in ledger.holdings.values()
-        if not holding.parked and not holding.parking
+        allocation
+        for allocation in ledger.allocations.values()
+        if not allocation.parked and not allocation.parking
     ]
-    projected = ledger.unowned + sum(holding.actual + GROWTH_PER_STREAM for holding in staying)
+    projected = ledger.unowned + sum(
+        allocation.actual + GROWTH_PER_STREAM for allocation in staying
+    )
     return max(0, projected - ledger.capacity)
 
 
 def choose_victims(ledger):
-    """Return the holdings to park now, least urgent first; empty if there is no shortage."""
+    """Return the allocations to park now, least urgent first; empty if there is no shortage."""
     short = shortage(ledger)
     if not short:
         return []
-    running = [holding for holding in ledger.holdings.values() if can_be_parked(holding)]
-    running.sort(key=lambda holding: (holding.priority, holding.actual, holding.name))
+    running = [
+        allocation for allocation in ledger.allocations.values() if can_be_parked(allocation)
+    ]
+    running.sort(key=lambda allocation: (allocation.priority, allocation.actual, allocation.name))
     needed = short + int(ledger.capacity * SPARE_SHARE)
     victims = []
     while needed > 0 and len(running) > 1:
@@ -53,19 +58,21 @@
     return victims
 
 
-def can_be_parked(holding):
-    """Return whether a holding is a running stream that can be parked."""
-    if holding.parked or holding.parking:
+def can_be_parked(allocation):
+    """Return whether an allocation is a running stream that can be parked."""
+    if allocation.parked or allocation.parking:
         return False
-    return holding.kind is HoldingKind.STREAM and holding.parkable and holding.actual > 0
+    return (
+        allocation.kind is AllocationKind.STREAM and allocation.parkable and allocation.actual > 0
+    )
 
 
 def choose_resumed(ledger):
-    """Return the parked holding that is next in line to be resumed.
+    """Return the parked allocation that is next in line to be resumed.
 
     Return None if none is parked, or if there is not enough free memory to resume it.
     """
-    holding = ledger.next_to_resume()
-    if holding is None:
+    allocation = ledger.next_to_resume()
+    if allocation is None:
         return None
-    return holding if holding.required <= ledger.free_tokens() else None
+    return allocation if allocation.required <= ledger.free_tokens() else None
--- a/packages/core/persimmonstall/memory/reconcile.py
+++ b/packages/core/persimmonstall/memory/reconcile.py
@@ -82,7 +82,7 @@
     def compare(self, states, ledger, tickets, requested_at, now, known_instances=None):
         """Return the `Findings` from the engine's list `states`, requested at `requested_at`.
 
-        `tickets` are the exports of parked holdings.  `known_instances` are the names of the
+        `tickets` are the exports of parked allocations.  `known_instances` are the names of the
         instances that the platform lists beside this endpoint, None if they are unknown.
         """
         unowned = [s for s in states if s.job_id not in ledger.by_job and s.job_id not in tickets]
@@ -123,8 +123,8 @@
     def find_lost(self, ledger, names, requested_at):
         """Return the jobs that were missing from the last `MISSES_UNTIL_LOST` lists."""
         missing = {}
-        for job_id, holding in ledger.by_job.items():
-            if job_id not in names and not holding.parked and holding.started < requested_at:
+        for job_id, allocation in ledger.by_job.items():
+            if job_id not in names and not allocation.parked and allocation.started < requested_at:
                 missing[job_id] = self.missed.get(job_id, 0) + 1
         self.missed = missing
         return tuple(job_id for job_id, count in missing.items() if count >= MISSES_UNTIL_LOST)
--- a/packages/core/tests/test_memory_ledger.py
+++ b/packages/core/tests/test_memory_ledger.py
@@ -8,7 +8,7 @@
 
 from persimmonstall.invariants import Invariants
 from persimmonstall.memory import parking
-from persimmonstall.memory.ledger import Holding, HoldingKind, Ledger
+from persimmonstall.memory.ledger import Allocation, AllocationKind, Ledger
 from persimmonstall.memory.reconcile import Owner, Reconciler
 from persimmonstall.outside.engine import JobKind, JobState
 
@@ -17,8 +17,8 @@
 
 
 def stream(name, base=100, expected=150, maximum=1000, priority=5, **changes):
-    return Holding(
-        name, "d", HoldingKind.STREAM, base, expected, maximum, 1e9, priority, **changes
+    return Allocation(
+        name, "d", AllocationKind.STREAM, base, expected, maximum, 1e9, priority, **changes
     )
 
 
@@ -94,7 +94,7 @@
         ledger.add(stream(name, expected=10, priority=priority))
         ledger.grow(name, actual)
     victims = parking.choose_victims(ledger)
-    assert [holding.name for holding in victims] == ["c"]
+    assert [allocation.name for allocation in victims] == ["c"]
     ledger.park("c", 1.0)
     assert parking.choose_resumed(ledger) is None
     assert not ledger.fits(1)
@@ -115,19 +115,21 @@
         resumed = parking.choose_resumed(ledger)
         if resumed:
             ledger.unpark(resumed.name)
-        for holding in list(ledger.holdings.values()):
-            if holding.parked:
+        for allocation in list(ledger.allocations.values()):
+            if allocation.parked:
                 continue
-            ledger.grow(holding.name, max(holding.actual, holding.base) + 1)
-            if holding.actual - holding.base >= lengths[holding.name]:
-                ledger.remove(holding.name)
+            ledger.grow(allocation.name, max(allocation.actual, allocation.base) + 1)
+            if allocation.actual - allocation.base >= lengths[allocation.name]:
+                ledger.remove(allocation.name)
                 finished += 1
         for victim in parking.choose_victims(ledger) if park else ():
             ledger.park(victim.name, now)
         while ledger.in_use > ledger.capacity:
-            ledger.remove(max(ledger.holdings.values(), key=lambda holding: holding.priority).name)
+            ledger.remove(
+                max(ledger.allocations.values(), key=lambda allocation: allocation.priority).name
+            )
             killed += 1
-        if not waiting and not ledger.holdings:
+        if not waiting and not ledger.allocations:
             break
     return finished, killed
 
--- a/packages/daemon/persimmonstall_daemon/endpoint/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/attempt.py
@@ -27,7 +27,7 @@
     attached; `detached_at` is the time when the last link was lost.  `handed_over` is set once
     the engine or service may have received the work.  `held_claim` is the claim held for
     non-idempotent work.
-    `holding_name` is the name of its holding in the memory ledger.  `version` and
+    `allocation_name` is the name of its allocation in the memory ledger.  `version` and
     `adapter_version` are those of the weights that it runs on, once chosen.
     """
 
@@ -48,7 +48,7 @@
     result_sent: bool = False
     handed_over: bool = False
     held_claim: object = None
-    holding_name: str = ""
+    allocation_name: str = ""
     version: str = ""
     adapter_version: str = ""
 
--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_backend.py
@@ -107,7 +107,7 @@
         )
 
     def memory_promised(self):
-        """Return the memory of all holdings and of the queued attempts, in tokens."""
+        """Return the memory of all allocations and of the queued attempts, in tokens."""
         queued = sum(waiting.memory for waiting in self.queue.waiting.values())
         return self.memory.ledger.committed_tokens + queued
 
@@ -134,7 +134,7 @@
             attempt.phase = AttemptPhase.STARTING
             attempt.priority = self.queue.priority(waiting)
             attempt.chunk_tokens = waiting.chunk
-            self.memory.add_holding(attempt)
+            self.memory.add_allocation(attempt)
             self.spawn(self.jobs.submit(attempt))
 
     def artifacts_in_use(self):
--- a/packages/daemon/persimmonstall_daemon/memory/manager.py
+++ b/packages/daemon/persimmonstall_daemon/memory/manager.py
@@ -9,7 +9,7 @@
 import attrs
 
 from persimmonstall.failures import Failure, Reason
-from persimmonstall.memory.ledger import Holding, HoldingKind, Ledger
+from persimmonstall.memory.ledger import Allocation, AllocationKind, Ledger
 from persimmonstall.memory.reconcile import Owner, Reconciler
 from persimmonstall.memory.spans import expected_tokens, own_prompt_tokens
 
@@ -86,8 +86,8 @@
             return True
         return self.ledger.fits(waiting.memory)
 
-    def add_holding(self, attempt):
-        """Add the holding of an admitted attempt, before its job is submitted."""
+    def add_allocation(self, attempt):
+        """Add the allocation of an admitted attempt, before its job is submitted."""
         submit = attempt.submit
         if submit.segment_end:
             self.ledger.assign_job(submit.request_id, attempt.job_id)
@@ -95,10 +95,10 @@
         self.reservations.shrink_to_segment(submit)
         base = own_prompt_tokens(submit)
         self.ledger.add(
-            Holding(
+            Allocation(
                 name=attempt.job_id,
                 owner=submit.request_id,
-                kind=HoldingKind.STREAM,
+                kind=AllocationKind.STREAM,
                 base=base,
                 expected=base + max(submit.predicted_tokens, len(submit.relayed)),
                 maximum=base + submit.max_tokens,
@@ -109,31 +109,31 @@
                 parkable=not submit.segments,
             )
         )
-        attempt.holding_name = attempt.job_id
+        attempt.allocation_name = attempt.job_id
 
     def job_renamed(self, attempt):
         """Record the new job id of an attempt."""
-        if attempt.holding_name in self.ledger.holdings:
-            self.ledger.assign_job(attempt.holding_name, attempt.job_id)
+        if attempt.allocation_name in self.ledger.allocations:
+            self.ledger.assign_job(attempt.allocation_name, attempt.job_id)
 
     def confirm_job(self, attempt):
         """Record that the engine has accepted an attempt's job."""
         self.ledger.confirm(self.name_of(attempt), self.backend.now())
 
     def name_of(self, attempt):
-        """Return the name of an attempt's holding."""
-        return attempt.holding_name or attempt.submit.request_id
+        """Return the name of an attempt's allocation."""
+        return attempt.allocation_name or attempt.submit.request_id
 
     def record_growth(self, attempt):
         """Record the growth of an attempt's output."""
-        holding = self.ledger.holdings.get(attempt.holding_name)
-        if holding:
-            self.ledger.grow(holding.name, holding.base + attempt.send_buffer.end_offset)
+        allocation = self.ledger.allocations.get(attempt.allocation_name)
+        if allocation:
+            self.ledger.grow(allocation.name, allocation.base + attempt.send_buffer.end_offset)
 
     def release(self, attempt):
         """Free the memory of an attempt that has ended and resume parked streams."""
-        if attempt.holding_name:
-            self.ledger.remove(attempt.holding_name)
+        if attempt.allocation_name:
+            self.ledger.remove(attempt.allocation_name)
             self.parked_streams.forget(attempt)
             self.parked_streams.resume_parked()
 
@@ -143,14 +143,16 @@
 
     def engine_died(self):
         """Clear the ledger; the backend ends the attempts."""
-        for name in list(self.ledger.holdings):
+        for name in list(self.ledger.allocations):
             self.ledger.remove(name)
         self.parked_streams.tickets.clear()
         self.ledger.unowned = 0
 
     def pending_count(self):
         """Return the number of segments that a graceful shutdown has to wait for."""
-        return sum(held.kind is HoldingKind.SEGMENT for held in self.ledger.holdings.values())
+        return sum(
+            held.kind is AllocationKind.SEGMENT for held in self.ledger.allocations.values()
+        )
 
     # Reconciliation.
 
@@ -181,9 +183,9 @@
         self.backend.spawn(call(free.name, self.call_timeout))
 
     def repair(self, job_id):
-        """Run a job again that the engine has lost or cannot import, or remove its holding."""
-        holding = self.ledger.by_job.get(job_id)
-        if holding is None:
+        """Run a job again that the engine has lost or cannot import, or remove its allocation."""
+        allocation = self.ledger.by_job.get(job_id)
+        if allocation is None:
             return
         self.daemon.metrics.count("jobs_lost")
         attempt = self.backend.attempts_by_job.get(job_id)
@@ -191,4 +193,4 @@
             self.parked_streams.forget(attempt)
             self.backend.jobs.restart(attempt)
         else:
-            self.ledger.remove(holding.name)
+            self.ledger.remove(allocation.name)
--- a/packages/daemon/persimmonstall_daemon/memory/parking.py
+++ b/packages/daemon/persimmonstall_daemon/memory/parking.py
@@ -42,10 +42,10 @@
 
     def relieve_pressure(self):
         """Start to park streams if the engine is about to run out of memory."""
-        for holding in choose_victims(self.ledger):
-            attempt = self.backend.attempts_by_job.get(holding.job_id)
+        for allocation in choose_victims(self.ledger):
+            attempt = self.backend.attempts_by_job.get(allocation.job_id)
             if attempt and attempt.phase is AttemptPhase.RUNNING:
-                holding.parking = True
+                allocation.parking = True
                 self.backend.spawn(self.park(attempt))
 
     async def park(self, attempt):
@@ -61,35 +61,37 @@
         job is still running, or it counts as lost and is run again, and its export is freed.
         """
         attempt = parked.attempt
-        holding = self.ledger.by_job.get(parked.job_id)
+        allocation = self.ledger.by_job.get(parked.job_id)
         if isinstance(parked.result, Failure):
-            if holding:
-                holding.parking = False
+            if allocation:
+                allocation.parking = False
             return
-        if holding is None or attempt.ended:
+        if allocation is None or attempt.ended:
             self.discard(parked.result)
             return
         self.manager.daemon.metrics.count("streams_parked")
         self.tickets[parked.result] = attempt
-        self.ledger.park(holding.name, self.backend.now())
+        self.ledger.park(allocation.name, self.backend.now())
         attempt.phase = AttemptPhase.PARKED
         self.resume_parked()
 
     def resume_parked(self):
         """Import parked streams while the next one fits into the free memory."""
         while True:
-            holding = choose_resumed(self.ledger)
-            if holding is None:
+            allocation = choose_resumed(self.ledger)
+            if allocation is None:
                 return
-            ticket, attempt = self.find_export(holding)
-            self.ledger.unpark(holding.name)
+            ticket, attempt = self.find_export(allocation)
+            self.ledger.unpark(allocation.name)
             attempt.phase = AttemptPhase.STARTING
             self.backend.jobs.assign_new_id(attempt)
             self.backend.spawn(self.resume(attempt, ticket))
 
-    def find_export(self, holding):
-        """Return the (ticket, attempt) of a parked holding."""
-        return next(item for item in self.tickets.items() if item[1].holding_name == holding.name)
+    def find_export(self, allocation):
+        """Return the (ticket, attempt) of a parked allocation."""
+        return next(
+            item for item in self.tickets.items() if item[1].allocation_name == allocation.name
+        )
 
     async def resume(self, attempt, ticket):
         """Request the import of a parked stream and post the engine's answer."""
@@ -111,7 +113,7 @@
             self.manager.confirm_job(attempt)
             return
         if resumed.result.reason is Reason.NO_MEMORY:
-            self.ledger.park(attempt.holding_name, self.backend.now())
+            self.ledger.park(attempt.allocation_name, self.backend.now())
             attempt.phase = AttemptPhase.PARKED
             return
         self.forget(attempt)
--- a/packages/daemon/persimmonstall_daemon/memory/reservations.py
+++ b/packages/daemon/persimmonstall_daemon/memory/reservations.py
@@ -5,7 +5,7 @@
 """
 
 from persimmonstall.failures import Failure, Reason
-from persimmonstall.memory.ledger import Holding, HoldingKind
+from persimmonstall.memory.ledger import Allocation, AllocationKind
 from persimmonstall.messages.control import Release, Reserve, Reserved
 
 STEP = "reserve"
@@ -14,7 +14,7 @@
 
 
 class Reservations:
-    """The reservations on one engine, stored as holdings of its ledger."""
+    """The reservations on one engine, stored as allocations of its ledger."""
 
     def __init__(self, manager):
         self.manager = manager
@@ -39,7 +39,7 @@
 
     def grant(self, reserve, session):
         """Add a reservation; return the reason of a refusal or ""."""
-        if reserve.reservation in self.ledger.holdings:
+        if reserve.reservation in self.ledger.allocations:
             return self.renew(reserve)
         if self.backend.leaving:
             return Reason.LEAVING
@@ -48,10 +48,10 @@
         if not self.ledger.fits(reserve.tokens):
             return Reason.BUSY
         self.ledger.add(
-            Holding(
+            Allocation(
                 name=reserve.reservation,
                 owner=session.peer,
-                kind=HoldingKind.SEGMENT,
+                kind=AllocationKind.SEGMENT,
                 base=reserve.tokens,
                 expected=reserve.tokens,
                 maximum=reserve.tokens,
@@ -66,27 +66,27 @@
 
     def expire(self, now):
         """Free the reservations that were not renewed in time."""
-        for holding in self.ledger.expired(now):
-            if holding.kind is HoldingKind.SEGMENT:
+        for allocation in self.ledger.expired(now):
+            if allocation.kind is AllocationKind.SEGMENT:
                 self.manager.daemon.metrics.count("reservations_lapsed")
-                self.free(holding.name)
+                self.free(allocation.name)
 
     def free(self, name):
         """Remove a reservation and cancel its job."""
-        holding = self.ledger.remove(name)
-        if holding is None or not holding.job_id:
+        allocation = self.ledger.remove(name)
+        if allocation is None or not allocation.job_id:
             return
-        attempt = self.backend.attempts_by_job.get(holding.job_id)
+        attempt = self.backend.attempts_by_job.get(allocation.job_id)
         if attempt and not attempt.ended:
             self.backend.stop_attempt(attempt, Reason.CANCELLED)
         else:
-            self.backend.spawn(self.backend.jobs.cancel(holding.job_id))
+            self.backend.spawn(self.backend.jobs.cancel(allocation.job_id))
 
     def check(self, submit):
         """Return None if the segment of a `Submit` has a reservation, else the `Failure`."""
-        holding = self.ledger.holdings.get(submit.request_id)
+        allocation = self.ledger.allocations.get(submit.request_id)
         length = submit.segment_end - submit.segment_start
-        if holding and not holding.job_id and length <= holding.expected:
+        if allocation and not allocation.job_id and length <= allocation.expected:
             return None
         return Failure(
             Reason.NOT_FOUND, STEP, self.backend.name, "no memory reserved for this segment"
@@ -95,14 +95,14 @@
     def reservation_with_output(self, submit):
         """Return the reservation that includes memory for the output of `submit`, or None."""
         for ref in submit.segments:
-            holding = self.ledger.by_job.get(ref.job_id)
-            if holding and holding.expected > ref.end - ref.start:
-                return holding
+            allocation = self.ledger.by_job.get(ref.job_id)
+            if allocation and allocation.expected > ref.end - ref.start:
+                return allocation
         return None
 
     def shrink_to_segment(self, submit):
-        """Shrink a reservation to its segment; the stream's own holding now covers the output."""
-        holding = self.reservation_with_output(submit)
-        for ref in submit.segments if holding else ():
-            if ref.job_id == holding.job_id:
-                self.ledger.expect(holding.name, ref.end - ref.start)
+        """Shrink a reservation to its segment; the stream has its own allocation now."""
+        allocation = self.reservation_with_output(submit)
+        for ref in submit.segments if allocation else ():
+            if ref.job_id == allocation.job_id:
+                self.ledger.expect(allocation.name, ref.end - ref.start)
