--- a/packages/core/persimmonstall/memory/ledger.py
+++ b/packages/core/persimmonstall/memory/ledger.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-MIN_RAISE = 64
+MIN_RAISE_TOKENS = 64
 """Minimum number of tokens by which an exceeded estimate is raised."""
 
 RAISE_SHARE = 0.5
@@ -165,7 +165,7 @@
         self.add_to_totals(allocation, -1)
         allocation.actual = actual
         if actual > allocation.expected:
-            step = max(MIN_RAISE, int((actual - allocation.base) * RAISE_SHARE))
+            step = max(MIN_RAISE_TOKENS, int((actual - allocation.base) * RAISE_SHARE))
             allocation.expected = max(actual, min(allocation.maximum, actual + step))
         self.add_to_totals(allocation, 1)
 
