--- a/packages/core/persimmonstall/claims/retention.py
+++ b/packages/core/persimmonstall/claims/retention.py
@@ -3,19 +3,19 @@
 A claim is the stored record by which a call with an idempotency key runs at most once.
 """
 
-LONGEST_DEADLINE = 6 * 3600.0
+MAX_DEADLINE_SECONDS = 6 * 3600.0
 """Longest deadline that the settings may allow a request."""
 
-PAUSE_BOUND = 6 * 3600.0
+MAX_PAUSE_SECONDS = 6 * 3600.0
 """Longest pause of a daemon, and longest delay of a table write, that is tolerated."""
 
-CLOCK_SKEW = 60.0
+MAX_CLOCK_SKEW_SECONDS = 60.0
 """Maximum difference between the wall clocks of two instances."""
 
-TICKET_LIFETIME = LONGEST_DEADLINE + CLOCK_SKEW
+TICKET_LIFETIME_SECONDS = MAX_DEADLINE_SECONDS + MAX_CLOCK_SKEW_SECONDS
 """Age above which an endpoint's daemon rejects a ticket."""
 
-RETENTION = 24 * 3600.0
+RETENTION_SECONDS = 24 * 3600.0
 """Age above which a claim's row and its stored answer are deleted.
 
 Long enough that the row against which a ticket was issued still exists if the ticket is
@@ -23,7 +23,7 @@
 delayed after that.
 """
 
-assert RETENTION > TICKET_LIFETIME + 2 * PAUSE_BOUND + CLOCK_SKEW
+assert RETENTION_SECONDS > TICKET_LIFETIME_SECONDS + 2 * MAX_PAUSE_SECONDS + MAX_CLOCK_SKEW_SECONDS
 
 
 def ticket_expired(issued, wall):
@@ -32,7 +32,7 @@
     >>> ticket_expired(0.0, 10.0), ticket_expired(0.0, 100_000.0)
     (False, True)
     """
-    return wall - issued > TICKET_LIFETIME
+    return wall - issued > TICKET_LIFETIME_SECONDS
 
 
 def row_expired(at, wall):
@@ -41,4 +41,4 @@
     >>> row_expired(0.0, 3600.0), row_expired(0.0, 90_000.0)
     (False, True)
     """
-    return wall - at > RETENTION
+    return wall - at > RETENTION_SECONDS
--- a/packages/core/persimmonstall/settings/schema.py
+++ b/packages/core/persimmonstall/settings/schema.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from ..claims.retention import LONGEST_DEADLINE
+from ..claims.retention import MAX_DEADLINE_SECONDS
 from .option import option
 
 ROLES = ("entry", "endpoint", "direct")
@@ -64,7 +64,7 @@
     body_bytes: int = option(16_777_216, "Largest request body.", "bytes", low=1024)
     default_deadline: float = option(60.0, "Deadline of a request that sets none.", "s", low=0.1)
     max_deadline: float = option(
-        900.0, "Longest deadline that a request may set.", "s", low=0.1, high=LONGEST_DEADLINE
+        900.0, "Longest deadline that a request may set.", "s", low=0.1, high=MAX_DEADLINE_SECONDS
     )
     reply_margin: float = option(
         0.05, "Time reserved for the response before the deadline.", "s", low=0
--- a/packages/daemon/tests/test_at_most_once.py
+++ b/packages/daemon/tests/test_at_most_once.py
@@ -7,7 +7,7 @@
 
 from persimmonstall.catalogue import Change, Service
 from persimmonstall.claims import records
-from persimmonstall.claims.retention import RETENTION
+from persimmonstall.claims.retention import RETENTION_SECONDS
 from persimmonstall.clock import Context
 from persimmonstall.failures import Outcome, Reason
 from persimmonstall_daemon.claims import ClaimCleaner
@@ -255,7 +255,9 @@
         first = await call_file(fleet, entries[0])
         await asyncio.sleep(1.0)
         again = await call_file(fleet, entries[1])
-        left = [await clean_at(fleet, entries[0], RETENTION + late) for late in (-60.0, 60.0)]
+        left = [
+            await clean_at(fleet, entries[0], RETENTION_SECONDS + late) for late in (-60.0, 60.0)
+        ]
         return first, again, left
 
     first, again, left = on_records(scenario)
