--- a/packages/core/persimmonstall/placement/prediction.py
+++ b/packages/core/persimmonstall/placement/prediction.py
@@ -48,10 +48,10 @@
     return min(BUCKETS - 1, math.ceil(math.log(tokens) / LOG_RATIO))
 
 
-def upper_bound(bucket):
+def largest_in_bucket(bucket):
     """Return the largest number of tokens that falls into `bucket`.
 
-    >>> upper_bound(bucket_of(100)) >= 100
+    >>> largest_in_bucket(bucket_of(100)) >= 100
     True
     """
     return math.ceil(BUCKET_RATIO**bucket)
@@ -86,8 +86,8 @@
         for bucket, count in enumerate(self.counts):
             seen += count
             if seen >= needed:
-                return upper_bound(bucket)
-        return upper_bound(BUCKETS - 1)
+                return largest_in_bucket(bucket)
+        return largest_in_bucket(BUCKETS - 1)
 
 
 class OutputLengthPredictor:
