Stand-ins: Meter -> CallCounter

It counts the calls of a store by kind. Behaviour unchanged; what the stand-ins' log says stays. Run: test_orders_keeper, tests of the stand-ins: passed.

--- a/packages/daemon/tests/test_orders_keeper.py
+++ b/packages/daemon/tests/test_orders_keeper.py
@@ -99,9 +99,9 @@
         artifacts = site.engine.artifacts
         assert (artifacts.models, artifacts.adapters) == ({("m", "2")}, {("x", "1")})
         assert artifacts.role == "decode" and not site.weights.holders
-        reads = site.table.meter.total["reads"]
+        reads = site.table.call_counter.total["reads"]
         await asyncio.sleep(60.0)
-        assert site.table.meter.total["reads"] == reads, "no reads while nothing differs"
+        assert site.table.call_counter.total["reads"] == reads, "no reads while nothing differs"
         harness.task.cancel()
 
     run(main())
@@ -242,9 +242,9 @@
     site, models = run(load_everywhere(1.0))
     assert site.weights.max_concurrent <= 2
     assert all(one == {("m", "2")} for one in models)
-    calm = site.weights.meter.total["writes"]
+    calm = site.weights.call_counter.total["writes"]
     site, _ = run(load_everywhere(0.0))
-    assert site.weights.meter.total["writes"] > 3 * calm
+    assert site.weights.call_counter.total["writes"] > 3 * calm
 
 
 async def roll_out(fleet, entry, tracked):
--- a/packages/standins/persimmonstall_standins/faults.py
+++ b/packages/standins/persimmonstall_standins/faults.py
@@ -32,7 +32,7 @@
 
 
 @attrs.define
-class Meter:
+class CallCounter:
     """Number of calls by kind, "reads" and "writes"."""
 
     total: Counter = attrs.field(factory=Counter)
@@ -51,7 +51,7 @@
         self.faults = faults or StoreFaults()
         self.latency = latency
         self.name = name
-        self.meter = Meter()
+        self.call_counter = CallCounter()
 
     def unavailable(self, step, detail):
         """Return the `Failure` of a call that had no effect."""
@@ -59,7 +59,7 @@
 
     async def run_read(self, step, effect, timeout):
         """Call `effect` after the latency; return its result or, by `timeout`, a `Failure`."""
-        self.meter.count("reads")
+        self.call_counter.count("reads")
         if self.faults.down:
             return self.unavailable(step, "down")
         wait = self.latency + self.faults.delay
@@ -75,7 +75,7 @@
         A write whose latency exceeds `timeout` is applied after the caller has the `Failure`.
         """
         loop = asyncio.get_running_loop()
-        self.meter.count("writes")
+        self.call_counter.count("writes")
         if self.faults.down:
             return self.unavailable(step, "down")
         wait = self.latency + self.faults.delay
--- a/packages/standins/persimmonstall_standins/http_server.py
+++ b/packages/standins/persimmonstall_standins/http_server.py
@@ -74,7 +74,7 @@
 
     def log(self):
         """Return the stand-in's log: a list of records, here one with the counts of calls."""
-        return [dict(self.target.meter.total)]
+        return [dict(self.target.call_counter.total)]
 
 
 class EngineServer(StandInServer):
