--- a/packages/standins/persimmonstall_standins/virtual/network.py
+++ b/packages/standins/persimmonstall_standins/virtual/network.py
@@ -1,7 +1,6 @@
 """In-memory links between daemons, with delays between data centres and injected faults."""
 
 import asyncio
-import itertools
 from collections import deque
 from random import Random
 
@@ -37,7 +36,6 @@
     links: set = attrs.field(factory=set)
     cut_pairs: set = attrs.field(factory=set)
     messages: int = 0
-    numbers: object = attrs.field(factory=itertools.count)
 
     def network(self, address, data_centre="dc1"):
         """Return the `MemoryNetwork` of the daemon at `address`."""
