Daemons: linked() -> open_links()

It returns the open links to other daemons. Behaviour unchanged. Run: test_catalogue_fleet, test_quarantine, test_roles, test_catalogue_follower: passed.

--- a/packages/daemon/persimmonstall_daemon/catalogue/sync.py
+++ b/packages/daemon/persimmonstall_daemon/catalogue/sync.py
@@ -15,16 +15,16 @@
 
 
 class LinkedPeers(CataloguePeers):
-    """Sends requests over links; `linked()` returns the peers with an open link.
+    """Sends requests over links; `open_links()` returns the peers with an open link.
 
     The links' tasks pass each `CatalogueRequest` to `on_request` and each `CatalogueChanges` to
     `on_changes`.
     """
 
-    def __init__(self, settings, context, linked):
+    def __init__(self, settings, context, open_links):
         self.settings = settings
         self.context = context
-        self.linked = linked
+        self.open_links = open_links
         self.follower = None
         self.waiting_queues = {}
         self.waited_for_link = False
@@ -56,10 +56,10 @@
     async def reachable(self):
         """Return the linked peers; a starting daemon waits for its first link."""
         until = self.context.now() + (0.0 if self.waited_for_link else FIRST_LINK_SECONDS)
-        while not self.linked() and self.context.now() < until:
+        while not self.open_links() and self.context.now() < until:
             await asyncio.sleep(LINK_POLL_SECONDS)
         self.waited_for_link = True
-        return self.linked()
+        return self.open_links()
 
     def choose(self, peers, preferred):
         """Return up to `MAX_ASKED_PEERS` random peers, with the preferred one first."""
--- a/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
@@ -36,7 +36,7 @@
             metrics,
             self.invariants,
             follower,
-            self.linked,
+            self.open_links,
             self.run_id,
         )
         self.backends = {}
@@ -87,7 +87,7 @@
         """Return the `Pong` that answers a heartbeat."""
         return control.Pong(sequence, self.version, self.loads())
 
-    def linked(self):
+    def open_links(self):
         """Return the sessions whose entry has sent its `Hello`."""
         return [session for session in self.sessions if session.name]
 
--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -80,7 +80,7 @@
             metrics,
             self.invariants,
             follower,
-            self.links.linked,
+            self.links.open_links,
             self.run_id,
         )
         self.quarantine.register(self.control_handlers)
--- a/packages/daemon/persimmonstall_daemon/entry/links.py
+++ b/packages/daemon/persimmonstall_daemon/entry/links.py
@@ -185,7 +185,7 @@
         for load in loads:
             self.by_endpoint[load.endpoint] = instance.name
 
-    def linked(self):
+    def open_links(self):
         """Return the links that are ready."""
         return [link for link in self.by_instance.values() if link.ready]
 
--- a/packages/daemon/persimmonstall_daemon/quarantine/manager.py
+++ b/packages/daemon/persimmonstall_daemon/quarantine/manager.py
@@ -38,18 +38,18 @@
 
 
 class QuarantineManager:
-    """Owns the `VerdictStore` of one daemon; `linked()` returns the open links to other daemons.
+    """Owns the `VerdictStore` of one daemon; `open_links()` returns its links to other daemons.
 
     `run` identifies the daemon's process and seeds the jitter.
     """
 
-    def __init__(self, settings, table, context, metrics, invariants, follower, linked, run):
+    def __init__(self, settings, table, context, metrics, invariants, follower, open_links, run):
         self.timeout = settings.platform.timeout
         self.table = table
         self.context = Context(context.now, context.wall, Random(run))
         self.metrics = metrics
         self.follower = follower
-        self.linked = linked
+        self.open_links = open_links
         self.verdict_store = VerdictStore(invariants, self.lift_revision)
         self.unwritten = {}
 
@@ -114,7 +114,7 @@
         if not verdicts:
             return
         message = Verdicts(tuple(verdicts))
-        for link in self.linked():
+        for link in self.open_links():
             if link is not source:
                 link.send(message)
         for verdict in verdicts:
--- a/packages/daemon/persimmonstall_daemon/roles.py
+++ b/packages/daemon/persimmonstall_daemon/roles.py
@@ -30,9 +30,9 @@
         super().__init__(settings, Metrics(settings))
         self.network = GrpcNetwork(settings.security)
 
-    def make_follower(self, linked):
-        """Create the catalogue's follower; `linked()` returns the peers with open links."""
-        self.peers = LinkedPeers(self.settings, self.clock, linked)
+    def make_follower(self, open_links):
+        """Create the catalogue's follower; `open_links()` returns the peers with open links."""
+        self.peers = LinkedPeers(self.settings, self.clock, open_links)
         self.follower = CatalogueFollower(
             self.settings,
             self.platform.table,
@@ -54,7 +54,7 @@
     async def start_role(self):
         """Start the catalogue, the links and the HTTP port."""
         self.platform = connect_platform(self.settings.platform)
-        self.make_follower(lambda: self.entry.links.linked())
+        self.make_follower(lambda: self.entry.links.open_links())
         self.entry = EntryDaemon(
             self.settings,
             self.network,
@@ -104,7 +104,7 @@
     async def start_role(self):
         """Connect to the back ends and listen for entries."""
         self.platform = connect_platform(self.settings.platform)
-        self.make_follower(lambda: self.daemon.linked())
+        self.make_follower(lambda: self.daemon.open_links())
         self.daemon = EndpointDaemon(
             self.settings, self.network, self.clock, self.metrics, self.follower, self.platform
         )
--- a/packages/standins/persimmonstall_standins/fleet.py
+++ b/packages/standins/persimmonstall_standins/fleet.py
@@ -146,7 +146,7 @@
         network = self.fabric.network(address, data_centre)
         metrics = Metrics(settings)
         context = self.context(name)
-        peers = LinkedPeers(settings, context, lambda: daemon.linked())
+        peers = LinkedPeers(settings, context, lambda: daemon.open_links())
         follower = self.follower(settings, context, peers)
         stores = self.stores(name)
         daemon = EndpointDaemon(settings, network, context, metrics, follower, stores, True)
@@ -162,7 +162,7 @@
         address = f"{name}:1"
         settings = self.settings(name, address, "entry", data_centre)
         context = self.context(name)
-        peers = LinkedPeers(settings, context, lambda: entry.links.linked())
+        peers = LinkedPeers(settings, context, lambda: entry.links.open_links())
         follower = self.follower(settings, context, peers)
         entry = EntryDaemon(
             settings,
