Long prompts: PartState.ASKED -> REQUESTED, Part.asked_at -> requested_at

A part whose reservation was requested, and the time of that request or of the prefill. The value of PartState leaves no process. Behaviour unchanged. Run: test_long_prompt, test_long_prompts: passed.

--- a/packages/core/persimmonstall/memory/long_prompt.py
+++ b/packages/core/persimmonstall/memory/long_prompt.py
@@ -25,7 +25,7 @@
     """Progress of a part, from planned to held, or lost."""
 
     PLANNED = "planned"
-    ASKED = "asked"
+    REQUESTED = "requested"
     RESERVED = "reserved"
     PREFILLING = "prefilling"
     HELD = "held"
@@ -43,7 +43,7 @@
     reservation: str
     state: PartState = PartState.PLANNED
     job_id: str = ""
-    asked_at: float = 0.0
+    requested_at: float = 0.0
 
     @property
     def endpoint(self):
@@ -103,7 +103,7 @@
 
     def advance(self, now):
         """Return the next messages or commands: reserve one part, prefill all, or generate."""
-        if self.in_state(PartState.ASKED) or self.in_state(PartState.LOST):
+        if self.in_state(PartState.REQUESTED) or self.in_state(PartState.LOST):
             return []
         planned = self.in_state(PartState.PLANNED)
         if planned:
@@ -111,7 +111,7 @@
         reserved = self.in_state(PartState.RESERVED)
         for part in reserved:
             part.state = PartState.PREFILLING
-            part.asked_at = now
+            part.requested_at = now
         if reserved:
             return [Prefill(part) for part in reserved]
         if all(part.state is PartState.HELD for part in self.parts):
@@ -120,8 +120,8 @@
 
     def reserve(self, part, now):
         """Return the message that reserves memory for one part."""
-        part.state = PartState.ASKED
-        part.asked_at = now
+        part.state = PartState.REQUESTED
+        part.requested_at = now
         return Reserve(
             part.reservation, part.endpoint, part.assignment.tokens, RESERVATION_SECONDS
         )
@@ -139,7 +139,7 @@
         part = self.find(answer.reservation)
         if part is None:
             return [] if answer.reason else [Release(answer.reservation, answer.endpoint)]
-        if part.state is PartState.ASKED:
+        if part.state is PartState.REQUESTED:
             return self.on_first_answer(part, answer, now)
         if answer.reason and part.state is not PartState.PLANNED:
             part.state = PartState.LOST
--- a/packages/daemon/persimmonstall_daemon/entry/division_planner.py
+++ b/packages/daemon/persimmonstall_daemon/entry/division_planner.py
@@ -108,4 +108,4 @@
         """Update the prefill cost from a part whose prefill is done; other parts are ignored."""
         if part and part.state is PartState.PREFILLING:
             tokens = weighted_part_tokens(part.assignment)
-            self.cost.observe(tokens, self.entry.context.now() - part.asked_at)
+            self.cost.observe(tokens, self.entry.context.now() - part.requested_at)
--- a/packages/daemon/persimmonstall_daemon/entry/part_monitor.py
+++ b/packages/daemon/persimmonstall_daemon/entry/part_monitor.py
@@ -100,8 +100,8 @@
 
     def time_out_reservations(self, division, prompt, now):
         """Release the reservations that were not answered in time and count them as refused."""
-        for part in prompt.in_state(PartState.ASKED):
-            if now - part.asked_at > ANSWER_TIMEOUT_SECONDS:
+        for part in prompt.in_state(PartState.REQUESTED):
+            if now - part.requested_at > ANSWER_TIMEOUT_SECONDS:
                 timed_out = control.Reserved(part.reservation, part.endpoint, Reason.PEER_LOST)
                 self.commands.send(control.Release(part.reservation, part.endpoint))
                 self.commands.execute(division, prompt.on_reserved(timed_out, now))
@@ -110,7 +110,7 @@
         """Mark the parts as lost whose reservations have expired without a renewal."""
         for part in prompt.parts:
             confirmed_at = division.confirmed_at.get(part.reservation, now)
-            if part.state is not PartState.ASKED and now - confirmed_at > RESERVATION_SECONDS:
+            if part.state is not PartState.REQUESTED and now - confirmed_at > RESERVATION_SECONDS:
                 prompt.on_lost(part.reservation)
 
     def repair(self, division):
