Claims: plan -> plan_keyed_request

What becomes of a request with an idempotency key: a ticket, a replay or a refusal. Behaviour unchanged.

--- a/packages/core/persimmonstall/claims/planning.py
+++ b/packages/core/persimmonstall/claims/planning.py
@@ -46,7 +46,7 @@
     return None if row is None else decode_claim(row.value)
 
 
-def plan(row, key_row, key, body_hash, wall):
+def plan_keyed_request(row, key_row, key, body_hash, wall):
     """Return a `ClaimTicket` to run the request, a `Replay` or a `Refusal`, from the row as read.
 
     `key_row` is the key of the row and `key` the caller's idempotency key; `wall` is the Unix
--- a/packages/daemon/persimmonstall_daemon/claims/filter.py
+++ b/packages/daemon/persimmonstall_daemon/claims/filter.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from persimmonstall.claims import outcomes, records, starting, writes
-from persimmonstall.claims.planning import Replay, in_flight, plan
+from persimmonstall.claims.planning import Replay, in_flight, plan_keyed_request
 from persimmonstall.failures import Failure, Outcome, Reason, Refusal
 from persimmonstall.messages.requests import ClaimTicket
 from persimmonstall.outside.table import ABSENT
@@ -99,7 +99,7 @@
         row = await self.table.read(records.TABLE, key_row, self.call_timeout(work))
         if isinstance(row, Failure):
             return outcomes.table_refusal(work, row)
-        decision = plan(row, key_row, work.key, work.body_hash, self.context.wall())
+        decision = plan_keyed_request(row, key_row, work.key, work.body_hash, self.context.wall())
         if isinstance(decision, ClaimTicket):
             return attrs.evolve(work, ticket=decision)
         return await self.fetch_replay(work, decision)
--- a/packages/standins/persimmonstall_standins/specification/claims.py
+++ b/packages/standins/persimmonstall_standins/specification/claims.py
@@ -12,7 +12,7 @@
 from minicheck import Protocol
 
 from persimmonstall.claims import outcomes, records, starting, writes
-from persimmonstall.claims.planning import Replay, plan
+from persimmonstall.claims.planning import Replay, plan_keyed_request
 from persimmonstall.claims.starting import MAX_TRIES, GiveUp, GiveUpState, Phase, Progress
 from persimmonstall.failures import Failure, Outcome, Reason, Refusal
 from persimmonstall.messages.requests import ClaimTicket, Work
@@ -248,7 +248,7 @@
 
     def plan_steps(self, state, index):
         """Yield the steps of a new request: send an attempt, or reply at once."""
-        decision = plan(state[0], ROW, "key", HASH, WALL_TIME)
+        decision = plan_keyed_request(state[0], ROW, "key", HASH, WALL_TIME)
         if isinstance(decision, ClaimTicket):
             entry = Entry("waiting", decision)
             first = "a0" if index == 0 else "b0"
