--- a/packages/core/persimmonstall/catalogue/editing.py
+++ b/packages/core/persimmonstall/catalogue/editing.py
@@ -131,7 +131,7 @@
         return False
 
 
-def plan(edit, read_set, at):
+def plan_edit(edit, read_set, at):
     """Return the `Transaction` for `edit`, `Accepted` if it has already been made, or a failure.
 
     `at` is the time in Unix seconds that the change log records.
--- a/packages/core/tests/test_catalogue_editing.py
+++ b/packages/core/tests/test_catalogue_editing.py
@@ -25,7 +25,7 @@
     Retry,
     Transaction,
     interpret_result,
-    plan,
+    plan_edit,
 )
 from persimmonstall.catalogue.layout import (
     CALLS,
@@ -83,7 +83,7 @@
             self.rejected.add(call)
 
     def plan(self, edit, read_set):
-        return plan(edit, read_set, 0.0)
+        return plan_edit(edit, read_set, 0.0)
 
     @rule(name=st.sampled_from("ab"), stale=st.booleans())
     def call(self, name, stale):
--- a/packages/daemon/persimmonstall_daemon/catalogue/store.py
+++ b/packages/daemon/persimmonstall_daemon/catalogue/store.py
@@ -10,7 +10,7 @@
     Retry,
     Transaction,
     interpret_result,
-    plan,
+    plan_edit,
 )
 from persimmonstall.catalogue.layout import (
     CALLS,
@@ -77,7 +77,7 @@
         unknown_outcomes = 0
         transaction = None
         for _ in range(MAX_ROUNDS):
-            transaction = transaction or plan(edit, read_set, self.context.wall())
+            transaction = transaction or plan_edit(edit, read_set, self.context.wall())
             if not isinstance(transaction, Transaction):
                 return self.finish(edit, transaction)
             result = await self.table.commit(transaction.writes, self.settings.platform.timeout)
--- a/packages/daemon/tests/test_catalogue_store.py
+++ b/packages/daemon/tests/test_catalogue_store.py
@@ -4,7 +4,7 @@
 import pytest
 
 from persimmonstall.catalogue import Accepted, Rejected
-from persimmonstall.catalogue.editing import Transaction, plan
+from persimmonstall.catalogue.editing import Transaction, plan_edit
 from persimmonstall.failures import Reason
 from persimmonstall.outside.table import Committed
 from persimmonstall_daemon.catalogue import CatalogueStore
@@ -32,7 +32,7 @@
     async def commit_edit(self, edit):
         for number in range(4):
             fresh = attrs.evolve(edit, call_id=f"{edit.call_id}-{number}")
-            transaction = plan(fresh, await self.read_rows(fresh), 0.0)
+            transaction = plan_edit(fresh, await self.read_rows(fresh), 0.0)
             if not isinstance(transaction, Transaction):
                 return transaction
             if await self.table.commit(transaction.writes, 1.0):
