--- a/packages/core/persimmonstall/claims/starting.py
+++ b/packages/core/persimmonstall/claims/starting.py
@@ -74,16 +74,16 @@
 def evaluate_start(progress, row, ticket, attempt):
     """Return the progress after reading `row`: a final state or another step."""
     claim = claim_of(row)
-    seen = progress.to(progress.phase, row=row)
+    updated = progress.to(progress.phase, row=row)
     if isinstance(claim, Started) and claim.attempt == attempt:
-        return seen.to(Phase.WON, version=row.version)
+        return updated.to(Phase.WON, version=row.version)
     if version_of(row) != ticket.expected:
-        return seen.to(Phase.FENCED if isinstance(claim, GivenUp) else Phase.LOST)
+        return updated.to(Phase.FENCED if isinstance(claim, GivenUp) else Phase.LOST)
     if progress.phase in (Phase.FENCE, Phase.FENCE_READ):
-        return seen.to(Phase.UNSURE)
+        return updated.to(Phase.UNSURE)
     if progress.tries < MAX_TRIES:
-        return seen.to(Phase.WRITE, tries=progress.tries + 1)
-    return seen.to(Phase.FENCE)
+        return updated.to(Phase.WRITE, tries=progress.tries + 1)
+    return updated.to(Phase.FENCE)
 
 
 def advance_start(progress, answer, ticket, attempt):
