--- a/packages/daemon/persimmonstall_daemon/endpoint/trials.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/trials.py
@@ -85,7 +85,7 @@
     def cancel_waiting(self, cancel):
         """Remove a waiting suspect that its entry has cancelled."""
         key = cancel.request_id, cancel.attempt
-        kept = [one for one in self.waiting if key_of(one.submit) != key]
+        kept = [suspect for suspect in self.waiting if key_of(suspect.submit) != key]
         self.waiting = deque(kept)
 
     def record_progress(self, attempt, complete):
@@ -112,11 +112,11 @@
     def on_ended(self, _ended, _session):
         """Start the next suspect whose deadline has not passed."""
         while self.waiting and self.running is None:
-            one = self.waiting.popleft()
-            remaining = one.deadline - self.backend.now()
+            suspect = self.waiting.popleft()
+            remaining = suspect.deadline - self.backend.now()
             if remaining > 0:
-                later = attrs.evolve(one.submit, remaining=remaining)
-                self.backend.admission.on_submit(later, one.session)
+                later = attrs.evolve(suspect.submit, remaining=remaining)
+                self.backend.admission.on_submit(later, suspect.session)
 
     def engine_died(self):
         """Record a crash against all content that the engine may have been running."""
