--- a/packages/core/persimmonstall/placement/length_aware.py
+++ b/packages/core/persimmonstall/placement/length_aware.py
@@ -151,9 +151,9 @@
             view.settings.lengths.block,
         )
 
-    def uncached(self, matched):
-        """Return the prompt tokens to prefill when `matched` blocks are cached."""
-        return max(self.tokens - matched * self.block, min(1, self.tokens))
+    def uncached(self, matched_blocks):
+        """Return the prompt tokens to prefill when `matched_blocks` blocks are cached."""
+        return max(self.tokens - matched_blocks * self.block, min(1, self.tokens))
 
     def ahead(self, state):
         """Return the prompt tokens that `state` prefills before this request.
@@ -168,10 +168,10 @@
             return state.token_seconds
         return CONTENTION * state.token_seconds
 
-    def score(self, state, matched, now):
+    def score(self, state, matched_blocks, now):
         """Return the score of a placement, in seconds; lower is better."""
-        prefill = weighted_tokens(self.uncached(matched), self.tokens) + self.ahead(state)
-        own = weighted_tokens(self.uncached(matched), self.tokens) * state.token_seconds
+        prefill = weighted_tokens(self.uncached(matched_blocks), self.tokens) + self.ahead(state)
+        own = weighted_tokens(self.uncached(matched_blocks), self.tokens) * state.token_seconds
         score = prefill * self.token_seconds(state) + self.output * state.step_seconds
         # Prefills that run while the answer is generated delay its tokens.
         generation = self.output * state.step_seconds
@@ -188,10 +188,10 @@
         # their estimates never corrected.
         return score * max(1.0, state.slowness.ratio)
 
-    def placed(self, state, matched):
+    def placed(self, state, matched_blocks):
         """Return the `PlacementDecision` for `state` with its estimated times."""
         seconds = self.token_seconds(state)
-        uncached = self.uncached(matched)
+        uncached = self.uncached(matched_blocks)
         ahead = self.ahead(state)
         wait = ahead * seconds
         prefill = weighted_tokens(uncached, self.tokens) * seconds
