--- a/packages/cli/persimmonstall_cli/commands/burn.py
+++ b/packages/cli/persimmonstall_cli/commands/burn.py
@@ -17,10 +17,12 @@
 
 def define_flags(values):
     """Define the flags of `burn`."""
-    add = {"flag_values": values}
-    flags.DEFINE_list("entry", [], "Operators' ports of more entries to sum with --server.", **add)
-    flags.DEFINE_string("organisation", "", "Only this organisation.", **add)
-    flags.DEFINE_string("html", None, "File for a self-contained page with plots.", **add)
+    options = {"flag_values": values}
+    flags.DEFINE_list(
+        "entry", [], "Operators' ports of more entries to sum with --server.", **options
+    )
+    flags.DEFINE_string("organisation", "", "Only this organisation.", **options)
+    flags.DEFINE_string("html", None, "File for a self-contained page with plots.", **options)
 
 
 def burn(invocation):
--- a/packages/cli/persimmonstall_cli/commands/load.py
+++ b/packages/cli/persimmonstall_cli/commands/load.py
@@ -17,22 +17,31 @@
 
 def define_flags(values):
     """Define the flags of `load`."""
-    add = {"flag_values": values}
-    flags.DEFINE_list("url", ["http://127.0.0.1:8000"], "Base URLs of the entries.", **add)
-    flags.DEFINE_string("api_key", "", "Caller's key.", **add)
-    flags.DEFINE_string("model", "", "Model to call.", **add)
-    flags.DEFINE_float("rate", 5.0, "Mean number of requests a second.", lower_bound=0.001, **add)
-    flags.DEFINE_float("seconds", 20.0, "Time for which requests are sent.", **add)
-    flags.DEFINE_string("mix", DEFAULT_MIX, "Prompt lengths as LOW-HIGH:WEIGHT,...", **add)
-    flags.DEFINE_integer("asked", 4096, "max_tokens of every request.", **add)
-    flags.DEFINE_float("deadline", 0.0, "Deadline in seconds; 0 for the entry's default.", **add)
-    flags.DEFINE_float("stream_share", 1.0, "Share of requests that are streamed.", **add)
-    flags.DEFINE_integer("seed", 1, "Random seed of the arrival times and prompt lengths.", **add)
+    options = {"flag_values": values}
+    flags.DEFINE_list("url", ["http://127.0.0.1:8000"], "Base URLs of the entries.", **options)
+    flags.DEFINE_string("api_key", "", "Caller's key.", **options)
+    flags.DEFINE_string("model", "", "Model to call.", **options)
+    flags.DEFINE_float(
+        "rate", 5.0, "Mean number of requests a second.", lower_bound=0.001, **options
+    )
+    flags.DEFINE_float("seconds", 20.0, "Time for which requests are sent.", **options)
+    flags.DEFINE_string("mix", DEFAULT_MIX, "Prompt lengths as LOW-HIGH:WEIGHT,...", **options)
+    flags.DEFINE_integer("asked", 4096, "max_tokens of every request.", **options)
+    flags.DEFINE_float(
+        "deadline", 0.0, "Deadline in seconds; 0 for the entry's default.", **options
+    )
+    flags.DEFINE_float("stream_share", 1.0, "Share of requests that are streamed.", **options)
+    flags.DEFINE_integer(
+        "seed", 1, "Random seed of the arrival times and prompt lengths.", **options
+    )
     flags.DEFINE_boolean(
-        "alone", False, "Send the short requests alone first, to measure their slowdown.", **add
+        "alone",
+        False,
+        "Send the short requests alone first, to measure their slowdown.",
+        **options,
     )
-    flags.DEFINE_string("plot", None, "File for a plot (png, svg or pdf).", **add)
-    flags.DEFINE_string("settings", None, "Settings file with the length classes.", **add)
+    flags.DEFINE_string("plot", None, "File for a plot (png, svg or pdf).", **options)
+    flags.DEFINE_string("settings", None, "Settings file with the length classes.", **options)
 
 
 def run_load_command(invocation):
