--- a/packages/daemon/persimmonstall_daemon/limits/peers.py
+++ b/packages/daemon/persimmonstall_daemon/limits/peers.py
@@ -57,7 +57,7 @@
             self.open(link)
             await self.peers.read(link, self)
         finally:
-            self.peers.drop(self)
+            self.peers.remove_link(self)
             if self.link is not None:
                 await self.link.close()
 
@@ -149,7 +149,7 @@
         entries = self.entry.membership.view.members("entry")
         return next((instance for instance in entries if instance.name == name), None)
 
-    def drop(self, link):
+    def remove_link(self, link):
         """Remove a lost link, unless a new one has taken its place."""
         if self.links.get(link.name) is link:
             del self.links[link.name]
@@ -160,7 +160,7 @@
         for link in list(self.links.values()):
             if link.is_silent(now) or now - link.used_at > IDLE_SECONDS:
                 link.task.cancel()
-                self.drop(link)
+                self.remove_link(link)
 
     async def close(self):
         """Close all links and the listener."""
