--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_output.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_output.py
@@ -35,7 +35,7 @@
             self.apply_output(attempt, output)
             touched.append(attempt)
         backend.delivery.flush(touched)
-        backend.memory.relieve_pressure()
+        backend.memory.park_if_short_of_memory()
         backend.dispatch_queue()
 
     def apply_output(self, attempt, output):
--- a/packages/daemon/persimmonstall_daemon/memory/manager.py
+++ b/packages/daemon/persimmonstall_daemon/memory/manager.py
@@ -137,9 +137,9 @@
             self.parked_streams.forget(attempt)
             self.parked_streams.resume_parked()
 
-    def relieve_pressure(self):
+    def park_if_short_of_memory(self):
         """Park streams when memory runs short."""
-        self.parked_streams.relieve_pressure()
+        self.parked_streams.park_if_short_of_memory()
 
     def engine_died(self):
         """Clear the ledger; the backend ends the attempts."""
--- a/packages/daemon/persimmonstall_daemon/memory/parking.py
+++ b/packages/daemon/persimmonstall_daemon/memory/parking.py
@@ -40,7 +40,7 @@
         """The ledger of the engine."""
         return self.manager.ledger
 
-    def relieve_pressure(self):
+    def park_if_short_of_memory(self):
         """Start to park streams if the engine is about to run out of memory."""
         for allocation in choose_victims(self.ledger):
             attempt = self.backend.attempts_by_job.get(allocation.job_id)
--- a/packages/daemon/tests/test_memory_keeper.py
+++ b/packages/daemon/tests/test_memory_keeper.py
@@ -283,5 +283,5 @@
 
 
 def test_streams_are_cut_without_parking(monkeypatch):
-    monkeypatch.setattr(ParkedStreams, "relieve_pressure", lambda *_: None)
+    monkeypatch.setattr(ParkedStreams, "park_if_short_of_memory", lambda *_: None)
     assert "out_of_memory" in run(wrong_estimates(0))[1]
