--- a/packages/core/persimmonstall/direct/fleet.py
+++ b/packages/core/persimmonstall/direct/fleet.py
@@ -150,5 +150,8 @@
 
 
 def was_leaving(endpoint, earlier):
-    """Return whether an `earlier` state of an endpoint's lifetime, None for none, was leaving."""
+    """Return whether the endpoint was leaving in an `earlier` state of the same lifetime.
+
+    `earlier` is None if the endpoint was not known before.
+    """
     return earlier is not None and earlier.lifetime == endpoint.lifetime and earlier.leaving
--- a/packages/core/persimmonstall/direct/splitting.py
+++ b/packages/core/persimmonstall/direct/splitting.py
@@ -18,8 +18,10 @@
 
 IN_TIME_SHARE = 0.4
 LATE_SHARE = 0.95
-"""Shares of the latency objective up to which a call is taken to be in time, and from which it is
-taken to be late; between them its probability of being late grows linearly."""
+"""Shares of the latency objective between which a call may be late.
+
+Below IN_TIME_SHARE a call counts as in time, above LATE_SHARE as late; between the two the
+probability that it is late grows linearly."""
 
 LATE_COST = 0.75
 """Cost of a late call, as a share of its weight."""
--- a/packages/core/persimmonstall/limits/budget_owner.py
+++ b/packages/core/persimmonstall/limits/budget_owner.py
@@ -19,9 +19,10 @@
 """Lower bound of Retry-After, in seconds."""
 
 WARM_UP_SECONDS = 2.0
-"""Time after a change of the live entries, in seconds, in which entries report the slots in use
-to the new owner.  Meanwhile it lends an entry no more than the slots that the entry has in use,
-or an even share if that is more."""
+"""Time after a change of the live entries in which they report to the owner the slots in use.
+
+Until then the owner lends an entry at most the slots that this entry has in use or an even share
+of those to lend, whichever is more."""
 
 
 def bounded_retry(seconds):
--- a/packages/core/persimmonstall/membership/view.py
+++ b/packages/core/persimmonstall/membership/view.py
@@ -105,7 +105,7 @@
             peer.expired = now - peer.absent_since >= ABSENCE_SECONDS
 
     def known_members(self):
-        """Return the set of known instances, which differs after a change of membership."""
+        """Return the names and instances known now; compare two results to detect a change."""
         return {(name, peer.instance) for name, peer in self.peers.items()}
 
     def on_contact(self, name, now, run="", endpoints=()):
--- a/packages/core/persimmonstall/memory/long_prompt.py
+++ b/packages/core/persimmonstall/memory/long_prompt.py
@@ -171,7 +171,10 @@
         return self.advance(now)
 
     def on_lost(self, reservation):
-        """Mark a part as lost, or as one that its endpoint refused or could not be sent."""
+        """Mark a part as lost.
+
+        Its endpoint has lost or refused it, or could not be reached.
+        """
         part = self.find(reservation)
         if part and part.state is not PartState.PLANNED:
             part.state = PartState.LOST
--- a/packages/core/persimmonstall/placement/length_aware.py
+++ b/packages/core/persimmonstall/placement/length_aware.py
@@ -152,7 +152,7 @@
         )
 
     def uncached(self, matched_blocks):
-        """Return the prompt tokens to prefill when `matched_blocks` blocks are cached."""
+        """Return the prompt tokens to prefill when so many of the blocks are cached."""
         return max(self.tokens - matched_blocks * self.block, min(1, self.tokens))
 
     def ahead(self, state):
--- a/packages/daemon/persimmonstall_daemon/claims/filter.py
+++ b/packages/daemon/persimmonstall_daemon/claims/filter.py
@@ -182,7 +182,7 @@
 
 
 def stored_answer(answer, body):
-    """Return the `Answer` that a stored answer and its `body` stand for."""
+    """Return the `Answer` to replay, from the claim's stored `answer` and its `body`."""
     if answer.content_type != TOKENS_TYPE:
         return Answer(
             0,
--- a/packages/daemon/persimmonstall_daemon/entry/long_prompts.py
+++ b/packages/daemon/persimmonstall_daemon/entry/long_prompts.py
@@ -161,4 +161,4 @@
         return attrs.evolve(submit, blocks=(), length_class=LengthClass.SHORT)
 
     def record_attempt(self, state, placed):
-        """Record nothing: the memory of the parts is part of the engines' load reports."""
+        """Record nothing: the engines' load reports include the memory of the parts."""
--- a/packages/daemon/persimmonstall_daemon/limits/task.py
+++ b/packages/daemon/persimmonstall_daemon/limits/task.py
@@ -1,7 +1,8 @@
 """Organisations' limits at an entry: connects `persimmonstall.limits` with the other entries.
 
 The functions that list the live entries and send messages are passed in, so that this module
-needs no sockets.  If this entry is the owner of a budget, it is called without a message.
+needs no sockets.  For a budget that this entry owns, the `BudgetOwner` is called directly and no
+message is sent.
 """
 
 import asyncio
--- a/packages/standins/persimmonstall_standins/platform.py
+++ b/packages/standins/persimmonstall_standins/platform.py
@@ -26,7 +26,7 @@
 
 
 async def serve(options):
-    """Serve the four services until the process is stopped."""
+    """Serve table, objects, instance list and weights until the process is stopped."""
     instances = MemoryInstances(options.list_lag, options.list_expiry)
     weights = MemoryWeights(WeightLimits(grants=options.weight_grants))
     leaving_actions = ("mark_leaving", "remove")
--- a/packages/standins/persimmonstall_standins/specification/claims.py
+++ b/packages/standins/persimmonstall_standins/specification/claims.py
@@ -237,7 +237,7 @@
             yield from self.give_up_steps(state, index, entry)
 
     def with_entry(self, state, index, entry, row=None, late=None, attempts=None):
-        """Return the state with one entry, and what it changed, replaced."""
+        """Return the state with the entry `index` replaced, and what else is not None."""
         return (
             state[0] if row is None else row,
             state[1] if late is None else late,
--- a/packages/standins/persimmonstall_standins/virtual/network.py
+++ b/packages/standins/persimmonstall_standins/virtual/network.py
@@ -62,7 +62,7 @@
             self.cut_pairs.add((target, source))
 
     def heal(self, source, target):
-        """Undo `cut`."""
+        """Deliver messages between `source` and `target` again, in both directions."""
         self.cut_pairs -= {(source, target), (target, source)}
 
     def isolate(self, address):
@@ -72,7 +72,7 @@
                 self.cut(address, other)
 
     def rejoin(self, address):
-        """Undo `isolate`."""
+        """Connect `address` again, in both directions, to every known address."""
         for other in self.data_centres:
             self.heal(address, other)
 
