Fair shares: pressure -> no_capacity_share

The share of recent requests that found no capacity. Behaviour unchanged. Run: test_limits, test_budgets: passed.

--- a/packages/core/persimmonstall/limits/fairness.py
+++ b/packages/core/persimmonstall/limits/fairness.py
@@ -1,9 +1,9 @@
-"""Weighted fair shares of organisations at an entry under pressure.
+"""Weighted fair shares of organisations at an entry that finds too little capacity.
 
-Pressure is the share of recent requests for which no endpoint had capacity.  Under pressure an
-organisation is limited to a multiple of its fair share that shrinks as the pressure grows.  Shares
-are weighted by priority, so that less urgent organisations are limited first.  Without pressure
-no request is refused.
+An entry is overloaded while the share of recent requests for which no endpoint had capacity
+exceeds the setting `limits.pressure`.  Then an organisation is limited to a multiple of its fair
+share, which shrinks as that share of requests grows.  Fair shares are weighted by priority, so
+that less urgent organisations are limited first.
 """
 
 import attrs
@@ -16,7 +16,7 @@
 """Name of this step in refusals."""
 
 HORIZON_SECONDS = 10.0
-"""Time over which usage and pressure are averaged, in seconds."""
+"""Time over which usage and the share of requests without capacity are averaged."""
 
 LOWEST_PRIORITY = 9
 """Number of the least urgent priority."""
@@ -52,7 +52,7 @@
         self.arrivals = DecayedRate(HORIZON_SECONDS, now)
         self.no_capacity = DecayedRate(HORIZON_SECONDS, now)
 
-    def pressure(self, now):
+    def no_capacity_share(self, now):
         """Return the share of recent requests that found no capacity, 0 to 1."""
         arrivals = self.arrivals.value(now)
         return min(1.0, self.no_capacity.value(now) / arrivals) if arrivals else 0.0
@@ -62,12 +62,15 @@
         self.no_capacity.add(1.0, now)
 
     def admit(self, organisation, tokens, now):
-        """Return True, or a `Refusal` if the organisation exceeds its share under pressure."""
+        """Return True, or a `Refusal` while the entry is overloaded.
+
+        Only organisations over their share are refused.
+        """
         self.arrivals.add(1.0, now)
         usage = self.usage_of(organisation, now)
-        pressure = self.pressure(now)
-        if pressure > self.threshold:
-            allowed = self.allowed(usage, pressure, now)
+        no_capacity_share = self.no_capacity_share(now)
+        if no_capacity_share > self.threshold:
+            allowed = self.allowed(usage, no_capacity_share, now)
             rate = usage.tokens.value(now)
             if rate > allowed:
                 wait = HORIZON_SECONDS * (1.0 - allowed / rate)
@@ -85,15 +88,15 @@
         usage.used_at = now
         return usage
 
-    def allowed(self, usage, pressure, now):
-        """Return the tokens per second that the organisation may use under `pressure`.
+    def allowed(self, usage, no_capacity_share, now):
+        """Return the tokens per second that the organisation may use.
 
         It is the organisation's weighted share of the total recent rate, multiplied by a factor
-        that falls from 2 without pressure to 1 at full pressure.
+        that falls from 2, if all requests found capacity, to 1, if none did.
         """
         total = sum(other.tokens.value(now) for other in self.usages.values())
         weights = sum(other.weight for other in self.usages.values())
-        return total * usage.weight / weights * (2.0 - pressure)
+        return total * usage.weight / weights * (2.0 - no_capacity_share)
 
     def evict(self, now):
         """Evict organisations that have been idle for `IDLE_SECONDS` seconds."""
