--- a/packages/daemon/persimmonstall_daemon/entry/dispatch_by_size.py
+++ b/packages/daemon/persimmonstall_daemon/entry/dispatch_by_size.py
@@ -11,5 +11,5 @@
 
     async def run(self, work, sink):
         """Run an admitted request; return its `Answer` or `Refusal`."""
-        chosen = self.divided if self.planner.applies(work) else self.ordinary
+        chosen = self.divided if self.planner.needs_division(work) else self.ordinary
         return await chosen.run(work, sink)
--- a/packages/daemon/persimmonstall_daemon/entry/division_planner.py
+++ b/packages/daemon/persimmonstall_daemon/entry/division_planner.py
@@ -58,7 +58,7 @@
         leaving = endpoint in self.entry.membership.view.leaving
         return bool(link and link.ready) and not leaving and not self.loads[endpoint].leaving
 
-    def applies(self, work):
+    def needs_division(self, work):
         """Whether the prompt of a request must be divided."""
         if work.service:
             return False
