--- a/packages/core/persimmonstall/memory/ledger.py
+++ b/packages/core/persimmonstall/memory/ledger.py
@@ -70,7 +70,7 @@
     """All allocations of one engine; `capacity` is 0 while it is unknown.
 
     `committed_tokens` is the sum of `counted` over the allocations, `in_use` that of `actual`
-    over those not parked, and `unowned` the engine memory outside the ledger.
+    over those not parked, and `unowned_tokens` the engine memory outside the ledger.
     """
 
     def __init__(self, invariants, capacity=0):
@@ -81,7 +81,7 @@
         self.by_job = {}
         self.committed_tokens = 0
         self.in_use = 0
-        self.unowned = 0
+        self.unowned_tokens = 0
 
     def set_capacity(self, tokens):
         """Set the engine's capacity, as given in its load report."""
@@ -106,7 +106,7 @@
         """
         if not self.capacity:
             return math.inf
-        taken = self.committed_tokens + self.unowned
+        taken = self.committed_tokens + self.unowned_tokens
         return self.capacity * ADMIT_SHARE - taken if taken else self.capacity
 
     def fits_empty_engine(self, tokens):
--- a/packages/core/persimmonstall/memory/parking.py
+++ b/packages/core/persimmonstall/memory/parking.py
@@ -26,7 +26,9 @@
     >>> shortage(ledger)
     54
     """
-    upper_bound = ledger.in_use + ledger.unowned + len(ledger.allocations) * GROWTH_PER_STREAM
+    upper_bound = (
+        ledger.in_use + ledger.unowned_tokens + len(ledger.allocations) * GROWTH_PER_STREAM
+    )
     if not ledger.capacity or upper_bound <= ledger.capacity:
         return 0
     staying = [
@@ -34,7 +36,7 @@
         for allocation in ledger.allocations.values()
         if not allocation.parked and not allocation.parking
     ]
-    projected = ledger.unowned + sum(
+    projected = ledger.unowned_tokens + sum(
         allocation.actual + GROWTH_PER_STREAM for allocation in staying
     )
     return max(0, projected - ledger.capacity)
--- a/packages/core/persimmonstall/memory/reconcile.py
+++ b/packages/core/persimmonstall/memory/reconcile.py
@@ -55,13 +55,13 @@
     """Result of a reconciliation.
 
     `free` is the memory to free, `lost` and `stuck` are the ids of jobs to run again, and
-    `unowned` is the engine memory outside the ledger, in tokens.
+    `unowned_tokens` is the engine memory outside the ledger, in tokens.
     """
 
     free: tuple[UnownedMemory, ...] = ()
     lost: tuple[str, ...] = ()
     stuck: tuple[str, ...] = ()
-    unowned: int = 0
+    unowned_tokens: int = 0
 
 
 class Reconciler:
@@ -100,7 +100,7 @@
             free=tuple(free),
             lost=self.find_lost(ledger, names, requested_at),
             stuck=tuple(stuck),
-            unowned=sum(state.memory for state in unowned if state.kind not in EXPORTS),
+            unowned_tokens=sum(state.memory for state in unowned if state.kind not in EXPORTS),
         )
 
     def may_be_freed(self, state, now, known_instances):
--- a/packages/daemon/persimmonstall_daemon/memory/manager.py
+++ b/packages/daemon/persimmonstall_daemon/memory/manager.py
@@ -146,7 +146,7 @@
         for name in list(self.ledger.allocations):
             self.ledger.remove(name)
         self.parked_streams.tickets.clear()
-        self.ledger.unowned = 0
+        self.ledger.unowned_tokens = 0
 
     def pending_count(self):
         """Return the number of segments that a graceful shutdown has to wait for."""
@@ -168,7 +168,7 @@
             now,
             self.listed_instances(),
         )
-        self.ledger.unowned = found.unowned
+        self.ledger.unowned_tokens = found.unowned_tokens
         for free in found.free:
             self.free(free)
         for job_id in found.stuck + found.lost:
