--- a/packages/daemon/persimmonstall_daemon/memory/manager.py
+++ b/packages/daemon/persimmonstall_daemon/memory/manager.py
@@ -172,7 +172,7 @@
         for free in found.free:
             self.free(free)
         for job_id in found.stuck + found.lost:
-            self.repair(job_id)
+            self.recover_job(job_id)
         self.parked_streams.resume_parked()
 
     def free(self, free):
@@ -182,7 +182,7 @@
         call = engine.discard if free.is_export else engine.cancel
         self.backend.spawn(call(free.name, self.call_timeout))
 
-    def repair(self, job_id):
+    def recover_job(self, job_id):
         """Run a job again that the engine has lost or cannot import, or remove its allocation."""
         allocation = self.ledger.by_job.get(job_id)
         if allocation is None:
