--- a/packages/core/persimmonstall/retries/budget.py
+++ b/packages/core/persimmonstall/retries/budget.py
@@ -15,7 +15,7 @@
 ACCUMULATION_SECONDS = 60.0
 """Time over which unused retries accumulate."""
 
-RATE_SECONDS = 10.0
+REQUEST_RATE_SECONDS = 10.0
 """Time constant of the moving average of the request rate."""
 
 MIN_RATE = 0.5
@@ -41,14 +41,14 @@
     def record_request(self, now):
         """Count a first attempt, which adds to the bucket."""
         self.advance(now)
-        self.request_rate += 1.0 / RATE_SECONDS
+        self.request_rate += 1.0 / REQUEST_RATE_SECONDS
         self.balance = min(self.capacity(), self.balance + self.share)
 
     def advance(self, now):
         """Update the request rate and the minimum refill to the time `now`."""
         elapsed = max(0.0, now - self.updated)
         self.updated = now
-        self.request_rate *= math.exp(-elapsed / RATE_SECONDS)
+        self.request_rate *= math.exp(-elapsed / REQUEST_RATE_SECONDS)
         if self.balance < MIN_CAPACITY:
             self.balance = min(MIN_CAPACITY, self.balance + MIN_RATE * elapsed)
 
