--- a/packages/core/persimmonstall/placement/prediction.py
+++ b/packages/core/persimmonstall/placement/prediction.py
@@ -25,7 +25,7 @@
 MAX_PAIRS = 8192
 """Largest number of pairs of organisation and model with a histogram."""
 
-DEFAULT_TOKENS = 256
+DEFAULT_OUTPUT_TOKENS = 256
 """Prediction without history; callers ask for far more than they use."""
 
 EXPECTED_SHARE = 0.6
@@ -128,7 +128,7 @@
 
         It follows from earlier answers of the model to the organisation.  If these are too few,
         the model's answers to all organisations are used, and if these are too few as well,
-        `DEFAULT_TOKENS`.
+        `DEFAULT_OUTPUT_TOKENS`.
         """
         pair = (organisation, model)
         for histograms, key in ((self.pairs, pair), (self.models, model)):
@@ -136,4 +136,4 @@
             if found is not None and found.total >= MIN_COUNT:
                 histograms.move_to_end(key)
                 return min(requested, found.quantile(self.share))
-        return min(requested, DEFAULT_TOKENS)
+        return min(requested, DEFAULT_OUTPUT_TOKENS)
--- a/packages/core/tests/test_retry_budget.py
+++ b/packages/core/tests/test_retry_budget.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from persimmonstall.failures import Reason
-from persimmonstall.placement.prediction import DEFAULT_TOKENS, OutputLengthPredictor
+from persimmonstall.placement.prediction import DEFAULT_OUTPUT_TOKENS, OutputLengthPredictor
 from persimmonstall.retries.budget import RetryBudget
 from persimmonstall.retries.delays import retry_delay
 
@@ -52,7 +52,7 @@
 
 def test_prediction_falls_back_from_pair_to_model_to_default():
     predictor = OutputLengthPredictor()
-    assert predictor.predict("new", "m", 8_000) == DEFAULT_TOKENS
+    assert predictor.predict("new", "m", 8_000) == DEFAULT_OUTPUT_TOKENS
     for _ in range(100):
         predictor.observe("known", "m", 900)
     assert 900 <= predictor.predict("known", "m", 8_000) < 1_200
