--- a/packages/core/persimmonstall/burn/objectives.py
+++ b/packages/core/persimmonstall/burn/objectives.py
@@ -34,7 +34,7 @@
     refused: bool = False
 
 
-def target(objectives, objective):
+def target_share(objectives, objective):
     """Return the share of requests that must meet `objective`."""
     shares = {Objective.IN_TIME: objectives.in_time, Objective.SERVED: objectives.served}
     return shares.get(objective, objectives.share)
--- a/packages/core/persimmonstall/burn/report.py
+++ b/packages/core/persimmonstall/burn/report.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from .objectives import ORDER, Objective, target
+from .objectives import ORDER, Objective, target_share
 
 FAST_BURN = 14.4
 """Burn rate over the two shorter windows that needs immediate action."""
@@ -82,6 +82,6 @@
 
 def row_of(organisation, length_class, objective, counts, objectives, now):
     """Return the `BurnRow` of one objective from a `BurnCounts`."""
-    target_share = target(objectives, Objective(objective))
+    required = target_share(objectives, Objective(objective))
     windows = counts.read(ORDER.index(objective), now)
-    return BurnRow(organisation, length_class, str(objective), target_share, windows)
+    return BurnRow(organisation, length_class, str(objective), required, windows)
