LinkedDaemon.version -> catalogue_version

The version of the catalogue in use, not of the software. Behaviour unchanged. Run: test_catalogue_fleet, test_admin_server, test_relay, test_catalogue_processes, test_roles (daemon), test_with_daemons (command line): passed.

--- a/packages/daemon/persimmonstall_daemon/admin/entry_view.py
+++ b/packages/daemon/persimmonstall_daemon/admin/entry_view.py
@@ -26,7 +26,7 @@
     def own_status(self):
         """Return the status of this daemon."""
         daemon = self.entry.settings.daemon
-        version = self.entry.version
+        version = self.entry.catalogue_version
         return DaemonStatus(daemon.instance, daemon.role, daemon.data_centre, version, 0.0)
 
     def linked_status(self, link):
--- a/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
@@ -79,13 +79,13 @@
             daemon.role,
             daemon.data_centre,
             self.run_id,
-            self.version,
+            self.catalogue_version,
             self.loads(),
         )
 
     def pong(self, sequence):
         """Return the `Pong` that answers a heartbeat."""
-        return control.Pong(sequence, self.version, self.loads())
+        return control.Pong(sequence, self.catalogue_version, self.loads())
 
     def open_links(self):
         """Return the sessions whose entry has sent its `Hello`."""
--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -101,7 +101,7 @@
         """Return the message that introduces this daemon on a new link."""
         daemon = self.settings.daemon
         return control.Hello(
-            daemon.instance, daemon.role, daemon.data_centre, self.run_id, self.version
+            daemon.instance, daemon.role, daemon.data_centre, self.run_id, self.catalogue_version
         )
 
     def entry_names(self):
--- a/packages/daemon/persimmonstall_daemon/entry/links.py
+++ b/packages/daemon/persimmonstall_daemon/entry/links.py
@@ -104,7 +104,7 @@
         settings = self.entry.settings.links
         while True:
             self.sequence += 1
-            link.send(control.Ping(self.sequence, self.entry.version))
+            link.send(control.Ping(self.sequence, self.entry.catalogue_version))
             await asyncio.sleep(self.entry.context.jitter(settings.heartbeat))
             if self.entry.context.now() - self.last_heard > settings.silence:
                 self.entry.metrics.count("link_lost", tag="silent")
--- a/packages/daemon/persimmonstall_daemon/linked_daemon.py
+++ b/packages/daemon/persimmonstall_daemon/linked_daemon.py
@@ -29,7 +29,7 @@
         self.tasks = []
 
     @property
-    def version(self):
+    def catalogue_version(self):
         """The version of the catalogue that this daemon uses."""
         return self.follower.version
 
--- a/packages/daemon/tests/test_catalogue_fleet.py
+++ b/packages/daemon/tests/test_catalogue_fleet.py
@@ -55,7 +55,7 @@
         return CatalogueStore(entry.settings, table, entry.context, entry.follower)
 
     def versions(self):
-        return [daemon.version for daemon in self.daemons]
+        return [daemon.catalogue_version for daemon in self.daemons]
 
 
 @pytest.fixture
@@ -124,7 +124,7 @@
         scenario.fleet.tables["n2"].faults.down = True
         started = await scenario.fleet.add_entry("n2")
         await asyncio.wait_for(started.follower.ready.wait(), PROPAGATION_SECONDS)
-        assert started.version == 2 and started.catalogue.get("drain", "e0")
+        assert started.catalogue_version == 2 and started.catalogue.get("drain", "e0")
         assert started.readiness().ready
 
     on_table(body)
@@ -140,7 +140,7 @@
         await asyncio.sleep(PROPAGATION_SECONDS)
         started = await scenario.fleet.add_entry("n2")
         await asyncio.wait_for(started.follower.ready.wait(), PROPAGATION_SECONDS)
-        assert started.version == 2
+        assert started.catalogue_version == 2
 
     on_table(body)
 
