Placement: one copy of the ratio of observed to expected times

slowness_ratio replaces three copies in slow.py and usual_times.py. Behaviour unchanged. Run: test_placement, doctests of placement, test_moving_on: passed.

--- a/packages/core/persimmonstall/placement/slow.py
+++ b/packages/core/persimmonstall/placement/slow.py
@@ -21,6 +21,15 @@
 """Time added to both observed and expected times, so that jitter of short ones is ignored."""
 
 
+def slowness_ratio(seconds, expected):
+    """Return the ratio of an observed time, in seconds, to the expected one.
+
+    >>> slowness_ratio(0.9, 0.4)
+    2.0
+    """
+    return (seconds + FLOOR_SECONDS) / (expected + FLOOR_SECONDS)
+
+
 @attrs.define
 class Slowness:
     """Moving average of the ratio of observed to expected time to first token.
@@ -38,14 +47,13 @@
 
     def observe(self, observed, expected, now):
         """Record a first token that arrived `observed` seconds after its submission."""
-        sample = (observed + FLOOR_SECONDS) / (expected + FLOOR_SECONDS)
-        sample = min(MAX_RATIO, max(0.5, sample))
+        sample = min(MAX_RATIO, max(0.5, slowness_ratio(observed, expected)))
         self.ratio += WEIGHT * (sample - self.ratio)
         self.update_ejection(now)
 
     def record_overdue(self, waited, expected, now):
         """Record that no first token came within `waited` seconds, if that raises the ratio."""
-        if (waited + FLOOR_SECONDS) / (expected + FLOOR_SECONDS) > max(EJECT_RATIO, self.ratio):
+        if slowness_ratio(waited, expected) > max(EJECT_RATIO, self.ratio):
             self.observe(waited, expected, now)
 
     def update_ejection(self, now):
--- a/packages/core/persimmonstall/placement/usual_times.py
+++ b/packages/core/persimmonstall/placement/usual_times.py
@@ -1,6 +1,6 @@
 """Usual times to first token, compared with expected ones, of each length class."""
 
-from .slow import FLOOR_SECONDS, MAX_RATIO
+from .slow import MAX_RATIO, slowness_ratio
 
 MEAN_RATIO_WEIGHT = 0.02
 """Weight of the newest attempt in the average ratio of observed to expected time to first token
@@ -19,7 +19,7 @@
 
     def observe(self, attempt, seconds):
         """Record that the first token of an attempt took `seconds`."""
-        ratio = (seconds + FLOOR_SECONDS) / (attempt.expected + FLOOR_SECONDS)
+        ratio = slowness_ratio(seconds, attempt.expected)
         mean_ratio = self.mean_ratios.get(attempt.length_class, 1.0)
         mean_ratio += MEAN_RATIO_WEIGHT * (min(MAX_RATIO, ratio) - mean_ratio)
         self.mean_ratios[attempt.length_class] = mean_ratio
