Placement: the policies that choose by load share one place method

Behaviour unchanged. Run: test_placement, doctests of placement, tests of the stand-ins, test_budgets: passed.

--- a/packages/core/persimmonstall/placement/policy.py
+++ b/packages/core/persimmonstall/placement/policy.py
@@ -69,44 +69,48 @@
     )
 
 
-class RoundRobin(Policy):
-    """Baseline: the endpoints of a pool in turn."""
+class SimplePolicy(Policy):
+    """Base class of the policies that choose by load only, without regard to cached prefixes."""
 
-    def __init__(self):
-        self.turns = {}
+    @abc.abstractmethod
+    def choose(self, work, found, random):
+        """Return one of the `EndpointState`s in `found`, which is not empty."""
 
     def place(self, work, view, now, random, avoid=frozenset()):
-        """Return the next endpoint of the model or service."""
+        """Return the placement at the chosen endpoint of the model or service."""
         found = self.candidates(work, view, avoid)
         if not found:
             return no_endpoint(work)
+        return placed_uncached(work, view, self.choose(work, found, random))
+
+
+class RoundRobin(SimplePolicy):
+    """Baseline: the endpoints of a pool in turn."""
+
+    def __init__(self):
+        self.turns = {}
+
+    def choose(self, work, found, random):
+        """Return the next endpoint of the model or service."""
         key = (work.model, work.service)
         turn = self.turns.get(key, 0)
         self.turns[key] = turn + 1
-        return placed_uncached(work, view, found[turn % len(found)])
+        return found[turn % len(found)]
 
 
-class LeastOutstanding(Policy):
+class LeastOutstanding(SimplePolicy):
     """Baseline: the endpoint with the fewest requests in flight from this entry."""
 
-    def place(self, work, view, now, random, avoid=frozenset()):
+    def choose(self, work, found, random):
         """Return the endpoint with the fewest requests in flight; ties are broken at random."""
-        found = self.candidates(work, view, avoid)
-        if not found:
-            return no_endpoint(work)
-        best = min(found, key=lambda state: (state.own_running, random.random()))
-        return placed_uncached(work, view, best)
+        return min(found, key=lambda state: (state.own_running, random.random()))
 
 
-class RandomTwo(Policy):
+class RandomTwo(SimplePolicy):
     """Baseline: the less loaded of two endpoints chosen at random (power of two choices)."""
 
-    def place(self, work, view, now, random, avoid=frozenset()):
+    def choose(self, work, found, random):
         """Return the one of two random endpoints with fewer requests in flight."""
-        found = self.candidates(work, view, avoid)
-        if not found:
-            return no_endpoint(work)
         first = random.choice(found)
         second = random.choice(found)
-        best = first if first.own_running <= second.own_running else second
-        return placed_uncached(work, view, best)
+        return first if first.own_running <= second.own_running else second
