--- a/packages/daemon/persimmonstall_daemon/entry/links.py
+++ b/packages/daemon/persimmonstall_daemon/entry/links.py
@@ -104,7 +104,7 @@
         settings = self.entry.settings.links
         while True:
             self.sequence += 1
-            link.send(control.Ping(self.sequence, self.entry.version))
+            link.send(control.Ping(self.sequence, self.entry.catalogue_version))
             await asyncio.sleep(self.entry.context.jitter(settings.heartbeat))
             if self.entry.context.now() - self.last_heard > settings.silence:
                 self.entry.metrics.count("link_lost", tag="silent")
@@ -185,7 +185,7 @@
         for load in loads:
             self.by_endpoint[load.endpoint] = instance.name
 
-    def linked(self):
+    def open_links(self):
         """Return the links that are ready."""
         return [link for link in self.by_instance.values() if link.ready]
 
--- a/packages/standins/persimmonstall_standins/virtual/network.py
+++ b/packages/standins/persimmonstall_standins/virtual/network.py
@@ -1,7 +1,6 @@
 """In-memory links between daemons, with delays between data centres and injected faults."""
 
 import asyncio
-import itertools
 from collections import deque
 from random import Random
 
@@ -37,7 +36,6 @@
     links: set = attrs.field(factory=set)
     cut_pairs: set = attrs.field(factory=set)
     messages: int = 0
-    numbers: object = attrs.field(factory=itertools.count)
 
     def network(self, address, data_centre="dc1"):
         """Return the `MemoryNetwork` of the daemon at `address`."""
@@ -64,7 +62,7 @@
             self.cut_pairs.add((target, source))
 
     def heal(self, source, target):
-        """Undo `cut`."""
+        """Deliver messages between `source` and `target` again, in both directions."""
         self.cut_pairs -= {(source, target), (target, source)}
 
     def isolate(self, address):
@@ -74,7 +72,7 @@
                 self.cut(address, other)
 
     def rejoin(self, address):
-        """Undo `isolate`."""
+        """Connect `address` again, in both directions, to every known address."""
         for other in self.data_centres:
             self.heal(address, other)
 
