--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 PACKAGES := core daemon cli standins
 STAMP := $(VENV)/.installed-$(shell cat requirements*.txt constraints.txt packages/*/pyproject.toml | cksum | cut -d' ' -f1)
 WORKERS ?= 4
+SOAK_WORKERS ?= 3
 
 empty :=
 space := $(empty) $(empty)
@@ -58,13 +59,14 @@
 
 pytest: setup
 	$(PYTHON) tools/run_tests.py -n $(WORKERS) --dist loadfile -m "not soak" packages
-	$(PYTHON) tools/run_tests.py -n $(WORKERS) --dist loadfile -c platform/pytest.ini platform
+	$(PYTHON) tools/run_tests.py -n $(WORKERS) --dist loadfile -m "not soak" -c platform/pytest.ini platform
 
 check-model: setup
 	$(PYTHON) tools/check_model.py
 
 soak: setup
 	$(PYTHON) -m pytest -n $(WORKERS) -m soak packages
+	$(PYTHON) -m pytest -n $(SOAK_WORKERS) -m soak -c platform/pytest.ini platform
 
 measure: setup
 	$(PYTHON) tools/measure.py
