--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -80,12 +80,14 @@
     async def run(self, routed, sink, history):
         """Make attempts until one is final or time is up; return the last `AttemptResult`."""
         last = AttemptResult(AttemptOutcome.OVERDUE)
+        placed = None
         self.entry.state.budget.record_call(routed.service.name, self.entry.now())
         try:
             async with self.entry.time_limits.until(routed.deadline):
                 while True:
-                    last = await self.attempt(routed, sink, history)
-                    if not self.should_retry(routed, history, last):
+                    last = await self.attempt(routed, sink, history, placed)
+                    placed = last.followed_by
+                    if placed is None and not self.should_retry(routed, history, last):
                         return last
         except TimeoutError:
             outlives_entry = routed.deadline > self.entry.exits_at
@@ -105,11 +107,29 @@
             )
         return taken
 
-    async def attempt(self, routed, sink, history):
-        """Choose the endpoints of one attempt and run it."""
+    async def prepare_retry(self, routed, history, endpoint):
+        """Return the attempt that may follow one at a silent endpoint, None if there is none.
+
+        It is charged to the shared retry budget, and placed at an endpoint with a free slot.
+        """
+        state, service = self.entry.state, routed.service.name
+        after = history.after(endpoint.name, AttemptOutcome.LATE)
+        if not may_retry(routed, after, AttemptOutcome.LATE):
+            return None
+        if not self.entry.crash_reporter.may_retry(routed):
+            return None
+        if not state.budget.has_room(service, self.entry.now()):
+            return None
+        placed = await self.entry.chooser.choose(routed, self.entry.new_attempt_name(), after)
+        if isinstance(placed, Failure) or not state.placer.has_free_slot(placed.request.endpoint):
+            return None
+        return placed if state.budget.try_acquire(service, self.entry.now()) else None
+
+    async def attempt(self, routed, sink, history, placed=None):
+        """Run one attempt, which is `placed` already or whose endpoints are chosen now."""
         entry = self.entry
-        name = entry.new_attempt_name()
-        placed = await entry.chooser.choose(routed, name, history)
+        if placed is None:
+            placed = await entry.chooser.choose(routed, entry.new_attempt_name(), history)
         if isinstance(placed, Failure):
             return AttemptResult(AttemptOutcome.OVERDUE, placed)
         self.log_placed(routed, placed, history, entry.now())
