A stopping entry waits for its last answers by its own steps, not by the clock

A process that is slow, or is suspended for a moment at its exit, found the time for its last answers over when it ran again and closed the connections of calls whose answers were due in the same step.

--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -53,8 +53,8 @@
 GRACE_MARGIN_SECONDS = 1.0
 """Seconds of the grace period that are reserved for an orderly exit."""
 
-LAST_ANSWERS_SECONDS = 0.2
-"""Seconds for which a stopping entry waits for its last answers to be sent."""
+MAX_LAST_POLLS = 12
+"""Maximum number of polls for which a stopping entry waits for its last answers to be sent."""
 
 RELEASE_SECONDS = 0.2
 """Seconds for which a stopping entry waits for its last reservations to be released."""
@@ -251,20 +251,25 @@
         self.time_limits.reschedule()
         self.peers.schedule_beacon(True)
         await asyncio.sleep(takeout)
-        await self.wait_for_calls(self.exits_at)
+        while self.callers.in_flight and self.now() < self.exits_at:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
         await self.callers.stop_accepting()
         await self.callers.close_idle()
-        # A call that was read just before its connection closes has not started yet.
-        await asyncio.sleep(DRAIN_POLL_SECONDS)
-        await self.wait_for_calls(self.exits_at + LAST_ANSWERS_SECONDS)
+        await self.send_last_answers()
         await asyncio.wait(
             [asyncio.create_task(self.reservations.drain())], timeout=RELEASE_SECONDS
         )
 
-    async def wait_for_calls(self, until):
-        """Wait until no call is in flight, at most until the time `until`."""
-        while self.callers.in_flight and self.now() < until:
+    async def send_last_answers(self):
+        """Wait until no call is in flight.
+
+        At first a call that was read just before may not have started yet.  The number of polls is
+        limited and not the time, since a process that is slow or was suspended may be late.
+        """
+        for _ in range(MAX_LAST_POLLS):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+            if not self.callers.in_flight:
+                return
 
     async def stop_role(self):
         """Close all sockets."""
