A silent endpoint gets no new calls while it is silent, and some again as soon as it goes on

Cause: silence was known only once an attempt had been left for it, and then counted like any other failure.

Change: from 0.5 s without an event, twice the gap objective if that is longer, the endpoint has a failure score of 1 (SilenceTimeouts, FailureScores.silent) until anything arrives from it, or for 1 s after it was last waited for. Leaving it counts half of another failure, since it has accepted a connection or may. Nothing of this is sent to other entries, except the failure.

--- a/packages/core/persimmonstall/direct/failure_scores.py
+++ b/packages/core/persimmonstall/direct/failure_scores.py
@@ -1,4 +1,7 @@
-"""Scores endpoints by recent failures; a score decays, so that the endpoint is tried again."""
+"""Scores endpoints by recent failures; a score decays, so that the endpoint is tried again.
+
+An endpoint that is silent now has a score as well, which ends as soon as it goes on.
+"""
 
 import math
 
@@ -13,11 +16,19 @@
 MIN_REPORTED_SCORE = 0.3
 """Minimum score that is sent to other entries."""
 
+SILENT_SCORE = 1.0
+"""Minimum score of a silent endpoint."""
+
+SILENT_SECONDS = 1.0
+"""Time after which an endpoint is tried again that was silent when last waited for."""
+
 
 @attrs.define
 class FailureScores:
     """Scores by endpoint name, of this entry and as reported by others; one failure adds 1.
 
+    `silent` maps the names of silent endpoints to the time at which they were last waited for.
+
     >>> scores = FailureScores()
     >>> scores.record_failure("e", 0.0)
     >>> scores.score("e", 0.0), round(scores.score("e", 3.0), 2), scores.score("f", 0.0)
@@ -26,11 +37,17 @@
 
     scores: dict = attrs.field(factory=dict)
     remote: dict = attrs.field(factory=dict)
+    silent: dict = attrs.field(factory=dict)
 
     def score(self, name, now):
         """Return an endpoint's decayed score, by this entry or another, whichever is higher."""
         remote_score = [decayed(*self.remote[name], now)] if name in self.remote else []
-        return max(self.local_score(name, now), *remote_score, 0.0)
+        silent_score = SILENT_SCORE if self.is_silent(name, now) else 0.0
+        return max(self.local_score(name, now), *remote_score, silent_score)
+
+    def is_silent(self, name, now):
+        """Return whether an endpoint was silent when last waited for, a short time ago."""
+        return name in self.silent and now - self.silent[name] < SILENT_SECONDS
 
     def local_score(self, name, now):
         """Return the decayed score of an endpoint by the failures that this entry saw."""
@@ -40,6 +57,14 @@
         """Record a failure at an endpoint."""
         self.scores[name] = (min(MAX_SCORE, self.local_score(name, now) + weight), now)
 
+    def record_silence(self, name, now):
+        """Record that an endpoint is silent."""
+        self.silent[name] = now
+
+    def record_sign_of_life(self, name):
+        """Record that an endpoint has sent something."""
+        self.silent.pop(name, None)
+
     def record_success(self, name, now):
         """Record a complete answer of an endpoint, which halves its score."""
         if name in self.scores:
@@ -62,7 +87,7 @@
 
     def forget(self, names):
         """Drop all endpoints except those in `names`."""
-        for scores in (self.scores, self.remote):
+        for scores in (self.scores, self.remote, self.silent):
             for name in set(scores) - set(names):
                 del scores[name]
 
--- a/packages/core/tests/test_direct_silence.py
+++ b/packages/core/tests/test_direct_silence.py
@@ -3,9 +3,10 @@
 import attrs
 import pytest
 
+from persimmonstall.direct.failure_scores import SILENT_SCORE, SILENT_SECONDS, FailureScores
 from persimmonstall.direct.retry_budget import SharedRetryBudget
 from persimmonstall.direct.retrying import AttemptHistory, AttemptOutcome
-from persimmonstall.direct.silence import caller_patience, longest_silence
+from persimmonstall.direct.silence import caller_patience, longest_silence, silence_timeouts
 
 from .direct_parts import NON_REPEATABLE, REPEATABLE, SHORT
 
@@ -54,3 +55,30 @@
     assert [budget.has_room("s", 0.0) for _ in range(3)] == [True] * 3
     assert budget.try_acquire("s", 0.0)
     assert not budget.has_room("s", 0.0)
+
+
+@pytest.mark.parametrize("usual", [0.0, 0.4, 9.0])
+def test_endpoint_is_avoided_then_checked_then_left(usual):
+    timeouts = silence_timeouts(SHORT, 1.2, 10.0, usual, 0.15)
+    assert timeouts.conspicuous <= timeouts.check < timeouts.leave < timeouts.end
+    assert timeouts.check + 0.15 == pytest.approx(1.2)
+
+
+def test_plain_call_is_neither_checked_nor_left_before_its_timeout():
+    timeouts = silence_timeouts(REPEATABLE, 0.12, 10.0, 0.0, 0.15)
+    assert timeouts.conspicuous == timeouts.check == timeouts.leave == 0.12
+
+
+def test_silent_endpoint_is_avoided_until_it_goes_on():
+    scores = FailureScores()
+    scores.record_silence("e", 0.0)
+    assert scores.score("e", 0.5) == SILENT_SCORE
+    scores.record_sign_of_life("e")
+    assert scores.score("e", 0.5) == 0.0
+
+
+def test_silent_endpoint_is_tried_again_a_second_after_the_last_wait():
+    scores = FailureScores()
+    scores.record_silence("e", 0.0)
+    assert scores.score("e", SILENT_SECONDS) == 0.0
+    assert not scores.local_state(0.0)
--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -7,7 +7,7 @@
 from persimmonstall.direct.events import EventReader
 from persimmonstall.direct.messages import ResponseKind
 from persimmonstall.direct.retrying import AttemptOutcome, is_last_run
-from persimmonstall.direct.silence import longest_silence
+from persimmonstall.direct.silence import silence_timeouts
 from persimmonstall.failures import Failure, Reason
 
 from .endpoint_client import (
@@ -32,9 +32,6 @@
 MIN_GAP_SECONDS = 1.2
 """Timeout between events: a multiple of the gap objective, and a minimum in seconds."""
 
-RECONSIDER_SECONDS = 0.5
-"""Interval at which it is checked again whether a silent endpoint can be left."""
-
 
 @attrs.frozen
 class AttemptResult:
@@ -114,28 +111,39 @@
         `timeout` counts from the last event.  A sound endpoint may go on, so one that accepts
         connections is left later, and only for an attempt that is certain to follow.
         """
-        limit = min(longest_silence(self.routed.route, timeout), self.longest_wait())
-        if limit > timeout:
-            timeout -= CONNECT_SECONDS
-        seconds = timeout - self.silent_seconds()
+        usual = 0.0 if self.batches_relayed else self.placed.predicted_first_event
+        timeouts = silence_timeouts(
+            self.routed.route, timeout, self.longest_wait(), usual, CONNECT_SECONDS
+        )
         while True:
             try:
-                return await read(max(0.0, seconds))
+                result = await read(timeouts.seconds_to_next(self.silent_seconds()))
             except TimeoutError:
-                seconds = await self.seconds_to_wait(limit)
-
-    async def seconds_to_wait(self, limit):
-        """Return how long to wait on for a silent endpoint; raise TimeoutError to leave it."""
+                await self.bear_silence(timeouts)
+                continue
+            if not isinstance(result, Failure):
+                self.entry.state.failure_scores.record_sign_of_life(self.endpoint.name)
+            return result
+
+    async def bear_silence(self, timeouts):
+        """Return to wait on for a silent endpoint; raise TimeoutError to leave it."""
         silent = self.silent_seconds()
-        if silent >= self.longest_wait():
+        if silent >= timeouts.end:
             raise TimeoutError
-        if silent >= limit:
+        if silent >= timeouts.leave:
             self.followed_by = await self.entry.call_handler.prepare_retry(
                 self.routed, self.history, self.endpoint
             )
-        if self.followed_by is not None or not await accepts_connections(self.endpoint):
+        self.record_silence()
+        if self.followed_by is not None:
             raise TimeoutError
-        return limit - silent if silent < limit else RECONSIDER_SECONDS
+        if silent >= timeouts.check and not await accepts_connections(self.endpoint):
+            raise TimeoutError
+
+    def record_silence(self):
+        """Record that the endpoint is silent, unless a helper may be the one that is."""
+        if not self.placed.request.helpers:
+            self.entry.state.failure_scores.record_silence(self.endpoint.name, self.entry.now())
 
     def silent_seconds(self):
         """Return the seconds since the last event, or since the call was sent."""
--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -22,6 +22,9 @@
 """Retry-After in seconds of an entry without a configuration: it started while the store was
 unavailable, so neither an early retry nor another entry would succeed."""
 
+SILENT_ENDPOINT_WEIGHT = 0.5
+"""Weight of the failure that is recorded for an endpoint that was left because it was silent."""
+
 
 class CallHandler:
     """Serves calls; there is one object for the entry and one run of `serve` for each call."""
@@ -170,6 +173,8 @@
             )
         if result.ending is AttemptOutcome.WRONG_ENDPOINT:
             state.fleet.drop(endpoint.name)
+        elif result.followed_by is not None:
+            state.failure_scores.record_failure(endpoint.name, now, SILENT_ENDPOINT_WEIGHT)
         else:
             state.failure_scores.record_failure(endpoint.name, now)
         self.entry.crash_reporter.record_lost(routed, endpoint, result)
--- a/packages/daemon/tests/test_direct_attempt.py
+++ b/packages/daemon/tests/test_direct_attempt.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from persimmonstall.direct.failure_scores import FailureScores
 from persimmonstall.direct.retrying import AttemptHistory
 from persimmonstall_daemon.direct.attempt import Attempt
 
@@ -22,11 +23,17 @@
 
 
 def make_attempt(client, now):
-    route = SimpleNamespace(repeatable=True, streaming=True, objective=0.3, attempts=2)
+    route = SimpleNamespace(
+        repeatable=True, streaming=True, objective=0.3, gap_objective=0.25, attempts=2
+    )
+    state = SimpleNamespace(failure_scores=FailureScores())
+    endpoint = SimpleNamespace(name="e", address="")
     return Attempt(
-        SimpleNamespace(client=client, now=now),
+        SimpleNamespace(client=client, now=now, state=state),
         SimpleNamespace(route=route, deadline=now() + 10.0),
-        SimpleNamespace(request=None, predicted_first_event=0.0),
+        SimpleNamespace(
+            request=SimpleNamespace(endpoint=endpoint, helpers=()), predicted_first_event=0.0
+        ),
         AttemptHistory(),
         sink=None,
     )
