An idle engine that is silent for a while does not count as dead

Callers could see: a request right after a silence of 1.5 to 3 s of an idle engine was refused (no_endpoint, not run), though the engine was sound; its prefixes were forgotten.

Cause: silence was counted from the last step. An engine without work makes none, so the first load poll without an answer, after half of [endpoints] step_silence, counted as its death.

Change: silence counts from the last step or load report. An engine that is silent for longer than step_silence, or refuses connections, is found dead as before.

--- a/packages/daemon/persimmonstall_daemon/endpoint/engine_watch.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/engine_watch.py
@@ -32,12 +32,16 @@
 
 
 class EngineWatch:
-    """Tasks that read from one engine and post what they receive to its `backend`."""
+    """Tasks that read from one engine and post what they receive to its `backend`.
+
+    `last_load_at` is the time of the engine's last load report.
+    """
 
     def __init__(self, backend):
         self.backend = backend
         self.engine = backend.engine
         self.reader = None
+        self.last_load_at = backend.now()
 
     @property
     def silence(self):
@@ -96,11 +100,13 @@
         """Request the engine's load once; post the load, lost steps or a dead engine."""
         backend = self.backend
         load = await self.engine.load(self.silence / 2)
+        now = backend.now()
         if load:
+            self.last_load_at = now
             backend.post(load)
-        silent = backend.now() - backend.last_step_at > self.silence
-        if silent and backend.running():
+        if now - backend.last_step_at > self.silence and backend.running():
             backend.post(StepsLost("silent"))
+        silent = now - max(backend.last_step_at, self.last_load_at) > self.silence
         if not load and (silent or load.detail == "not connected"):
             backend.post(EngineDied(load.detail))
 
--- a/packages/daemon/tests/test_moving_on.py
+++ b/packages/daemon/tests/test_moving_on.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from persimmonstall.settings import Settings
 from persimmonstall_daemon.entry.request import Answer
 
@@ -42,3 +44,19 @@
         return await freeze_accepting_engine(fleet, entry)
 
     assert on_fleet(scenario) > SILENCE / 2
+
+
+@pytest.mark.parametrize("offset", [0.0, 0.25, 0.5, 0.75])
+def test_idle_engine_that_is_silent_for_a_while_does_not_count_as_dead(on_fleet, offset):
+    """An engine without work made no steps, so one unanswered poll counted as its death."""
+
+    async def scenario(fleet, entry):
+        (engine,) = fleet.engines.values()
+        await asyncio.sleep(2 * SILENCE + offset)
+        engine.freeze()
+        await asyncio.sleep(0.9 * SILENCE)
+        engine.thaw()
+        assert isinstance(await fleet.send_request(entry, 1, 1_000), Answer)
+        assert not any(daemon.metrics.totals["engines_died"] for daemon in fleet.daemons.values())
+
+    on_fleet(scenario, engines=1)
