--- a/packages/core/persimmonstall/direct/silence.py
+++ b/packages/core/persimmonstall/direct/silence.py
@@ -61,6 +61,8 @@
     leave = min(longest_silence(route, timeout), end)
     check = timeout - check_seconds if leave > timeout else timeout
     conspicuous = usual + max(CONSPICUOUS_SECONDS, GAP_FACTOR * route.gap_objective)
+    if not route.streaming:
+        conspicuous = check
     return SilenceTimeouts(min(conspicuous, check), check, leave, end)
 
 
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/direct/silence_watch.py
@@ -0,0 +1,95 @@
+"""Waits for the bytes of an endpoint, and decides whether to leave one that is silent."""
+
+from persimmonstall.direct.silence import silence_timeouts
+from persimmonstall.failures import Failure
+
+from .endpoint_client import (
+    CATCH_UP_SECONDS,
+    CONNECT_SECONDS,
+    SUSPENSION_SECONDS,
+    accepts_connections,
+)
+
+
+class SilenceWatch:
+    """The silence of the endpoint of an `attempt`, which counts from its last event.
+
+    `heard_at` is the time of the last event, or of the sending; `decide_at` is when it is next
+    decided whether to leave the endpoint, None if no wait has begun since.  `followed_by` is the
+    `PlacedAttempt` for which the endpoint was left, None for none.
+    """
+
+    def __init__(self, attempt):
+        self.attempt = attempt
+        self.entry = attempt.entry
+        self.heard_at = self.entry.now()
+        self.decide_at = None
+        self.followed_by = None
+
+    def hear(self):
+        """Record that the call was sent or an event has arrived."""
+        self.heard_at = self.entry.now()
+        self.decide_at = None
+
+    def silent_seconds(self):
+        """Return the seconds since the last event, or since the call was sent."""
+        return self.entry.now() - self.heard_at
+
+    def longest_wait(self):
+        """Return the seconds from the last event, or from the sending, to the deadline."""
+        return self.attempt.routed.deadline - self.heard_at
+
+    async def receive(self, read, timeout):
+        """Return the result of `read(seconds)`; raise TimeoutError to leave a silent endpoint.
+
+        `timeout` counts from the last event, however often bytes arrive meanwhile.  A sound
+        endpoint may go on, so one that accepts connections is left later, and only for an attempt
+        that is certain to follow.
+        """
+        timeouts = self.timeouts(timeout)
+        if self.decide_at is None:
+            self.decide_at = self.heard_at + timeouts.seconds_to_next(0.0)
+        while True:
+            try:
+                result = await read(self.read_seconds())
+            except TimeoutError:
+                await self.decide(timeouts)
+                seconds = timeouts.seconds_to_next(self.silent_seconds())
+                self.decide_at = self.entry.now() + seconds
+                continue
+            if not isinstance(result, Failure):
+                self.entry.state.failure_scores.record_sign_of_life(self.attempt.endpoint.name)
+            return result
+
+    def timeouts(self, timeout):
+        """Return the `SilenceTimeouts` of the present wait."""
+        attempt = self.attempt
+        usual = 0.0 if attempt.batches_relayed else attempt.placed.predicted_first_event
+        end = self.longest_wait()
+        return silence_timeouts(attempt.routed.route, timeout, end, usual, CONNECT_SECONDS)
+
+    def read_seconds(self):
+        """Return the timeout of a read; after a suspension what has arrived can still be read."""
+        seconds = self.decide_at - self.entry.now()
+        return max(seconds, CATCH_UP_SECONDS if seconds < -SUSPENSION_SECONDS else 0.0)
+
+    async def decide(self, timeouts):
+        """Return to wait on for a silent endpoint; raise TimeoutError to leave it."""
+        attempt, silent = self.attempt, self.silent_seconds()
+        if silent >= timeouts.end:
+            raise TimeoutError
+        if silent >= timeouts.leave:
+            self.followed_by = await self.entry.call_handler.prepare_retry(
+                attempt.routed, attempt.history, attempt.endpoint
+            )
+        self.record_silence()
+        if self.followed_by is not None:
+            raise TimeoutError
+        if silent >= timeouts.check and not await accepts_connections(attempt.endpoint):
+            raise TimeoutError
+
+    def record_silence(self):
+        """Record that the endpoint is silent, unless a helper may be the one that is."""
+        request, now = self.attempt.placed.request, self.entry.now()
+        if not request.helpers:
+            self.entry.state.failure_scores.record_silence(request.endpoint.name, now)
--- a/packages/daemon/persimmonstall_daemon/entry/division_planner.py
+++ b/packages/daemon/persimmonstall_daemon/entry/division_planner.py
@@ -58,7 +58,7 @@
         leaving = endpoint in self.entry.membership.view.leaving
         return bool(link and link.ready) and not leaving and not self.loads[endpoint].leaving
 
-    def applies(self, work):
+    def needs_division(self, work):
         """Whether the prompt of a request must be divided."""
         if work.service:
             return False
@@ -108,4 +108,4 @@
         """Update the prefill cost from a part whose prefill is done; other parts are ignored."""
         if part and part.state is PartState.PREFILLING:
             tokens = weighted_part_tokens(part.assignment)
-            self.cost.observe(tokens, self.entry.context.now() - part.asked_at)
+            self.cost.observe(tokens, self.entry.context.now() - part.requested_at)
--- a/packages/daemon/tests/test_direct_attempt.py
+++ b/packages/daemon/tests/test_direct_attempt.py
@@ -4,6 +4,7 @@
 import pytest
 
 from persimmonstall.direct.failure_scores import FailureScores
+from persimmonstall.direct.messages import Repeat, Route
 from persimmonstall.direct.retrying import AttemptHistory
 from persimmonstall_daemon.direct.attempt import Attempt
 
@@ -23,9 +24,7 @@
 
 
 def make_attempt(client, now):
-    route = SimpleNamespace(
-        repeatable=True, streaming=True, objective=0.3, gap_objective=0.25, attempts=2
-    )
+    route = Route("r", "h", "/", (), Repeat.ALLOWED, streaming=True, objective=0.3, attempts=2)
     state = SimpleNamespace(failure_scores=FailureScores())
     endpoint = SimpleNamespace(name="e", address="")
     return Attempt(
