--- a/packages/daemon/persimmonstall_daemon/direct/silence_watch.py
+++ b/packages/daemon/persimmonstall_daemon/direct/silence_watch.py
@@ -1,6 +1,7 @@
 """Waits for the bytes of an endpoint, and decides whether to leave one that is silent."""
 
-from persimmonstall.direct.silence import longest_silence
+from persimmonstall.direct.silence import silence_timeouts
+from persimmonstall.failures import Failure
 
 from .endpoint_client import (
     CATCH_UP_SECONDS,
@@ -9,9 +10,6 @@
     accepts_connections,
 )
 
-RECONSIDER_SECONDS = 0.5
-"""Interval at which it is checked again whether a silent endpoint can be left."""
-
 
 class SilenceWatch:
     """The silence of the endpoint of an `attempt`, which counts from its last event.
@@ -48,31 +46,50 @@
         endpoint may go on, so one that accepts connections is left later, and only for an attempt
         that is certain to follow.
         """
-        limit = min(longest_silence(self.attempt.routed.route, timeout), self.longest_wait())
+        timeouts = self.timeouts(timeout)
         if self.decide_at is None:
-            reserved = CONNECT_SECONDS if limit > timeout else 0.0
-            self.decide_at = self.heard_at + timeout - reserved
+            self.decide_at = self.heard_at + timeouts.seconds_to_next(0.0)
         while True:
             try:
-                return await read(self.read_seconds())
+                result = await read(self.read_seconds())
             except TimeoutError:
-                self.decide_at = self.entry.now() + await self.seconds_to_wait(limit)
+                await self.decide(timeouts)
+                seconds = timeouts.seconds_to_next(self.silent_seconds())
+                self.decide_at = self.entry.now() + seconds
+                continue
+            if not isinstance(result, Failure):
+                self.entry.state.failure_scores.record_sign_of_life(self.attempt.endpoint.name)
+            return result
+
+    def timeouts(self, timeout):
+        """Return the `SilenceTimeouts` of the present wait."""
+        attempt = self.attempt
+        usual = 0.0 if attempt.batches_relayed else attempt.placed.predicted_first_event
+        end = self.longest_wait()
+        return silence_timeouts(attempt.routed.route, timeout, end, usual, CONNECT_SECONDS)
 
     def read_seconds(self):
         """Return the timeout of a read; after a suspension what has arrived can still be read."""
         seconds = self.decide_at - self.entry.now()
         return max(seconds, CATCH_UP_SECONDS if seconds < -SUSPENSION_SECONDS else 0.0)
 
-    async def seconds_to_wait(self, limit):
-        """Return how long to wait on for a silent endpoint; raise TimeoutError to leave it."""
-        silent = self.silent_seconds()
-        if silent >= self.longest_wait():
+    async def decide(self, timeouts):
+        """Return to wait on for a silent endpoint; raise TimeoutError to leave it."""
+        attempt, silent = self.attempt, self.silent_seconds()
+        if silent >= timeouts.end:
             raise TimeoutError
-        if silent >= limit:
-            attempt = self.attempt
+        if silent >= timeouts.leave:
             self.followed_by = await self.entry.call_handler.prepare_retry(
                 attempt.routed, attempt.history, attempt.endpoint
             )
-        if self.followed_by is not None or not await accepts_connections(self.attempt.endpoint):
+        self.record_silence()
+        if self.followed_by is not None:
             raise TimeoutError
-        return limit - silent if silent < limit else RECONSIDER_SECONDS
+        if silent >= timeouts.check and not await accepts_connections(attempt.endpoint):
+            raise TimeoutError
+
+    def record_silence(self):
+        """Record that the endpoint is silent, unless a helper may be the one that is."""
+        request, now = self.attempt.placed.request, self.entry.now()
+        if not request.helpers:
+            self.entry.state.failure_scores.record_silence(request.endpoint.name, now)
