--- a/packages/daemon/persimmonstall_daemon/bounded_http.py
+++ b/packages/daemon/persimmonstall_daemon/bounded_http.py
@@ -74,6 +74,9 @@
             return
         self.received += len(data)
         super().data_received(data)
+        if self.exception() is not None and not self.rejected:
+            self.fail_body(aiohttp.ClientPayloadError(f"malformed body: {self.exception()!r}"))
+            return
         if self.rejected or self._reading_paused:
             # While reading is paused, bytes of the body may wait in the parser.
             return
@@ -99,13 +102,17 @@
         self.rejected = True
         LOG.warning("answer_rejected", reason="endpoint_error", detail=detail, peer=self.peer())
         error = AnswerRejected(detail)
-        if self.body is not None and not self.body.is_eof():
-            set_exception(self.body, error)
+        self.fail_body(error)
         self._payload = self._parser = None
         self.set_exception(error)
         if self.transport is not None:
             self.transport.abort()
 
+    def fail_body(self, error):
+        """Let the reader of an incomplete body fail; the parser alone does not after an error."""
+        if self.body is not None and not self.body.is_eof() and self.body.exception() is None:
+            set_exception(self.body, error)
+
     def peer(self):
         """Return the address of the peer, empty once the connection is closed."""
         address = self.transport and self.transport.get_extra_info("peername")
--- a/packages/daemon/tests/test_bounded_http.py
+++ b/packages/daemon/tests/test_bounded_http.py
@@ -132,6 +132,17 @@
     on_server(lambda: answer, scenario)
 
 
+@pytest.mark.parametrize("rest", [b"no size\r\n", b"1\r\nxx", b"ffffffffffffffffffff\r\n"])
+def test_malformed_chunk_is_a_client_error_and_no_bug(rest):
+    async def scenario(server, session):
+        async with session.get(server.url) as response:
+            with pytest.raises(aiohttp.ClientError):
+                await read_body(response, 1000)
+        await server.wait_closed()
+
+    on_server(lambda: [CHUNKED, b"1\r\nx\r\n", rest], scenario)
+
+
 def test_answer_larger_than_the_limit_is_rejected():
     async def scenario(server, session):
         async with session.get(server.url) as response:
