An answer that its caller does not read is let go at the deadline

What could be seen: a caller that did not read a complete answer held it in the entry's memory for as long as it kept its connection open, and a stopping entry waited for it.

Cause: sending the end of an answer had no timeout; only attempts end at the deadline.

Change: the end of an answer is broken off at the deadline of the call, at the earliest after 2 s (log event answer_unread).

Tests: platform/tests/test_unread_answers.py; both cases of test_answer_that_its_caller_does_not_read_is_let_go_at_the_deadline failed before (held after 4 s). test_stream_that_its_caller_does_not_read_is_not_read_from_the_endpoint passed before too: the entry stops reading from an endpoint while the caller does not read.

--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -14,6 +14,9 @@
 REPLY_MARGIN_SECONDS = 0.03
 """Seconds before the deadline that are reserved for sending the answer."""
 
+MIN_SEND_SECONDS = 2.0
+"""Shortest time for a caller to read the end of its answer, also after the deadline."""
+
 STARTING_RETRY_AFTER_SECONDS = 2.5
 """Retry-After in seconds of an entry without a configuration: it started while the store was
 unavailable, so neither an early retry nor another entry would succeed."""
@@ -196,9 +199,9 @@
         elapsed = self.entry.now() - started_at
         self.entry.metrics.timing("direct_answer", elapsed)
         if result.ending is AttemptOutcome.WHOLE and sink.started:
-            await sink.finish()
+            await self.send(routed, sink, sink.finish())
         elif result.head is not None and not sink.started:
-            await self.relay_answer(sink, result)
+            await self.send(routed, sink, self.relay_answer(sink, result))
         elif sink.started:
             sink.abort()
             self.entry.metrics.count("direct_broken_off")
@@ -215,6 +218,18 @@
             return
         self.log_answered(routed, history, result, started_at, elapsed)
 
+    async def send(self, routed, sink, sending):
+        """Await the end of an answer; break it off if the caller does not read it in time."""
+        seconds = max(MIN_SEND_SECONDS, routed.deadline - self.entry.now())
+        try:
+            async with asyncio.timeout(seconds):
+                await sending
+        except TimeoutError:
+            self.log.warning(
+                "answer_unread", request_id=routed.call.call_id, seconds=round(seconds, 2)
+            )
+            sink.abort()
+
     def log_answered(self, routed, history, result, started_at, elapsed):
         """Log the result of a call that was not refused, with the latencies its caller saw."""
         first = elapsed if history.first_event_at is None else history.first_event_at - started_at
