Requests without end to an entry's own servers are closed

Cause: aiohttp reads and discards the rest of a body for 10 s, and has no timeout for a head.

Change: `ShortRequestServer` serves all three with the timeouts of callers' connections and closes a connection instead of reading a body. A caller's body has at most 16 MiB where limits say 0; the platform's adapter never passes 0 on, so this could not be seen there.

--- a/packages/core/persimmonstall/direct/messages.py
+++ b/packages/core/persimmonstall/direct/messages.py
@@ -94,7 +94,7 @@
 
 @attrs.frozen
 class CallerLimits:
-    """Limits on the size and duration of callers' requests; 0 bytes means no limit."""
+    """Limits on the size and duration of callers' requests; 0 bytes means the largest size."""
 
     header_bytes: int = 16384
     body_bytes: int = 4194304
--- a/packages/daemon/persimmonstall_daemon/direct/callers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/callers.py
@@ -15,6 +15,9 @@
 """Multiple of the allowed header size that is parsed, so that headers above the limit are refused
 by the entry and not by the parser."""
 
+MAX_BODY_BYTES = 1 << 24
+"""Largest body of a request if the configuration has no limit."""
+
 LINGER_SECONDS = 1.0
 """Time for which the unread rest of a request body is still read and discarded."""
 
@@ -206,7 +209,7 @@
     def make_request(self, message, payload, protocol, writer, task):
         """Return a request whose body may be as large as the configuration allows."""
         protocol.request_started()
-        max_size = self.limits.body_bytes or 2**40
+        max_size = self.limits.body_bytes or MAX_BODY_BYTES
         loop = asyncio.get_running_loop()
         return web.BaseRequest(
             message, payload, protocol, writer, task, loop, client_max_size=max_size
--- a/packages/daemon/persimmonstall_daemon/direct/snapshots.py
+++ b/packages/daemon/persimmonstall_daemon/direct/snapshots.py
@@ -10,6 +10,7 @@
 
 from ..bounded_http import open_session, read_body
 from ..observe import logs
+from .http_server import ShortRequestServer
 
 CATCH_UP_DELAY_SECONDS = 0.15
 """Time for which a peer may have newer data before its snapshot is fetched."""
@@ -38,19 +39,17 @@
         self.log = logs.get("peers")
         self.behind_since = None
         self.session = None
-        self.runner = None
+        self.server = ShortRequestServer(self.serve)
 
     async def start(self, host, port):
         """Listen for requests and open the HTTP session."""
-        self.runner = web.ServerRunner(web.Server(self.serve, access_log=None))
-        await self.runner.setup()
-        await web.TCPSite(self.runner, host, port).start()
+        await self.server.start(host, port)
         self.session = open_session(timeout=aiohttp.ClientTimeout(total=FETCH_TIMEOUT_SECONDS))
 
     async def stop(self):
         """Close the sockets."""
         await self.session.close()
-        await self.runner.cleanup()
+        await self.server.stop()
 
     def newer_peer(self):
         """Return a random peer with a newer configuration or endpoint list, None if none has."""
--- a/packages/daemon/persimmonstall_daemon/direct/status.py
+++ b/packages/daemon/persimmonstall_daemon/direct/status.py
@@ -2,6 +2,8 @@
 
 from aiohttp import web
 
+from .http_server import ShortRequestServer
+
 READY = 200
 UNREADY = 503
 
@@ -11,7 +13,7 @@
 
     def __init__(self, entry):
         self.entry = entry
-        self.runners = []
+        self.servers = []
 
     async def start(self):
         """Listen at the configured addresses."""
@@ -24,10 +26,9 @@
     async def listen(self, address, handler):
         """Serve every request at `address` with `handler`."""
         host, _, port = address.rpartition(":")
-        runner = web.ServerRunner(web.Server(handler, access_log=None))
-        await runner.setup()
-        await web.TCPSite(runner, host, int(port)).start()
-        self.runners.append(runner)
+        server = ShortRequestServer(handler)
+        await server.start(host, int(port))
+        self.servers.append(server)
 
     async def answer_ready(self, _request):
         """Answer whether the load balancer should send new connections."""
@@ -39,5 +40,5 @@
 
     async def stop(self):
         """Close the listening sockets."""
-        for runner in self.runners:
-            await runner.cleanup()
+        for server in self.servers:
+            await server.stop()
