--- a/packages/daemon/persimmonstall_daemon/entry/http/server.py
+++ b/packages/daemon/persimmonstall_daemon/entry/http/server.py
@@ -14,6 +14,9 @@
 
 SHUTDOWN_SECONDS = 5.0
 
+LINGER_SECONDS = 1.0
+"""Time for which the unread rest of a request body is still read and discarded."""
+
 
 class HttpServer:
     """Serves HTTP requests of callers; `entry` is the `EntryDaemon`."""
@@ -44,7 +47,9 @@
         """Listen on the configured address."""
         host, _, port = self.entry.settings.daemon.http.rpartition(":")
         app = self.make_app()
-        self.runner = web.AppRunner(app, handler_cancellation=True, access_log=None)
+        self.runner = web.AppRunner(
+            app, handler_cancellation=True, access_log=None, lingering_time=LINGER_SECONDS
+        )
         await self.runner.setup()
         site = web.TCPSite(self.runner, host, int(port), shutdown_timeout=SHUTDOWN_SECONDS)
         await site.start()
