Bounded connections add less work to each event

A connection whose head is complete passes its bytes straight to the parser: 0.9 us more for each event than aiohttp's own connection (3.7 against 2.8 us, second of two passes of a loop of 50,000 events); 1.6 us more before. A rejected connection ignores what still arrives.

--- a/packages/daemon/persimmonstall_daemon/bounded_http.py
+++ b/packages/daemon/persimmonstall_daemon/bounded_http.py
@@ -58,24 +58,29 @@
 
         An error after the end of a complete answer then does not affect that answer.
         """
+        if self.body is not None:
+            self.receive(data)
+            return
         start = 0
-        while self.body is None and start < len(data) and not self.rejected:
+        while self.body is None and start < len(data):
             end = data.find(END_OF_HEAD, start, start + MAX_HEAD_BYTES)
             end = start + MAX_HEAD_BYTES if end < 0 else end + len(END_OF_HEAD)
             self.receive(data[start:end])
             start = end
-        if not self.rejected and (start < len(data) or not data):
+        if start < len(data) or not data:
             self.receive(data[start:])
 
     def receive(self, data):
         """Parse bytes, then check the bound on what is not part of the body."""
+        if self.rejected:
+            return
         if data and self.body is not None and self.body.is_eof():
             self.reject("bytes after a complete answer")
             return
         self.received += len(data)
         super().data_received(data)
-        if self.exception() is not None and not self.rejected:
-            self.fail_body(aiohttp.ClientPayloadError(f"malformed body: {self.exception()!r}"))
+        if self._exception is not None and not self.rejected:
+            self.fail_body(aiohttp.ClientPayloadError(f"malformed body: {self._exception!r}"))
             return
         if self.rejected or self._reading_paused:
             # While reading is paused, bytes of the body may wait in the parser.
