Entries of a fleet of hundreds on slow links do not count as silent; large states are split

What callers could see, in a fleet of 300 entries: on a link of 7 Mbit/s an idle entry sent beacons 6.3 s apart, one with a call per second 7.1 s: more than the 3 s after which it counts as silent, so that entries placed calls blind, and owners and limits changed all the time. On fast links it sent and received 2,000 datagrams a second. An entry with 160 calls split over 17 engines made a complete state of 87,797 bytes, which no datagram holds.

Cause: each complete state named all other entries (4.6 kB) and went to all of them at least once a second, whatever the link; the pacer then paid for one round over seconds. The number of datagrams had no bound. A state of more than 160 attempts was cut, and receivers ended the rest.

Change: a beacon names at most 16 entries, different ones each time. A state with more than 160 demands goes as several beacons of changes, with the names of the last 64 ended attempts, so that receivers end nothing that goes on. A crash is sent with the changes instead of by complete states to all.

--- a/packages/core/persimmonstall/direct/beacon.py
+++ b/packages/core/persimmonstall/direct/beacon.py
@@ -10,8 +10,14 @@
 
 STEP = "peers"
 
-MAX_ATTEMPTS = 160
-"""Maximum number of attempts in one datagram; other entries do not see the rest."""
+MAX_DEMANDS = 160
+"""Maximum number of demands in one datagram, which is to be sent and to arrive in few packets."""
+
+
+BASE_BYTES = 120
+NAME_BYTES = 24
+DEMAND_BYTES = 56
+"""Typical bytes of a beacon without attempts, of an attempt's name, and of a demand."""
 
 
 @attrs.frozen
@@ -23,10 +29,10 @@
     `retry_usage` maps a service to (calls, retries); `crashes` holds (content, lifetimes),
     `failure_scores` (endpoint, score) and `slowdowns` (endpoint, slowdown) pairs.
 
-    `whole` says that the beacon carries the complete state.  Otherwise it has no `crashes`,
-    `peers`, `failure_scores` and `slowdowns`, and its `attempts` are those that changed lately;
-    `ended` names the ones that ended.  `link` is the bandwidth of the entry's link in bytes per
-    second, `endpoints_digest` the digest of its list of endpoints.
+    `whole` says that the beacon carries all `attempts`.  Otherwise it carries those that changed
+    lately, or a part, and `ended` names the ones that ended; most such beacons have no `peers`,
+    `failure_scores` and `slowdowns`, and only new `crashes`.  `link` is the bandwidth of the
+    entry's link in bytes per second, `endpoints_digest` the digest of its list of endpoints.
 
     The fields are sent as an array, so their order is part of the wire format.
     """
@@ -101,11 +107,64 @@
     >>> decode(encode(sent)) == sent
     True
     """
-    rows = [attempt_to_row(attempt) for attempt in beacon.attempts[:MAX_ATTEMPTS]]
+    rows = [attempt_to_row(attempt) for attempt in beacon.attempts]
     fields = attrs.astuple(attrs.evolve(beacon, attempts=()), recurse=False)
     return msgspec.msgpack.encode([*fields[:7], rows, *fields[8:]])
 
 
+def trim(beacon, max_bytes):
+    """Return a beacon without the oldest of its attempts if it has more than fit into `max_bytes`.
+
+    >>> attempts = tuple(InFlightAttempt(name, (EndpointDemand("e"),)) for name in "fgh")
+    >>> trimmed = trim(Beacon("a:1", 1, 2, attempts=attempts, whole=False), 300)
+    >>> [attempt.name for attempt in trimmed.attempts]
+    ['g', 'h']
+    """
+    free = max_bytes - BASE_BYTES - NAME_BYTES * len(beacon.ended)
+    kept = []
+    for attempt in reversed(beacon.attempts):
+        size = NAME_BYTES + DEMAND_BYTES * len(attempt.demands)
+        if size <= free:
+            free -= size
+            kept.append(attempt)
+    return attrs.evolve(beacon, attempts=tuple(reversed(kept)))
+
+
+def split(beacon, ended=()):
+    """Return the beacons, each with few demands, that together carry what `beacon` carries.
+
+    If they are several, none of them is whole: a whole one would end the attempts that it lacks.
+    The first one then also names the attempts `ended`.
+
+    >>> demands = tuple(EndpointDemand(f"e{number}") for number in range(MAX_DEMANDS))
+    >>> attempts = (InFlightAttempt("f", demands), InFlightAttempt("g", demands[:2]))
+    >>> first, second = split(Beacon("a:1", 1, 2, attempts=attempts), ("h",))
+    >>> first.whole, first.ended, first.attempts == attempts[:1], second.attempts == attempts[1:]
+    (False, ('h',), True, True)
+    """
+    groups = group_attempts(beacon.attempts)
+    if len(groups) <= 1:
+        return [beacon]
+    known = (*beacon.ended, *(name for name in ended if name not in beacon.ended))
+    first = attrs.evolve(beacon, attempts=groups[0], whole=False, ended=known)
+    later = attrs.evolve(
+        first, ended=(), crashes=(), peers=(), failure_scores=(), slowdowns=(), retry_usage={}
+    )
+    return [first, *(attrs.evolve(later, attempts=group) for group in groups[1:])]
+
+
+def group_attempts(attempts):
+    """Return the attempts in groups of at most `MAX_DEMANDS` demands or one attempt."""
+    groups, demands = [], 0
+    for attempt in attempts:
+        demands += len(attempt.demands)
+        if not groups or demands > MAX_DEMANDS:
+            groups.append(())
+            demands = len(attempt.demands)
+        groups[-1] += (attempt,)
+    return groups
+
+
 def decode_changes(fields):
     """Return the fields from `whole` on; an entry of an earlier version does not send them."""
     if not fields:
--- a/packages/core/persimmonstall/direct/crash_tracker.py
+++ b/packages/core/persimmonstall/direct/crash_tracker.py
@@ -5,6 +5,7 @@
 import attrs
 import xxhash
 
+from .change_log import ChangeLog
 from .crash_record import CrashRecord
 from .crashing_parts import CrashingParts, LostCall
 
@@ -43,12 +44,14 @@
     """Endpoint lifetimes that ended while they ran a content, by content fingerprint.
 
     A lost connection alone is weak evidence: it counts as a crash only once the endpoint no
-    longer accepts connections or its lifetime has ended.  `parts` counts by parts of prompts.
+    longer accepts connections or its lifetime has ended.  `parts` counts by parts of prompts,
+    `changes` are the contents whose crashes this entry has found.
     """
 
     crashes: dict = attrs.field(factory=dict)
     lost_connections: dict = attrs.field(factory=dict)
     parts: CrashingParts = attrs.field(factory=CrashingParts)
+    changes: ChangeLog = attrs.field(factory=ChangeLog)
 
     def record_lost_connection(self, content, lifetime, now, parts=(), begun=False):
         """Record that an endpoint dropped the connection while it ran a content.
@@ -66,6 +69,7 @@
         contents = [call.content for call in calls if not call.begun]
         for content in contents:
             self.add_crashes(content, (lifetime,), now)
+            self.changes.record(content)
         self.parts.add_crash(lifetime, calls, now)
         return contents
 
@@ -93,6 +97,12 @@
         known, at = self.crashes.get(content, (frozenset(), now))
         return now - at < BLOCK_SECONDS and len(known) >= BLOCK_CRASHES
 
+    def local_changes(self):
+        """Return the (content, lifetimes) pairs that changed lately."""
+        changed = [content for content in self.changes.pending() if content in self.crashes]
+        newest = changed[-MAX_CONTENTS_SENT:]
+        return tuple((content, self.lifetimes_sent(content)) for content in newest)
+
     def local_state(self, now):
         """Return the newest (content, lifetimes) pairs, to be sent to other entries.
 
--- a/packages/core/persimmonstall/direct/loads.py
+++ b/packages/core/persimmonstall/direct/loads.py
@@ -1,5 +1,7 @@
 """Attempts in flight at each endpoint, of this entry and of all others."""
 
+import collections
+
 import attrs
 
 from .change_log import ChangeLog
@@ -9,6 +11,9 @@
 ENTRY_TIMEOUT_SECONDS = 3.0
 """Seconds without a beacon of an entry after which its attempts are dropped."""
 
+MAX_ENDED_KEPT = 64
+"""Number of attempts that ended last whose names are kept, to be sent again."""
+
 
 @attrs.frozen
 class EndpointDemand:
@@ -76,7 +81,8 @@
     """Attempts of all entries, and the predicted load of each endpoint that they use.
 
     `names_by_entry` holds the attempt names of each entry, `last_beacon_at` the time of its last
-    beacon; the key of this entry is empty.  `changes` are those of this entry's attempts.
+    beacon; the key of this entry is empty.  `changes` are those of this entry's attempts, and
+    `ended` are the ones that ended last.
     """
 
     loads: dict = attrs.field(factory=dict)
@@ -85,6 +91,9 @@
     last_beacon_at: dict = attrs.field(factory=dict)
     slowdowns: Slowdowns = attrs.field(factory=Slowdowns)
     changes: ChangeLog = attrs.field(factory=ChangeLog)
+    ended: collections.deque = attrs.field(
+        factory=lambda: collections.deque(maxlen=MAX_ENDED_KEPT)
+    )
 
     def load_of(self, endpoint, service, now):
         """Return the load of an `Endpoint` of `service`, advanced to `now`."""
@@ -151,6 +160,8 @@
         self.record_change(name)
         attempt = self.attempts.pop(name, None)
         self.names_by_entry.get(entry, set()).discard(name)
+        if not entry:
+            self.ended.append(name)
         if attempt is None:
             return
         for load, _ in self.loads_and_demands(attempt):
--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -71,6 +71,7 @@
         """Record that the latest changes of attempts and findings were sent."""
         self.load_tracker.changes.mark_sent()
         self.request_limits.changes.mark_sent()
+        self.crash_tracker.changes.mark_sent()
         self.crash_tracker.parts.mark_sent()
 
     def versions(self):
--- a/packages/daemon/persimmonstall_daemon/direct/crash_reports.py
+++ b/packages/daemon/persimmonstall_daemon/direct/crash_reports.py
@@ -102,7 +102,7 @@
         self.log_blocked_contents(contents, now)
         if contents:
             self.entry.crash_records.read_contents_again()
-        self.entry.peers.schedule_whole_beacons()
+        self.entry.peers.schedule_beacon(True)
 
     def log_blocked_contents(self, contents, now):
         """Log those of the contents that are blocked now."""
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -35,6 +35,9 @@
 MANY_PEERS_CHANGE_DELAY_SECONDS = 0.15
 """The same delays with more than `MANY_PEERS` peers."""
 
+MAX_PEERS_NAMED = 16
+"""Maximum number of peers that a beacon names."""
+
 REMOVAL_TIMEOUT_SECONDS = 15.0
 """Silence after which a peer is removed and no more beacons are sent to it."""
 
@@ -101,12 +104,6 @@
             delay = URGENT_DELAY_SECONDS if urgent else CHANGE_DELAY_SECONDS
         self.schedule_in(delay)
 
-    def schedule_whole_beacons(self):
-        """Schedule a beacon with the complete state for every peer."""
-        for peer in self.peers.values():
-            peer.whole_due = 0.0
-        self.schedule_beacon(True)
-
     def schedule_in(self, delay):
         """Schedule a beacon in `delay` seconds, or as soon after it as the link allows."""
         loop = asyncio.get_running_loop()
@@ -123,31 +120,55 @@
         self.timer = None
         if self.transport is None or self.transport.is_closing():
             return
-        now = self.entry.now()
-        self.pacer.set_links([self.link, *(peer.link for peer in self.peers.values())], now)
-        self.sequence += 1
+        self.pacer.set_links(
+            [self.link, *(peer.link for peer in self.peers.values())], self.entry.now()
+        )
         changes = self.changes_datagrams()
-        whole = None
+        informed = self.send_whole_states()
         for peer in self.peers.values():
-            if now < peer.whole_due:
+            if peer.address not in informed:
                 self.send_all(peer, changes)
-                continue
-            if whole is None:
-                whole = self.whole_datagrams()
-            interval = self.pacer.whole_interval(sum(map(len, whole)), len(self.peers))
+        self.record_changes_sent()
+
+    def send_whole_states(self):
+        """Send the complete state to those who waited longest for it; return their addresses."""
+        now = self.entry.now()
+        due = [peer for peer in self.peers.values() if peer.whole_due <= now]
+        if not due:
+            return set()
+        whole = self.whole_datagrams()
+        size = sum(map(len, whole))
+        due.sort(key=lambda peer: peer.whole_due)
+        del due[self.pacer.max_whole_states(size) :]
+        interval = self.pacer.whole_interval(size, len(self.peers))
+        for peer in due:
             peer.whole_due = now + self.entry.clock.jitter(interval)
             self.send_all(peer, whole)
-        self.record_changes_sent()
+        return {peer.address for peer in due}
 
     def changes_datagrams(self):
         """Return the datagrams that carry the latest changes."""
         found = self.entry.state.findings_changes(self.address, self.entry.now())
-        return with_findings(beacons.encode(self.make_changes_beacon()), found)
+        limit = self.pacer.max_changes_bytes(len(self.peers))
+        return self.encode(beacons.trim(self.make_changes_beacon(), limit), found)
 
     def whole_datagrams(self):
         """Return the datagrams that carry the complete state."""
         found = self.entry.state.findings(self.address, self.entry.now())
-        return with_findings(beacons.encode(self.make_whole_beacon()), found)
+        return self.encode(self.make_whole_beacon(), found, self.entry.state.load_tracker.ended)
+
+    def encode(self, beacon, found, ended=()):
+        """Return the datagrams of a beacon and of the findings that go with it, if there are any.
+
+        A large beacon is split; the attempts `ended` are then named as such.
+        """
+        encoded = []
+        for part in beacons.split(beacon, ended):
+            self.sequence += 1
+            encoded.append(beacons.encode(attrs.evolve(part, sequence=self.sequence)))
+        if found:
+            encoded.append(findings.encode(found))
+        return encoded
 
     def send_all(self, peer, batch):
         """Send several datagrams to a peer."""
@@ -179,6 +200,7 @@
             now - state.directory_seen_at,
             attempts,
             state.budget.local_state(now),
+            state.crash_tracker.local_changes(),
             whole=False,
             ended=ended,
             link=self.link,
@@ -192,13 +214,20 @@
             self.make_changes_beacon(),
             attempts=state.load_tracker.local_attempts(),
             crashes=state.crash_tracker.local_state(now),
-            peers=tuple(peer.address for peer in self.active()),
+            peers=self.some_addresses(),
             failure_scores=state.failure_scores.local_state(now),
             slowdowns=state.load_tracker.slowdowns.local_state(now),
             whole=True,
             ended=(),
         )
 
+    def some_addresses(self):
+        """Return addresses of active peers, different ones each time if there are many."""
+        addresses = [peer.address for peer in self.active()]
+        if len(addresses) <= MAX_PEERS_NAMED:
+            return tuple(addresses)
+        return tuple(self.entry.clock.random.sample(addresses, MAX_PEERS_NAMED))
+
     def on_datagram(self, data):
         """Process a datagram of another entry."""
         if datagrams.is_typed(data):
@@ -299,8 +328,3 @@
                 self.entry.state.forget_peer(address)
                 self.log.info("peer_lost", peer=address)
         self.entry.metrics.gauge("direct_peers", len(self.active()))
-
-
-def with_findings(beacon, found):
-    """Return the datagrams of a beacon and of the findings that go with it, if there are any."""
-    return (beacon, findings.encode(found)) if found else (beacon,)
