The demands of calls that an entry knows already are not decoded again

What it cost: an attempt is in some five beacons to each entry, and each time its demands, 17 of them for a long prompt, were made into objects again: 93 us for a beacon of 3 attempts (716 bytes), thus 7 % of a core among 300 entries with a call per second each.

Change: `beacons.decode` takes the attempts that the receiver knows and decodes the demands of the others only. 35 us for the same beacon; with 13 us to send one, 775 datagrams a second cost 3.7 % of a core. The new test failed before (102 demands decoded instead of 51).

--- a/packages/core/persimmonstall/direct/beacon.py
+++ b/packages/core/persimmonstall/direct/beacon.py
@@ -1,6 +1,7 @@
 """Datagrams in which entries broadcast their state to each other, many times a second."""
 
 import math
+import types
 
 import attrs
 import msgspec
@@ -175,18 +176,28 @@
     return whole, tuple(ended), link, endpoints_digest
 
 
-def decode(data):
+def attempt_from_row(row, known):
+    """Return the attempt that a row encodes; those `known` keep the demands that they have."""
+    name, started, demands = row
+    attempt = known.get(name)
+    if attempt is None:
+        return InFlightAttempt(name, tuple(map(demand_from_row, demands)), started)
+    if attempt.started == started:
+        return attempt
+    return attrs.evolve(attempt, started=started)
+
+
+def decode(data, known=types.MappingProxyType({})):
     """Return the beacon in a datagram, or a `Failure` if it is malformed.
 
+    `known` are the attempts that the receiver knows, by name.
+
     >>> decode(b"rubbish").reason
     <Reason.BAD_REQUEST: 'bad_request'>
     """
     try:
         fields = msgspec.msgpack.decode(data)
-        attempts = tuple(
-            InFlightAttempt(name, tuple(map(demand_from_row, demands)), started)
-            for name, started, demands in fields[7]
-        )
+        attempts = tuple(attempt_from_row(row, known) for row in fields[7])
         retry_usage = {
             service: (calls, retries) for service, (calls, retries) in fields[8].items()
         }
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -254,7 +254,7 @@
 
     def on_beacon(self, data):
         """Process a beacon; one that is older than the last of its sender is dropped."""
-        beacon = beacons.decode(data)
+        beacon = beacons.decode(data, self.entry.state.load_tracker.attempts)
         if isinstance(beacon, Failure):
             logs.log_failure(self.log, "beacon_unreadable", beacon)
             return
--- a/packages/daemon/tests/test_direct_mesh.py
+++ b/packages/daemon/tests/test_direct_mesh.py
@@ -28,7 +28,7 @@
 MAX_PACKETS = 8
 """Packets of the largest datagram: more would hardly arrive together on a lossy link."""
 
-LONG_CALLS = 100
+LONG_CALLS = 160
 LONG_CALL_ENGINES = 17
 EARLIER_FIELDS = 17
 """Number of fields of a beacon that entries of the earlier version read."""
@@ -221,3 +221,19 @@
         assert not silent_pairs(fleet)
 
     run_fleet(scenario, count)
+
+
+def test_demands_of_a_known_call_are_not_decoded_again(sender_and_receiver, monkeypatch):
+    sent, received, deliver = sender_and_receiver
+    decoded = []
+    decode_row = beacons.demand_from_row
+    monkeypatch.setattr(
+        beacons, "demand_from_row", lambda row: decoded.append(row) or decode_row(row)
+    )
+    begin_long_calls(sent, 3)
+    deliver()
+    count = len(decoded)
+    sent.record_first_event("abcdef123456-1")
+    deliver()
+    assert len(decoded) == count == 3 * LONG_CALL_ENGINES
+    assert received.attempts == sent.attempts
