Content that servers answer is not refused after two of them crashed for another reason

Cause: two crashes proved a content guilty, although many complete answers to it were known.

The 512 last answered contents are remembered; `SoundKeys` holds them as well as the sound parts of prompts.

--- a/packages/core/persimmonstall/direct/crash_tracker.py
+++ b/packages/core/persimmonstall/direct/crash_tracker.py
@@ -8,10 +8,18 @@
 from .change_log import ChangeLog
 from .crash_record import CrashRecord
 from .crashing_parts import CrashingParts, LostCall
+from .sound_keys import SoundKeys
 
 BLOCK_CRASHES = 2
 """Number of crashed endpoint lifetimes from which the content that crashed them is refused."""
 
+SOUND_BLOCK_CRASHES = 4
+"""The same number for a content that an endpoint has lately answered: more of its crashes have
+another cause."""
+
+MAX_SOUND_CONTENTS = 512
+"""Maximum number of contents with complete answers that are remembered."""
+
 CONFIRM_SECONDS = 8.0
 """Maximum time between a lost connection and the end of the endpoint's lifetime for the loss to
 count as a crash."""
@@ -45,13 +53,15 @@
 
     A lost connection alone is weak evidence: it counts as a crash only once the endpoint no
     longer accepts connections or its lifetime has ended.  `parts` counts by parts of prompts,
-    `changes` are the contents whose crashes this entry has found.
+    `changes` are the contents whose crashes this entry has found.  `sound` are those that had
+    complete answers.
     """
 
     crashes: dict = attrs.field(factory=dict)
     lost_connections: dict = attrs.field(factory=dict)
     parts: CrashingParts = attrs.field(factory=CrashingParts)
     changes: ChangeLog = attrs.field(factory=ChangeLog)
+    sound: SoundKeys = attrs.field(factory=lambda: SoundKeys(MAX_SOUND_CONTENTS))
 
     def record_lost_connection(self, content, lifetime, now, parts=(), begun=False):
         """Record that an endpoint dropped the connection while it ran a content.
@@ -95,7 +105,9 @@
     def is_blocked(self, content, now):
         """Return whether a content has crashed too many endpoints recently."""
         known, at = self.crashes.get(content, (frozenset(), now))
-        return now - at < BLOCK_SECONDS and len(known) >= BLOCK_CRASHES
+        sound = self.sound.is_sound(content, now)
+        limit = SOUND_BLOCK_CRASHES if sound else BLOCK_CRASHES
+        return now - at < BLOCK_SECONDS and len(known) >= limit
 
     def local_changes(self):
         """Return the (content, lifetimes) pairs that changed lately."""
--- a/packages/core/persimmonstall/direct/crashing_parts.py
+++ b/packages/core/persimmonstall/direct/crashing_parts.py
@@ -11,6 +11,7 @@
 import attrs
 
 from .change_log import ChangeLog
+from .sound_keys import SoundKeys
 from .suspect import BLOCK_CRASHES, Suspect
 
 MIN_WHOLE_ANSWERS = 10
@@ -24,9 +25,6 @@
 """Age up to which all crashes are sent to other entries with the complete state; of older ones
 those of blocked parts are."""
 
-SOUND_SECONDS = 120.0
-"""Time after a complete answer for which its parts are not suspected."""
-
 MAX_SOUND_PARTS = 2048
 MAX_SUSPECTS = 512
 """Maximum numbers of parts that are remembered; the oldest are dropped first."""
@@ -79,7 +77,7 @@
     """
 
     suspects: dict = attrs.field(factory=dict)
-    sound: dict = attrs.field(factory=dict)
+    sound: SoundKeys = attrs.field(factory=lambda: SoundKeys(MAX_SOUND_PARTS))
     changes: ChangeLog = attrs.field(factory=ChangeLog)
     cleared: ChangeLog = attrs.field(factory=ChangeLog)
     whole_answers: int = 0
@@ -95,25 +93,17 @@
 
     def mark_sound(self, part, now):
         """Remember a part as sound; return whether it was suspected."""
-        self.sound.pop(part, None)
-        self.sound[part] = now
-        while len(self.sound) > MAX_SOUND_PARTS:
-            del self.sound[next(iter(self.sound))]
+        self.sound.add(part, now)
         if self.suspects.pop(part, None) is None:
             return False
         self.cached_culprits = None
         return True
 
-    def is_sound(self, part, now):
-        """Return whether a recent answer with a part was complete."""
-        at = self.sound.get(part)
-        return at is not None and now - at < SOUND_SECONDS
-
     def add_crash(self, lifetime, calls, now):
         """Record the crash of an endpoint lifetime that ran the `LostCall`s `calls`."""
         for call in calls:
             for part in call.parts:
-                if not self.is_sound(part, now):
+                if not self.sound.is_sound(part, now):
                     self.add(part, lifetime, call.content, call.at)
                     self.changes.record((part, lifetime, call.content))
 
@@ -128,7 +118,7 @@
 
     def add_earlier(self, part, crashes, now):
         """Record the number of crashes of a part that was kept from before a restart."""
-        if not self.is_sound(part, now):
+        if not self.sound.is_sound(part, now):
             suspect = self.suspects.setdefault(part, Suspect())
             suspect.earlier = max(suspect.earlier, crashes)
             suspect.last_trial = now
@@ -145,7 +135,7 @@
         for part in sound:
             self.mark_sound(part, now)
         for crash in crashes:
-            if self.is_sound(crash.part, now):
+            if self.sound.is_sound(crash.part, now):
                 self.cleared.record(crash.part)
             else:
                 self.add(crash.part, crash.lifetime, crash.content, now - crash.age)
--- a/packages/daemon/persimmonstall_daemon/direct/crash_reports.py
+++ b/packages/daemon/persimmonstall_daemon/direct/crash_reports.py
@@ -58,7 +58,8 @@
         return not self.crash_tracker.parts.blocked_parts(routed.call.shared_parts)
 
     def record_whole(self, routed):
-        """Record a complete answer: the parts of its prompt crash nothing."""
+        """Record a complete answer: the parts of its prompt crash nothing, its content hardly."""
+        self.crash_tracker.sound.add(routed.content, self.entry.now())
         parts = self.crash_tracker.parts
         suspected = [part for part in routed.call.shared_parts if part in parts.suspects]
         parts.record_whole(routed.call.shared_parts, self.entry.now())
--- a/packages/daemon/tests/test_direct_crash_contents.py
+++ b/packages/daemon/tests/test_direct_crash_contents.py
@@ -14,6 +14,7 @@
     MAX_CONTENTS_SENT,
     MAX_LIFETIMES_SENT,
     MAX_RECORDS,
+    SOUND_BLOCK_CRASHES,
     CrashTracker,
 )
 from persimmonstall.direct.messages import Endpoint
@@ -267,6 +268,15 @@
     run_fleet(scenario)
 
 
+def test_content_that_was_answered_is_blocked_by_a_few_more_crashes():
+    tracker = CrashTracker()
+    tracker.sound.add("often", 0.0)
+    for number in range(SOUND_BLOCK_CRASHES):
+        assert not tracker.is_blocked("often", 5.0)
+        tracker.add_crashes("often", ((f"e{number}", 1),), 5.0)
+    assert tracker.is_blocked("often", 5.0)
+
+
 def test_record_that_is_older_than_the_news_of_it_ends_the_block_in_time():
     tracker = CrashTracker()
     lifetimes = (("e1", 1), ("e2", 1))
--- a/packages/daemon/tests/test_direct_crashes.py
+++ b/packages/daemon/tests/test_direct_crashes.py
@@ -9,11 +9,11 @@
 
 from persimmonstall.direct.crashing_parts import (
     MIN_WHOLE_ANSWERS,
-    SOUND_SECONDS,
     CrashingParts,
     LostCall,
     PartCrash,
 )
+from persimmonstall.direct.sound_keys import SOUND_SECONDS
 from persimmonstall.direct.suspect import FINAL_CRASHES, MOMENT_SECONDS, TRIAL_SECONDS
 from persimmonstall_standins.virtual import loop as virtual_loop
 
