--- a/packages/core/persimmonstall/direct/beacon.py
+++ b/packages/core/persimmonstall/direct/beacon.py
@@ -1,6 +1,7 @@
 """Datagrams in which entries broadcast their state to each other, many times a second."""
 
 import math
+import types
 
 import attrs
 import msgspec
@@ -10,8 +11,14 @@
 
 STEP = "peers"
 
-MAX_ATTEMPTS = 160
-"""Maximum number of attempts in one datagram; other entries do not see the rest."""
+MAX_DEMANDS = 160
+"""Maximum number of demands in one datagram, which is to be sent and to arrive in few packets."""
+
+
+BASE_BYTES = 120
+NAME_BYTES = 24
+DEMAND_BYTES = 56
+"""Typical bytes of a beacon without attempts, of an attempt's name, and of a demand."""
 
 
 @attrs.frozen
@@ -23,10 +30,10 @@
     `retry_usage` maps a service to (calls, retries); `crashes` holds (content, lifetimes),
     `failure_scores` (endpoint, score) and `slowdowns` (endpoint, slowdown) pairs.
 
-    `whole` says that the beacon carries the complete state.  Otherwise it has no `crashes`,
-    `peers`, `failure_scores` and `slowdowns`, and its `attempts` are those that changed lately;
-    `ended` names the ones that ended.  `link` is the bandwidth of the entry's link in bytes per
-    second, `endpoints_digest` the digest of its list of endpoints.
+    `whole` says that the beacon carries all `attempts`.  Otherwise it carries those that changed
+    lately, or a part, and `ended` names the ones that ended; most such beacons have no `peers`,
+    `failure_scores` and `slowdowns`, and only new `crashes`.  `link` is the bandwidth of the
+    entry's link in bytes per second, `endpoints_digest` the digest of its list of endpoints.
 
     The fields are sent as an array, so their order is part of the wire format.
     """
@@ -101,11 +108,64 @@
     >>> decode(encode(sent)) == sent
     True
     """
-    rows = [attempt_to_row(attempt) for attempt in beacon.attempts[:MAX_ATTEMPTS]]
+    rows = [attempt_to_row(attempt) for attempt in beacon.attempts]
     fields = attrs.astuple(attrs.evolve(beacon, attempts=()), recurse=False)
     return msgspec.msgpack.encode([*fields[:7], rows, *fields[8:]])
 
 
+def trim(beacon, max_bytes):
+    """Return a beacon without the oldest of its attempts if it has more than fit into `max_bytes`.
+
+    >>> attempts = tuple(InFlightAttempt(name, (EndpointDemand("e"),)) for name in "fgh")
+    >>> trimmed = trim(Beacon("a:1", 1, 2, attempts=attempts, whole=False), 300)
+    >>> [attempt.name for attempt in trimmed.attempts]
+    ['g', 'h']
+    """
+    free = max_bytes - BASE_BYTES - NAME_BYTES * len(beacon.ended)
+    kept = []
+    for attempt in reversed(beacon.attempts):
+        size = NAME_BYTES + DEMAND_BYTES * len(attempt.demands)
+        if size <= free:
+            free -= size
+            kept.append(attempt)
+    return attrs.evolve(beacon, attempts=tuple(reversed(kept)))
+
+
+def split(beacon, ended=()):
+    """Return the beacons, each with few demands, that together carry what `beacon` carries.
+
+    If they are several, none of them is whole: a whole one would end the attempts that it lacks.
+    The first one then also names the attempts `ended`.
+
+    >>> demands = tuple(EndpointDemand(f"e{number}") for number in range(MAX_DEMANDS))
+    >>> attempts = (InFlightAttempt("f", demands), InFlightAttempt("g", demands[:2]))
+    >>> first, second = split(Beacon("a:1", 1, 2, attempts=attempts), ("h",))
+    >>> first.whole, first.ended, first.attempts == attempts[:1], second.attempts == attempts[1:]
+    (False, ('h',), True, True)
+    """
+    groups = group_attempts(beacon.attempts)
+    if len(groups) <= 1:
+        return [beacon]
+    known = (*beacon.ended, *(name for name in ended if name not in beacon.ended))
+    first = attrs.evolve(beacon, attempts=groups[0], whole=False, ended=known)
+    later = attrs.evolve(
+        first, ended=(), crashes=(), peers=(), failure_scores=(), slowdowns=(), retry_usage={}
+    )
+    return [first, *(attrs.evolve(later, attempts=group) for group in groups[1:])]
+
+
+def group_attempts(attempts):
+    """Return the attempts in groups of at most `MAX_DEMANDS` demands or one attempt."""
+    groups, demands = [], 0
+    for attempt in attempts:
+        demands += len(attempt.demands)
+        if not groups or demands > MAX_DEMANDS:
+            groups.append(())
+            demands = len(attempt.demands)
+        groups[-1] += (attempt,)
+    return groups
+
+
 def decode_changes(fields):
     """Return the fields from `whole` on; an entry of an earlier version does not send them."""
     if not fields:
@@ -116,18 +176,28 @@
     return whole, tuple(ended), link, endpoints_digest
 
 
-def decode(data):
+def attempt_from_row(row, known):
+    """Return the attempt that a row encodes; those `known` keep the demands that they have."""
+    name, started, demands = row
+    attempt = known.get(name)
+    if attempt is None:
+        return InFlightAttempt(name, tuple(map(demand_from_row, demands)), started)
+    if attempt.started == started:
+        return attempt
+    return attrs.evolve(attempt, started=started)
+
+
+def decode(data, known=types.MappingProxyType({})):
     """Return the beacon in a datagram, or a `Failure` if it is malformed.
 
+    `known` are the attempts that the receiver knows, by name.
+
     >>> decode(b"rubbish").reason
     <Reason.BAD_REQUEST: 'bad_request'>
     """
     try:
         fields = msgspec.msgpack.decode(data)
-        attempts = tuple(
-            InFlightAttempt(name, tuple(map(demand_from_row, demands)), started)
-            for name, started, demands in fields[7]
-        )
+        attempts = tuple(attempt_from_row(row, known) for row in fields[7])
         retry_usage = {
             service: (calls, retries) for service, (calls, retries) in fields[8].items()
         }
