--- a/packages/cli/persimmonstall_cli/commands/organisations.py
+++ b/packages/cli/persimmonstall_cli/commands/organisations.py
@@ -1,5 +1,7 @@
 """`organisation ...` and `key ...`: customers, their limits and their keys."""
 
+import functools
+
 from absl import flags
 
 from persimmonstall.failures import Failure
@@ -61,17 +63,26 @@
     return change_report(send_change(client, "CreateOrganisation", request))
 
 
-def get_organisation(client, name):
-    """Return an organisation's entry, or a `Failure`."""
-    return client.call("GetOrganisation", schema.GetRequest(name=name))
+def with_organisation(handler):
+    """Decorate a `handler(invocation, client, entry)`.
 
+    `entry` is the entry of the organisation that the first argument names; a `Failure` to get it
+    is returned without calling the handler.
+    """
 
-@with_client
-def change(invocation, client):
+    @with_client
+    @functools.wraps(handler)
+    def handle(invocation, client):
+        name = invocation.arguments[0]
+        entry = client.call("GetOrganisation", schema.GetRequest(name=name))
+        return entry if isinstance(entry, Failure) else handler(invocation, client, entry)
+
+    return handle
+
+
+@with_organisation
+def change(invocation, client, entry):
     """Change the limits given by flags and keep the others."""
-    entry = get_organisation(client, invocation.arguments[0])
-    if isinstance(entry, Failure):
-        return entry
     apply_flags(entry.organisation, invocation.flags)
     edit = make_edit(invocation, entry.version)
     request = schema.SetOrganisationRequest(organisation=entry.organisation, edit=edit)
@@ -81,11 +92,8 @@
 def suspend_handler(suspended):
     """Return the handler that suspends an organisation or resumes it."""
 
-    @with_client
-    def handle(invocation, client):
-        entry = get_organisation(client, invocation.arguments[0])
-        if isinstance(entry, Failure):
-            return entry
+    @with_organisation
+    def handle(invocation, client, entry):
         request = schema.SuspendOrganisationRequest(
             name=invocation.arguments[0],
             suspended=suspended,
@@ -96,24 +104,18 @@
     return handle
 
 
-@with_client
-def delete(invocation, client):
+@with_organisation
+def delete(invocation, client, entry):
     """Delete organisation NAME and its keys."""
-    entry = get_organisation(client, invocation.arguments[0])
-    if isinstance(entry, Failure):
-        return entry
     request = schema.DeleteRequest(
         name=invocation.arguments[0], edit=make_edit(invocation, entry.version)
     )
     return change_report(send_change(client, "DeleteOrganisation", request))
 
 
-@with_client
-def show(invocation, client):
+@with_organisation
+def show(invocation, client, entry):
     """Show organisation NAME."""
-    entry = get_organisation(client, invocation.arguments[0])
-    if isinstance(entry, Failure):
-        return entry
     return name_value_report(dict(zip(COLUMNS, row(entry), strict=True)))
 
 
@@ -142,11 +144,8 @@
 def key_handler(call_name):
     """Return the handler that creates a key with the call `call_name`."""
 
-    @with_client
-    def handle(invocation, client):
-        entry = get_organisation(client, invocation.arguments[0])
-        if isinstance(entry, Failure):
-            return entry
+    @with_organisation
+    def handle(invocation, client, entry):
         request = schema.KeyRequest(
             organisation=invocation.arguments[0], edit=make_edit(invocation, entry.version)
         )
@@ -167,13 +166,10 @@
     )
 
 
-@with_client
-def revoke(invocation, client):
+@with_organisation
+def revoke(invocation, client, entry):
     """Revoke the key KEY_ID of ORGANISATION."""
     organisation, key_id = invocation.arguments
-    entry = get_organisation(client, organisation)
-    if isinstance(entry, Failure):
-        return entry
     request = schema.RevokeKeyRequest(
         organisation=organisation, key_id=key_id, edit=make_edit(invocation, entry.version)
     )
