--- a/tools/capacity_runs/processes.py
+++ b/tools/capacity_runs/processes.py
@@ -111,11 +111,7 @@
     """Measure an idle entry linked to `count` endpoint daemons."""
     with make_deployment(directory) as deployment:
         peers = Peers(kind="endpoints", count=count, list=deployment.platform_urls["instances"])
-        try:
-            wait_for_links(deployment, peers, count)
-            return measure_idle(deployment.processes["entry1"], peers)
-        finally:
-            peers.close()
+        return measure_linked(deployment, "entry1", peers, count)
 
 
 def measure_endpoint(count, directory):
@@ -123,11 +119,16 @@
     with make_deployment(directory) as deployment:
         deployment.add_engine_daemon("target")
         peers = Peers(kind="entries", count=count, target=deployment.daemon_addresses["target"])
-        try:
-            wait_for_links(deployment, peers, count)
-            return measure_idle(deployment.processes["target"], peers)
-        finally:
-            peers.close()
+        return measure_linked(deployment, "target", peers, count)
+
+
+def measure_linked(deployment, daemon, peers, count):
+    """Measure an idle daemon once all of its `peers` are linked; close the peers."""
+    try:
+        wait_for_links(deployment, peers, count)
+        return measure_idle(deployment.processes[daemon], peers)
+    finally:
+        peers.close()
 
 
 def idle_slopes(role, measure_one):
