Daemons: QuarantineManager takes its daemon instead of eight parameters

Both daemons passed the same eight attributes of theirs. Behaviour unchanged. Run: test_quarantine, test_roles, test_relay, test_admin_server: passed.

--- a/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/endpoint/daemon.py
@@ -29,16 +29,7 @@
         super().__init__(settings, network, context, metrics, follower, strict)
         self.stopping = False
         self.claims = ClaimManager(settings, stores.table, stores.objects, context, self.run_id)
-        self.quarantine = QuarantineManager(
-            settings,
-            stores.table,
-            context,
-            metrics,
-            self.invariants,
-            follower,
-            self.open_links,
-            self.run_id,
-        )
+        self.quarantine = QuarantineManager(self, stores.table, self.open_links)
         self.backends = {}
         self.sessions = set()
         self.backends_by_attempt = {}
--- a/packages/daemon/persimmonstall_daemon/entry/daemon.py
+++ b/packages/daemon/persimmonstall_daemon/entry/daemon.py
@@ -73,16 +73,7 @@
         self.claim_cleaner = ClaimCleaner(
             settings, stores.table, stores.objects, context, self.run_id
         )
-        self.quarantine = QuarantineManager(
-            settings,
-            stores.table,
-            context,
-            metrics,
-            self.invariants,
-            follower,
-            self.links.open_links,
-            self.run_id,
-        )
+        self.quarantine = QuarantineManager(self, stores.table, self.links.open_links)
         self.quarantine.register(self.control_handlers)
         self.quarantine_filter = QuarantineFilter(self, self.quarantine)
         self.first_copy_gate = FirstCopyGate()
--- a/packages/daemon/persimmonstall_daemon/quarantine/manager.py
+++ b/packages/daemon/persimmonstall_daemon/quarantine/manager.py
@@ -38,19 +38,20 @@
 
 
 class QuarantineManager:
-    """Owns the `VerdictStore` of one daemon; `open_links()` returns its links to other daemons.
+    """Owns the `VerdictStore` of `daemon`, a `LinkedDaemon`.
 
-    `run` identifies the daemon's process and seeds the jitter.
+    `open_links()` returns the daemon's links to other daemons.
     """
 
-    def __init__(self, settings, table, context, metrics, invariants, follower, open_links, run):
-        self.timeout = settings.platform.timeout
+    def __init__(self, daemon, table, open_links):
+        self.timeout = daemon.settings.platform.timeout
         self.table = table
-        self.context = Context(context.now, context.wall, Random(run))
-        self.metrics = metrics
-        self.follower = follower
+        clock = daemon.context
+        self.context = Context(clock.now, clock.wall, Random(daemon.run_id))
+        self.metrics = daemon.metrics
+        self.follower = daemon.follower
         self.open_links = open_links
-        self.verdict_store = VerdictStore(invariants, self.lift_revision)
+        self.verdict_store = VerdictStore(daemon.invariants, self.lift_revision)
         self.unwritten = {}
 
     def lift_revision(self, fingerprint):
