--- a/packages/standins/persimmonstall_standins/processes.py
+++ b/packages/standins/persimmonstall_standins/processes.py
@@ -285,9 +285,9 @@
         if fetch(self.http[entry] + "/readyz")[0] != 200:
             return False
         body = {"model": MODEL, "prompt": "hello", "max_tokens": 1}
-        return self.complete(entry, body)[0] == 200
+        return self.post_completion(entry, body)[0] == 200
 
-    def complete(self, entry, body, headers=None, timeout=30.0):
+    def post_completion(self, entry, body, headers=None, timeout=30.0):
         """Return the status and decoded JSON body of `POST /v1/completions`."""
         return self.post(entry, "/v1/completions", body, headers, timeout)
 
--- a/packages/standins/tests/test_whole_path.py
+++ b/packages/standins/tests/test_whole_path.py
@@ -84,7 +84,7 @@
 
 def test_prompt_longer_than_the_model_is_refused(deployment):
     body = {"model": MODEL, "prompt": "word" * 1_200_000}
-    status, answer = deployment.complete("entry1", body)
+    status, answer = deployment.post_completion("entry1", body)
     assert status == 400
     assert answer["error"]["code"] == "prompt_too_long"
 
