--- a/packages/daemon/persimmonstall_daemon/observe/metrics.py
+++ b/packages/daemon/persimmonstall_daemon/observe/metrics.py
@@ -11,7 +11,7 @@
 
 from .metric_names import Kind, check_metric
 
-FLUSH_INTERVAL = 1.0
+FLUSH_INTERVAL_SECONDS = 1.0
 """Seconds between flushes."""
 
 TIMER_SAMPLES = 64
@@ -81,7 +81,7 @@
     async def run(self):
         """Flush at intervals until cancelled."""
         while True:
-            await asyncio.sleep(FLUSH_INTERVAL)
+            await asyncio.sleep(FLUSH_INTERVAL_SECONDS)
             self.flush()
 
 
