--- a/packages/cli/persimmonstall_cli/load/mix.py
+++ b/packages/cli/persimmonstall_cli/load/mix.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-SUFFIXES = {"k": 1_000, "m": 1_000_000}
+TOKEN_SUFFIXES = {"k": 1_000, "m": 1_000_000}
 
 DEFAULT_MIX = "1k-4k:0.78,4k-32k:0.16,32k-100k:0.04,100k-1m:0.02"
 """2 % of the prompts have more than 100,000 tokens."""
@@ -26,7 +26,7 @@
     (4000, 1000000, 250)
     """
     text = text.strip().lower()
-    factor = SUFFIXES.get(text[-1:], 1)
+    factor = TOKEN_SUFFIXES.get(text[-1:], 1)
     value = int(float(text[:-1] if factor > 1 else text) * factor)
     if value < 1:
         raise ValueError(text)
