--- a/packages/core/persimmonstall/claims/outcomes.py
+++ b/packages/core/persimmonstall/claims/outcomes.py
@@ -69,7 +69,7 @@
     return attrs.evolve(refusal, outcome=Outcome.UNKNOWN, key=work.key)
 
 
-def too_late(peer):
+def deadline_failure(peer):
     """Return the endpoint's failure when the deadline passed before the hand-over."""
     return Failure(
         Reason.DEADLINE, STEP, peer, "the deadline passed before the call was handed over"
--- a/packages/daemon/persimmonstall_daemon/claims/manager.py
+++ b/packages/daemon/persimmonstall_daemon/claims/manager.py
@@ -91,14 +91,14 @@
         if ticket is None:
             return Failure(Reason.BAD_REQUEST, STEP, endpoint, "the attempt has no claim ticket")
         if ticket_expired(ticket.issued, self.context.wall()):
-            return outcomes.too_late(endpoint)
+            return outcomes.deadline_failure(endpoint)
         attempt_id = self.attempt_id(request_id, attempt)
         progress = await self.run_start(ticket, attempt_id, endpoint, deadline)
         if progress.phase is not starting.Phase.WON:
             return self.start_failure(ticket, attempt_id, endpoint, progress)
         if self.context.now() >= deadline:
             self.enqueue(QueuedAbandon(ticket, attempt_id))
-            return outcomes.too_late(endpoint)
+            return outcomes.deadline_failure(endpoint)
         return HeldClaim(ticket, attempt_id, progress.version)
 
     async def run_start(self, ticket, attempt_id, endpoint, deadline):
