--- a/packages/core/persimmonstall/quarantine/verdict_store.py
+++ b/packages/core/persimmonstall/quarantine/verdict_store.py
@@ -168,7 +168,7 @@
         """Store and return a verdict; drop another one when there are too many."""
         self.verdicts[verdict.fingerprint] = verdict
         if len(self.verdicts) > MAX_VERDICTS:
-            dropped = min(self.verdicts.values(), key=drop_order)
+            dropped = min(self.verdicts.values(), key=eviction_key)
             del self.verdicts[dropped.fingerprint]
         return verdict
 
@@ -192,6 +192,6 @@
     return crash.presumed and (crash.endpoint, crash.run) == (endpoint, run)
 
 
-def drop_order(verdict):
+def eviction_key(verdict):
     """Return the sort key for dropping verdicts when there are too many; the least goes first."""
     return is_quarantined(verdict), bool(verdict.crashes), verdict.expires
