--- a/packages/core/persimmonstall/placement/endpoint_state.py
+++ b/packages/core/persimmonstall/placement/endpoint_state.py
@@ -77,7 +77,7 @@
         """Return whether the endpoint accepts new requests."""
         return not (self.leaving or self.reported_leaving or self.drained or self.lost)
 
-    def refresh(self):
+    def recompute_load(self):
         """Recompute the corrected load."""
         self.ahead = max(self.reported_ahead + self.unreported_ahead, self.own_ahead)
         self.long_ahead = max(self.reported_long + self.unreported_long, self.own_long)
@@ -97,7 +97,7 @@
         if attempt.long:
             self.own_long += attempt.tokens
             self.unreported_long += attempt.tokens
-        self.refresh()
+        self.recompute_load()
 
     def mark_reported(self, attempt):
         """Remove an attempt from the unreported load once reported or ended; idempotent."""
@@ -135,4 +135,4 @@
             self.step_seconds = load.step_seconds
         if load.token_seconds > 0.0:
             self.token_seconds = load.token_seconds
-        self.refresh()
+        self.recompute_load()
--- a/packages/core/persimmonstall/placement/view.py
+++ b/packages/core/persimmonstall/placement/view.py
@@ -126,7 +126,7 @@
             return
         state = attempt.endpoint
         state.mark_prefilled(attempt)
-        state.refresh()
+        state.recompute_load()
         observed = max(0.0, now - attempt.sent_at - 2.0 * state.delay)
         self.usual_times.observe(attempt, observed)
         state.slowness.observe(observed, self.usual_times.seconds(attempt), now)
@@ -140,7 +140,7 @@
         state.mark_prefilled(attempt)
         state.mark_reported(attempt)
         state.own_running -= 1
-        state.refresh()
+        state.recompute_load()
 
     def check_overdue(self, now):
         """Update the slowness of endpoints whose attempts still wait for their first token.
