--- a/packages/daemon/persimmonstall_daemon/membership/task.py
+++ b/packages/daemon/persimmonstall_daemon/membership/task.py
@@ -73,7 +73,7 @@
         if self.instances is not None:
             await self.register()
 
-    async def refresh(self):
+    async def read_list(self):
         """Read the list once; the view is unchanged if the read fails."""
         listed = await self.instances.list(self.settings.platform.timeout)
         if isinstance(listed, tuple | list):
@@ -160,5 +160,5 @@
         """Register and read the list until cancelled."""
         while True:
             await self.register()
-            await self.refresh()
+            await self.read_list()
             await asyncio.sleep(self.context.jitter(self.settings.platform.list_poll))
