--- a/packages/core/persimmonstall/placement/length_aware.py
+++ b/packages/core/persimmonstall/placement/length_aware.py
@@ -47,26 +47,26 @@
     time, so that a short prompt waits only behind other short ones.
     """
 
-    def place(self, work, view, now, random, avoid=frozenset()):
+    def place(self, work, view, now, random, avoided=frozenset()):
         """Return the `PlacementDecision` for the lowest-scored candidate, or a `Failure`."""
         pool = view.pool(work)
         if pool is None or not pool.members:
             return no_endpoint(work)
         matches = view.prefixes.match(work.blocks) if work.blocks else {}
-        search = CandidateSearch(RequestCost.of(work, view), view, matches, avoid, now, random)
+        search = CandidateSearch(RequestCost.of(work, view), view, matches, avoided, now, random)
         best = search.best_of(eligible(work, pool))
         if work.length_class == LengthClass.MEDIUM and search.is_late(best):
             best = search.best_of(pool.reserved) or best
         if best is None:
-            return self.fallback(search.cost, eligible(work, pool), avoid)
+            return self.fallback(search.cost, eligible(work, pool), avoided)
         return search.cost.placed(best, matches.get(best.name, 0))
 
-    def fallback(self, cost, states, avoid):
+    def fallback(self, cost, states, avoided):
         """Return the least slow, least loaded endpoint when no candidate may be used.
 
         Endpoints that were already tried are used only if there is no other.
         """
-        left = [state for state in states if state.name not in avoid] or states
+        left = [state for state in states if state.name not in avoided] or states
         best = min(left, key=lambda state: (state.slowness.ratio, state.ahead))
         return cost.placed(best, 0)
 
@@ -83,7 +83,7 @@
     cost: "RequestCost"
     view: object
     matches: dict
-    avoid: object
+    avoided: object
     now: float
     random: object
 
@@ -93,7 +93,7 @@
         best_score = math.inf
         draw = self.random.random
         for state in self.candidates(states):
-            if state.name in self.avoid or not state.slowness.may_use(self.now):
+            if state.name in self.avoided or not state.slowness.may_use(self.now):
                 continue
             score = self.cost.score(state, self.matches.get(state.name, 0), self.now)
             score *= 1.0 + JITTER * draw()
--- a/packages/core/persimmonstall/placement/policy.py
+++ b/packages/core/persimmonstall/placement/policy.py
@@ -31,21 +31,21 @@
     """Base class of placement policies; holds no socket and no clock."""
 
     @abc.abstractmethod
-    def place(self, work, view, now, random, avoid=frozenset()):
+    def place(self, work, view, now, random, avoided=frozenset()):
         """Return a `PlacementDecision`, or a `Failure`.
 
-        `work` is a `messages.requests.Work`, `view` a `FleetView`, `avoid` the names of
+        `work` is a `messages.requests.Work`, `view` a `FleetView`, `avoided` the names of
         endpoints that were already tried.
         """
 
-    def candidates(self, work, view, avoid):
-        """Return the usable endpoints for `work`, without those in `avoid` if others are left."""
+    def candidates(self, work, view, avoided):
+        """Return the usable endpoints, without those in `avoided` if others are left."""
         pool = view.pool(work)
         if pool is None:
             return []
-        if not avoid:
+        if not avoided:
             return pool.members
-        return [state for state in pool.members if state.name not in avoid] or pool.members
+        return [state for state in pool.members if state.name not in avoided] or pool.members
 
 
 def no_endpoint(work):
@@ -76,9 +76,9 @@
     def choose(self, work, found, random):
         """Return one of the `EndpointState`s in `found`, which is not empty."""
 
-    def place(self, work, view, now, random, avoid=frozenset()):
+    def place(self, work, view, now, random, avoided=frozenset()):
         """Return the placement at the chosen endpoint of the model or service."""
-        found = self.candidates(work, view, avoid)
+        found = self.candidates(work, view, avoided)
         if not found:
             return no_endpoint(work)
         return placed_uncached(work, view, self.choose(work, found, random))
