A call read as an idle entry exits is waited for until the entry has to exit

The polls now only cover the last answers; before them the calls in flight are waited for as before.

--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -251,25 +251,32 @@
         self.time_limits.reschedule()
         self.peers.schedule_beacon(True)
         await asyncio.sleep(takeout)
-        while self.callers.in_flight and self.now() < self.exits_at:
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
+        await self.wait_for_calls()
         await self.callers.stop_accepting()
         await self.callers.close_idle()
+        # A call that was read just before may not have started yet.
+        await asyncio.sleep(DRAIN_POLL_SECONDS)
+        await self.wait_for_calls()
         await self.send_last_answers()
         await asyncio.wait(
             [asyncio.create_task(self.reservations.drain())], timeout=RELEASE_SECONDS
         )
 
+    async def wait_for_calls(self):
+        """Wait until no call is in flight, or the calls in flight get their final answers."""
+        while self.callers.in_flight and self.now() < self.exits_at:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
     async def send_last_answers(self):
-        """Wait until no call is in flight.
+        """Wait until the final answers are sent.
 
-        At first a call that was read just before may not have started yet.  The number of polls is
-        limited and not the time, since a process that is slow or was suspended may be late.
+        The number of polls is limited and not the time, since a process that is slow or was
+        suspended may be late.
         """
         for _ in range(MAX_LAST_POLLS):
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
             if not self.callers.in_flight:
                 return
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     async def stop_role(self):
         """Close all sockets."""
