The header timeout does not close a connection whose call was read

Callers saw their connection close without a byte and no log line tells of it: neither an answer nor a refusal, without any stop, on a sound entry.

Cause: the first bytes of a call start its header timeout, which the handler's task cancels in a later step; uvloop runs timers that are due before tasks that are ready. The timer now gives what has arrived another 0.1 s to be read and the tasks that are ready a turn, and closes the connection only if no call is being served. The close of an incomplete request is logged (request_incomplete).

--- a/packages/daemon/persimmonstall_daemon/direct/callers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/callers.py
@@ -9,6 +9,9 @@
 from persimmonstall.direct.messages import CallerLimits
 from persimmonstall.failures import Failure, Outcome, Reason, refuse
 
+from ..observe import logs
+
+LOG = logs.get("callers")
 STEP = "read"
 
 HEADER_LIMIT_FACTOR = 4
@@ -25,6 +28,9 @@
 IDLE_MARGIN_SECONDS = 2.0
 """Added to the idle timeout, so that a call rarely arrives while its connection closes."""
 
+LAST_READ_SECONDS = 0.1
+"""Time after a timeout in which a request that has arrived may still be read."""
+
 BACKLOG = 1024
 """Length of the queue of connections to accept."""
 
@@ -154,7 +160,23 @@
             if self.timer.when() <= due:
                 return
             self.timer.cancel()
-        self.timer = loop.call_at(due, self.force_close)
+        self.timer = loop.call_at(due, self.on_timeout)
+
+    def on_timeout(self):
+        """Read what has arrived, since the event loop may be late, before closing."""
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(LAST_READ_SECONDS, loop.call_soon, self.close_unless_served)
+
+    def close_unless_served(self):
+        """Close the connection, unless a request that was read has begun to be served.
+
+        Tasks that were made ready before this callback have run.
+        """
+        if self.in_request:
+            return
+        if self.reading:
+            LOG.info("request_incomplete", step=STEP, reason="head incomplete at the timeout")
+        self.force_close()
 
     def request_started(self):
         """Stop the header timeout: the head is complete."""
