--- a/packages/daemon/tests/test_direct_reading.py
+++ b/packages/daemon/tests/test_direct_reading.py
@@ -5,9 +5,10 @@
 
 import pytest
 
+from persimmonstall.direct.messages import Route
 from persimmonstall_daemon.direct.answer_memory import AnswerMemory
 from persimmonstall_daemon.direct.endpoint_client import CATCH_UP_SECONDS, SUSPENSION_SECONDS
-from persimmonstall_daemon.direct.read_deadline import ReadDeadline
+from persimmonstall_daemon.direct.silence_watch import SilenceWatch
 
 
 class Reader:
@@ -27,35 +28,49 @@
     return AnswerMemory(SimpleNamespace(settings=SimpleNamespace(direct=direct)))
 
 
-def test_deadline_is_shared_by_all_reads_until_it_restarts():
+@pytest.fixture
+def watch():
+    """The watch of an attempt that was sent at 10 s, on a clock `times`."""
+    times = [10.0]
+    scores = SimpleNamespace(record_sign_of_life=lambda name: None)
+    entry = SimpleNamespace(
+        now=lambda: times[0], state=SimpleNamespace(failure_scores=scores), times=times
+    )
+    attempt = SimpleNamespace(
+        entry=entry,
+        endpoint=SimpleNamespace(name="e"),
+        routed=SimpleNamespace(route=Route("r", "h", "/", ()), deadline=60.0),
+        placed=SimpleNamespace(predicted_first_event=0.0),
+        batches_relayed=0,
+    )
+    return SilenceWatch(attempt)
+
+
+def read_seconds(watch, *times):
+    """Return the timeouts of reads that bring bytes at these times, of 2 s together."""
+    seconds = []
+
+    async def read(timeout):
+        seconds.append(timeout)
+        return b"x"
+
     async def scenario():
-        deadline = ReadDeadline(2.0)
-        times = [10.0]
-        deadline.clock = lambda: times[0]
-        deadline.restart(2.0)
-        left = []
-        for now in (10.5, 11.5, 12.1):
-            times[0] = now
-            left.append(deadline.remaining())
-        assert left == [1.5, 0.5, 0.0]
-        deadline.restart(3.0)
-        assert deadline.remaining() == 3.0
+        for now in times:
+            watch.entry.times[0] = now
+            await watch.receive(read, 2.0)
 
     asyncio.run(scenario())
+    return seconds
 
 
-def test_what_arrived_during_a_suspension_is_still_read_but_no_more():
-    async def scenario():
-        deadline = ReadDeadline(2.0)
-        times = [10.0]
-        deadline.clock = lambda: times[0]
-        deadline.restart(2.0)
-        times[0] = 12.0 + SUSPENSION_SECONDS
-        assert deadline.remaining() == CATCH_UP_SECONDS
-        times[0] += CATCH_UP_SECONDS
-        assert deadline.remaining() == 0.0
+def test_deadline_is_shared_by_all_reads_until_it_restarts(watch):
+    assert read_seconds(watch, 10.5, 11.5, 12.0) == [1.5, 0.5, 0.0]
+    watch.hear()
+    assert read_seconds(watch, 12.0) == [2.0]
 
-    asyncio.run(scenario())
+
+def test_what_arrived_during_a_suspension_is_still_read_but_no_more(watch):
+    assert read_seconds(watch, 10.0, 12.0 + 2 * SUSPENSION_SECONDS) == [2.0, CATCH_UP_SECONDS]
 
 
 def test_largest_answer_in_progress_is_dropped_and_the_others_go_on(memory):
