Bytes after an answer do not cost it when its head ends over two segments

Found by a reviewer: the end of a head was looked for in each segment alone, so that a head whose blank line was split was parsed together with what followed; bytes after a complete answer then made it a 502. The last three bytes of a head are kept for the search.

--- a/packages/daemon/persimmonstall_daemon/bounded_http.py
+++ b/packages/daemon/persimmonstall_daemon/bounded_http.py
@@ -34,13 +34,15 @@
 class BoundedResponseHandler(ResponseHandler):
     """A client connection that rejects answers whose head or framing does not end.
 
-    `received` counts the bytes since the request, `body` is the stream reader of the answer's
-    body, None before the head is complete.  Interim answers (1xx) are dropped.
+    `received` counts the bytes since the request, `head_end` holds the last bytes of a head so
+    far, `body` is the stream reader of the answer's body, None before the head is complete.
+    Interim answers (1xx) are dropped.
     """
 
     def __init__(self, loop):
         super().__init__(loop)
         self.received = 0
+        self.head_end = b""
         self.body = None
         self.rejected = False
 
@@ -48,6 +50,7 @@
         """Expect the answer to a request; bytes that came before it belong to no request."""
         unasked = len(self._tail) + len(self)
         self.received = 0
+        self.head_end = b""
         self.body = None
         super().set_response_params(**options)
         if unasked and not self.rejected:
@@ -63,13 +66,23 @@
             return
         start = 0
         while self.body is None and start < len(data):
-            end = data.find(END_OF_HEAD, start, start + MAX_HEAD_BYTES)
-            end = start + MAX_HEAD_BYTES if end < 0 else end + len(END_OF_HEAD)
+            end = self.find_end_of_head(data, start)
             self.receive(data[start:end])
             start = end
         if start < len(data) or not data:
             self.receive(data[start:])
 
+    def find_end_of_head(self, data, start):
+        """Return where the head that `data` continues ends, or how much of it to parse."""
+        seen = self.head_end + data[start : start + MAX_HEAD_BYTES]
+        end = seen.find(END_OF_HEAD)
+        if end < 0:
+            self.head_end = seen[1 - len(END_OF_HEAD) :]
+            return start + MAX_HEAD_BYTES
+        end += len(END_OF_HEAD) - len(self.head_end)
+        self.head_end = b""
+        return start + end
+
     def receive(self, data):
         """Parse bytes, then check the bound on what is not part of the body."""
         if self.rejected:
--- a/packages/daemon/tests/test_bounded_http.py
+++ b/packages/daemon/tests/test_bounded_http.py
@@ -173,6 +173,18 @@
     on_server(lambda: [HEAD + b"Content-Length: 5\r\n\r\nwhole", extra], scenario)
 
 
+@pytest.mark.parametrize("split", range(1, 5))
+def test_extra_bytes_do_not_cost_an_answer_whose_head_ends_over_two_segments(split):
+    head = HEAD + b"Content-Length: 5\r\n\r\n"
+
+    async def scenario(server, session):
+        async with session.get(server.url) as response:
+            assert await read_body(response, 100) == b"whole"
+
+    pause = [b""] * 20
+    on_server(lambda: [head[:-split], *pause, head[-split:] + b"wholeJUNK"], scenario)
+
+
 def test_sound_connection_is_used_again():
     async def scenario(server, session):
         for _ in range(3):
