A silent endpoint is left only for an attempt that follows, also if it seems to accept no connections

Found by a reviewer: an event loop late by 0.2 s made the check of an address fail, and a failed check ended the attempt without one to follow: a plain call got 502 after 0.33 s whose answer was due at 1.0 s, a stream was cut at 1.3 s whose engine went on at 1.5 s. An answer that arrived while the retry was prepared was thrown away, and the call run twice.

A failed check now only brings the decision forward; without an attempt to follow the endpoint is waited for until the deadline, the exit or the end of its connection (keep-alive probes). The check looks once more if its timeout was late, as reads do; 0.05 s of lateness count for that, not 0.3. What arrives while a retry is prepared is used.

--- a/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -33,8 +33,8 @@
 USER_TIMEOUT_MILLISECONDS = 1500
 """Time for which sent data may stay unacknowledged."""
 
-SUSPENSION_SECONDS = 0.3
-"""Lateness of a timeout from which the process counts as having been suspended."""
+SUSPENSION_SECONDS = 0.05
+"""Lateness of a timeout from which the process counts as having been suspended or held up."""
 
 CATCH_UP_SECONDS = 0.1
 """Time after a suspension for reading data that arrived during it."""
@@ -231,8 +231,8 @@
             for name, value in self.dialect.attempt_headers(routed, request)
         )
         headers[EXACT_TARGET] = call.target
-        url = URL(f"http://{request.endpoint.address}{call.target}", encoded=True)
         try:
+            url = URL(f"http://{request.endpoint.address}{call.target}", encoded=True)
             response = await self.session.request(
                 call.method, url, headers=headers, data=call.body or None, allow_redirects=False
             )
@@ -266,9 +266,9 @@
     """Return whether an endpoint's address still accepts connections."""
     host, _, port = endpoint.address.rpartition(":")
     try:
-        async with asyncio.timeout(CONNECT_SECONDS):
-            _, writer = await asyncio.open_connection(host, int(port))
-    except (OSError, TimeoutError) as error:
+        opening = asyncio.open_connection(host, int(port))
+        _, writer = await wait_past_suspension(opening, CONNECT_SECONDS)
+    except (OSError, TimeoutError, ValueError) as error:
         LOG.info("endpoint_silent", endpoint=endpoint.name, reason=repr(error))
         return False
     writer.close()
--- a/packages/daemon/persimmonstall_daemon/direct/silence_watch.py
+++ b/packages/daemon/persimmonstall_daemon/direct/silence_watch.py
@@ -51,16 +51,29 @@
             self.decide_at = self.heard_at + timeouts.seconds_to_next(0.0)
         while True:
             try:
-                result = await read(self.read_seconds())
+                result = await self.read_or_decide(read, timeouts)
             except TimeoutError:
-                await self.decide(timeouts)
-                seconds = timeouts.seconds_to_next(self.silent_seconds())
-                self.decide_at = self.entry.now() + seconds
+                if self.followed_by is not None or self.silent_seconds() >= timeouts.end:
+                    raise
                 continue
             if not isinstance(result, Failure):
                 self.entry.state.failure_scores.record_sign_of_life(self.attempt.endpoint.name)
             return result
 
+    async def read_or_decide(self, read, timeouts):
+        """Return the result of a read; after its timeout decide, and raise TimeoutError.
+
+        What has arrived while that was decided is returned all the same.
+        """
+        try:
+            return await read(self.read_seconds())
+        except TimeoutError:
+            await self.decide(timeouts)
+        self.decide_at = self.entry.now() + timeouts.seconds_to_next(self.silent_seconds())
+        result = await read(0.0)
+        self.followed_by = None
+        return result
+
     def timeouts(self, timeout):
         """Return the `SilenceTimeouts` of the present wait."""
         attempt = self.attempt
@@ -74,19 +87,18 @@
         return max(seconds, CATCH_UP_SECONDS if seconds < -SUSPENSION_SECONDS else 0.0)
 
     async def decide(self, timeouts):
-        """Return to wait on for a silent endpoint; raise TimeoutError to leave it."""
+        """Set `followed_by` if a silent endpoint is to be left and another attempt can follow."""
         attempt, silent = self.attempt, self.silent_seconds()
         if silent >= timeouts.end:
-            raise TimeoutError
-        if silent >= timeouts.leave:
+            return
+        self.record_silence()
+        leave = silent >= timeouts.leave or (
+            silent >= timeouts.check and not await accepts_connections(attempt.endpoint)
+        )
+        if leave:
             self.followed_by = await self.entry.call_handler.prepare_retry(
                 attempt.routed, attempt.history, attempt.endpoint
             )
-        self.record_silence()
-        if self.followed_by is not None:
-            raise TimeoutError
-        if silent >= timeouts.check and not await accepts_connections(attempt.endpoint):
-            raise TimeoutError
 
     def record_silence(self):
         """Record that the endpoint is silent, unless a helper may be the one that is."""
