A connect whose timeout was late itself is made once more

Callers got a 503 for a call to a sound endpoint, or a stream was cut, when the event loop of the entry was late by more than the 0.15 s that connecting may take: the timeout fired before the finished connect was seen. Nothing was sent before, so that connecting again is safe; it is done once, and only if the timeout was 0.05 s late or more.

--- a/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -233,7 +233,7 @@
         headers[EXACT_TARGET] = call.target
         try:
             url = URL(f"http://{request.endpoint.address}{call.target}", encoded=True)
-            response = await self.session.request(
+            response = await self.request(
                 call.method, url, headers=headers, data=call.body or None, allow_redirects=False
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
@@ -252,6 +252,17 @@
         head = self.dialect.read_head(call, response.status, response.raw_headers)
         return EndpointAnswer(head, response, closed)
 
+    async def request(self, *arguments, **options):
+        """Make an HTTP request; connect once more if the timeout of connecting was late itself."""
+        clock = asyncio.get_running_loop().time
+        deadline = clock() + CONNECT_SECONDS
+        try:
+            return await self.session.request(*arguments, **options)
+        except aiohttp.ConnectionTimeoutError:
+            if clock() - deadline < SUSPENSION_SECONDS:
+                raise
+        return await self.session.request(*arguments, **options)
+
 
 def has_control_character(headers):
     r"""Return whether the value of a header cannot be sent on.
