--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -71,7 +71,7 @@
         The connection is closed before this returns, which ends the call at the endpoint too.
         """
         started_at = self.entry.now()
-        self.watch.hear()
+        self.watch.restart()
         try:
             result = await self.send_and_relay(started_at)
         except TimeoutError:
@@ -258,7 +258,7 @@
                 advanced = reader.last > self.history.last_event
                 await self.forward_events(complete_events, reader)
                 if advanced or not self.routed.route.resumable:
-                    self.watch.hear()
+                    self.watch.restart()
                     timeout = self.read_timeout()
         if reader.partial or not self.history.response_started:
             return self.failed_result(
--- a/packages/daemon/persimmonstall_daemon/direct/silence_watch.py
+++ b/packages/daemon/persimmonstall_daemon/direct/silence_watch.py
@@ -14,30 +14,30 @@
 class SilenceWatch:
     """The silence of the endpoint of an `attempt`, which counts from its last event.
 
-    `heard_at` is the time of the last event, or of the sending; `decide_at` is when it is next
-    decided whether to leave the endpoint, None if no wait has begun since.  `followed_by` is the
-    `PlacedAttempt` for which the endpoint was left, None for none.
+    `last_event_at` is the time of the last event, at first of the sending.  `decide_at` is when it
+    is next decided whether to leave the endpoint, None if no wait has begun since.  `followed_by`
+    is the `PlacedAttempt` for which the endpoint was left, None for none.
     """
 
     def __init__(self, attempt):
         self.attempt = attempt
         self.entry = attempt.entry
-        self.heard_at = self.entry.now()
+        self.last_event_at = self.entry.now()
         self.decide_at = None
         self.followed_by = None
 
-    def hear(self):
-        """Record that the call was sent or an event has arrived."""
-        self.heard_at = self.entry.now()
+    def restart(self):
+        """Restart the watch: the call was sent, or an event has arrived."""
+        self.last_event_at = self.entry.now()
         self.decide_at = None
 
     def silent_seconds(self):
         """Return the seconds since the last event, or since the call was sent."""
-        return self.entry.now() - self.heard_at
+        return self.entry.now() - self.last_event_at
 
     def longest_wait(self):
         """Return the seconds from the last event, or from the sending, to the deadline."""
-        return self.attempt.routed.deadline - self.heard_at
+        return self.attempt.routed.deadline - self.last_event_at
 
     async def receive(self, read, timeout):
         """Return the result of `read(seconds)`; raise TimeoutError to leave a silent endpoint.
@@ -48,7 +48,7 @@
         """
         timeouts = self.timeouts(timeout)
         if self.decide_at is None:
-            self.decide_at = self.heard_at + timeouts.seconds_to_next(0.0)
+            self.decide_at = self.last_event_at + timeouts.seconds_to_next(0.0)
         while True:
             try:
                 result = await self.read_or_decide(read, timeouts)
--- a/packages/daemon/tests/test_direct_reading.py
+++ b/packages/daemon/tests/test_direct_reading.py
@@ -65,7 +65,7 @@
 
 def test_deadline_is_shared_by_all_reads_until_it_restarts(watch):
     assert read_seconds(watch, 10.5, 11.5, 12.0) == [1.5, 0.5, 0.0]
-    watch.hear()
+    watch.restart()
     assert read_seconds(watch, 12.0) == [2.0]
 
 
