Content that crashes endpoints is known whoever sends it; blocked content is tried

Cause: the fingerprint of a content included the API key, so that each key's copies counted apart; bodies sent to other targets were not known at all; a content answered before was allowed twice as many crashes; copies at several entries were all sent until the second crash was known everywhere; a content that was only beside two crashes was refused for 600 s.

Change: the fingerprint is of method, host, target and body. A body that several calls share is a part of them, as parts of prompts are. A blocked content or part is tried, one call at a time: the entry that owns its key decides, and any entry may ask it. A complete answer excuses the crashes before it at all entries; crashes that a blocked part or a content with more crashes explains do not count. After its third crash a content gets no more trials for 600 s. An attempt whose connection was lost is repeated only once it is known whether its endpoint crashed; a call that waited is checked again before it is sent; a lifetime that ended by another's answer (421) confirms its crash; the records of blocked contents are read before the first calls and saved after 0.1 s.

--- a/packages/core/persimmonstall/direct/datagrams.py
+++ b/packages/core/persimmonstall/direct/datagrams.py
@@ -23,6 +23,8 @@
     FINDINGS = "findings"
     PERMIT_REQUEST = "permit_request"
     PERMIT_REPLY = "permit_reply"
+    TRIAL_REQUEST = "trial_request"
+    TRIAL_REPLY = "trial_reply"
 
 
 @attrs.frozen
@@ -58,3 +60,9 @@
         return Datagram(Kind(kind), tuple(fields))
     except (msgspec.MsgspecError, TypeError, ValueError) as error:
         return Failure(Reason.BAD_REQUEST, STEP, detail=f"{type(error).__name__}: {error}")
+
+
+def check_address(address):
+    """Raise AttributeError or ValueError unless `address` is one to which a reply can be sent."""
+    if not address.rpartition(":")[2].isdigit():
+        raise ValueError(f"address without a port: {address!r}")
--- a/packages/core/persimmonstall/direct/messages.py
+++ b/packages/core/persimmonstall/direct/messages.py
@@ -170,7 +170,8 @@
 class RoutedCall:
     """A call with its route, service and organisation.
 
-    `content` is the fingerprint of its content.
+    `content` is the fingerprint of its content, `parts` are those of it that other calls may
+    share.
     """
 
     call: Call
@@ -178,6 +179,7 @@
     service: Service
     organisation: Organisation | None = None
     content: str = ""
+    parts: tuple[str, ...] = ()
 
     @property
     def deadline(self):
--- a/packages/core/persimmonstall/direct/retrying.py
+++ b/packages/core/persimmonstall/direct/retrying.py
@@ -46,6 +46,7 @@
     whether there is an attempt whose outcome is not known yet.  `last_event` is the id of the last
     event sent to the caller; `first_event_at` and `last_event_at` are the times of its first and
     last events, None before the first; `longest_gap` is the longest time between two events.
+    `trial` says that the call is sent, though its content is blocked, to see whether it crashes.
     """
 
     attempts: int = 0
@@ -56,6 +57,7 @@
     last_event_at: float | None = None
     longest_gap: float = 0.0
     tried_endpoints: set = attrs.field(factory=set)
+    trial: bool = False
 
     @property
     def may_have_run(self):
--- a/packages/core/persimmonstall/direct/routing.py
+++ b/packages/core/persimmonstall/direct/routing.py
@@ -3,7 +3,7 @@
 import xxhash
 
 from ..failures import Failure, Reason
-from .crash_tracker import content_fingerprint
+from .content import call_parts, content_fingerprint
 from .messages import RoutedCall
 
 STEP = "route"
@@ -52,7 +52,8 @@
         service = self.configuration.services.get(name)
         if service is None:
             return Failure(Reason.UNKNOWN_SERVICE, STEP, detail=name)
-        return RoutedCall(call, route, service, organisation, content_fingerprint(call))
+        content, parts = content_fingerprint(call), call_parts(call)
+        return RoutedCall(call, route, service, organisation, content, parts)
 
     def choose_service(self, route, call_id):
         """Return the service of a call, by the weights of the route and a hash of the call id."""
--- a/packages/core/tests/test_direct_view.py
+++ b/packages/core/tests/test_direct_view.py
@@ -2,7 +2,8 @@
 
 from persimmonstall.direct import beacon as beacons
 from persimmonstall.direct import snapshot as snapshots
-from persimmonstall.direct.crash_tracker import CONFIRM_SECONDS, CrashTracker, content_fingerprint
+from persimmonstall.direct.content import content_fingerprint
+from persimmonstall.direct.crash_tracker import CONFIRM_SECONDS, CrashTracker
 from persimmonstall.direct.events import EventReader
 from persimmonstall.direct.fleet import OUTAGE_GRACE_SECONDS
 from persimmonstall.direct.loads import EndpointDemand, InFlightAttempt
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -258,11 +258,13 @@
             self.on_beacon(data)
 
     def on_typed_datagram(self, datagram):
-        """Process findings, or pass on a message about permits."""
+        """Process findings, or pass on a message about permits or trials."""
         if isinstance(datagram, Failure):
             logs.log_failure(self.log, "datagram_unreadable", datagram)
         elif datagram.kind is Kind.FINDINGS:
             self.merge_findings(findings.decode(datagram.fields))
+        elif datagram.kind in (Kind.TRIAL_REQUEST, Kind.TRIAL_REPLY):
+            self.entry.trials.on_datagram(datagram)
         else:
             self.entry.permits.on_datagram(datagram)
 
--- a/packages/daemon/persimmonstall_daemon/service.py
+++ b/packages/daemon/persimmonstall_daemon/service.py
@@ -30,10 +30,11 @@
         self.tasks = set()
 
     def spawn(self, coroutine):
-        """Run `coroutine` until the daemon stops."""
+        """Run `coroutine` until the daemon stops; return its task."""
         task = asyncio.create_task(coroutine)
         task.add_done_callback(self.on_task_done)
         self.tasks.add(task)
+        return task
 
     def on_task_done(self, task):
         """Shut down gracefully if a task has ended with an unexpected error.
--- a/packages/daemon/tests/direct_fleet.py
+++ b/packages/daemon/tests/direct_fleet.py
@@ -21,6 +21,7 @@
 from persimmonstall_daemon.direct.ownership import Ownership
 from persimmonstall_daemon.direct.peers import Peers
 from persimmonstall_daemon.direct.permits import PermitExchange
+from persimmonstall_daemon.direct.trials import TrialExchange
 from persimmonstall_daemon.observe.prometheus import PrometheusMetrics
 
 LINK_MBPS = 7.0
@@ -48,6 +49,7 @@
     entry.peers = Peers(entry)
     entry.ownership = Ownership(entry, entry.peers)
     entry.permits = PermitExchange(entry, entry.peers)
+    entry.trials = TrialExchange(entry, entry.peers)
     entry.loads = LoadReporter(entry, entry.peers.schedule_beacon)
     entry.limits = LimitReporter(entry, entry.peers.schedule_beacon)
     entry.chooser = EndpointChooser(entry)
