Endpoints that leave or ask for a pause get no new calls on any path

Cause: neither Server-Leaving nor Retry-After of an endpoint's 503 was read.

EndpointNotices keeps them by endpoint lifetime, so that a later listing does not clear them; a new lifetime starts anew. Other entries learn who leaves with the findings; a pause is for the entry that was asked. While all endpoints of a service pause, calls are refused at once with the time that is left. Neither counts as a failure, nor does the end of an endpoint that leaves count as a crash.

--- a/packages/core/persimmonstall/direct/findings.py
+++ b/packages/core/persimmonstall/direct/findings.py
@@ -20,8 +20,9 @@
     `limits` are those that endpoints named, `crashes` what crashed calls have in common, and
     `sound_parts` the suspected parts of prompts of which an answer was complete.
     `whole_answers` is the number of complete answers to prompts with parts.  `excused` are the
-    crashes of contents, as (content, lifetimes) pairs, that complete answers excused.  Merging the
-    same findings again changes nothing, so datagrams may be lost or repeated.
+    crashes of contents, as (content, lifetimes) pairs, that complete answers excused; `leaving`
+    are the lifetimes of endpoints that said they leave.  Merging the same findings again changes
+    nothing, so datagrams may be lost or repeated.
     """
 
     address: str
@@ -30,16 +31,19 @@
     sound_parts: tuple[str, ...] = ()
     whole_answers: int = 0
     excused: tuple = ()
+    leaving: tuple = ()
 
     def __bool__(self):
-        return bool(self.limits or self.crashes or self.sound_parts or self.excused)
+        told = (self.limits, self.crashes, self.sound_parts, self.excused, self.leaving)
+        return any(told)
 
 
 def encode(findings):
     """Return the datagram that encodes findings.
 
     >>> limit, crash = LimitReport("e", 1, 2.5, 0.1), PartCrash("5a", "c1", "e", 1, 0.2)
-    >>> sent = Findings("10.0.0.1:7340", (limit,), (crash,), ("5b",), 7, (("c2", (("e", 1),)),))
+    >>> excused = ("c2", (("e", 1),))
+    >>> sent = Findings("a:1", (limit,), (crash,), ("5b",), 7, (excused,), (("f", 2),))
     >>> decode(datagrams.decode(encode(sent)).fields) == sent
     True
     """
@@ -52,6 +56,7 @@
         findings.sound_parts,
         findings.whole_answers,
         findings.excused,
+        findings.leaving,
     )
     return datagrams.encode(Kind.FINDINGS, fields)
 
@@ -73,6 +78,7 @@
             tuple(sound_parts),
             int(whole_answers),
             tuple(map(read_excused, fields[5] if len(fields) > 5 else ())),
+            read_lifetimes(fields[6] if len(fields) > 6 else ()),
         )
     except (TypeError, ValueError) as error:
         return Failure(Reason.BAD_REQUEST, STEP, detail=repr(error))
@@ -95,4 +101,9 @@
 def read_excused(row):
     """Return the excused (content, lifetimes) pair in a row; raise TypeError or ValueError."""
     content, lifetimes = row
-    return content, tuple((name, born) for name, born in lifetimes)
+    return content, read_lifetimes(lifetimes)
+
+
+def read_lifetimes(rows):
+    """Return the lifetimes in rows; raise TypeError or ValueError if one is malformed."""
+    return tuple((name, born) for name, born in rows)
--- a/packages/core/persimmonstall/direct/fleet.py
+++ b/packages/core/persimmonstall/direct/fleet.py
@@ -144,10 +144,17 @@
         """Return the endpoints of a service that accept new calls."""
         return [
             endpoint
-            for name, endpoint in self.endpoints.items()
-            if endpoint.service == service and not endpoint.leaving and name not in self.held
+            for endpoint in self.endpoints.values()
+            if endpoint.service == service and self.is_usable(endpoint.lifetime)
         ]
 
+    def is_usable(self, lifetime):
+        """Return whether a lifetime is listed and accepts new calls."""
+        name, _ = lifetime
+        endpoint = self.endpoints.get(name)
+        listed = endpoint is not None and endpoint.lifetime == lifetime
+        return listed and not endpoint.leaving and name not in self.held
+
 
 def was_leaving(endpoint, earlier):
     """Return whether the endpoint was leaving in an `earlier` state of the same lifetime.
--- a/packages/core/persimmonstall/direct/messages.py
+++ b/packages/core/persimmonstall/direct/messages.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from .notices import NOTHING, Notice
+
 NO_RESUME = -1
 """Value of `Call.resume_after` for a call that starts from the beginning."""
 
@@ -232,6 +234,7 @@
     `headers` are the ones to pass on to the caller.  `blamed_address` is the address of another
     endpoint that the answer blames for its failure, empty if none.  `request_limit` is the limit
     that the endpoint names, in requests per second from all entries together, None if it does not.
+    `notice` says whether it wants later calls.
     """
 
     status: int
@@ -240,6 +243,7 @@
     blamed_address: str = ""
     event_stream: bool = False
     request_limit: float | None = None
+    notice: Notice = NOTHING
 
 
 @attrs.frozen
--- a/packages/core/persimmonstall/direct/placing.py
+++ b/packages/core/persimmonstall/direct/placing.py
@@ -11,10 +11,11 @@
 import attrs
 import xxhash
 
-from ..failures import Failure, Reason
+from ..failures import Failure, Postponed, Reason
 from .engine_model import prefill_seconds
 from .loads import EndpointDemand, InFlightAttempt
 from .messages import AttemptRequest, Helper
+from .notices import EndpointNotices
 from .packing import GAP_SHARE, choose_engine
 from .sizes import call_weight, expected_memory
 from .splitting import best_split
@@ -80,7 +81,7 @@
 
 @attrs.define
 class Placer:
-    """Chooses endpoints by the fleet, the attempts in flight and recent failures.
+    """Chooses endpoints by the fleet, its notices, the attempts in flight and recent failures.
 
     All entries rank engines in the same order.  An entry that does not know the attempts of the
     others yet uses a `salt`, which gives it an order of its own.  `data_centre` is the entry's.
@@ -90,6 +91,7 @@
     load_tracker: object
     failure_scores: object
     request_limits: object
+    notices: EndpointNotices = attrs.field(factory=EndpointNotices)
     salt: str = ""
     data_centre: str = ""
 
@@ -108,14 +110,14 @@
         It goes to the endpoint `only` if one is named, else to endpoints without a request limit
         unless `include_limited`.
         """
-        endpoints = self.untried_endpoints(routed, avoid)
+        endpoints = self.untried_endpoints(routed, avoid, now)
         if only:
             endpoints = [endpoint for endpoint in endpoints if endpoint.name == only]
         elif not include_limited:
             endpoints = [endpoint for endpoint in endpoints if not self.is_limited(endpoint)]
         candidates = self.candidates(routed, now, endpoints)
         if not candidates:
-            return Failure(Reason.NO_ENDPOINT, STEP, detail=routed.service.name)
+            return self.no_endpoint(routed, now)
         if routed.service.engine is None:
             return self.place_plain(routed, candidates, now, name)
         if self.is_split(routed):
@@ -129,29 +131,43 @@
             return False
         return prefill_seconds(profile, routed.call.prompt_tokens) > SPLIT_SECONDS
 
-    def untried_endpoints(self, routed, avoid):
-        """Return the usable endpoints except those whose names are in `avoid`."""
-        usable = self.fleet.usable(routed.service.name)
-        return [endpoint for endpoint in usable if endpoint.name not in avoid]
+    def no_endpoint(self, routed, now):
+        """Return the failure of a call without an endpoint; pauses say when there is one again."""
+        service, leaving = routed.service.name, self.notices.leaving
+        lifetimes = [endpoint.lifetime for endpoint in self.fleet.usable(service)]
+        waits = [self.notices.seconds_paused(e, now) for e in lifetimes if e not in leaving]
+        wait = min(waits, default=0.0)
+        if not wait:
+            return Failure(Reason.NO_ENDPOINT, STEP, detail=service)
+        detail = f"all endpoints of {service} asked for a pause"
+        return Postponed(Reason.BUSY, STEP, detail=detail, delay=wait)
+
+    def untried_endpoints(self, routed, avoid, now):
+        """Return the endpoints that accept calls, except those whose names are in `avoid`."""
+        return [
+            endpoint
+            for endpoint in self.fleet.usable(routed.service.name)
+            if endpoint.name not in avoid and self.notices.accepts(endpoint.lifetime, now)
+        ]
 
     def is_limited(self, endpoint):
         """Return whether an endpoint names a limit on the requests that it takes."""
         return self.request_limits.rate(endpoint.lifetime) is not None
 
-    def limited_endpoints(self, routed, avoid):
+    def limited_endpoints(self, routed, avoid, now):
         """Return the untried endpoints that name a limit, the least busy ones first."""
-        limited = [e for e in self.untried_endpoints(routed, avoid) if self.is_limited(e)]
+        limited = [e for e in self.untried_endpoints(routed, avoid, now) if self.is_limited(e)]
         return sorted(limited, key=lambda e: self.load_tracker.count_in_flight(e.name))
 
     def has_free_slot(self, endpoint):
         """Return whether fewer calls are in flight at an endpoint than it has slots."""
         return self.load_tracker.count_in_flight(endpoint.name) < endpoint.slots
 
-    def has_free_endpoint(self, routed, avoid):
+    def has_free_endpoint(self, routed, avoid, now):
         """Return whether an untried endpoint without a limit has a free slot."""
         return any(
             self.has_free_slot(endpoint) and not self.is_limited(endpoint)
-            for endpoint in self.untried_endpoints(routed, avoid)
+            for endpoint in self.untried_endpoints(routed, avoid, now)
         )
 
     def candidates(self, routed, now, endpoints):
--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -8,6 +8,7 @@
 from .fleet import Fleet
 from .loads import LoadTracker
 from .messages import Configuration
+from .notices import EndpointNotices
 from .placing import Placer
 from .request_limits import RequestLimits
 from .retry_budget import SharedRetryBudget
@@ -36,6 +37,7 @@
     failure_scores: FailureScores = attrs.field(factory=FailureScores)
     crash_tracker: CrashTracker = attrs.field(factory=CrashTracker)
     request_limits: RequestLimits = attrs.field(factory=RequestLimits)
+    notices: EndpointNotices = attrs.field(factory=EndpointNotices)
     endpoints_known: bool = False
     unreachable_since: float | None = None
     directory_seen_at: float = 0.0
@@ -47,6 +49,7 @@
             self.load_tracker,
             self.failure_scores,
             self.request_limits,
+            self.notices,
             data_centre=self.data_centre,
         )
 
@@ -64,6 +67,7 @@
             *parts.local_changes(now),
             parts.whole_answers,
             tracker.excused_changes(),
+            self.notices.local_changes(),
         )
 
     def findings(self, address, now):
@@ -75,12 +79,14 @@
             *parts.local_state(now),
             parts.whole_answers,
             tracker.excused_state(),
+            self.notices.local_state(),
         )
 
     def mark_changes_sent(self):
         """Record that the latest changes of attempts and findings were sent."""
         self.load_tracker.changes.mark_sent()
         self.request_limits.changes.mark_sent()
+        self.notices.changes.mark_sent()
         self.crash_tracker.mark_sent()
 
     def versions(self):
@@ -151,8 +157,14 @@
 
     def is_leaving(self, endpoint):
         """Return whether an endpoint has said that it will end."""
-        known = self.fleet.endpoints.get(endpoint.name, endpoint)
-        return known.lifetime == endpoint.lifetime and known.leaving
+        known = self.fleet.endpoints.get(endpoint.name)
+        listed = known is not None and known.lifetime == endpoint.lifetime and known.leaving
+        return listed or endpoint.lifetime in self.notices.leaving
+
+    def accepts(self, endpoint, now):
+        """Return whether a call that was placed at an endpoint may still be sent to it."""
+        usable = self.fleet.is_usable(endpoint.lifetime)
+        return usable and self.notices.accepts(endpoint.lifetime, now)
 
     def apply_reachability(self, update, now):
         """Record whether the directory answers; an outage that ends starts the grace period."""
@@ -182,4 +194,5 @@
             self.handle_ended_lifetimes(before, now)
         self.load_tracker.expire(now)
         self.crash_tracker.expire(now)
+        self.notices.expire(now)
         self.request_limits.expire(self.fleet.lifetimes(), now)
--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -6,6 +6,7 @@
 
 from persimmonstall.direct.events import EventReader
 from persimmonstall.direct.messages import ResponseKind
+from persimmonstall.direct.notices import NOTHING, Notice
 from persimmonstall.direct.retrying import AttemptOutcome, is_last_run
 from persimmonstall.failures import Failure, Reason
 
@@ -34,7 +35,8 @@
 
     `blamed_address` is the address of a helper endpoint that made the attempt fail, empty for
     none.  `batches_relayed` is how often events of the answer were relayed.  `followed_by` is the
-    `PlacedAttempt` for which a silent endpoint was left, None for none.
+    `PlacedAttempt` for which a silent endpoint was left, None for none.  `notice` is what the
+    endpoint said about later calls.
     """
 
     ending: AttemptOutcome
@@ -44,6 +46,7 @@
     blamed_address: str = ""
     batches_relayed: int = 0
     followed_by: object = None
+    notice: Notice = NOTHING
 
 
 class Attempt:
@@ -70,6 +73,9 @@
 
         The connection is closed before this returns, which ends the call at the endpoint too.
         """
+        unwanted = self.unwanted_result()
+        if unwanted is not None:
+            return unwanted
         started_at = self.entry.now()
         self.watch.restart()
         try:
@@ -82,9 +88,32 @@
             if self.answer is not None:
                 self.answer.close()
         return attrs.evolve(
-            result, batches_relayed=self.batches_relayed, followed_by=self.watch.followed_by
+            result,
+            batches_relayed=self.batches_relayed,
+            followed_by=self.watch.followed_by,
+            notice=NOTHING if self.answer is None else self.answer.head.notice,
         )
 
+    def unwanted_result(self):
+        """Return the result of an attempt that one of its endpoints no longer accepts, or None.
+
+        It may have said so while the attempt waited for a permit or for memory.
+        """
+        state, now = self.entry.state, self.entry.now()
+        request = self.placed.request
+        for endpoint in (request.endpoint, *(helper.endpoint for helper in request.helpers)):
+            if state.accepts(endpoint, now):
+                continue
+            pause = state.notices.seconds_paused(endpoint.lifetime, now)
+            failure = Failure(Reason.BUSY, STEP, endpoint.name, "it accepts no new calls")
+            return AttemptResult(
+                AttemptOutcome.NOT_RUN,
+                failure,
+                blamed_address=endpoint.address,
+                notice=Notice(leaving=not pause, pause=pause or None),
+            )
+        return None
+
     async def send_and_relay(self, started_at):
         """Send the call and relay its answer; raise TimeoutError if the endpoint is too slow."""
         self.history.attempt_sent()
@@ -160,6 +189,7 @@
         """Check the head of the answer and relay the body."""
         head = self.answer.head
         self.entry.limits.record_answer(self.endpoint, head, started_at)
+        self.entry.notices.record_answer(self.endpoint, head)
         if head.kind is ResponseKind.NOT_RUN:
             refused = self.failed_result(
                 AttemptOutcome.NOT_RUN, Reason.BUSY, f"status {head.status}"
--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -194,7 +194,7 @@
             state.drop_endpoint(endpoint.name, now)
         elif result.followed_by is not None:
             state.failure_scores.record_failure(endpoint.name, now, SILENT_ENDPOINT_WEIGHT)
-        else:
+        elif not result.notice:
             state.failure_scores.record_failure(endpoint.name, now)
         self.entry.crash_reporter.record_lost(routed, endpoint, result)
 
--- a/packages/daemon/persimmonstall_daemon/direct/chooser.py
+++ b/packages/daemon/persimmonstall_daemon/direct/chooser.py
@@ -26,13 +26,13 @@
     async def choose(self, routed, name, history):
         """Return the `PlacedAttempt` of the attempt `name`, or a `Failure`."""
         avoid = history.tried_endpoints
-        limited = self.placer.limited_endpoints(routed, avoid)
+        limited = self.placer.limited_endpoints(routed, avoid, self.entry.now())
         if not limited:
             return self.place(routed, name, history)
         probe = self.probe(routed, limited)
         if probe is not None:
             return self.place(routed, name, history, only=probe.name)
-        if self.placer.has_free_endpoint(routed, avoid):
+        if self.placer.has_free_endpoint(routed, avoid, self.entry.now()):
             return self.place(routed, name, history)
         return await self.choose_limited(routed, name, history)
 
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -23,6 +23,7 @@
 from .endpoint_client import EndpointClient
 from .limits import LimitReporter
 from .loads import LoadReporter
+from .notices import NoticeReporter
 from .ownership import Ownership
 from .peers import Peers
 from .permits import PermitExchange
@@ -93,6 +94,7 @@
         self.trials = TrialExchange(self, self.peers)
         self.loads = LoadReporter(self, self.peers.schedule_beacon)
         self.limits = LimitReporter(self, self.peers.schedule_beacon)
+        self.notices = NoticeReporter(self, self.peers.schedule_beacon)
         self.chooser = EndpointChooser(self)
         self.crash_reporter = CrashReporter(self)
         self.crash_records = CrashRecords(self)
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -274,6 +274,7 @@
             logs.log_failure(self.log, "findings_unreadable", found)
             return
         self.entry.limits.merge_remote(found.limits, found.address)
+        self.entry.notices.merge_remote(found.leaving, found.address)
         self.entry.crash_reporter.merge_remote(found)
 
     def on_beacon(self, data):
--- a/packages/daemon/persimmonstall_daemon/direct/reservations.py
+++ b/packages/daemon/persimmonstall_daemon/direct/reservations.py
@@ -7,11 +7,13 @@
 import asyncio
 
 from persimmonstall.direct.retrying import AttemptOutcome
-from persimmonstall.failures import Failure
+from persimmonstall.failures import Failure, Reason
 
 from ..observe import logs
 from .attempt import AttemptResult
 
+STEP = "reserve"
+
 HOLD_FRACTION = 0.85
 """Duration of a reservation, as a fraction of the time that memory may stay unused."""
 
@@ -55,26 +57,40 @@
                 renewal.cancel()
             self.release_all(placed)
 
-    async def reserve_all(self, placed):
+    async def reserve_all(self, placed, renewal=False):
         """Make or renew all reservations of an attempt; return the first `Failure`, or None."""
         results = await asyncio.gather(
-            *(self.reserve(helper, tokens) for helper, tokens in placed.tickets)
+            *(self.reserve(helper, tokens, renewal) for helper, tokens in placed.tickets)
         )
         failures = [result for result in results if isinstance(result, Failure)]
         return failures[0] if failures else None
 
-    async def reserve(self, helper, tokens):
-        """Make or renew one reservation."""
+    async def reserve(self, helper, tokens, renewal):
+        """Make or renew one reservation, if the helper accepts orders."""
+        refusal = self.refusal(helper.endpoint, renewal)
+        if refusal is not None:
+            return refusal
         self.entry.metrics.count("direct_orders", tag="reserve")
         return await self.entry.memory_reservations.reserve(
             helper.endpoint, helper.ticket, tokens, self.hold, RESERVE_SECONDS
         )
 
+    def refusal(self, endpoint, known):
+        """Return the failure of an order to an endpoint that wants none, or None.
+
+        An endpoint that leaves still takes orders about reservations that it has `known`.
+        """
+        state, now = self.entry.state, self.entry.now()
+        paused = state.notices.seconds_paused(endpoint.lifetime, now)
+        if not paused and (known or state.accepts(endpoint, now)):
+            return None
+        return Failure(Reason.BUSY, STEP, endpoint.name, "it accepts no orders")
+
     async def renew_periodically(self, placed):
         """Renew the reservations until cancelled."""
         while True:
             await asyncio.sleep(RENEW_FRACTION * self.hold)
-            failure = await self.reserve_all(placed)
+            failure = await self.reserve_all(placed, renewal=True)
             if failure is not None:
                 logs.log_failure(self.log, "renewal_failed", failure)
 
@@ -88,6 +104,9 @@
     async def release(self, helper):
         """Release one reservation; if that fails, it expires by itself."""
         for _ in range(RELEASE_TRIES):
+            result = self.refusal(helper.endpoint, known=True)
+            if result is not None:
+                break
             self.entry.metrics.count("direct_orders", tag="release")
             result = await self.entry.memory_reservations.release(
                 helper.endpoint, helper.ticket, RELEASE_SECONDS
--- a/packages/daemon/tests/direct_fleet.py
+++ b/packages/daemon/tests/direct_fleet.py
@@ -18,6 +18,7 @@
 from persimmonstall_daemon.direct.crash_reports import CrashReporter
 from persimmonstall_daemon.direct.limits import LimitReporter
 from persimmonstall_daemon.direct.loads import LoadReporter
+from persimmonstall_daemon.direct.notices import NoticeReporter
 from persimmonstall_daemon.direct.ownership import Ownership
 from persimmonstall_daemon.direct.peers import Peers
 from persimmonstall_daemon.direct.permits import PermitExchange
@@ -52,6 +53,7 @@
     entry.trials = TrialExchange(entry, entry.peers)
     entry.loads = LoadReporter(entry, entry.peers.schedule_beacon)
     entry.limits = LimitReporter(entry, entry.peers.schedule_beacon)
+    entry.notices = NoticeReporter(entry, entry.peers.schedule_beacon)
     entry.chooser = EndpointChooser(entry)
     entry.crash_reporter = CrashReporter(entry)
     entry.crash_records = CrashRecords(entry)
--- a/packages/daemon/tests/test_direct_attempt.py
+++ b/packages/daemon/tests/test_direct_attempt.py
@@ -25,7 +25,7 @@
 
 def make_attempt(client, now):
     route = Route("r", "h", "/", (), Repeat.ALLOWED, streaming=True, objective=0.3, attempts=2)
-    state = SimpleNamespace(failure_scores=FailureScores())
+    state = SimpleNamespace(failure_scores=FailureScores(), accepts=lambda endpoint, now: True)
     endpoint = SimpleNamespace(name="e", address="")
     return Attempt(
         SimpleNamespace(client=client, now=now, state=state),
