--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,8 @@
 PACKAGES := core daemon cli standins
 STAMP := $(VENV)/.installed-$(shell cat requirements*.txt constraints.txt packages/*/pyproject.toml | cksum | cut -d' ' -f1)
 WORKERS ?= 4
+# Tests of the platform mostly wait.
+PLATFORM_WORKERS ?= 6
 SOAK_WORKERS ?= 3
 
 empty :=
@@ -12,14 +14,15 @@
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)) $(CURDIR)/platform)
 export PATH := $(abspath $(VENV))/bin:$(PATH)
 
-.PHONY: setup demo up down test format lint check-proto check-reference reference check-model doctest pytest soak measure bench capacity proto
+.PHONY: setup demo up down test quick-checks types format lint check-proto check-reference reference check-model doctest pytest soak measure bench capacity proto
 
 setup: $(STAMP)
 
 $(STAMP):
 	test -x $(PYTHON) || $(SYSTEM_PYTHON) -m venv $(VENV)
-	$(PYTHON) -m pip install -q -c constraints.txt -r requirements-dev.txt
-	$(PYTHON) -m pip install -q --no-deps $(foreach p,$(PACKAGES),-e packages/$(p))
+	$(PYTHON) -m pip install -q -c constraints.txt --upgrade pip
+	$(PYTHON) -m pip install -q --no-compile -c constraints.txt -r requirements-dev.txt
+	$(PYTHON) -m pip install -q --no-compile --no-deps $(foreach p,$(PACKAGES),-e packages/$(p))
 	touch $@
 
 demo: setup
@@ -31,7 +34,16 @@
 down: setup
 	$(PYTHON) tools/demo.py down
 
-test: lint check-proto check-reference doctest pytest check-model
+# The quick checks need one processor, and run beside the tests.
+test: setup
+	$(MAKE) --output-sync=target --jobs=2 pytest quick-checks
+
+quick-checks: lint check-proto check-reference doctest
+	$(MAKE) check-model
+
+types: setup
+	$(PYTHON) -m pip install -q -c constraints.txt -r requirements-types.txt
+	$(PYTHON) -m basedpyright packages platform
 
 format: setup
 	$(PYTHON) -m ruff format packages platform tools
@@ -59,7 +71,7 @@
 
 pytest: setup
 	$(PYTHON) tools/run_tests.py -n $(WORKERS) --dist loadfile -m "not soak" packages
-	$(PYTHON) tools/run_tests.py -n $(WORKERS) --dist loadfile -m "not soak" -c platform/pytest.ini platform
+	$(PYTHON) tools/run_tests.py -n $(PLATFORM_WORKERS) --dist loadfile -m "not soak" -c platform/pytest.ini platform
 
 check-model: setup
 	$(PYTHON) tools/check_model.py
