Fewer late calls after restarts, and endpoints that could not be reached in time are tried again

The complete state now says whether its entry knows of enough, and an entry keeps that.

A call that may have run, and finds no other endpoint, now goes to such an endpoint again. The new test fails without the change.

--- a/packages/core/persimmonstall/direct/crashing_parts.py
+++ b/packages/core/persimmonstall/direct/crashing_parts.py
@@ -74,7 +74,8 @@
 
     `changes` has the keys (part, lifetime, content) of crashes and `cleared` the parts that are
     found sound although an entry suspects them.  `whole_answers` is the number of complete answers
-    of this entry to prompts with parts, `remote_whole_answers` that of the others by address.
+    of this entry to calls with parts, `remote_whole_answers` that of the others by address.
+    `enough_answers` says that some entry knew of enough of them, which outlives its restart.
     `cached_culprits` is None after a change of the suspects.
     """
 
@@ -84,6 +85,7 @@
     cleared: ChangeLog = attrs.field(factory=ChangeLog)
     whole_answers: int = 0
     remote_whole_answers: dict = attrs.field(factory=dict)
+    enough_answers: bool = False
     cached_culprits: set | None = None
 
     def record_whole(self, parts, now):
@@ -126,7 +128,14 @@
             suspect.last_trial = now
             self.cached_culprits = None
 
-    def merge_remote(self, crashes, sound, entry, whole_answers, now):
+    def knows_enough_answers(self):
+        """Return whether there were so many complete answers that parts of prompts are blocked."""
+        if not self.enough_answers:
+            total = self.whole_answers + sum(self.remote_whole_answers.values())
+            self.enough_answers = total >= MIN_WHOLE_ANSWERS
+        return self.enough_answers
+
+    def merge_remote(self, crashes, sound, entry, whole_answers, now, enough_answers=False):
         """Merge the crashes and the sound parts that the entry at the address `entry` reports.
 
         A part that this entry knows to be sound is reported back as such.  The count of an entry
@@ -134,6 +143,7 @@
         """
         known = self.remote_whole_answers.get(entry, 0)
         self.remote_whole_answers[entry] = max(known, whole_answers)
+        self.enough_answers |= enough_answers
         for part in sound:
             self.mark_sound(part, now)
         for crash in crashes:
@@ -151,8 +161,7 @@
             return True
         if part not in self.culprits():
             return False
-        whole_answers = self.whole_answers + sum(self.remote_whole_answers.values())
-        return is_body(part) or whole_answers >= MIN_WHOLE_ANSWERS
+        return is_body(part) or self.knows_enough_answers()
 
     def culprits(self):
         """Return the suspects that stand out by crashes which no stronger suspect explains."""
--- a/packages/core/persimmonstall/direct/findings.py
+++ b/packages/core/persimmonstall/direct/findings.py
@@ -21,8 +21,9 @@
     `sound_parts` the suspected parts of prompts of which an answer was complete.
     `whole_answers` is the number of complete answers to prompts with parts.  `excused` are the
     crashes of contents, as (content, lifetimes) pairs, that complete answers excused; `leaving`
-    are the lifetimes of endpoints that said they leave.  Merging the same findings again changes
-    nothing, so datagrams may be lost or repeated.
+    are the lifetimes of endpoints that said they leave.  `enough_answers` says that the entry
+    knows of enough complete answers, its own and others', to block parts of prompts.  Merging the
+    same findings again changes nothing, so datagrams may be lost or repeated.
     """
 
     address: str
@@ -32,10 +33,11 @@
     whole_answers: int = 0
     excused: tuple = ()
     leaving: tuple = ()
+    enough_answers: bool = False
 
     def __bool__(self):
-        told = (self.limits, self.crashes, self.sound_parts, self.excused, self.leaving)
-        return any(told)
+        reports = (self.limits, self.crashes, self.sound_parts, self.excused, self.leaving)
+        return any(reports) or self.enough_answers
 
 
 def encode(findings):
@@ -43,7 +45,7 @@
 
     >>> limit, crash = LimitReport("e", 1, 2.5, 0.1), PartCrash("5a", "c1", "e", 1, 0.2)
     >>> excused = ("c2", (("e", 1),))
-    >>> sent = Findings("a:1", (limit,), (crash,), ("5b",), 7, (excused,), (("f", 2),))
+    >>> sent = Findings("a:1", (limit,), (crash,), ("5b",), 7, (excused,), (("f", 2),), True)
     >>> decode(datagrams.decode(encode(sent)).fields) == sent
     True
     """
@@ -57,6 +59,7 @@
         findings.whole_answers,
         findings.excused,
         findings.leaving,
+        findings.enough_answers,
     )
     return datagrams.encode(Kind.FINDINGS, fields)
 
@@ -79,6 +82,7 @@
             int(whole_answers),
             tuple(map(read_excused, fields[5] if len(fields) > 5 else ())),
             read_lifetimes(fields[6] if len(fields) > 6 else ()),
+            len(fields) > 7 and bool(fields[7]),
         )
     except (TypeError, ValueError) as error:
         return Failure(Reason.BAD_REQUEST, STEP, detail=repr(error))
--- a/packages/core/persimmonstall/direct/retrying.py
+++ b/packages/core/persimmonstall/direct/retrying.py
@@ -46,6 +46,7 @@
     whether there is an attempt whose outcome is not known yet.  `last_event` is the id of the last
     event sent to the caller; `first_event_at` and `last_event_at` are the times of its first and
     last events, None before the first; `longest_gap` is the longest time between two events.
+    `unreached_endpoints` are tried ones that did not get the call, since connecting took too long.
     `trial` says that the call is sent, though its content is blocked, to see whether it crashes.
     """
 
@@ -57,6 +58,7 @@
     last_event_at: float | None = None
     longest_gap: float = 0.0
     tried_endpoints: set = attrs.field(factory=set)
+    unreached_endpoints: set = attrs.field(factory=set)
     trial: bool = False
 
     @property
@@ -81,9 +83,19 @@
         if ending not in (AttemptOutcome.NOT_RUN, AttemptOutcome.WRONG_ENDPOINT):
             self.runs += 1
 
+    def try_unreached_again(self):
+        """Let endpoints that did not get the call be tried again; return whether there are any."""
+        unreached, self.unreached_endpoints = self.unreached_endpoints, set()
+        self.tried_endpoints -= unreached
+        return bool(unreached)
+
     def after(self, endpoint_name, ending):
         """Return a copy in which the attempt in progress has ended."""
-        later = attrs.evolve(self, tried_endpoints=set(self.tried_endpoints))
+        later = attrs.evolve(
+            self,
+            tried_endpoints=set(self.tried_endpoints),
+            unreached_endpoints=set(self.unreached_endpoints),
+        )
         later.attempt_ended(endpoint_name, ending)
         return later
 
--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -80,6 +80,7 @@
             parts.whole_answers,
             tracker.excused_state(),
             self.notices.local_state(),
+            parts.knows_enough_answers(),
         )
 
     def mark_changes_sent(self):
--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -14,6 +14,7 @@
 
 from ..observe import logs
 from .attempt import Attempt, AttemptResult
+from .endpoint_client import connect_timed_out
 from .time_limits import REPLY_MARGIN_SECONDS
 
 STEP = "exchange"
@@ -146,7 +147,7 @@
         """Run one attempt, which is `placed` already or whose endpoints are chosen now."""
         entry = self.entry
         if placed is None:
-            placed = await entry.chooser.choose(routed, entry.new_attempt_name(), history)
+            placed = await self.choose(routed, history)
         if isinstance(placed, Failure):
             return AttemptResult(AttemptOutcome.OVERDUE, placed)
         if self.is_quarantined(routed, history):
@@ -161,11 +162,26 @@
             entry.loads.end(placed.attempt.name)
         endpoint = self.responsible_endpoint(placed, result)
         history.attempt_ended(endpoint.name, result.ending)
+        if result.failure is not None and connect_timed_out(result.failure):
+            history.unreached_endpoints.add(endpoint.name)
         self.record_result(routed, endpoint, result)
         if may_retry(routed, history, result.ending):
             await entry.crash_reporter.wait_for_check(endpoint)
         return result
 
+    async def choose(self, routed, history):
+        """Return the `PlacedAttempt` of the next attempt, or a `Failure`.
+
+        A call that may have run, so that it can't be refused, may go to an endpoint that could not
+        be reached in time before.
+        """
+        chooser, name = self.entry.chooser, self.entry.new_attempt_name()
+        placed = await chooser.choose(routed, name, history)
+        lost = isinstance(placed, Failure) and history.may_have_run
+        if lost and history.try_unreached_again():
+            placed = await chooser.choose(routed, name, history)
+        return placed
+
     def responsible_endpoint(self, placed, result):
         """Return the endpoint that determined the result: the one that was called, or a helper."""
         for helper in placed.request.helpers:
--- a/packages/daemon/persimmonstall_daemon/direct/crash_reports.py
+++ b/packages/daemon/persimmonstall_daemon/direct/crash_reports.py
@@ -156,7 +156,12 @@
         parts = self.crash_tracker.parts
         before = set(parts.blocked())
         parts.merge_remote(
-            found.crashes, found.sound_parts, found.address, found.whole_answers, self.entry.now()
+            found.crashes,
+            found.sound_parts,
+            found.address,
+            found.whole_answers,
+            self.entry.now(),
+            found.enough_answers,
         )
         self.log_blocked(before, found.address)
 
--- a/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -46,6 +46,7 @@
 """Headers that aiohttp would otherwise add to a call."""
 
 NOT_CONNECTED = "not connected"
+NOT_CONNECTED_IN_TIME = f"{NOT_CONNECTED} in time"
 
 CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 """Characters that aiohttp accepts in a header it reads, but refuses to send."""
@@ -236,7 +237,9 @@
             response = await self.request(
                 call.method, url, headers=headers, data=call.body or None, allow_redirects=False
             )
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        except aiohttp.ConnectionTimeoutError as error:
+            return Failure(Reason.ENDPOINT_LOST, STEP, peer, f"{NOT_CONNECTED_IN_TIME}: {error!r}")
+        except aiohttp.ClientConnectorError as error:
             return Failure(Reason.ENDPOINT_LOST, STEP, peer, f"{NOT_CONNECTED}: {error!r}")
         except AnswerRejected as error:
             return Failure(Reason.ENDPOINT_ERROR, STEP, peer, str(error))
@@ -289,3 +292,8 @@
 def never_connected(failure):
     """Return whether a failed attempt certainly did not reach its endpoint."""
     return failure.detail.startswith(NOT_CONNECTED)
+
+
+def connect_timed_out(failure):
+    """Return whether an endpoint did not answer to the opening of a connection in time."""
+    return failure.detail.startswith(NOT_CONNECTED_IN_TIME)
--- a/packages/daemon/tests/test_direct_crashes.py
+++ b/packages/daemon/tests/test_direct_crashes.py
@@ -181,8 +181,15 @@
     assert played.refused <= 0.1 * played.sound
 
 
+@pytest.mark.parametrize("seed", [63])
+def test_part_stays_blocked_although_both_entries_restart_before_they_had_many_answers(seed):
+    played = play(2, seed, loss=0.1, disturbed=True)
+    assert played.late_arrivals() <= ALLOWED_ARRIVALS
+    assert played.refused <= 0.1 * played.sound
+
+
 @pytest.mark.soak
-@pytest.mark.parametrize("seed", range(60))
+@pytest.mark.parametrize("seed", range(70))
 @pytest.mark.parametrize("count", [2, 8, 34])
 def test_part_is_blocked_over_many_seeds(count, seed):
     played = play(count, seed, loss=0.1, disturbed=True)
