Own interface: a crash that new content may have caused does not alone quarantine a suspect

A sound suspect beside new content that crashes engines was refused for 24 h, without another trial.

Older daemons ignore the new field.

--- a/packages/core/persimmonstall/messages/control.py
+++ b/packages/core/persimmonstall/messages/control.py
@@ -136,6 +136,7 @@
     `expires` is in Unix seconds.  `revision` increases whenever the content is cleared of
     suspicion; `cleared` counts the crashes that were discarded for that reason.  Operators' lifts
     of the quarantine are numbered; `lift` is the latest when the verdict was recorded, 0 if none.
+    `doubtful` are crashes that other content may have caused, which had no output yet either.
     """
 
     fingerprint: str
@@ -144,6 +145,7 @@
     revision: int = 0
     cleared: int = 0
     lift: int = 0
+    doubtful: tuple[Crash, ...] = ()
 
 
 @attrs.frozen
