--- a/Makefile
+++ b/Makefile
@@ -70,7 +70,7 @@
 	$(PYTHON) -m pytest --doctest-modules -c platform/pytest.ini platform/persimmonstall_platform
 
 pytest: setup
-	$(PYTHON) tools/run_tests.py -n $(WORKERS) --dist loadfile -m "not soak" packages
+	$(PYTHON) tools/run_tests.py -n $(WORKERS) --dist worksteal -m "not soak" packages
 	$(PYTHON) tools/run_tests.py -n $(PLATFORM_WORKERS) --dist loadfile -m "not soak" -c platform/pytest.ini platform
 
 check-model: setup
