Bounds of excused crashes; answers to bodies do not count for parts of prompts

Read while reviewing the change: excused lifetimes of one content were sent in a datagram of any size (now at most 17 are kept), and complete answers to plain calls with a body counted towards the ten after which parts of prompts are blocked, which only answers to prompts can tell.

--- a/packages/core/persimmonstall/direct/content_crashes.py
+++ b/packages/core/persimmonstall/direct/content_crashes.py
@@ -18,6 +18,10 @@
 """Time after its last crash for which a content is refused."""
 
 
+MAX_EXCUSED = 16
+"""Number of excused lifetimes above which they are forgotten."""
+
+
 @attrs.define
 class ContentCrashes:
     """The crashes of one content; the last one that is known was at the time `last_crash`.
@@ -45,6 +49,9 @@
 
     def excuse(self, lifetimes):
         """Excuse lifetimes, which may be reported as ended only later."""
+        if len(self.excused) > MAX_EXCUSED:
+            self.lifetimes -= self.excused
+            self.excused = frozenset()
         self.excused |= frozenset(lifetimes)
         self.trials = 0
 
--- a/packages/core/persimmonstall/direct/crashing_parts.py
+++ b/packages/core/persimmonstall/direct/crashing_parts.py
@@ -74,7 +74,7 @@
 
     `changes` has the keys (part, lifetime, content) of crashes and `cleared` the parts that are
     found sound although an entry suspects them.  `whole_answers` is the number of complete answers
-    of this entry to calls with parts, `remote_whole_answers` that of the others by address.
+    of this entry to prompts with parts, `remote_whole_answers` that of the others by address.
     `enough_answers` says that some entry knew of enough of them, which outlives its restart.
     `cached_culprits` is None after a change of the suspects.
     """
@@ -90,7 +90,7 @@
 
     def record_whole(self, parts, now):
         """Record a complete answer: its parts crash nothing."""
-        self.whole_answers += bool(parts)
+        self.whole_answers += not all(map(is_body, parts))
         for part in parts:
             if self.mark_sound(part, now):
                 self.cleared.record(part)
--- a/packages/daemon/tests/test_direct_crash_contents.py
+++ b/packages/daemon/tests/test_direct_crash_contents.py
@@ -7,7 +7,12 @@
 import attrs
 import pytest
 
-from persimmonstall.direct.content_crashes import BLOCK_CRASHES, BLOCK_SECONDS, TRIAL_SECONDS
+from persimmonstall.direct.content_crashes import (
+    BLOCK_CRASHES,
+    BLOCK_SECONDS,
+    MAX_EXCUSED,
+    TRIAL_SECONDS,
+)
 from persimmonstall.direct.crash_record import CrashRecord, RecordKind
 from persimmonstall.direct.crash_tracker import (
     MAX_CONTENTS_SENT,
@@ -297,6 +302,15 @@
     assert other.is_blocked("beside", 4.0)
 
 
+def test_excused_crashes_of_a_content_are_bounded():
+    tracker = CrashTracker()
+    for number in range(5 * MAX_EXCUSED):
+        tracker.add_crashes("often", ((f"e{number}", 1),), float(number))
+        tracker.record_whole("often", float(number))
+    ((_, excused),) = tracker.excused_state()
+    assert len(excused) <= MAX_EXCUSED + 1
+
+
 def test_content_beside_another_one_is_not_blocked_for_its_crashes():
     tracker = CrashTracker()
     for number in range(3):
