--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/direct/beacon_builder.py
@@ -0,0 +1,89 @@
+"""Builds the datagrams in which an entry tells the others its state."""
+
+import attrs
+
+from persimmonstall.direct import beacon as beacons
+from persimmonstall.direct import findings
+from persimmonstall.direct.beacon import Beacon
+
+MAX_PEERS_NAMED = 16
+"""Maximum number of peers that a beacon names."""
+
+
+class BeaconBuilder:
+    """Builds an entry's beacons, which it numbers, and the findings that go with them."""
+
+    def __init__(self, entry, peers):
+        self.entry = entry
+        self.peers = peers
+        self.sequence = 0
+
+    def changes_datagrams(self):
+        """Return the datagrams that carry the latest changes."""
+        found = self.entry.state.findings_changes(self.peers.address, self.entry.now())
+        limit = self.peers.pacer.max_changes_bytes(len(self.peers.peers))
+        return self.encode(beacons.trim(self.make_changes_beacon(), limit), found)
+
+    def whole_datagrams(self):
+        """Return the datagrams that carry the complete state."""
+        found = self.entry.state.findings(self.peers.address, self.entry.now())
+        return self.encode(self.make_whole_beacon(), found, self.entry.state.load_tracker.ended)
+
+    def encode(self, beacon, found, ended=()):
+        """Return the datagrams of a beacon and of the findings that go with it, if there are any.
+
+        A large beacon is split; the attempts `ended` are then named as such.
+        """
+        encoded = []
+        for part in beacons.split(beacon, ended):
+            self.sequence += 1
+            encoded.append(beacons.encode(attrs.evolve(part, sequence=self.sequence)))
+        if found:
+            encoded.append(findings.encode(found))
+        return encoded
+
+    def empty_datagrams(self):
+        """Return the datagrams of a beacon without changes."""
+        beacon = attrs.evolve(self.make_changes_beacon(), attempts=(), ended=(), crashes=())
+        return self.encode(beacon, None)
+
+    def make_changes_beacon(self):
+        """Return a beacon with the latest changes of this entry's attempts."""
+        state, now = self.entry.state, self.entry.now()
+        attempts, ended = state.load_tracker.local_changes()
+        return Beacon(
+            self.peers.address,
+            self.peers.run_id,
+            self.sequence,
+            self.entry.leaving,
+            *state.versions(),
+            now - state.directory_seen_at,
+            attempts,
+            state.budget.local_state(now),
+            state.crash_tracker.local_changes(),
+            whole=False,
+            ended=ended,
+            link=self.peers.link,
+            endpoints_digest=state.fleet.digest,
+        )
+
+    def make_whole_beacon(self):
+        """Return a beacon with the complete state of this entry."""
+        state, now = self.entry.state, self.entry.now()
+        return attrs.evolve(
+            self.make_changes_beacon(),
+            attempts=state.load_tracker.local_attempts(),
+            crashes=state.crash_tracker.local_state(now),
+            peers=self.some_addresses(),
+            failure_scores=state.failure_scores.local_state(now),
+            slowdowns=state.load_tracker.slowdowns.local_state(now),
+            whole=True,
+            ended=(),
+        )
+
+    def some_addresses(self):
+        """Return addresses of active peers, different ones each time if there are many."""
+        addresses = [peer.address for peer in self.peers.active()]
+        if len(addresses) <= MAX_PEERS_NAMED:
+            return tuple(addresses)
+        return tuple(self.entry.clock.random.sample(addresses, MAX_PEERS_NAMED))
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -9,16 +9,14 @@
 
 import asyncio
 
-import attrs
-
 from persimmonstall.direct import beacon as beacons
 from persimmonstall.direct import datagrams, findings
-from persimmonstall.direct.beacon import Beacon
 from persimmonstall.direct.beacon_pacing import BeaconPacer, heartbeat_interval
 from persimmonstall.direct.datagrams import Kind
 from persimmonstall.failures import Failure
 
 from ..observe import logs
+from .beacon_builder import BeaconBuilder
 from .peer import DatagramReceiver, Peer
 from .snapshots import SnapshotExchange
 
@@ -42,9 +40,6 @@
 MIN_WAIT_SECONDS = 0.01
 """Wait up to which beacons are not held back, as timers are inexact."""
 
-MAX_PEERS_NAMED = 16
-"""Maximum number of peers that a beacon names."""
-
 REMOVAL_TIMEOUT_SECONDS = 15.0
 """Silence after which a peer is removed and no more beacons are sent to it."""
 
@@ -62,7 +57,7 @@
         self.log = logs.get("peers")
         self.address = entry.settings.daemon.address
         self.run_id = entry.clock.random.getrandbits(48)
-        self.sequence = 0
+        self.builder = BeaconBuilder(entry, self)
         self.peers = {}
         self.transport = None
         self.timer = None
@@ -137,7 +132,7 @@
         if self.pacer.wait(self.sent_at) > MIN_WAIT_SECONDS:
             self.send_empty_beacons()
             return
-        changes = self.changes_datagrams()
+        changes = self.builder.changes_datagrams()
         informed = self.send_whole_states()
         for peer in self.peers.values():
             if peer.address not in informed:
@@ -146,8 +141,7 @@
 
     def send_empty_beacons(self):
         """Send a beacon without changes to every peer; they follow when the link allows it."""
-        beacon = attrs.evolve(self.make_changes_beacon(), attempts=(), ended=(), crashes=())
-        empty = self.encode(beacon, None)
+        empty = self.builder.empty_datagrams()
         for peer in self.peers.values():
             self.send_all(peer, empty)
         self.schedule_in(0.0)
@@ -158,7 +152,7 @@
         due = [peer for peer in self.peers.values() if peer.whole_due <= now]
         if not due:
             return set()
-        whole = self.whole_datagrams()
+        whole = self.builder.whole_datagrams()
         size = sum(map(len, whole))
         due.sort(key=lambda peer: peer.whole_due)
         del due[self.pacer.max_whole_states(size) :]
@@ -168,30 +162,6 @@
             self.send_all(peer, whole)
         return {peer.address for peer in due}
 
-    def changes_datagrams(self):
-        """Return the datagrams that carry the latest changes."""
-        found = self.entry.state.findings_changes(self.address, self.entry.now())
-        limit = self.pacer.max_changes_bytes(len(self.peers))
-        return self.encode(beacons.trim(self.make_changes_beacon(), limit), found)
-
-    def whole_datagrams(self):
-        """Return the datagrams that carry the complete state."""
-        found = self.entry.state.findings(self.address, self.entry.now())
-        return self.encode(self.make_whole_beacon(), found, self.entry.state.load_tracker.ended)
-
-    def encode(self, beacon, found, ended=()):
-        """Return the datagrams of a beacon and of the findings that go with it, if there are any.
-
-        A large beacon is split; the attempts `ended` are then named as such.
-        """
-        encoded = []
-        for part in beacons.split(beacon, ended):
-            self.sequence += 1
-            encoded.append(beacons.encode(attrs.evolve(part, sequence=self.sequence)))
-        if found:
-            encoded.append(findings.encode(found))
-        return encoded
-
     def send_all(self, peer, batch):
         """Send several datagrams to a peer."""
         for data in batch:
@@ -209,47 +179,6 @@
         """Record that the changes up to now were sent."""
         self.entry.state.mark_changes_sent()
 
-    def make_changes_beacon(self):
-        """Return a beacon with the latest changes of this entry's attempts."""
-        state, now = self.entry.state, self.entry.now()
-        attempts, ended = state.load_tracker.local_changes()
-        return Beacon(
-            self.address,
-            self.run_id,
-            self.sequence,
-            self.entry.leaving,
-            *state.versions(),
-            now - state.directory_seen_at,
-            attempts,
-            state.budget.local_state(now),
-            state.crash_tracker.local_changes(),
-            whole=False,
-            ended=ended,
-            link=self.link,
-            endpoints_digest=state.fleet.digest,
-        )
-
-    def make_whole_beacon(self):
-        """Return a beacon with the complete state of this entry."""
-        state, now = self.entry.state, self.entry.now()
-        return attrs.evolve(
-            self.make_changes_beacon(),
-            attempts=state.load_tracker.local_attempts(),
-            crashes=state.crash_tracker.local_state(now),
-            peers=self.some_addresses(),
-            failure_scores=state.failure_scores.local_state(now),
-            slowdowns=state.load_tracker.slowdowns.local_state(now),
-            whole=True,
-            ended=(),
-        )
-
-    def some_addresses(self):
-        """Return addresses of active peers, different ones each time if there are many."""
-        addresses = [peer.address for peer in self.active()]
-        if len(addresses) <= MAX_PEERS_NAMED:
-            return tuple(addresses)
-        return tuple(self.entry.clock.random.sample(addresses, MAX_PEERS_NAMED))
-
     def on_datagram(self, data):
         """Process a datagram of another entry."""
         if datagrams.is_typed(data):
--- a/packages/daemon/tests/test_direct_limits.py
+++ b/packages/daemon/tests/test_direct_limits.py
@@ -185,9 +185,9 @@
     entry.limits.on_change = lambda urgent: None
     entry.limits.record_answer(LIMITED, Answer(1.5), 4.0)
     for expected in (2, 2, 1):
-        assert len(entry.peers.changes_datagrams()) == expected
+        assert len(entry.peers.builder.changes_datagrams()) == expected
         entry.peers.record_changes_sent()
-    assert len(entry.peers.whole_datagrams()) == 2
+    assert len(entry.peers.builder.whole_datagrams()) == 2
 
 
 def test_earlier_version_takes_findings_for_a_malformed_beacon():
--- a/packages/daemon/tests/test_direct_mesh.py
+++ b/packages/daemon/tests/test_direct_mesh.py
@@ -111,7 +111,7 @@
     receiver.peers.schedule_beacon = lambda urgent: None
 
     def deliver():
-        sent = sender.peers.whole_datagrams()
+        sent = sender.peers.builder.whole_datagrams()
         for data in sent:
             receiver.peers.on_datagram(data)
         return sent
--- a/packages/daemon/tests/test_direct_peers.py
+++ b/packages/daemon/tests/test_direct_peers.py
@@ -163,8 +163,9 @@
 
     def deliver(whole=False, lost=False):
         peers = sender.peers
-        peers.sequence += 1
-        beacon = peers.make_whole_beacon() if whole else peers.make_changes_beacon()
+        builder = peers.builder
+        builder.sequence += 1
+        beacon = builder.make_whole_beacon() if whole else builder.make_changes_beacon()
         peers.record_changes_sent()
         if not lost:
             receiver.peers.on_datagram(beacons.encode(beacon))
@@ -214,14 +215,16 @@
 
 
 def test_beacon_of_an_earlier_version_carries_the_complete_state(informed_entry):
-    fields = msgspec.msgpack.decode(beacons.encode(informed_entry.peers.make_whole_beacon()))
+    fields = msgspec.msgpack.decode(
+        beacons.encode(informed_entry.peers.builder.make_whole_beacon())
+    )
     beacon = beacons.decode(msgspec.msgpack.encode(fields[:13]))
     assert (beacon.whole, beacon.ended, beacon.link) == (True, (), math.inf)
 
 
 @pytest.mark.parametrize("link", [0, -1, math.nan, "fast", None])
 def test_beacon_with_an_invalid_bandwidth_does_not_stop_an_entry(informed_entry, link):
-    beacon = attrs.evolve(informed_entry.peers.make_whole_beacon(), link=link)
+    beacon = attrs.evolve(informed_entry.peers.builder.make_whole_beacon(), link=link)
     assert not beacons.decode(beacons.encode(beacon))
 
 
@@ -270,7 +273,7 @@
     restarted = make_entry(informed_entry.now)
     restarted.settings.daemon.address = restarted.peers.address = "10.0.0.2:7340"
     restarted.state = informed_state(9, *names)
-    beacon = beacons.encode(restarted.peers.make_whole_beacon())
+    beacon = beacons.encode(restarted.peers.builder.make_whole_beacon())
     informed_entry.peers.schedule_beacon = lambda urgent: None
     informed_entry.peers.on_datagram(beacon)
     assert (informed_entry.peers.snapshots.newer_peer() is not None) == fetches
