Tests: readable reports of failures that come while tracebacks of abandoned tasks are formatted

Cause: Python 3.11 formats tracebacks with ast.parse to mark positions. Where an abandoned future's exception is logged by the garbage collector within another ast.parse (pytest's reports and assertion rewriting), that ends with 'AST constructor recursion depth mismatch', and pytest with an internal error. Change: the Makefile switches the position marks off.

--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,9 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)) $(CURDIR)/platform)
 export PATH := $(abspath $(VENV))/bin:$(PATH)
+# Without it, tracebacks of abandoned tasks are formatted by ast.parse, also within another ast.parse
+# of pytest, which then ends with an internal error instead of its report.
+export PYTHONNODEBUGRANGES := 1
 
 .PHONY: setup demo up down test quick-checks types format lint check-proto check-reference reference check-model doctest pytest soak measure bench capacity proto
 
