--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,7 @@
 PACKAGES := core daemon cli standins
 STAMP := $(VENV)/.installed-$(shell cat requirements*.txt constraints.txt packages/*/pyproject.toml | cksum | cut -d' ' -f1)
 WORKERS ?= 4
-# Tests of the platform mostly wait.
-PLATFORM_WORKERS ?= 6
+PLATFORM_WORKERS ?= 4
 SOAK_WORKERS ?= 3
 
 empty :=
@@ -17,7 +16,7 @@
 # of pytest, which then ends with an internal error instead of its report.
 export PYTHONNODEBUGRANGES := 1
 
-.PHONY: setup demo up down test quick-checks types format lint check-proto check-reference reference check-model doctest pytest soak measure bench capacity proto
+.PHONY: setup demo up down test quick-checks types format lint check-proto check-reference reference check-model doctest pytest pytest-packages pytest-platform soak measure bench capacity proto
 
 setup: $(STAMP)
 
@@ -37,9 +36,9 @@
 down: setup
 	$(PYTHON) tools/demo.py down
 
-# The quick checks need one processor, and run beside the tests.
+# The quick checks need one processor, and the tests of the platform mostly wait: all run at once.
 test: setup
-	$(MAKE) --output-sync=target --jobs=2 pytest quick-checks
+	$(MAKE) --output-sync=target --jobs=3 pytest-packages pytest-platform quick-checks
 
 quick-checks: lint check-proto check-reference doctest
 	$(MAKE) check-model
@@ -72,8 +71,12 @@
 	$(PYTHON) -m pytest --doctest-modules --ignore-glob='*/tests/*' $(foreach p,$(PACKAGES),packages/$(p)/persimmonstall*)
 	$(PYTHON) -m pytest --doctest-modules -c platform/pytest.ini platform/persimmonstall_platform
 
-pytest: setup
-	$(PYTHON) tools/run_tests.py -n $(WORKERS) --dist worksteal -m "not soak" packages
+pytest: pytest-packages pytest-platform
+
+pytest-packages: setup
+	$(PYTHON) tools/run_tests.py -n $(WORKERS) --dist loadfile --no-loadscope-reorder -m "not soak" packages
+
+pytest-platform: setup
 	$(PYTHON) tools/run_tests.py -n $(PLATFORM_WORKERS) --dist loadfile -m "not soak" -c platform/pytest.ini platform
 
 check-model: setup
--- a/packages/conftest.py
+++ b/packages/conftest.py
@@ -1,20 +1,28 @@
-"""Sums the steps and faults that randomised tests report with `record_property`."""
+"""Order in which the tests of all packages run."""
 
-from collections import Counter
+SLOWEST_MODULES = (
+    "test_planned_stop",
+    "test_claims_processes",
+    "test_direct_crashes",
+    "test_memory_soak",
+    "test_leaving",
+    "test_claims_storm",
+    "test_direct_crash_contents",
+    "test_specification",
+    "test_direct_limits",
+    "test_direct_copies",
+    "test_catalogue_processes",
+    "test_whole_path",
+)
+"""Modules that take longest; they run first, so that no worker is left with one at the end."""
 
-COUNTED = ("steps", "faults")
 
+def pytest_collection_modifyitems(items):
+    """Put the tests of the slowest modules first."""
+    items.sort(key=rank)
 
-def pytest_terminal_summary(terminalreporter):
-    """Print the total steps and faults of all passed tests that report them."""
-    totals = Counter()
-    for report in terminalreporter.stats.get("passed", ()):
-        counts = dict(report.user_properties)
-        if report.when == "call" and "steps" in counts:
-            totals.update({name: counts.get(name, 0) for name in COUNTED})
-            totals["runs"] += 1
-    if totals["runs"]:
-        terminalreporter.write_line(
-            f"randomised runs without a violation: {totals['runs']}, "
-            f"{totals['steps']} steps, {totals['faults']} faults"
-        )
+
+def rank(item):
+    """Return the place of a test's module among the slowest ones, which is last for others."""
+    name = item.path.stem
+    return SLOWEST_MODULES.index(name) if name in SLOWEST_MODULES else len(SLOWEST_MODULES)
