--- a/packages/daemon/persimmonstall_daemon/bounded_http.py
+++ b/packages/daemon/persimmonstall_daemon/bounded_http.py
@@ -31,6 +31,24 @@
     """The bytes of a peer exceed a bound, or belong to no request."""
 
 
+class ConnectionBroken(aiohttp.ClientError):
+    """The connection broke after it was open: the request may have been carried out."""
+
+
+async def send_once(request, handler):
+    """Send a request at most once; a client middleware.
+
+    By itself, aiohttp sends requests with GET, HEAD, OPTIONS, TRACE, PUT or DELETE once more if
+    their connection breaks, and reports only how the second sending failed.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise ConnectionBroken(repr(error)) from error
+
+
 class BoundedResponseHandler(ResponseHandler):
     """A client connection that rejects answers whose head or framing does not end.
 
