HTTP requests are sent at most once, whatever their method

Cause: the client library sends requests of methods that it takes for idempotent once more by itself when their connection breaks, and reports only how the second sending failed. A crash passed for "not connected": it was not counted, the call went on beyond its attempts and was refused as not run.

Change: all sessions have a middleware that turns a broken connection into an error of the product's own, which the library does not repeat.

--- a/packages/daemon/persimmonstall_daemon/bounded_http.py
+++ b/packages/daemon/persimmonstall_daemon/bounded_http.py
@@ -163,10 +163,17 @@
         self._factory = functools.partial(BoundedResponseHandler, loop=self._loop)
 
 
-def open_session(**options):
-    """Return an HTTP client session with bounded answers; `options` are those of aiohttp."""
-    connector = BoundedConnector(limit=0)
-    return aiohttp.ClientSession(connector=connector, read_bufsize=READ_BUFFER_BYTES, **options)
+def open_session(connector=None, **options):
+    """Return an HTTP client session with bounded answers that sends each request at most once.
+
+    `options` are those of aiohttp.
+    """
+    return aiohttp.ClientSession(
+        connector=connector or BoundedConnector(limit=0),
+        middlewares=(send_once,),
+        read_bufsize=READ_BUFFER_BYTES,
+        **options,
+    )
 
 
 async def read_body(response, limit):
--- a/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -16,7 +16,7 @@
 from persimmonstall.direct.messages import ResponseHead
 from persimmonstall.failures import Failure, Reason
 
-from ..bounded_http import READ_BUFFER_BYTES, AnswerRejected, BoundedConnector
+from ..bounded_http import AnswerRejected, BoundedConnector, open_session
 from ..observe import logs
 
 LOG = logs.get("endpoint_client")
@@ -95,15 +95,14 @@
     connector = BoundedConnector(
         limit=0, socket_factory=keepalive_socket, happy_eyeballs_delay=None, **options
     )
-    return aiohttp.ClientSession(
-        connector=connector,
+    return open_session(
+        connector,
         request_class=request_class,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         skip_auto_headers=SKIPPED_AUTO_HEADERS,
         max_line_size=MAX_LINE_BYTES,
         max_field_size=MAX_LINE_BYTES,
-        read_bufsize=READ_BUFFER_BYTES,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
     )
 
