Crashes under calls that were abandoned count

Cause: a crash was recorded only if the endpoint broke the connection of a call. The entry closes it itself if the caller leaves or the attempt is given up; an endpoint that runs on and ends then left no evidence, and the content was sent on without end.

Change: an abandoned call is kept up to the call's deadline. The endpoint is checked after 0.3 s and then every 0.6 to 1.2 s, once for all its abandoned calls; if it is dead, though not leaving or removed, they count like lost ones.

Sound content whose callers leave while servers drain and end is not counted.

--- a/packages/core/persimmonstall/direct/crash_tracker.py
+++ b/packages/core/persimmonstall/direct/crash_tracker.py
@@ -18,6 +18,10 @@
 """Maximum time between a lost connection and the end of the endpoint's lifetime for the loss to
 count as a crash."""
 
+ABANDONED_MARGIN_SECONDS = 1.5
+"""Time after the last moment of an abandoned call within which its endpoint may be found dead;
+more than the pause between two checks."""
+
 MAX_CONTENTS = 2048
 """Maximum number of contents whose crashes are kept; the oldest are dropped first."""
 
@@ -31,12 +35,28 @@
 """Maximum numbers of blocked contents, and of other ones, in one beacon; the newest are sent."""
 
 
+@attrs.frozen
+class AbandonedCall:
+    """A call whose connection this entry closed; its endpoint may run it up to the time `until`.
+
+    `lost` is the call as it counts if the endpoint is found dead by then.
+    """
+
+    lost: LostCall
+    until: float
+
+    def may_run(self, now):
+        """Return whether the endpoint may have crashed under the call up to now."""
+        return now <= self.until + ABANDONED_MARGIN_SECONDS
+
+
 @attrs.define
 class CrashTracker:
     """Endpoint lifetimes that ended while they ran a content, by content fingerprint.
 
     A lost connection alone is weak evidence: it counts as a crash only once the endpoint no
-    longer accepts connections or its lifetime has ended.  `parts` counts by parts of prompts,
+    longer accepts connections or its lifetime has ended.  An abandoned call is weaker still: it
+    counts only if the endpoint is found dead.  `parts` counts by parts of prompts,
     `changes` are the contents whose crashes this entry has found, `answered` those whose crashes
     were excused by complete answers.  `sound` are those that had complete answers lately.
     `cached_culprits` is None after a change of the crashes.
@@ -44,6 +64,7 @@
 
     crashes: dict = attrs.field(factory=dict)
     lost_connections: dict = attrs.field(factory=dict)
+    abandoned_calls: dict = attrs.field(factory=dict)
     parts: CrashingParts = attrs.field(factory=CrashingParts)
     changes: ChangeLog = attrs.field(factory=ChangeLog)
     answered: ChangeLog = attrs.field(factory=ChangeLog)
@@ -59,6 +80,22 @@
         call = LostCall(content, parts, now, begun)
         self.lost_connections.setdefault(lifetime, {})[content] = call
 
+    def record_abandoned_call(self, content, lifetime, now, until, parts=(), begun=False):
+        """Record that this entry closed the connection of a call, which may run up to `until`."""
+        until = min(until, now + CONFIRM_SECONDS - ABANDONED_MARGIN_SECONDS)
+        call = AbandonedCall(LostCall(content, parts, now, begun), until)
+        self.abandoned_calls.setdefault(lifetime, {})[content] = call
+
+    def forget_abandoned_calls(self, lifetime):
+        """Drop the abandoned calls of an endpoint that has ended as planned."""
+        self.abandoned_calls.pop(lifetime, None)
+
+    def count_abandoned_calls(self, lifetime, now):
+        """Count the abandoned calls that a dead endpoint may have run as lost."""
+        for content, call in self.abandoned_calls.pop(lifetime, {}).items():
+            if call.may_run(now):
+                self.lost_connections.setdefault(lifetime, {}).setdefault(content, call.lost)
+
     def confirm_crash(self, lifetime, now):
         """Record that an endpoint lifetime has ended; return the contents that crashed it."""
         lost = self.lost_connections.pop(lifetime, {})
@@ -237,13 +274,19 @@
     def expire(self, now):
         """Drop lost connections too old to be confirmed as crashes, and old suspicions."""
         self.parts.expire(now)
-        for lifetime, lost in list(self.lost_connections.items()):
-            kept = {name: call for name, call in lost.items() if now - call.at <= CONFIRM_SECONDS}
-            if kept:
-                self.lost_connections[lifetime] = kept
-            else:
-                del self.lost_connections[lifetime]
+        keep_calls(self.lost_connections, lambda call: now - call.at <= CONFIRM_SECONDS)
+        keep_calls(self.abandoned_calls, lambda call: call.may_run(now))
         for content, known in list(self.crashes.items()):
             if math.isfinite(known.last_crash) and now - known.last_crash >= BLOCK_SECONDS:
                 del self.crashes[content]
                 self.cached_culprits = None
+
+
+def keep_calls(calls, condition):
+    """Drop from `calls`, by lifetime and content, those that do not meet a condition."""
+    for lifetime, by_content in list(calls.items()):
+        kept = {content: call for content, call in by_content.items() if condition(call)}
+        if kept:
+            calls[lifetime] = kept
+        else:
+            del calls[lifetime]
--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -145,6 +145,7 @@
         """Clean up after lifetimes that are in `before` but have ended since."""
         after = self.fleet.lifetimes()
         for lifetime in before - after:
+            self.crash_tracker.forget_abandoned_calls(lifetime)
             self.crash_tracker.confirm_crash(lifetime, now)
         if before != after:
             self.load_tracker.forget(self.fleet.endpoints)
--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -150,6 +150,12 @@
         entry.loads.begin(placed.attempt)
         try:
             result = await entry.reservations.run(routed, placed, attempt.run)
+        except asyncio.CancelledError:
+            if history.in_progress:
+                entry.crash_reporter.record_abandoned(
+                    routed, attempt.endpoint, attempt.batches_relayed
+                )
+            raise
         finally:
             entry.loads.end(placed.attempt.name)
         endpoint = self.responsible_endpoint(placed, result)
--- a/packages/daemon/persimmonstall_daemon/direct/crash_reports.py
+++ b/packages/daemon/persimmonstall_daemon/direct/crash_reports.py
@@ -14,6 +14,11 @@
 CRASH_CHECK_DELAY_SECONDS = 0.02
 """Delay before checking whether an endpoint that cut off a call still accepts connections."""
 
+ABANDONED_CHECK_SECONDS = 0.3
+ABANDONED_CHECK_MAX_SECONDS = 1.2
+"""First and longest pause before a check whether an endpoint survives its abandoned calls; each
+pause is twice as long as the one before."""
+
 MAX_CHECK_SECONDS = 0.3
 """Longest wait for such a check before a call is sent again."""
 
@@ -31,12 +36,14 @@
 class CrashReporter:
     """Records what crashes endpoints in the entry's `CrashTracker`, and tells the peers.
 
-    `checks` are the running checks for crashes, by endpoint lifetime.
+    `checks` are the running checks for crashes, by endpoint lifetime; `watches` are those of
+    endpoints that may still run abandoned calls.
     """
 
     def __init__(self, entry):
         self.entry = entry
         self.checks = {}
+        self.watches = {}
         self.log = logs.get("crashes")
 
     @property
@@ -94,6 +101,8 @@
 
         One that was leaving ends without a crash.
         """
+        if result.ending is AttemptOutcome.LATE:
+            self.record_abandoned(routed, endpoint, result.batches_relayed)
         if result.ending is not AttemptOutcome.BROKEN:
             return
         if result.batches_relayed > MAX_BATCHES_BEFORE_CRASH:
@@ -109,12 +118,49 @@
         )
         self.checks[endpoint.lifetime] = self.entry.spawn(self.check_for_crash(endpoint))
 
+    def record_abandoned(self, routed, endpoint, batches_relayed):
+        """Record a call whose connection this entry closed, and watch whether its endpoint dies.
+
+        Not every endpoint stops a call whose connection closes.
+        """
+        now, lifetime = self.entry.now(), endpoint.lifetime
+        if batches_relayed > MAX_BATCHES_BEFORE_CRASH or self.entry.state.is_leaving(endpoint):
+            return
+        self.crash_tracker.record_abandoned_call(
+            routed.content, lifetime, now, routed.deadline, routed.parts, batches_relayed > 0
+        )
+        if lifetime not in self.watches:
+            self.watches[lifetime] = self.entry.spawn(self.watch_abandoned(endpoint))
+
+    async def watch_abandoned(self, endpoint):
+        """Check from time to time whether an endpoint survives the abandoned calls it may run."""
+        delay = ABANDONED_CHECK_SECONDS
+        try:
+            while self.may_run_abandoned(endpoint):
+                await asyncio.sleep(delay)
+                delay = min(2 * delay, ABANDONED_CHECK_MAX_SECONDS)
+                if self.may_run_abandoned(endpoint) and not await accepts_connections(endpoint):
+                    self.record_dead(endpoint)
+        finally:
+            del self.watches[endpoint.lifetime]
+
+    def may_run_abandoned(self, endpoint):
+        """Return whether an endpoint may run abandoned calls, and is not about to end anyway."""
+        state, lifetime = self.entry.state, endpoint.lifetime
+        listed = lifetime in state.fleet.lifetimes() and not state.is_leaving(endpoint)
+        return listed and lifetime in self.crash_tracker.abandoned_calls
+
+    def record_dead(self, endpoint):
+        """Record that an endpoint is dead that may have run abandoned calls."""
+        self.crash_tracker.count_abandoned_calls(endpoint.lifetime, self.entry.now())
+        self.record_crash(endpoint)
+
     async def check_for_crash(self, endpoint):
         """Check whether an endpoint that cut off a call is dead; if so, record a crash."""
         try:
             await asyncio.sleep(CRASH_CHECK_DELAY_SECONDS)
             if not await accepts_connections(endpoint):
-                self.record_crash(endpoint)
+                self.record_dead(endpoint)
         finally:
             if self.checks.get(endpoint.lifetime) is asyncio.current_task():
                 del self.checks[endpoint.lifetime]
