Redirects are not followed and cookies not kept by the clients of stores, engines and services

A write, a submitted job or a call of a plain service arrived up to ten times. Cookies of a service were kept and sent with other organisations' calls.

Change: every request is made without redirects, and sessions keep no cookies.

--- a/packages/daemon/persimmonstall_daemon/adapters/engine.py
+++ b/packages/daemon/persimmonstall_daemon/adapters/engine.py
@@ -40,7 +40,7 @@
         """Open the connection and return the response, or None on failure."""
         limit = aiohttp.ClientTimeout(total=None)
         try:
-            return await self.session.get(self.url, timeout=limit)
+            return await self.session.get(self.url, timeout=limit, allow_redirects=False)
         except (aiohttp.ClientError, OSError):
             return None
 
--- a/packages/daemon/persimmonstall_daemon/adapters/http_client.py
+++ b/packages/daemon/persimmonstall_daemon/adapters/http_client.py
@@ -71,7 +71,11 @@
         limit = aiohttp.ClientTimeout(total=timeout)
         try:
             async with self.open_session().post(
-                f"{self.url}/{step}", data=body, params={"timeout": str(timeout)}, timeout=limit
+                f"{self.url}/{step}",
+                data=body,
+                params={"timeout": str(timeout)},
+                timeout=limit,
+                allow_redirects=False,
             ) as response:
                 return await read_body(response, MAX_ANSWER_BYTES)
         except aiohttp.ClientConnectorError:
--- a/packages/daemon/persimmonstall_daemon/adapters/service.py
+++ b/packages/daemon/persimmonstall_daemon/adapters/service.py
@@ -39,6 +39,7 @@
                 data=call.body,
                 headers=headers,
                 timeout=limit,
+                allow_redirects=False,
             ) as response:
                 body = await read_body(response, MAX_ANSWER_BYTES)
                 return self.read_answer(response, body)
--- a/packages/daemon/persimmonstall_daemon/bounded_http.py
+++ b/packages/daemon/persimmonstall_daemon/bounded_http.py
@@ -166,10 +166,12 @@
 def open_session(connector=None, **options):
     """Return an HTTP client session with bounded answers that sends each request at most once.
 
-    `options` are those of aiohttp.
+    It keeps no cookies.  Each request names `allow_redirects=False`, since aiohttp would
+    otherwise repeat it at another address.  `options` are those of aiohttp.
     """
     return aiohttp.ClientSession(
         connector=connector or BoundedConnector(limit=0),
+        cookie_jar=aiohttp.DummyCookieJar(),
         middlewares=(send_once,),
         read_bufsize=READ_BUFFER_BYTES,
         **options,
--- a/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -98,7 +98,6 @@
     return open_session(
         connector,
         request_class=request_class,
-        cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         skip_auto_headers=SKIPPED_AUTO_HEADERS,
         max_line_size=MAX_LINE_BYTES,
--- a/packages/daemon/persimmonstall_daemon/direct/snapshots.py
+++ b/packages/daemon/persimmonstall_daemon/direct/snapshots.py
@@ -89,7 +89,7 @@
         version, revision = self.entry.state.versions()
         known = {CONFIGURATION_QUERY: version, ENDPOINTS_QUERY: revision}
         try:
-            async with self.session.get(url, params=known) as response:
+            async with self.session.get(url, params=known, allow_redirects=False) as response:
                 data = await read_body(response, MAX_SNAPSHOT_BYTES)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             self.log.warning("snapshot_failed", peer=peer.address, reason=repr(error))
--- a/packages/daemon/tests/test_bounded_http.py
+++ b/packages/daemon/tests/test_bounded_http.py
@@ -13,6 +13,7 @@
 from persimmonstall_daemon.adapters.http_client import HttpClient
 from persimmonstall_daemon.adapters.service import HttpService
 from persimmonstall_daemon.bounded_http import AnswerRejected, LineReader, open_session, read_body
+from persimmonstall_standins.raw_server import RawServer
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -21,52 +22,6 @@
 """More than the buffers of a connection on loopback."""
 
 
-class RawServer:
-    """Answers each request with the byte strings of `answer()`, which may not end."""
-
-    def __init__(self, answer):
-        self.answer = answer
-        self.requests = 0
-        self.sent = 0
-        self.open = 0
-        self.closes = False
-        self.url = ""
-
-    async def __aenter__(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        host, port = self.server.sockets[0].getsockname()
-        self.url = f"http://{host}:{port}"
-        return self
-
-    async def __aexit__(self, *_):
-        self.server.close()
-
-    async def serve(self, reader, writer):
-        self.open += 1
-        try:
-            while True:
-                await reader.readuntil(b"\r\n\r\n")
-                self.requests += 1
-                for piece in self.answer():
-                    writer.write(piece)
-                    await writer.drain()
-                    self.sent += len(piece)
-                    await asyncio.sleep(0)
-                if self.closes:
-                    writer.close()
-                    await writer.wait_closed()
-        except (ConnectionError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            self.open -= 1
-            writer.transport.abort()
-
-    async def wait_closed(self):
-        async with asyncio.timeout(2):
-            while self.open:
-                await asyncio.sleep(0.01)
-
-
 def endless(start, piece):
     return lambda: itertools.chain([start], itertools.repeat(piece))
 
