gRPC calls are not sent again by the library

The daemons' links and the command line have retries of their own.

Change: channels are opened with the library's retries switched off.

Lost connections and refused streams were not repeated before either.

--- a/packages/cli/persimmonstall_cli/client.py
+++ b/packages/cli/persimmonstall_cli/client.py
@@ -9,6 +9,7 @@
 
 from persimmonstall.failures import Failure, Reason
 from persimmonstall_daemon.admin.persimmonstall_admin_pb2_grpc import AdministrationStub
+from persimmonstall_daemon.network.grpc_network import SEND_ONCE
 
 from .command import usage_failure
 
@@ -77,10 +78,10 @@
     def __init__(self, options):
         self.options = options
         if options.authority is None:
-            self.channel = grpc.insecure_channel(options.server)
+            self.channel = grpc.insecure_channel(options.server, options=(SEND_ONCE,))
         else:
             credentials = grpc.ssl_channel_credentials(options.authority)
-            self.channel = grpc.secure_channel(options.server, credentials)
+            self.channel = grpc.secure_channel(options.server, credentials, options=(SEND_ONCE,))
         self.stub = AdministrationStub(self.channel)
         self.metadata = (("authorization", f"Bearer {options.key}"),)
 
--- a/packages/daemon/persimmonstall_daemon/network/grpc_network.py
+++ b/packages/daemon/persimmonstall_daemon/network/grpc_network.py
@@ -15,7 +15,11 @@
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 STOP_GRACE_SECONDS = 1.0
 
+SEND_ONCE = ("grpc.enable_retries", 0)
+"""Channel option without which gRPC sends a call again if its server gave up the connection."""
+
 OPTIONS = (
+    SEND_ONCE,
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.use_local_subchannel_pool", 1),
--- a/packages/daemon/tests/test_requests_sent_once.py
+++ b/packages/daemon/tests/test_requests_sent_once.py
@@ -92,7 +92,7 @@
             server.closes = True
             for data in (None, b"body"):
                 server.heads.clear()
-                with pytest.raises(Exception, match="Disconnected|reset"):
+                with pytest.raises(Exception, match=r"Disconnected|reset"):
                     await session.request(method, server.url, data=data)
                 assert server.requests == 1
 
