Command line: a change that may have been made is reported as unknown

Cause: gRPC has one status for a connection that never opened and one that was lost after the call was sent; the command took both for "nothing was changed". A failure of the last attempt also hid that an earlier one may have made the change.

Change: the channel is connected before a change is sent, and a loss after that is an unknown outcome; so is any failure after an attempt whose outcome is unknown, but for a conflict.

--- a/packages/cli/persimmonstall_cli/client.py
+++ b/packages/cli/persimmonstall_cli/client.py
@@ -3,6 +3,7 @@
 import ipaddress
 import os
 import pathlib
+import queue
 
 import attrs
 import grpc
@@ -91,6 +92,35 @@
     def __exit__(self, *_error):
         self.channel.close()
 
+    def is_connected(self):
+        """Return whether the channel is connected; wait until it is, or connecting has failed."""
+        states = queue.SimpleQueue()
+        self.channel.subscribe(states.put, try_to_connect=True)
+        try:
+            while True:
+                state = states.get(timeout=self.options.timeout)
+                if state is grpc.ChannelConnectivity.READY:
+                    return True
+                if state is grpc.ChannelConnectivity.TRANSIENT_FAILURE:
+                    return False
+        except queue.Empty:
+            return False
+        finally:
+            self.channel.unsubscribe(states.put)
+
+    def change(self, name, request):
+        """Return the response of the unary call `name` that changes something, or a `Failure`.
+
+        The change was certainly not made if the failure's reason is PEER_LOST: the call was not
+        sent, since the daemon could not be reached.
+        """
+        if not self.is_connected():
+            return Failure(Reason.PEER_LOST, name, self.options.server, "cannot connect")
+        answer = self.call(name, request)
+        if isinstance(answer, Failure) and answer.reason is Reason.PEER_LOST:
+            return attrs.evolve(answer, reason=Reason.AMBIGUOUS)
+        return answer
+
     def call(self, name, request):
         """Return the response of the unary call `name`, or a `Failure`."""
         try:
--- a/packages/cli/persimmonstall_cli/editing.py
+++ b/packages/cli/persimmonstall_cli/editing.py
@@ -14,6 +14,9 @@
 PAGE_SIZE = 500
 RETRYABLE_REASONS = (Reason.AMBIGUOUS, Reason.PEER_LOST)
 """Reasons after which a change is retried with the same call id."""
+CONCLUSIVE_REASONS = (Reason.CONFLICT, Reason.KEY_CONFLICT)
+"""Reasons that show that no attempt with this call id has made the change."""
+
 MAX_ATTEMPTS = 3
 
 
@@ -57,16 +60,24 @@
 
 
 def send_change(client, name, request):
-    """Send a change and return its response; retries use the same call id.
+    """Send a change and return its response or a `Failure`; retries use the same call id.
 
-    The daemon applies a call id once, so a retry after a lost response is safe.
+    The daemon applies a call id once, so a retry after a lost response is safe.  Once an attempt
+    may have made the change, later failures leave its outcome unknown, except for a conflict.
     """
+    unknown = False
     for _ in range(MAX_ATTEMPTS):
-        answer = client.call(name, request)
-        if not isinstance(answer, Failure) or answer.reason not in RETRYABLE_REASONS:
+        answer = client.change(name, request)
+        if not isinstance(answer, Failure) or answer.reason in CONCLUSIVE_REASONS:
             return answer
+        unknown = unknown or answer.reason is Reason.AMBIGUOUS
+        if answer.reason not in RETRYABLE_REASONS:
+            break
+    if not unknown and answer.reason not in RETRYABLE_REASONS:
+        return answer
+    reason = Reason.AMBIGUOUS if unknown else answer.reason
     detail = f"{answer.detail}; repeat it with --call_id={request.edit.call_id}"
-    return Failure(answer.reason, answer.step, answer.peer, detail)
+    return Failure(reason, answer.step, answer.peer, detail)
 
 
 def change_report(answer):
