Failing test: the notice of an answer that arrives while its caller leaves

Measured: a call that is cancelled in the steps of the event loop after its head was read, and before it is relayed, loses what the head says of a pause or of leaving.

--- a/packages/daemon/tests/test_direct_attempt.py
+++ b/packages/daemon/tests/test_direct_attempt.py
@@ -4,7 +4,7 @@
 import pytest
 
 from persimmonstall.direct.failure_scores import FailureScores
-from persimmonstall.direct.messages import Repeat, Route
+from persimmonstall.direct.messages import Repeat, ResponseKind, Route
 from persimmonstall.direct.retrying import AttemptHistory
 from persimmonstall_daemon.direct.attempt import Attempt
 
@@ -17,18 +17,32 @@
 
     def __init__(self):
         self.open = True
+        self.head = SimpleNamespace(kind=ResponseKind.SUCCESS)
 
     def close(self):
         """Close the connection."""
         self.open = False
 
 
+class Recorder:
+    """Records the heads of answers."""
+
+    def __init__(self):
+        self.heads = []
+
+    def record_answer(self, _endpoint, head, _sent_at=0.0):
+        """Record a head."""
+        self.heads.append(head)
+
+
 def make_attempt(client, now):
     route = Route("r", "h", "/", (), Repeat.ALLOWED, streaming=True, objective=0.3, attempts=2)
     state = SimpleNamespace(failure_scores=FailureScores(), accepts=lambda endpoint, now: True)
     endpoint = SimpleNamespace(name="e", address="")
     return Attempt(
-        SimpleNamespace(client=client, now=now, state=state),
+        SimpleNamespace(
+            client=client, now=now, state=state, limits=Recorder(), notices=Recorder()
+        ),
         SimpleNamespace(route=route, deadline=now() + 10.0),
         SimpleNamespace(
             request=SimpleNamespace(endpoint=endpoint, helpers=()), predicted_first_event=0.0
@@ -39,7 +53,7 @@
 
 
 @pytest.mark.parametrize("steps", range(LOOP_STEPS))
-def test_answer_that_comes_while_its_caller_leaves_is_closed(steps):
+def test_answer_that_comes_while_its_caller_leaves_is_closed_and_its_notice_kept(steps):
     async def scenario():
         loop = asyncio.get_running_loop()
         head, answers = loop.create_future(), []
@@ -50,7 +64,7 @@
             return answers[-1]
 
         attempt = make_attempt(SimpleNamespace(send=send), loop.time)
-        attempt.relay = lambda _started_at: asyncio.sleep(10)
+        attempt.relay_body = lambda: asyncio.sleep(10)
         running = asyncio.create_task(attempt.run())
         await asyncio.sleep(0.01)
         head.set_result(None)
@@ -60,5 +74,7 @@
         await asyncio.wait((running,))
         assert running.cancelled()
         assert not any(answer.open for answer in answers)
+        heads = [answer.head for answer in answers]
+        assert attempt.entry.notices.heads == attempt.entry.limits.heads == heads
 
     asyncio.run(scenario())
