What the head of an answer says of its endpoint is recorded as soon as it is read

Cause: notices and request limits were recorded where an answer is relayed. A call that was cancelled in between, because its caller left or its attempt ended, lost them; an order lost them if its body could not be read.

Change: both are recorded with the head.

--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -76,10 +76,9 @@
         unwanted = self.unwanted_result()
         if unwanted is not None:
             return unwanted
-        started_at = self.entry.now()
         self.watch.restart()
         try:
-            result = await self.send_and_relay(started_at)
+            result = await self.send_and_relay()
         except TimeoutError:
             result = self.failed_result(
                 AttemptOutcome.LATE, Reason.ENDPOINT_LOST, "timed out waiting for the endpoint"
@@ -114,7 +113,7 @@
             )
         return None
 
-    async def send_and_relay(self, started_at):
+    async def send_and_relay(self):
         """Send the call and relay its answer; raise TimeoutError if the endpoint is too slow."""
         self.history.attempt_sent()
         sending = asyncio.ensure_future(self.send())
@@ -128,13 +127,19 @@
                 await asyncio.wait((sending,))
         if isinstance(answer, Failure):
             return self.unanswered_result(answer)
-        return await self.relay(started_at)
+        return await self.relay()
 
     async def send(self):
-        """Send the call; keep its answer at once, so that `run` closes it in any case."""
+        """Send the call; keep its answer at once, so that `run` closes it in any case.
+
+        What its head says of later calls holds although the caller may leave right now.
+        """
+        sent_at = self.entry.now()
         answer = await self.entry.client.send(self.routed, self.placed.request)
         if not isinstance(answer, Failure):
             self.answer = answer
+            self.entry.limits.record_answer(self.endpoint, answer.head, sent_at)
+            self.entry.notices.record_answer(self.endpoint, answer.head)
         return answer
 
     def initial_timeout(self):
@@ -185,11 +190,9 @@
         """Return the result of an attempt that failed at its endpoint."""
         return AttemptResult(ending, Failure(reason, STEP, self.endpoint.name, detail))
 
-    async def relay(self, started_at):
+    async def relay(self):
         """Check the head of the answer and relay the body."""
         head = self.answer.head
-        self.entry.limits.record_answer(self.endpoint, head, started_at)
-        self.entry.notices.record_answer(self.endpoint, head)
         if head.kind is ResponseKind.NOT_RUN:
             refused = self.failed_result(
                 AttemptOutcome.NOT_RUN, Reason.BUSY, f"status {head.status}"
