Command line: load calls, a load of plain calls of every method with and without a body

The load tool sent chat completions only, all of them POST; what a client library does with other methods was never played by it. Each call is sent at most once, and the report is by method. The load of completions also sends each request at most once, and follows no other defaults.

--- a/packages/cli/persimmonstall_cli/commands/__init__.py
+++ b/packages/cli/persimmonstall_cli/commands/__init__.py
@@ -1,6 +1,6 @@
 """All subcommands. To add a group of commands, write a module and list it in GROUPS."""
 
-from . import burn, config, fleet, keys, load, organisations, records
+from . import burn, calls, config, fleet, keys, load, organisations, records
 
 GROUPS = (
     config,
@@ -10,6 +10,7 @@
     keys,
     burn,
     load,
+    calls,
 )
 
 COMMANDS = tuple(command for group in GROUPS for command in group.COMMANDS)
--- a/packages/cli/persimmonstall_cli/load/run.py
+++ b/packages/cli/persimmonstall_cli/load/run.py
@@ -5,6 +5,8 @@
 
 import aiohttp
 
+from persimmonstall_daemon.bounded_http import send_once
+
 from .caller import Caller
 from .plan import plan_requests
 
@@ -14,7 +16,8 @@
 async def run_plan(load, planned, urls, key, progress=None):
     """Send the planned requests to `urls` in turn; return their `Result`s."""
     connector = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(connector=connector, read_bufsize=2**20) as session:
+    options = {"connector": connector, "middlewares": (send_once,), "read_bufsize": 2**20}
+    async with aiohttp.ClientSession(**options) as session:
         caller = Caller(session, load, key)
         start = time.monotonic()
         tasks = []
