--- a/packages/standins/persimmonstall_standins/specification/mutations.py
+++ b/packages/standins/persimmonstall_standins/specification/mutations.py
@@ -4,7 +4,9 @@
 
 from persimmonstall.claims import starting
 from persimmonstall.claims.starting import GiveUp, GiveUpState, Phase, Progress
+from persimmonstall.direct.messages import Repeat
 
+from .attempts import AttemptSpecification, sendings, sendings_again
 from .claims import ClaimSpecification, Rules
 from .fencing import FencingSpecification
 
@@ -50,6 +52,9 @@
         ("no read-back of the give-up", spec(pair, no_give_up_read), "not_run_is_true"),
         ("no given-up row", spec(pair, reply_at_once), "not_run_is_true"),
         ("no generation", spec(pair, no_generation), "not_run_is_true"),
+        ("client sends again", call(2, sendings_again), "at_most_attempts"),
+        ("client sends again, work to run once", call(1, sendings_again), "at_most_attempts"),
+        ("client sends again, refusal", call(1, sendings_again), "not_run_is_true"),
         ("no fence", FencingSpecification(checks=False).protocol(), "orders_never_go_back"),
     )
 
@@ -59,6 +64,12 @@
     return ClaimSpecification(names, rules).protocol()
 
 
+def call(attempts, outcomes=sendings):
+    """Return the protocol of a call that may run on so many endpoints; on one only once."""
+    repeat = Repeat.ALLOWED if attempts > 1 else Repeat.NEVER
+    return AttemptSpecification(repeat, attempts, outcomes).protocol()
+
+
 def checks():
     """Return (name, protocol) pairs whose invariants must all hold."""
     one_try = Rules(
@@ -71,6 +82,8 @@
         ("claims: renewed ticket", spec(("a0", "a1"), Rules())),
         ("claims: two daemons and a resend", spec(("a0", "a0-copy", "b0"), one_try)),
         ("claims: table down", ClaimSpecification(("a0", "a0-copy"), one_try, True).protocol()),
+        ("attempts: call that may be repeated", call(2)),
+        ("attempts: work that must not run twice", call(1)),
         ("fencing: engine that checks", FencingSpecification().protocol()),
         ("fencing: pause bound waited out", FencingSpecification(False, True).protocol()),
     )
--- a/packages/standins/tests/test_specification.py
+++ b/packages/standins/tests/test_specification.py
@@ -39,6 +39,9 @@
         "a0 write committed",
         "a0 hands over",
     ],
+    "client sends again": ["late", "broke, then broke"],
+    "client sends again, work to run once": ["broke, then broke"],
+    "client sends again, refusal": ["port closed"] * 5 + ["broke, then port closed"],
     "no fence": [
         "holder 0 takes the lease",
         "holder 1 takes the lease",
