A pause is heard although the caller of the refused call has left

Cause: the connection of a call was closed at the moment its caller left, so that a refusal which was on its way, and the pause it asks for, never arrived. Later calls went to the endpoint as before.

Change: an attempt that ends within 0.1 s of its sending keeps its connection for the rest of that time, in a task of its own, and closes it after the head or at the end; a call that was not sent yet, or has reserved memory, is cut at once.

--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -24,6 +24,10 @@
 """Timeouts of a non-streamed answer, as multiples of the objective: of an attempt that
 another one may follow, and of the last attempt."""
 
+MIN_LISTENING_SECONDS = 0.1
+"""Time after its sending for which an attempt that has ended waits for the head of its answer: an
+endpoint that refuses a call does so at once, and may ask for a pause."""
+
 GAP_FACTOR = 2.5
 MIN_GAP_SECONDS = 1.2
 """Timeout between events: a multiple of the gap objective, and a minimum in seconds."""
@@ -59,6 +63,7 @@
         self.history = history
         self.sink = sink
         self.answer = None
+        self.sent_at = None
         self.batches_relayed = 0
         self.dropped = False
         self.watch = SilenceWatch(self)
@@ -123,22 +128,47 @@
                 self.initial_timeout(),
             )
         finally:
-            if sending.cancel():
-                await asyncio.wait((sending,))
+            await self.end_sending(sending)
         if isinstance(answer, Failure):
             return self.unanswered_result(answer)
         return await self.relay()
 
+    def record_sent(self):
+        """Record that the head of the request was sent."""
+        self.sent_at = self.entry.now()
+
+    async def end_sending(self, sending):
+        """Cancel the sending, but if the call was sent just now only after a moment.
+
+        With memory reserved for the call it is cancelled at once, since that is released next.
+        """
+        seconds = 0.0
+        if self.sent_at is not None and not self.placed.tickets:
+            seconds = self.sent_at + MIN_LISTENING_SECONDS - self.entry.now()
+        if seconds > 0 and not sending.done():
+            self.entry.spawn(self.listen_for_head(sending, seconds))
+        elif sending.cancel():
+            await asyncio.wait((sending,))
+
+    async def listen_for_head(self, sending, seconds):
+        """Wait for the head of an answer that nobody needs; then close the connection."""
+        try:
+            await asyncio.wait((sending,), timeout=seconds)
+        finally:
+            sending.cancel()
+            if self.answer is not None:
+                self.answer.close()
+
     async def send(self):
         """Send the call; keep its answer at once, so that `run` closes it in any case.
 
         What its head says of later calls holds although the caller may leave right now.
         """
-        sent_at = self.entry.now()
-        answer = await self.entry.client.send(self.routed, self.placed.request)
+        started_at = self.entry.now()
+        answer = await self.entry.client.send(self.routed, self.placed.request, self.record_sent)
         if not isinstance(answer, Failure):
             self.answer = answer
-            self.entry.limits.record_answer(self.endpoint, answer.head, sent_at)
+            self.entry.limits.record_answer(self.endpoint, answer.head, started_at)
             self.entry.notices.record_answer(self.endpoint, answer.head)
         return answer
 
--- a/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -87,8 +87,21 @@
     return sock
 
 
-def make_session(request_class=aiohttp.ClientRequest, **options):
-    """Return an HTTP client session with bounded answers.
+async def report_sent(_session, context, _details):
+    """Call what the request has as its trace context, if anything: its head was sent."""
+    if context.trace_request_ctx is not None:
+        context.trace_request_ctx()
+
+
+def sent_reports():
+    """Return the trace configuration that reports when the head of a request was sent."""
+    traces = aiohttp.TraceConfig()
+    traces.on_request_headers_sent.append(report_sent)
+    return traces
+
+
+def make_session(request_class=aiohttp.ClientRequest, trace_configs=(), **options):
+    """Return an HTTP client session with bounded answers; `options` are those of its connector.
 
     It neither adds headers nor decodes bodies.
     """
@@ -98,6 +111,7 @@
     return open_session(
         connector,
         request_class=request_class,
+        trace_configs=trace_configs,
         auto_decompress=False,
         skip_auto_headers=SKIPPED_AUTO_HEADERS,
         max_line_size=MAX_LINE_BYTES,
@@ -212,16 +226,19 @@
 
     async def start(self):
         """Open the HTTP session; must be called in the running event loop."""
-        self.session = make_session(ExactRequest, force_close=True)
+        self.session = make_session(
+            ExactRequest, trace_configs=(sent_reports(),), force_close=True
+        )
 
     async def stop(self):
         """Close all connections."""
         await self.session.close()
 
-    async def send(self, routed, request):
+    async def send(self, routed, request, on_sent=None):
         """Send one attempt; return an `EndpointAnswer`, or a `Failure`.
 
-        If the detail of a failure begins with `NOT_CONNECTED`, the call certainly has not run.
+        `on_sent()` is called once the head of the request was sent.  If the detail of a failure
+        begins with `NOT_CONNECTED`, the call certainly has not run.
         """
         call = routed.call
         peer = request.endpoint.name
@@ -233,7 +250,12 @@
         try:
             url = URL(f"http://{request.endpoint.address}{call.target}", encoded=True)
             response = await self.request(
-                call.method, url, headers=headers, data=call.body or None, allow_redirects=False
+                call.method,
+                url,
+                headers=headers,
+                data=call.body or None,
+                allow_redirects=False,
+                trace_request_ctx=on_sent,
             )
         except aiohttp.ConnectionTimeoutError as error:
             return Failure(Reason.ENDPOINT_LOST, STEP, peer, f"{NOT_CONNECTED_IN_TIME}: {error!r}")
--- a/packages/daemon/tests/test_direct_attempt.py
+++ b/packages/daemon/tests/test_direct_attempt.py
@@ -58,7 +58,7 @@
         loop = asyncio.get_running_loop()
         head, answers = loop.create_future(), []
 
-        async def send(_routed, _request):
+        async def send(_routed, _request, _on_sent):
             await head
             answers.append(OpenAnswer())
             return answers[-1]
