Calls that arrive at a starting entry are answered at their deadline

Change: a call waits no longer than to its deadline, and one whose deadline has passed is refused without being sent.

--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -32,12 +32,17 @@
         self.entry = entry
         self.log = logs.get("exchange")
         self.final_answers = FinalAnswers(entry)
-        self.checks = (self.check_configured, self.check_route, self.check_leaving)
+        self.checks = (
+            self.check_in_time,
+            self.check_configured,
+            self.check_route,
+            self.check_leaving,
+        )
 
     async def serve(self, call, sink):
         """Check a call, run its attempts and give the caller its final answer."""
         self.entry.metrics.count("direct_calls")
-        await self.entry.wait_until_configured(call.arrived)
+        await self.entry.wait_until_configured(call.deadline)
         routed = call
         for check in self.checks:
             routed = check(routed)
@@ -61,6 +66,12 @@
         finally:
             self.entry.answer_memory.release(sink)
 
+    def check_in_time(self, call):
+        """Refuse a call whose deadline passed while it waited for the configuration."""
+        if self.entry.now() < call.deadline:
+            return call
+        return refuse(Failure(Reason.DEADLINE, "configure", detail="passed before it was sent"))
+
     def check_configured(self, call):
         """Refuse calls until this entry knows the configuration and the endpoints."""
         if self.entry.state.ready:
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -231,10 +231,13 @@
         """Whether calls can be served, and those that crash endpoints are known."""
         return self.state.ready and self.crash_records.loaded
 
-    async def wait_until_configured(self, arrived):
-        """Wait until calls can be served, but only while this entry is starting up."""
-        until = self.started_at + STARTUP_SECONDS
-        while not self.knows_enough and self.now() < until and arrived < until:
+    async def wait_until_configured(self, deadline):
+        """Wait until calls can be served, but only while this entry is starting up.
+
+        A call does not wait past its `deadline`.
+        """
+        until = min(self.started_at + STARTUP_SECONDS, deadline)
+        while not self.knows_enough and self.now() < until:
             await asyncio.sleep(STARTUP_POLL_SECONDS)
 
     def ends_before_exit(self, deadline):
