--- a/packages/standins/persimmonstall_standins/ports.py
+++ b/packages/standins/persimmonstall_standins/ports.py
@@ -1,25 +1,50 @@
 """Free TCP ports on loopback, for processes and tests that listen."""
 
+import fcntl
 import itertools
 import os
+import pathlib
 import socket
+import tempfile
 
 LOOPBACK = "127.0.0.1"
 FIRST_PORT = 15_000
 LAST_PORT = 32_000
-PORT_STRIDE = 211
-"""Distance between the first ports of processes with successive ids."""
+BLOCK_PORTS = 100
+LOCK_FOLDER = "persimmonstall-test-ports"
+"""Folder, in the one for temporary files, of the locks of blocks of ports."""
 
+LOCKS = []
+"""The open lock files of this process's blocks; they are released when it ends."""
 
-def candidate_ports():
-    """Yield ports below the range of ephemeral ports.
 
-    The first port depends on the process id, so that parallel test processes use different ones.
+def claim_block():
+    """Return the first port of a block that no other process uses while this one runs.
+
+    A port is not free because nobody listens at it right now: a stopped process of another test
+    may be about to start there again.
     """
-    span = LAST_PORT - FIRST_PORT
-    start = os.getpid() * PORT_STRIDE
-    for number in itertools.count():
-        yield FIRST_PORT + (start + number) % span
+    folder = pathlib.Path(tempfile.gettempdir()) / LOCK_FOLDER
+    folder.mkdir(exist_ok=True)
+    blocks = range(FIRST_PORT, LAST_PORT, BLOCK_PORTS)
+    start = os.getpid() % len(blocks)
+    for first in (*blocks[start:], *blocks[:start]):
+        lock = (folder / str(first)).open("w")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            lock.close()
+            continue
+        LOCKS.append(lock)
+        return first
+    raise RuntimeError("other processes use all blocks of ports")
+
+
+def candidate_ports():
+    """Yield ports below the range of ephemeral ports, of this process's blocks."""
+    while True:
+        first = claim_block()
+        yield from range(first, first + BLOCK_PORTS)
 
 
 PORTS = candidate_ports()
