Abandoned calls count for a crash only if their endpoint refuses connections

Cause (found on reading the change that counts them): an endpoint that is cut off does not answer to a connection either, and its calls time out. Two such endpoints were enough to block a sound content.

Change: probing a port tells closed from silent; only a closed one counts against abandoned calls. For calls whose connection broke both count, as before.

--- a/packages/daemon/persimmonstall_daemon/direct/crash_reports.py
+++ b/packages/daemon/persimmonstall_daemon/direct/crash_reports.py
@@ -7,7 +7,7 @@
 from persimmonstall.failures import Failure, Reason, refuse
 
 from ..observe import logs
-from .endpoint_client import accepts_connections
+from .endpoint_client import PortState, probe_port
 
 STEP = "content"
 
@@ -139,28 +139,40 @@
             while self.may_run_abandoned(endpoint):
                 await asyncio.sleep(delay)
                 delay = min(2 * delay, ABANDONED_CHECK_MAX_SECONDS)
-                if self.may_run_abandoned(endpoint) and not await accepts_connections(endpoint):
-                    self.record_dead(endpoint)
+                if self.may_run_abandoned(endpoint):
+                    await self.check_abandoned(endpoint)
         finally:
             del self.watches[endpoint.lifetime]
 
+    async def check_abandoned(self, endpoint):
+        """Record a crash if an endpoint that may run abandoned calls has ended.
+
+        One that cannot be reached may only be cut off; without a connection that broke this is
+        no evidence against any call.
+        """
+        state = await probe_port(endpoint)
+        if state is PortState.CLOSED:
+            self.record_dead(endpoint, state)
+
+    def record_dead(self, endpoint, state):
+        """Record a crash; if the port is closed, abandoned calls may have caused it too."""
+        if state is PortState.CLOSED:
+            self.crash_tracker.count_abandoned_calls(endpoint.lifetime, self.entry.now())
+        self.record_crash(endpoint)
+
     def may_run_abandoned(self, endpoint):
         """Return whether an endpoint may run abandoned calls, and is not about to end anyway."""
         state, lifetime = self.entry.state, endpoint.lifetime
         listed = lifetime in state.fleet.lifetimes() and not state.is_leaving(endpoint)
         return listed and lifetime in self.crash_tracker.abandoned_calls
 
-    def record_dead(self, endpoint):
-        """Record that an endpoint is dead that may have run abandoned calls."""
-        self.crash_tracker.count_abandoned_calls(endpoint.lifetime, self.entry.now())
-        self.record_crash(endpoint)
-
     async def check_for_crash(self, endpoint):
         """Check whether an endpoint that cut off a call is dead; if so, record a crash."""
         try:
             await asyncio.sleep(CRASH_CHECK_DELAY_SECONDS)
-            if not await accepts_connections(endpoint):
-                self.record_dead(endpoint)
+            state = await probe_port(endpoint)
+            if state is not PortState.OPEN:
+                self.record_dead(endpoint, state)
         finally:
             if self.checks.get(endpoint.lifetime) is asyncio.current_task():
                 del self.checks[endpoint.lifetime]
--- a/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import enum
 import re
 import socket
 
@@ -55,6 +56,14 @@
 """Pseudo-header that passes a request's target to `ExactRequest`; it is never sent."""
 
 
+class PortState(enum.Enum):
+    """What connecting to an endpoint shows: it runs, it has ended, or it cannot be reached."""
+
+    OPEN = "accepts connections"
+    CLOSED = "refuses connections"
+    SILENT = "does not answer"
+
+
 @attrs.frozen
 class ExactTarget:
     """Replaces the URL while aiohttp writes the request line; keeps the target byte for byte."""
@@ -296,17 +305,23 @@
     return any(CONTROL_CHARACTER.search(value) for _name, value in headers)
 
 
-async def accepts_connections(endpoint):
-    """Return whether an endpoint's address still accepts connections."""
+async def probe_port(endpoint):
+    """Return the `PortState` of an endpoint's address."""
     host, _, port = endpoint.address.rpartition(":")
     try:
         opening = asyncio.open_connection(host, int(port))
         _, writer = await wait_past_suspension(opening, CONNECT_SECONDS)
     except (OSError, TimeoutError, ValueError) as error:
         LOG.info("endpoint_silent", endpoint=endpoint.name, reason=repr(error))
-        return False
+        refused = isinstance(error, ConnectionRefusedError)
+        return PortState.CLOSED if refused else PortState.SILENT
     writer.close()
-    return True
+    return PortState.OPEN
+
+
+async def accepts_connections(endpoint):
+    """Return whether an endpoint's address still accepts connections."""
+    return await probe_port(endpoint) is PortState.OPEN
 
 
 def never_connected(failure):
