--- a/packages/cli/persimmonstall_cli/client.py
+++ b/packages/cli/persimmonstall_cli/client.py
@@ -92,8 +92,8 @@
     def __exit__(self, *_error):
         self.channel.close()
 
-    def is_connected(self):
-        """Return whether the channel is connected; wait until it is, or connecting has failed."""
+    def connect(self):
+        """Connect the channel; return whether it is connected, False after the timeout."""
         states = queue.SimpleQueue()
         self.channel.subscribe(states.put, try_to_connect=True)
         try:
@@ -114,7 +114,7 @@
         The change was certainly not made if the failure's reason is PEER_LOST: the call was not
         sent, since the daemon could not be reached.
         """
-        if not self.is_connected():
+        if not self.connect():
             return Failure(Reason.PEER_LOST, name, self.options.server, "cannot connect")
         answer = self.call(name, request)
         if isinstance(answer, Failure) and answer.reason is Reason.PEER_LOST:
