--- a/packages/daemon/persimmonstall_daemon/direct/crash_reports.py
+++ b/packages/daemon/persimmonstall_daemon/direct/crash_reports.py
@@ -97,9 +97,10 @@
             self.entry.peers.schedule_beacon(True)
 
     def record_lost(self, routed, endpoint, result):
-        """Record a connection that an endpoint cut off, and check whether it is dead.
+        """Record an attempt that failed, and check whether its endpoint is dead.
 
-        One that was leaving ends without a crash.
+        That counts if the endpoint cut off the connection, or the attempt was late.  An endpoint
+        that was leaving ends without a crash.
         """
         if result.ending is AttemptOutcome.LATE:
             self.record_abandoned(routed, endpoint, result.batches_relayed)
