--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -76,7 +76,8 @@
     async def run(self):
         """Run the attempt and return its `AttemptResult`.
 
-        The connection is closed before this returns, which ends the call at the endpoint too.
+        The connection is closed before this returns, which ends the call at the endpoint too; that
+        of a call which was sent just now is closed a moment later.
         """
         unwanted = self.unwanted_result()
         if unwanted is not None:
