A connection opened within its timeout is seen although the event loop was late

The probe of a port and the reading of an answer had the same gap; a probe that fails counts for a crash.

Change: after a timeout the event loop passes ten more times before it counts. The timeout of connecting is our own (ConnectLimit), since the library's ends the connection itself; what it reports as connected was perhaps sent, and counts as such.

--- a/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -17,7 +17,7 @@
 from persimmonstall.direct.messages import ResponseHead
 from persimmonstall.failures import Failure, Reason
 
-from ..bounded_http import AnswerRejected, BoundedConnector, open_session
+from ..bounded_http import AnswerRejected, BoundedConnector, ConnectionBroken, open_session
 from ..observe import logs
 
 LOG = logs.get("endpoint_client")
@@ -26,6 +26,8 @@
 CONNECT_SECONDS = 0.15
 """Timeout for opening a connection to an endpoint; nothing is sent before it is open."""
 
+NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
+
 PROBE_IDLE_SECONDS = 1
 PROBE_INTERVAL_SECONDS = 1
 PROBE_COUNT = 2
@@ -40,6 +42,10 @@
 CATCH_UP_SECONDS = 0.1
 """Time after a suspension for reading data that arrived during it."""
 
+LAST_PASSES = 10
+"""Passes of the event loop after a timeout, in which what has arrived by then is still read:
+timers fire before sockets are read, and opening a connection takes several passes."""
+
 MAX_LINE_BYTES = 16384
 """Longest line in the head of an endpoint's answer."""
 
@@ -96,15 +102,68 @@
     return sock
 
 
+class ConnectLimit:
+    """Raises TimeoutError if a request is not connected in time; an asynchronous context manager.
+
+    `was_late` says that the timeout itself came late.  `on_sent()` is called once the head of the
+    request was sent.
+    """
+
+    def __init__(self, on_sent):
+        self.on_sent = on_sent
+        self.connected = False
+        self.was_late = False
+        self.loop = asyncio.get_running_loop()
+        self.deadline = self.loop.time() + CONNECT_SECONDS
+        self.limit = asyncio.timeout(None)
+        self.timer = None
+
+    async def __aenter__(self):
+        await self.limit.__aenter__()
+        self.timer = self.loop.call_at(self.deadline, self.expire, LAST_PASSES)
+        return self
+
+    async def __aexit__(self, *error):
+        self.timer.cancel()
+        return await self.limit.__aexit__(*error)
+
+    def expire(self, passes):
+        """Time out unless the request is connected after some more passes of the event loop."""
+        if self.connected:
+            return
+        now = self.loop.time()
+        self.was_late = self.was_late or now - self.deadline >= SUSPENSION_SECONDS
+        if passes:
+            self.timer = self.loop.call_soon(self.expire, passes - 1)
+        else:
+            self.limit.reschedule(now)
+
+    def record_connected(self):
+        """Record that the connection is open: from now on the request may be sent."""
+        self.connected = True
+
+    def record_sent(self):
+        """Report that the head of the request was sent."""
+        if self.on_sent is not None:
+            self.on_sent()
+
+
+async def report_connected(_session, context, _details):
+    """Tell the `ConnectLimit` of a request, if it has one, that it is connected."""
+    if context.trace_request_ctx is not None:
+        context.trace_request_ctx.record_connected()
+
+
 async def report_sent(_session, context, _details):
-    """Call what the request has as its trace context, if anything: its head was sent."""
+    """Tell the `ConnectLimit` of a request, if it has one, that its head was sent."""
     if context.trace_request_ctx is not None:
-        context.trace_request_ctx()
+        context.trace_request_ctx.record_sent()
 
 
-def sent_reports():
-    """Return the trace configuration that reports when the head of a request was sent."""
+def progress_reports():
+    """Return the trace configuration that reports the progress of a request."""
     traces = aiohttp.TraceConfig()
+    traces.on_connection_create_end.append(report_connected)
     traces.on_request_headers_sent.append(report_sent)
     return traces
 
@@ -170,10 +229,8 @@
             async with asyncio.timeout(timeout):
                 return await content.readany()
         except TimeoutError:
-            if clock() - deadline < SUSPENSION_SECONDS:
-                raise
-        async with asyncio.timeout(CATCH_UP_SECONDS):
-            return await content.readany()
+            late = clock() - deadline >= SUSPENSION_SECONDS
+        return await wait_past_suspension(content.readany(), CATCH_UP_SECONDS if late else 0.0)
 
     async def ended_cleanly(self):
         """Return whether the body is framed, or its connection was closed without an error."""
@@ -208,15 +265,17 @@
 async def wait_past_suspension(awaitable, timeout):
     """Return the result of an awaitable; raise TimeoutError after `timeout` seconds.
 
-    After a suspension of the process, timers fire before the sockets are read; what arrived
-    meanwhile is then still read.
+    Timers fire before the sockets are read, also after a suspension of the process; what has
+    arrived by then is still read.
     """
     clock = asyncio.get_running_loop().time
     deadline = clock() + timeout
     task = asyncio.ensure_future(awaitable)
     try:
         await asyncio.wait((task,), timeout=timeout)
-        if not task.done() and clock() - deadline >= SUSPENSION_SECONDS:
+        late = clock() - deadline >= SUSPENSION_SECONDS
+        await run_last_passes(task)
+        if late and not task.done():
             await asyncio.wait((task,), timeout=CATCH_UP_SECONDS)
         if not task.done():
             raise TimeoutError
@@ -226,6 +285,14 @@
             await asyncio.wait((task,))
 
 
+async def run_last_passes(task):
+    """Let the event loop read what has arrived, until a task is done or some passes are over."""
+    for _ in range(LAST_PASSES):
+        if task.done():
+            return
+        await asyncio.sleep(0)
+
+
 class EndpointClient:
     """Sends attempts to endpoints in the wire format of a `Dialect`."""
 
@@ -236,7 +303,7 @@
     async def start(self):
         """Open the HTTP session; must be called in the running event loop."""
         self.session = make_session(
-            ExactRequest, trace_configs=(sent_reports(),), force_close=True
+            ExactRequest, trace_configs=(progress_reports(),), force_close=True
         )
 
     async def stop(self):
@@ -264,7 +331,7 @@
                 headers=headers,
                 data=call.body or None,
                 allow_redirects=False,
-                trace_request_ctx=on_sent,
+                on_sent=on_sent,
             )
         except aiohttp.ConnectionTimeoutError as error:
             return Failure(Reason.ENDPOINT_LOST, STEP, peer, f"{NOT_CONNECTED_IN_TIME}: {error!r}")
@@ -284,16 +351,27 @@
         head = self.dialect.read_head(call, response.status, response.raw_headers)
         return EndpointAnswer(head, response, closed)
 
-    async def request(self, *arguments, **options):
+    async def request(self, *arguments, on_sent, **options):
         """Make an HTTP request; connect once more if the timeout of connecting was late itself."""
-        clock = asyncio.get_running_loop().time
-        deadline = clock() + CONNECT_SECONDS
+        limit = ConnectLimit(on_sent)
         try:
-            return await self.session.request(*arguments, **options)
+            return await self.connect_and_send(limit, *arguments, **options)
         except aiohttp.ConnectionTimeoutError:
-            if clock() - deadline < SUSPENSION_SECONDS:
+            if not limit.was_late:
                 raise
-        return await self.session.request(*arguments, **options)
+        return await self.connect_and_send(ConnectLimit(on_sent), *arguments, **options)
+
+    async def connect_and_send(self, limit, *arguments, **options):
+        """Make an HTTP request; raise ConnectionTimeoutError if it is not connected in time."""
+        try:
+            async with limit:
+                return await self.session.request(
+                    *arguments, timeout=NO_TIMEOUT, trace_request_ctx=limit, **options
+                )
+        except TimeoutError as error:
+            if limit.connected:
+                raise ConnectionBroken("connected as connecting was given up") from error
+            raise aiohttp.ConnectionTimeoutError(f"after {CONNECT_SECONDS} s") from error
 
 
 def has_control_character(headers):
