A content that was never sent is not blamed for the end of its endpoint

What callers would see: sound content is refused. A call whose caller left while its connection was still being opened counted as an abandoned call; if its endpoint's port was closed afterwards, the content counted as what had crashed it.

Cause: an attempt counts as in progress from before its connection is opened. Change: only an attempt whose head was sent counts.

--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -73,6 +73,11 @@
         """The endpoint that runs the call."""
         return self.placed.request.endpoint
 
+    @property
+    def sent(self):
+        """Whether the head of the request was sent, so that the endpoint may run the call."""
+        return self.sent_at is not None
+
     async def run(self):
         """Run the attempt and return its `AttemptResult`.
 
@@ -144,7 +149,7 @@
         With memory reserved for the call it is cancelled at once, since that is released next.
         """
         seconds = 0.0
-        if self.sent_at is not None and not self.placed.tickets:
+        if self.sent and not self.placed.tickets:
             seconds = self.sent_at + MIN_LISTENING_SECONDS - self.entry.now()
         if seconds > 0 and not sending.done():
             self.entry.spawn(self.listen_for_head(sending, seconds))
--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -162,7 +162,7 @@
         try:
             result = await entry.reservations.run(routed, placed, attempt.run)
         except asyncio.CancelledError:
-            if history.in_progress:
+            if attempt.sent:
                 entry.crash_reporter.record_abandoned(
                     routed, attempt.endpoint, attempt.batches_relayed
                 )
