An attempt that was left while it was still connecting has not run

What callers saw: 502, outcome unknown, for a call that reached no endpoint, and one attempt less.

Cause: a repeatable plain call is left for another endpoint after 0.6 of its objective, 0.12 s on the users' routes, which is less than the 0.15 s that connecting may take; such an attempt counted as late, as if its endpoint might run it. Found by reading.

Change: it counts as not run if the head of the request was not sent. Calls that must not run twice were never left early.

--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -10,7 +10,7 @@
 from persimmonstall.direct.retrying import AttemptOutcome, is_last_run
 from persimmonstall.failures import Failure, Reason
 
-from .endpoint_client import never_connected, wait_past_suspension
+from .endpoint_client import NOT_CONNECTED_IN_TIME, never_connected, wait_past_suspension
 from .silence_watch import SilenceWatch
 
 STEP = "relay"
@@ -91,9 +91,7 @@
         try:
             result = await self.send_and_relay()
         except TimeoutError:
-            result = self.failed_result(
-                AttemptOutcome.LATE, Reason.ENDPOINT_LOST, "timed out waiting for the endpoint"
-            )
+            result = self.late_result()
         finally:
             if self.answer is not None:
                 self.answer.close()
@@ -222,6 +220,14 @@
             return AttemptResult(AttemptOutcome.NOT_RUN, failure)
         return AttemptResult(AttemptOutcome.BROKEN, failure)
 
+    def late_result(self):
+        """Return the result of an attempt that was left because its endpoint was too slow."""
+        if self.sent:
+            detail = "timed out waiting for the endpoint"
+            return self.failed_result(AttemptOutcome.LATE, Reason.ENDPOINT_LOST, detail)
+        detail = f"{NOT_CONNECTED_IN_TIME}: left for another endpoint"
+        return self.failed_result(AttemptOutcome.NOT_RUN, Reason.ENDPOINT_LOST, detail)
+
     def failed_result(self, ending, reason, detail=""):
         """Return the result of an attempt that failed at its endpoint."""
         return AttemptResult(ending, Failure(reason, STEP, self.endpoint.name, detail))
