--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -10,7 +10,8 @@
 from persimmonstall.direct.retrying import AttemptOutcome, is_last_run
 from persimmonstall.failures import Failure, Reason
 
-from .endpoint_client import NOT_CONNECTED_IN_TIME, never_connected, wait_past_suspension
+from .connecting import wait_past_suspension
+from .endpoint_client import NOT_CONNECTED_IN_TIME, never_connected
 from .silence_watch import SilenceWatch
 
 STEP = "relay"
--- a/packages/daemon/persimmonstall_daemon/direct/crash_reports.py
+++ b/packages/daemon/persimmonstall_daemon/direct/crash_reports.py
@@ -7,7 +7,7 @@
 from persimmonstall.failures import Failure, Reason, refuse
 
 from ..observe import logs
-from .endpoint_client import PortState, probe_port
+from .connecting import PortState, probe_port
 
 STEP = "content"
 
--- a/packages/daemon/persimmonstall_daemon/direct/silence_watch.py
+++ b/packages/daemon/persimmonstall_daemon/direct/silence_watch.py
@@ -3,7 +3,7 @@
 from persimmonstall.direct.silence import silence_timeouts
 from persimmonstall.failures import Failure
 
-from .endpoint_client import (
+from .connecting import (
     CATCH_UP_SECONDS,
     CONNECT_SECONDS,
     SUSPENSION_SECONDS,
--- a/packages/daemon/tests/test_direct_reading.py
+++ b/packages/daemon/tests/test_direct_reading.py
@@ -7,7 +7,7 @@
 
 from persimmonstall.direct.messages import Route
 from persimmonstall_daemon.direct.answer_memory import AnswerMemory
-from persimmonstall_daemon.direct.endpoint_client import CATCH_UP_SECONDS, SUSPENSION_SECONDS
+from persimmonstall_daemon.direct.connecting import CATCH_UP_SECONDS, SUSPENSION_SECONDS
 from persimmonstall_daemon.direct.silence_watch import SilenceWatch
 
 
