Place by views that are old: spread the choice by what other entries place unseen

Cause: every entry takes the first engine in one order that meets the objectives, so that within the age of their views all of them choose the same one. The number of calls that pile up on it is the fleet's rate times that age, and grows with the fleet.

Each entry now measures the rate at which the others place calls and its own delay from a placement to the beacon that names it, and adds by how much the others' beacons are overdue. Their product is the number of calls that it does not see; short prompts are drawn from twice as many engines that meet the objectives, splits from as many more idle ones, and where none meets them, and for plain services, the unseen work evens out the costs. With fresh views the shared order stays.

--- a/packages/core/persimmonstall/direct/engine_model.py
+++ b/packages/core/persimmonstall/direct/engine_model.py
@@ -88,6 +88,8 @@
 
     def pending_prefill(self):
         """Return the seconds of prefill that are left after the current pass."""
+        if not self.prefills:
+            return 0.0
         return sum(prefill.seconds for prefill in self.prefills.values()) - sum(
             self.scheduled.values()
         )
@@ -181,6 +183,10 @@
             1 for prefill in self.prefills.values() if prefill.generates
         )
 
+    def is_idle(self):
+        """Return whether no attempt uses the engine."""
+        return not self.memory
+
     def predict_first_event(self, prefill, now):
         """Return the seconds to the first event of a new call with `prefill` seconds of prefill.
 
@@ -206,26 +212,29 @@
         extra = 0 if max_gap is None else 1
         return min(max_gaps) - self.generation_seconds(extra=extra) - self.pending_prefill()
 
-    def lateness_cost(self, prefill, now):
-        """Return the total weight of the calls that `prefill` more seconds of prefill make late.
+    def lateness_limits(self, now):
+        """Return a (limit, weight) pair for each call that more prefill can make late.
 
-        The prefill is assumed to go first.  A stream is late if the gap between its events becomes
-        too long, a waiting call if its first event comes after it is due.  Calls that would be
-        late anyway do not count.
+        Prefill that takes longer than the limit, in seconds, makes the call late.  It is assumed
+        to go first.  A stream is late if the gap between its events becomes too long, a waiting
+        call if its first event comes after it is due.  Calls that would be late anyway do not
+        count.
         """
+        if not self.generating and not self.prefills:
+            return []
         before = self.generation_seconds() + self.pending_prefill()
-        after = before + prefill
-        late_weight = sum(
-            generation.weight
-            for generation in self.generating.values()
-            if before <= generation.max_gap < after
-        )
+        limits = [(each.max_gap - before, each.weight) for each in self.generating.values()]
         ready = max(now, self.busy_until) + before
-        return late_weight + sum(
-            waiting.weight
+        limits.extend(
+            (waiting.due - ready, waiting.weight)
             for waiting in self.prefills.values()
-            if waiting.generates and ready <= waiting.due < ready + prefill
+            if waiting.generates
         )
+        return [(limit, weight) for limit, weight in limits if limit >= 0.0]
+
+    def lateness_cost(self, prefill, now):
+        """Return the weight of the calls that `prefill` more seconds of prefill make late."""
+        return sum(weight for limit, weight in self.lateness_limits(now) if limit < prefill)
 
 
 def prefill_order(item):
--- a/packages/core/persimmonstall/direct/fleet.py
+++ b/packages/core/persimmonstall/direct/fleet.py
@@ -33,7 +33,8 @@
 
     An endpoint that is removed from the list is dropped at once, except after an outage of the
     list: then live endpoints may be missing from it for a while.  `missing` maps the names of such
-    endpoints to the time at which they are dropped.  `cached_digest` is None after a change.
+    endpoints to the time at which they are dropped.  `cached_digest` is None after a change;
+    `generation` counts the changes.
 
     Until `restored_until`, after the list came back from an old copy, it may name endpoints that
     are gone.  `departed` maps the lifetimes of those that left it to `Departed`; if they are
@@ -45,6 +46,7 @@
     missing: dict = attrs.field(factory=dict)
     grace_until: float = 0.0
     cached_digest: int | None = None
+    generation: int = 0
     restored_until: float = 0.0
     departed: dict = attrs.field(factory=dict)
     held: dict = attrs.field(factory=dict)
@@ -90,7 +92,7 @@
         if was_leaving(endpoint, earlier):
             endpoint = attrs.evolve(endpoint, leaving=True)
         self.endpoints[endpoint.name] = endpoint
-        self.cached_digest = None
+        self.record_change()
         self.missing.pop(endpoint.name, None)
 
     def remove(self, name, now):
@@ -109,7 +111,12 @@
             self.departed[endpoint.lifetime] = Departed(endpoint, now)
         self.missing.pop(name, None)
         self.held.pop(name, None)
+        self.record_change()
+
+    def record_change(self):
+        """Record that the endpoints that are known, or usable, have changed."""
         self.cached_digest = None
+        self.generation += 1
 
     def start_grace(self, now):
         """Start the grace period: the list is reachable again after an outage."""
@@ -131,6 +138,7 @@
             self.drop(name, now)
         for name in [name for name, until in self.held.items() if until <= now]:
             del self.held[name]
+            self.record_change()
         for lifetime, departed in list(self.departed.items()):
             if now - departed.at > DEPARTED_SECONDS:
                 del self.departed[lifetime]
--- a/packages/core/persimmonstall/direct/loads.py
+++ b/packages/core/persimmonstall/direct/loads.py
@@ -7,6 +7,7 @@
 from .change_log import ChangeLog
 from .engine_model import EngineModel
 from .slowdowns import Slowdowns
+from .unseen import UnseenWork
 
 ENTRY_TIMEOUT_SECONDS = 3.0
 """Seconds without a beacon of an entry after which its attempts are dropped."""
@@ -75,6 +76,10 @@
         """Return the number of calls in flight."""
         return len(self.attempts)
 
+    def is_idle(self):
+        """Return whether no call is in flight."""
+        return not self.attempts
+
 
 @attrs.define
 class LoadTracker:
@@ -82,7 +87,7 @@
 
     `names_by_entry` holds the attempt names of each entry, `last_beacon_at` the time of its last
     beacon; the key of this entry is empty.  `changes` are those of this entry's attempts, and
-    `ended` are the ones that ended last.
+    `ended` are the ones that ended last, and `unseen` estimates what other entries place now.
     """
 
     loads: dict = attrs.field(factory=dict)
@@ -90,6 +95,7 @@
     names_by_entry: dict = attrs.field(factory=dict)
     last_beacon_at: dict = attrs.field(factory=dict)
     slowdowns: Slowdowns = attrs.field(factory=Slowdowns)
+    unseen: UnseenWork = attrs.field(factory=UnseenWork)
     changes: ChangeLog = attrs.field(factory=ChangeLog)
     ended: collections.deque = attrs.field(
         factory=lambda: collections.deque(maxlen=MAX_ENDED_KEPT)
@@ -120,6 +126,15 @@
         load = self.loads.get(endpoint_name)
         return 0 if load is None else load.running()
 
+    def is_idle(self, endpoint_name):
+        """Return whether no call is in flight at an endpoint, and no part of one."""
+        load = self.loads.get(endpoint_name)
+        return load is None or load.is_idle()
+
+    def count_unseen(self, kind, now):
+        """Return the expected number of placements of a `WorkKind` that are not known yet."""
+        return self.unseen.count(kind, self.last_beacon_at, now)
+
     def loads_and_demands(self, attempt):
         """Return the (load, demand) pairs of an attempt, without endpoints that have no load."""
         pairs = ((self.loads.get(demand.endpoint), demand) for demand in attempt.demands)
@@ -196,6 +211,7 @@
         for attempt in attempts:
             if attempt.name not in self.attempts:
                 self.begin(attempt, now, entry)
+                self.unseen.record_attempt(attempt, now)
             elif attempt.started:
                 self.record_first_event(attempt.name)
 
--- a/packages/core/persimmonstall/direct/placing.py
+++ b/packages/core/persimmonstall/direct/placing.py
@@ -6,7 +6,9 @@
 """
 
 import functools
+import itertools
 import math
+import random
 
 import attrs
 import xxhash
@@ -19,6 +21,8 @@
 from .packing import GAP_SHARE, choose_engine
 from .sizes import call_weight, expected_memory
 from .splitting import best_split
+from .spreading import choose_spread
+from .unseen import WorkKind
 
 STEP = "place"
 
@@ -73,6 +77,39 @@
     failure_score: float
 
 
+class RankedCandidates:
+    """Endpoints in rank order, made `Candidate`s where they are looked at; a load costs time."""
+
+    def __init__(self, placer, routed, endpoints, now):
+        self.placer = placer
+        self.routed = routed
+        self.endpoints = endpoints
+        self.now = now
+
+    def candidate(self, endpoint):
+        """Return an endpoint as a `Candidate`."""
+        return self.placer.candidate(self.routed, endpoint, self.now)
+
+    def with_fewer_than(self, slots):
+        """Yield the endpoints with fewer than `slots` calls in flight."""
+        count_in_flight = self.placer.load_tracker.count_in_flight
+        for endpoint in self.endpoints:
+            if count_in_flight(endpoint.name) < slots:
+                yield endpoint
+
+    def last_idle(self, count):
+        """Return up to `count` endpoints without any work, the last ones in rank order."""
+        is_idle = self.placer.load_tracker.is_idle
+        idle = (endpoint for endpoint in reversed(self.endpoints) if is_idle(endpoint.name))
+        return list(itertools.islice(idle, count))
+
+    def some(self, count, random, without=()):
+        """Return the endpoints not in `without`, or `count` drawn at random if there are more."""
+        excluded = {endpoint.name for endpoint in without}
+        endpoints = [each for each in self.endpoints if each.name not in excluded]
+        return random.sample(endpoints, count) if len(endpoints) > count else endpoints
+
+
 @functools.lru_cache(maxsize=MAX_RANKS)
 def rank_of(name, salt=""):
     """Return an endpoint's rank, from 0 to 1; entries with the same salt share the order."""
@@ -85,6 +122,7 @@
 
     All entries rank engines in the same order.  An entry that does not know the attempts of the
     others yet uses a `salt`, which gives it an order of its own.  `data_centre` is the entry's.
+    Where other entries place calls that are not known yet, `random` spreads the choice.
     """
 
     fleet: object
@@ -94,6 +132,9 @@
     notices: EndpointNotices = attrs.field(factory=EndpointNotices)
     salt: str = ""
     data_centre: str = ""
+    random: object = attrs.field(factory=lambda: random.Random(0))
+    ranked: dict = attrs.field(factory=dict)
+    ranked_as_of: tuple = ()
 
     def place(
         self,
@@ -113,16 +154,15 @@
         endpoints = self.untried_endpoints(routed, avoid, now)
         if only:
             endpoints = [endpoint for endpoint in endpoints if endpoint.name == only]
-        elif not include_limited:
+        elif not include_limited and self.request_limits.limits:
             endpoints = [endpoint for endpoint in endpoints if not self.is_limited(endpoint)]
-        candidates = self.candidates(routed, now, endpoints)
-        if not candidates:
+        if not endpoints:
             return self.no_endpoint(routed, now)
         if routed.service.engine is None:
-            return self.place_plain(routed, candidates, now, name)
+            return self.place_plain(routed, endpoints, now, name)
         if self.is_split(routed):
-            return self.place_long(routed, candidates, now, name, resume_after)
-        return self.place_short(routed, candidates, now, name, resume_after)
+            return self.place_long(routed, endpoints, now, name, resume_after)
+        return self.place_short(routed, endpoints, now, name, resume_after)
 
     def is_split(self, routed):
         """Return whether the prompt of a call is long enough to be split over several engines."""
@@ -142,12 +182,32 @@
         detail = f"all endpoints of {service} asked for a pause"
         return Postponed(Reason.BUSY, STEP, detail=detail, delay=wait)
 
+    def ranked_endpoints(self, service):
+        """Return the endpoints of a service that accept calls, in rank order."""
+        as_of = (self.fleet.generation, self.salt)
+        if self.ranked_as_of != as_of:
+            self.ranked.clear()
+            self.ranked_as_of = as_of
+        endpoints = self.ranked.get(service)
+        if endpoints is None:
+            endpoints = self.fleet.usable(service)
+            endpoints.sort(key=lambda endpoint: rank_of(endpoint.name, self.salt))
+            self.ranked[service] = endpoints
+        return endpoints
+
     def untried_endpoints(self, routed, avoid, now):
-        """Return the endpoints that accept calls, except those whose names are in `avoid`."""
+        """Return the endpoints that accept calls, except those whose names are in `avoid`.
+
+        They come in rank order.
+        """
+        endpoints = self.ranked_endpoints(routed.service.name)
+        notices = self.notices
+        if not avoid and not notices.leaving and not notices.paused_until:
+            return endpoints
         return [
             endpoint
-            for endpoint in self.fleet.usable(routed.service.name)
-            if endpoint.name not in avoid and self.notices.accepts(endpoint.lifetime, now)
+            for endpoint in endpoints
+            if endpoint.name not in avoid and notices.accepts(endpoint.lifetime, now)
         ]
 
     def is_limited(self, endpoint):
@@ -156,6 +216,8 @@
 
     def limited_endpoints(self, routed, avoid, now):
         """Return the untried endpoints that name a limit, the least busy ones first."""
+        if not self.request_limits.limits:
+            return []
         limited = [e for e in self.untried_endpoints(routed, avoid, now) if self.is_limited(e)]
         return sorted(limited, key=lambda e: self.load_tracker.count_in_flight(e.name))
 
@@ -170,40 +232,52 @@
             for endpoint in self.untried_endpoints(routed, avoid, now)
         )
 
-    def candidates(self, routed, now, endpoints):
-        """Return the `Candidate` of each endpoint."""
-        return [
-            Candidate(
-                endpoint,
-                self.load_tracker.load_of(endpoint, routed.service, now),
-                rank_of(endpoint.name, self.salt),
-                self.failure_scores.score(endpoint.name, now),
-            )
-            for endpoint in endpoints
-        ]
+    def candidate(self, routed, endpoint, now):
+        """Return an endpoint as a `Candidate`, with its load as of `now`."""
+        return Candidate(
+            endpoint,
+            self.load_tracker.load_of(endpoint, routed.service, now),
+            rank_of(endpoint.name, self.salt),
+            self.failure_scores.score(endpoint.name, now),
+        )
+
+    def unseen(self, kind, now):
+        """Return the expected number of calls or parts that other entries place unseen."""
+        return self.load_tracker.count_unseen(kind, now)
 
-    def place_plain(self, routed, candidates, now, name):
+    def place_plain(self, routed, endpoints, now, name):
         """Choose the endpoint of a plain service, mainly by calls in flight per slot."""
-        best = min(candidates, key=self.plain_cost)
-        demand = EndpointDemand(best.endpoint.name)
-        request = AttemptRequest(best.endpoint, routed.deadline - now)
+        costs = {
+            endpoint: self.plain_cost(self.candidate(routed, endpoint, now))
+            for endpoint in endpoints
+        }
+        volume = self.unseen(WorkKind.PLAIN, now) / min(each.slots for each in endpoints)
+        best = choose_spread(endpoints, costs.get, volume, self.random)
+        demand = EndpointDemand(best.name)
+        request = AttemptRequest(best, routed.deadline - now)
         return PlacedAttempt(request, InFlightAttempt(name, (demand,)))
 
     def plain_cost(self, candidate):
-        """Return the cost of a call at an endpoint of a plain service, and a tie-breaker."""
+        """Return the cost of a call at an endpoint of a plain service."""
         endpoint = candidate.endpoint
         remote = endpoint.data_centre != self.data_centre
-        cost = (
+        return (
             candidate.load.running() / endpoint.slots
             + FAILURE_COST * candidate.failure_score
             + REMOTE_COST * remote
         )
-        return cost, candidate.rank
 
-    def place_short(self, routed, candidates, now, name, resume_after):
+    def place_short(self, routed, endpoints, now, name, resume_after):
         """Choose one engine for a prompt that is not split."""
         call = routed.call
-        fit = choose_engine(routed, candidates, now, peers_unknown=bool(self.salt))
+        fit = choose_engine(
+            routed,
+            RankedCandidates(self, routed, endpoints, now),
+            now,
+            self.random,
+            peers_unknown=bool(self.salt),
+            unseen=self.unseen(WorkKind.SHORT, now),
+        )
         first = fit.candidate.endpoint
         demand = generating_demand(
             routed, first, fit.prefill, call.prompt_tokens, expected_memory(call)
@@ -211,11 +285,13 @@
         request = engine_request(routed, first, now, resume_after)
         return PlacedAttempt(request, InFlightAttempt(name, (demand,)), fit.expected)
 
-    def place_long(self, routed, candidates, now, name, resume_after):
+    def place_long(self, routed, endpoints, now, name, resume_after):
         """Split a prompt into even parts over several engines."""
         call = routed.call
         memory = expected_memory(call)
-        split = best_split(routed, candidates, memory, now)
+        candidates = RankedCandidates(self, routed, endpoints, now)
+        unseen = self.unseen(WorkKind.PART, now)
+        split = best_split(routed, candidates, memory, now, self.random, unseen)
         share = math.ceil(memory / split.count) if split.spread_memory else 0
         context = call.prompt_tokens // split.count if share else call.prompt_tokens
         first = split.first.endpoint
--- a/packages/core/persimmonstall/direct/splitting.py
+++ b/packages/core/persimmonstall/direct/splitting.py
@@ -16,6 +16,15 @@
 MAX_CANDIDATES = 40
 """Maximum number of engines considered for a split; of more, the least busy ones are taken."""
 
+DRAWN_CANDIDATES = MAX_HELPERS + 7
+"""Number of engines considered for a split while other entries place parts unseen."""
+
+ENGINES_PER_UNSEEN_PART = 2.0
+"""Engines that `DRAWN_CANDIDATES` are drawn from in addition, for each unseen part."""
+
+MAX_COMPARED = 200
+"""Maximum number of busy engines that are compared for a split."""
+
 IN_TIME_SHARE = 0.4
 LATE_SHARE = 0.95
 """Shares of the latency objective between which a call may be late.
@@ -78,57 +87,120 @@
     return min(1.0, max(0.0, share))
 
 
-def best_split(routed, candidates, memory, now):
-    """Return the cheapest `Split` of a prompt that needs `memory` tokens."""
-    candidates = least_busy(candidates, now)
+@attrs.define
+class PartCosts:
+    """Costs of prefilling a part on the engine of a candidate, by the length of the part.
+
+    `base` is the cost of an empty part; `limits` are pairs of a prefill time in seconds and the
+    weight of a call that a longer part makes late.  `ready` is the time in seconds to the first
+    event of a prompt without prefill.
+    """
+
+    candidate: object
+    base: float = 0.0
+    limits: list = attrs.field(factory=list)
+    ready: float = 0.0
+
+    @property
+    def load(self):
+        """The load of the engine."""
+        return self.candidate.load
+
+    def cost(self, part):
+        """Return the cost of a part of `part` seconds.
+
+        >>> PartCosts(None, 0.5, [(0.1, 2.0), (0.3, 1.0)]).cost(0.2)
+        2.5
+        """
+        if not self.limits:
+            return self.base
+        return self.base + sum(weight for limit, weight in self.limits if limit < part)
+
+    def first_event(self, part):
+        """Return the seconds to the first event of a prompt with a part of `part` seconds."""
+        return self.ready + part * self.load.slowdown
+
+
+def best_split(routed, candidates, memory, now, random, unseen=0.0):
+    """Return the cheapest `Split` of a prompt that needs `memory` tokens.
+
+    `candidates` are `RankedCandidates`.  `unseen` is the expected number of parts that other
+    entries have placed and this one does not know of.
+    """
+    costs = considered(candidates, now, random, unseen)
+    costs.sort(key=lambda each: generator_order(each.candidate, memory))
     total = prefill_seconds(routed.service.engine, routed.call.prompt_tokens)
-    max_count = min(len(candidates), MAX_HELPERS + 1)
-    splits = [
-        split_over(count, routed, candidates, total, memory, now)
-        for count in range(1, max_count + 1)
-    ]
+    max_count = min(len(costs), MAX_HELPERS + 1)
+    splits = [split_over(count, routed, costs, total, memory) for count in range(1, max_count + 1)]
     return min(splits, key=lambda split: split.cost)
 
 
-def least_busy(candidates, now):
-    """Return the `MAX_CANDIDATES` engines on which an empty part would cost least."""
-    if len(candidates) <= MAX_CANDIDATES:
-        return candidates
-    return sorted(candidates, key=lambda c: part_cost(c, 0.0, now))[:MAX_CANDIDATES]
+def considered(candidates, now, random, unseen):
+    """Return the `PartCosts` of the engines that are considered for a split.
+
+    They are the least busy ones; while parts are placed unseen, some drawn from more of them, so
+    that prompts that are split at the same moment seldom meet on an engine.
+    """
+    wanted = MAX_CANDIDATES
+    if unseen >= 1.0:
+        wanted = DRAWN_CANDIDATES + int(ENGINES_PER_UNSEEN_PART * unseen)
+    costs = least_busy(candidates, wanted, now, random)
+    if unseen >= 1.0 and len(costs) > DRAWN_CANDIDATES:
+        return random.sample(costs, DRAWN_CANDIDATES)
+    return costs
+
+
+def least_busy(candidates, wanted, now, random):
+    """Return the `PartCosts` of the `wanted` engines on which an empty part would cost least.
+
+    Engines without any work come first, the last ones in rank order; the others are looked at if
+    these are too few, and of very many just some.
+    """
+    idle = candidates.last_idle(wanted)
+    costs = [part_costs(candidates.candidate(endpoint), now) for endpoint in idle]
+    if len(costs) < wanted:
+        busy = candidates.some(MAX_COMPARED, random, without=idle)
+        costs += [part_costs(candidates.candidate(endpoint), now) for endpoint in busy]
+        costs.sort(key=lambda each: each.base)
+    return costs[:wanted]
+
 
+def split_over(count, routed, costs, total, memory):
+    """Return the cheapest `Split` over `count` engines.
 
-def split_over(count, routed, candidates, total, memory, now):
-    """Return the cheapest `Split` over `count` engines."""
+    `costs` are in the order in which the engine that generates the answer is chosen.
+    """
     part = total / count
-    costs = sorted((part_cost(c, part, now), n) for n, c in enumerate(candidates))
-    chosen = [candidates[number] for _, number in costs[:count]]
-    first = min(chosen, key=lambda c: generator_order(c, memory))
-    helpers = [candidate for candidate in chosen if candidate is not first]
-    expected = max(c.load.predict_first_event(part, now) for c in chosen)
-    engines_cost = sum(cost for cost, _ in costs[:count])
+    ordered = sorted((each.cost(part), number) for number, each in enumerate(costs))[:count]
+    chosen = [costs[number] for number in sorted(number for _, number in ordered)]
+    first, *helpers = chosen
+    expected = max(each.first_event(part) for each in chosen)
+    engines_cost = sum(cost for cost, _ in ordered)
     late_cost = (
         late_probability(expected, routed.route.objective) * LATE_COST * call_weight(routed.call)
     )
     spread_memory = count > 1 and first.load.free_memory() < memory
     share = memory / count if spread_memory else memory
     holders = chosen if spread_memory else [first]
-    memory_short = any(candidate.load.free_memory() < share for candidate in holders)
+    memory_short = any(each.load.free_memory() < share for each in holders)
     wait = WAIT_COST * call_weight(routed.call) * expected
     cost = engines_cost + late_cost + wait + (NO_MEMORY_COST if memory_short else 0.0)
-    return Split(first, helpers, part, expected, cost, spread_memory)
+    candidates = [each.candidate for each in helpers]
+    return Split(first.candidate, candidates, part, expected, cost, spread_memory)
 
 
-def part_cost(candidate, part, now):
-    """Return the cost of prefilling a part on an engine."""
+def part_costs(candidate, now):
+    """Return the `PartCosts` of an engine."""
     load = candidate.load
     wait = max(0.0, load.busy_until - now) + load.pending_prefill()
-    return (
-        load.lateness_cost(part, now)
-        + QUEUE_COST * wait
+    base = (
+        QUEUE_COST * wait
         + SEQUENCE_COST * load.running()
         + FAILURE_COST * candidate.failure_score
         - RANK_COST * candidate.rank
     )
+    ready = load.predict_first_event(0.0, now)
+    return PartCosts(candidate, base, load.lateness_limits(now), ready)
 
 
 def generator_order(candidate, memory):
--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -1,5 +1,7 @@
 """State of an entry: configuration, fleet, loads, retry budget, failures and crashes."""
 
+import random
+
 import attrs
 
 from .crash_tracker import CrashTracker
@@ -25,7 +27,7 @@
 
     `unreachable_since` is when the directory stopped answering this entry, None while it answers;
     `directory_seen_at` is when the directory last answered this entry or, by their beacons, one of
-    its peers.
+    its peers.  `random` makes the choices that are random.
     """
 
     budget: SharedRetryBudget
@@ -41,6 +43,7 @@
     endpoints_known: bool = False
     unreachable_since: float | None = None
     directory_seen_at: float = 0.0
+    random: object = attrs.field(factory=lambda: random.Random(0))
     placer: Placer = None
 
     def __attrs_post_init__(self):
@@ -51,6 +54,7 @@
             self.request_limits,
             self.notices,
             data_centre=self.data_centre,
+            random=self.random,
         )
 
     @property
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -83,7 +83,7 @@
         budget = SharedRetryBudget(
             options.budget_ratio, options.budget_slack, options.budget_window
         )
-        self.state = State(budget, settings.daemon.data_centre)
+        self.state = State(budget, settings.daemon.data_centre, random=self.clock.random)
         self.client = EndpointClient(self.dialect)
         adapter.attach(self)
         self.directory = adapter.directory
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -63,6 +63,7 @@
         self.timer = None
         self.due = 0.0
         self.sent_at = 0.0
+        self.urgent_since = None
         self.pacer = BeaconPacer()
         self.snapshots = SnapshotExchange(entry, self)
 
@@ -101,6 +102,8 @@
 
     def schedule_beacon(self, urgent):
         """Schedule a beacon; after an `urgent` change, such as a new attempt, it goes sooner."""
+        if urgent and self.urgent_since is None:
+            self.urgent_since = self.entry.now()
         if len(self.peers) > MANY_PEERS:
             delay = MANY_PEERS_URGENT_DELAY_SECONDS if urgent else MANY_PEERS_CHANGE_DELAY_SECONDS
         else:
@@ -176,8 +179,12 @@
         self.entry.metrics.count("direct_beacon_bytes", len(data), tag="sent")
 
     def record_changes_sent(self):
-        """Record that the changes up to now were sent."""
+        """Record that the changes up to now were sent, and how long an urgent one waited."""
         self.entry.state.mark_changes_sent()
+        if self.urgent_since is not None:
+            waited = self.entry.now() - self.urgent_since
+            self.entry.state.load_tracker.unseen.record_delay(waited)
+            self.urgent_since = None
 
     def on_datagram(self, data):
         """Process a datagram of another entry."""
--- a/tools/direct_costs.py
+++ b/tools/direct_costs.py
@@ -20,7 +20,7 @@
 from persimmonstall.direct.request_limits import RequestLimits
 from persimmonstall_standins.engine_profile import ENGINE_PROFILE
 
-FLEET_SIZES = (21, 78, 600)
+FLEET_SIZES = (21, 78, 195, 600)
 KINDS = (("short", 5_000, 0.3, 0.25), ("long", 133_000, 2.5, 1.0))
 CALLS = 300
 CALLS_PER_ENDPOINT_SECOND = 1.2
