A resume that is answered without events does not end a stream as complete

Cause: FinalAnswers.finish takes any whole answer for the end of the stream that was begun, and a complete answer that is no event stream counted as whole. It is a broken attempt now: another endpoint may go on, else the caller's stream ends visibly broken. Errors did so before. A resume by an event stream without events still ends the stream: the events may all have been sent before.

--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -256,9 +256,16 @@
     async def relay_body(self):
         """Relay an event stream or collect another body, and account for the memory it takes."""
         head = self.answer.head
+        success = head.kind is ResponseKind.SUCCESS
+        if success and self.history.response_started and not head.event_stream:
+            return self.failed_result(
+                AttemptOutcome.BROKEN,
+                Reason.ENDPOINT_ERROR,
+                f"status {head.status} without events in place of the rest of a stream",
+            )
         result = None
         try:
-            if head.event_stream and head.kind is ResponseKind.SUCCESS:
+            if head.event_stream and success:
                 result = await self.relay_events()
             else:
                 result = await self.collect_answer()
