Accept all connections that wait in one pass of the event loop

The entry accepts them by itself now, at most 128 in a pass; an error, such as a lack of descriptors, is logged and accepting pauses for 0.1 s; connections that wait when it stops are accepted before the socket closes.

--- a/packages/daemon/persimmonstall_daemon/direct/callers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/callers.py
@@ -10,6 +10,7 @@
 from persimmonstall.failures import Failure, Outcome, Reason, refuse
 
 from ..observe import logs
+from .acceptor import BACKLOG, Acceptor
 
 LOG = logs.get("callers")
 STEP = "read"
@@ -31,9 +32,6 @@
 LAST_READ_SECONDS = 0.1
 """Time after a timeout in which a request that has arrived may still be read."""
 
-BACKLOG = 1024
-"""Length of the queue of connections to accept."""
-
 
 @attrs.frozen
 class RequestHead:
@@ -211,7 +209,7 @@
     def __init__(self, entry):
         self.entry = entry
         self.server = None
-        self.sockets = None
+        self.acceptor = None
         self.in_flight = 0
 
     @property
@@ -222,13 +220,13 @@
 
     async def start(self, listener):
         """Accept connections from a listening socket."""
-        loop = asyncio.get_running_loop()
         self.server = web.Server(
             self.handle, request_factory=self.make_request, handler_cancellation=True
         )
-        self.sockets = await loop.create_server(self.accept, sock=listener, backlog=BACKLOG)
+        self.acceptor = Acceptor(listener, self.make_connection)
+        self.acceptor.start()
 
-    def accept(self):
+    def make_connection(self):
         """Return the protocol of a new connection, with the current limits."""
         limits = self.limits
         return Connection(
@@ -317,8 +315,8 @@
 
     async def stop_accepting(self):
         """Close the listening socket; open connections stay open."""
-        if self.sockets is not None:
-            self.sockets.close()
+        if self.acceptor is not None:
+            await self.acceptor.close()
 
     async def close_idle(self):
         """Close the connections on which no request has begun to arrive.
