--- a/packages/core/tests/test_direct_view.py
+++ b/packages/core/tests/test_direct_view.py
@@ -115,12 +115,22 @@
     state = make_state()
     state.apply_update(listed("a"), 0.0)
     state.apply_update(ReachabilityUpdate(False), 1.0)
-    state.peer_saw_directory(4.8)
+    state.peer_saw_directory(4.8, 4.8)
     state.apply_update(ReachabilityUpdate(True), 5.0)
     state.apply_update(removed("a", 2), 5.0)
     assert not state.fleet.endpoints
 
 
+@pytest.mark.parametrize(("silent", "kept"), [(1.5, False), (5.0, True)])
+def test_entry_that_does_not_read_keeps_endpoints_missing_after_an_outage(silent, kept):
+    state = make_state()
+    state.apply_update(listed("a"), 0.0)
+    state.peer_saw_directory(1.0, 1.0, relies_on_peers=True)
+    state.peer_saw_directory(1.0 + silent, 1.0 + silent, relies_on_peers=True)
+    state.apply_update(removed("a", 2), 1.0 + silent)
+    assert bool(state.fleet.endpoints) == kept
+
+
 def test_list_without_changes_is_no_outage():
     state = make_state()
     state.apply_update(listed("a"), 0.0)
