--- a/packages/core/tests/test_direct_view.py
+++ b/packages/core/tests/test_direct_view.py
@@ -1,4 +1,5 @@
 import attrs
+import pytest
 
 from persimmonstall.direct import beacon as beacons
 from persimmonstall.direct import snapshot as snapshots
