--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -10,6 +10,7 @@
 from persimmonstall.direct.retrying import AttemptOutcome, is_last_run
 from persimmonstall.failures import Failure, Reason
 
+from .attempt_result import AttemptResult
 from .connecting import wait_past_suspension
 from .endpoint_client import NOT_CONNECTED_IN_TIME, never_connected
 from .silence_watch import SilenceWatch
@@ -34,26 +35,6 @@
 """Timeout between events: a multiple of the gap objective, and a minimum in seconds."""
 
 
-@attrs.frozen
-class AttemptResult:
-    """The result of an attempt; `failure` says why it did not return a complete answer.
-
-    `blamed_address` is the address of a helper endpoint that made the attempt fail, empty for
-    none.  `batches_relayed` is how often events of the answer were relayed.  `followed_by` is the
-    `PlacedAttempt` for which a silent endpoint was left, None for none.  `notice` is what the
-    endpoint said about later calls.
-    """
-
-    ending: AttemptOutcome
-    failure: Failure | None = None
-    head: object = None
-    body: bytes = b""
-    blamed_address: str = ""
-    batches_relayed: int = 0
-    followed_by: object = None
-    notice: Notice = NOTHING
-
-
 class Attempt:
     """Runs a routed call at the endpoint in `placed`; `history` records the earlier attempts."""
 
--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -11,7 +11,8 @@
 from persimmonstall.failures import Failure, Reason, refuse
 
 from ..observe import logs
-from .attempt import Attempt, AttemptResult
+from .attempt import Attempt
+from .attempt_result import AttemptResult
 from .endpoint_client import connect_timed_out
 from .final_answers import FinalAnswers
 
--- a/packages/daemon/persimmonstall_daemon/direct/reservations.py
+++ b/packages/daemon/persimmonstall_daemon/direct/reservations.py
@@ -10,7 +10,7 @@
 from persimmonstall.failures import Failure, Reason
 
 from ..observe import logs
-from .attempt import AttemptResult
+from .attempt_result import AttemptResult
 
 STEP = "reserve"
 
