--- a/packages/core/persimmonstall/direct/packing.py
+++ b/packages/core/persimmonstall/direct/packing.py
@@ -79,7 +79,7 @@
     prefill = prefill_seconds(routed.service.engine, routed.call.prompt_tokens)
     fits = [
         evaluate(routed, candidates.candidate(endpoint), now, usable)
-        for endpoint in candidates.some(MAX_COMPARED, random)
+        for endpoint in candidates.sample(MAX_COMPARED, random)
     ]
     return choose_spread(fits, cost, unseen * prefill, random)
 
--- a/packages/core/persimmonstall/direct/placing.py
+++ b/packages/core/persimmonstall/direct/placing.py
@@ -103,7 +103,7 @@
         idle = (endpoint for endpoint in reversed(self.endpoints) if is_idle(endpoint.name))
         return list(itertools.islice(idle, count))
 
-    def some(self, count, random, without=()):
+    def sample(self, count, random, without=()):
         """Return the endpoints not in `without`, or `count` drawn at random if there are more."""
         excluded = {endpoint.name for endpoint in without}
         endpoints = [each for each in self.endpoints if each.name not in excluded]
--- a/packages/core/persimmonstall/direct/splitting.py
+++ b/packages/core/persimmonstall/direct/splitting.py
@@ -159,7 +159,7 @@
     idle = candidates.last_idle(wanted)
     costs = [part_costs(candidates.candidate(endpoint), now) for endpoint in idle]
     if len(costs) < wanted:
-        busy = candidates.some(MAX_COMPARED, random, without=idle)
+        busy = candidates.sample(MAX_COMPARED, random, without=idle)
         costs += [part_costs(candidates.candidate(endpoint), now) for endpoint in busy]
         costs.sort(key=lambda each: each.base)
     return costs[:wanted]
