--- a/review/standins.py
+++ b/review/standins.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -19,6 +20,9 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 LOOPBACK = "127.0.0.1"
 HOST = "review.example"
+PORTS = (12000, 30000)
+"""Ports of the processes of the system; the system gives higher ones to outgoing connections."""
+
 HEARTBEAT_S = 1.2
 STABLE_S = 3.0
 """`stable_window_ms` of the small deployments, in seconds."""
@@ -56,10 +60,15 @@
 
 
 def free_port():
-    """Return a free port of the loopback interface."""
-    with socket.socket() as sock:
-        sock.bind((LOOPBACK, 0))
-        return sock.getsockname()[1]
+    """Return a free port of the loopback interface, below those of outgoing connections."""
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind((LOOPBACK, port))
+            except OSError:
+                continue
+            return port
 
 
 async def read_head(reader):
@@ -617,6 +626,9 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def main():
+        # A script that is ended early still ends its processes.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         deployment = Deployment(case)
         try:
             async with asyncio.timeout(110):
@@ -628,6 +640,6 @@
 
     try:
         return asyncio.run(main())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}")
         return 2
