--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Names of tenants and models that aren't ASCII reach servers encoded twice."""
+"""Sound prompts with two parts that a crashing prompt had as well are refused for minutes."""
 
 import asyncio
 import pathlib
@@ -7,59 +7,94 @@
 CASE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(CASE.parent))
 
-from standins import Server, configuration, header, route, run  # noqa: E402
+from standins import STABLE_S, Server, configuration, route, run  # noqa: E402
 
-OLD_KEY, NEW_KEY = "k-clerks", "k-ministry"
-NAMES = {True: ("Ministère", "résumé"), False: ("Ministere", "resume")}
-"""The new tenant and the model that its callers name, with the disruption and without it."""
+KEY = "k-clerks"
+BAD_PART = "bad0bad0"
+OLD_PARTS = "0a11:40,0a22:400"
+NEW_PARTS = "1b11:40,1b22:400"
+MIN_SOUND = 20
+"""Sound requests that the rule asks for, in each of the two spans."""
 
-CONFIG_S = 2.0
-"""`config_ms` in seconds."""
+SOUND_PAUSE_S = 0.5
+CRASHING_PAUSE_S = 1.5
+LAST_S = 40.0
+
+
+class Play:
+    """The requests of one caller; `sound` are the (time, begun) pairs of its sound ones."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.number = 0
+        self.sound = []
+        self.calls = set()
+
+    async def send(self, parts, bad):
+        """Send one request; its last part is its own."""
+        self.number += 1
+        at = self.deployment.record.now()
+        prefix = f"{parts}{f',{BAD_PART}:50' if bad else ''},{0xC000 + self.number:x}:250"
+        answer = await self.deployment.call(
+            "/summary/a", KEY, X_Model="m", X_Token_Count="1460,80", X_Prompt_Prefix=prefix
+        )
+        if not bad:
+            self.sound.append((at, answer.begun))
+
+    def start(self, parts, bad=False):
+        """Send one request in the background."""
+        task = asyncio.create_task(self.send(parts, bad))
+        self.calls.add(task)
+        task.add_done_callback(self.calls.discard)
 
 
 async def scenario(deployment, trouble):
     """Return whether the rule was broken."""
     record = deployment.record
-    tenant, model = NAMES[trouble]
-    servers = [Server(deployment.store, record, f"g{n}", "llm") for n in range(2)]
-    routes = [route("summary", "streaming", "llm")]
-    await deployment.start(servers, 2, configuration(7, routes, {"clerks": [OLD_KEY]}))
-    tenants = {"clerks": [OLD_KEY], tenant: [NEW_KEY]}
-    deployment.store.write("op", "config", configuration(8, routes, tenants))
-    record.write("config", version=8, tenants=",".join(tenants))
-    await asyncio.sleep(CONFIG_S + 1.0)
-    sent = {}
-    for number in range(20):
-        key, name, wanted = ((OLD_KEY, "clerks", "m"), (NEW_KEY, tenant, model))[number % 2]
-        answer = await deployment.call(
-            "/summary/a",
-            key,
-            X_Model=wanted,
-            X_Token_Count="1460,80",
-            X_Prompt_Prefix=f"0a11:40,{0xC000 + number:x}:250",
-        )
-        sent[answer.attempt] = name, wanted
-    wrong = {"X-Tenant": 0, "X-Model": 0}
-    runs = [arrival for server in servers for arrival in server.arrivals]
-    for _, attempt, _, pairs in runs:
-        name, wanted = sent[attempt]
-        seen = {what: header(pairs, what) for what in wrong}
-        # The client's bytes; for the tenant's name either encoding counts as right.
-        right = {
-            "X-Tenant": (name.encode("utf-8"), name.encode("latin-1")),
-            "X-Model": (wanted.encode("utf-8"),),
-        }
-        for what in wrong:
-            wrong[what] += seen[what] not in right[what]
-        record.write("headers", request=attempt, **{w.replace("-", "_"): s for w, s in seen.items()})
-    if len(runs) < len(sent):
-        raise RuntimeError("some requests did not run")
-    summary = f"{len(runs)} requests ran; with another X-Tenant: {wrong['X-Tenant']}, " + (
-        f"with another X-Model: {wrong['X-Model']}"
+    crashing = {BAD_PART} if trouble else ()
+    servers = [
+        Server(deployment.store, record, f"g{n}", "llm", crashing=crashing) for n in range(6)
+    ]
+    config = configuration(7, [route("summary", "streaming", "llm")], {"clerks": [KEY]})
+    await deployment.start(servers, 3, config)
+    play = Play(deployment)
+    # Without a disruption: the caller's sound requests.
+    before = record.now()
+    for _ in range(30):
+        play.start(OLD_PARTS)
+        await asyncio.sleep(0.2)
+    await asyncio.sleep(1.0)
+    # The caller changes its prompt; the first requests with it have the part that crashes servers.
+    changed = record.now()
+    play.start(NEW_PARTS, bad=True)
+    await asyncio.sleep(CRASHING_PAUSE_S)
+    play.start(NEW_PARTS, bad=True)
+    await asyncio.sleep(CRASHING_PAUSE_S)
+    next_bad = record.now()
+    while record.now() < changed + LAST_S:
+        if record.now() >= next_bad:
+            play.start(NEW_PARTS, bad=True)
+            next_bad += CRASHING_PAUSE_S
+        play.start(NEW_PARTS)
+        await asyncio.sleep(SOUND_PAUSE_S)
+    while play.calls:
+        await asyncio.sleep(0.1)
+    crashes = sorted(at for server in servers for at in server.crashes)
+    if trouble and not crashes:
+        raise RuntimeError("no server crashed")
+    known = (crashes[:5] or [changed])[-1] + 2 * STABLE_S
+    calm = [begun for at, begun in play.sound if before <= at < changed]
+    later = [begun for at, begun in play.sound if at >= known]
+    if min(len(calm), len(later)) < MIN_SOUND:
+        raise RuntimeError("too few sound requests")
+    shares = sum(calm) / len(calm), sum(later) / len(later)
+    summary = (
+        f"crashes: {len(crashes)}; sound requests begun: {sum(calm)} of {len(calm)} before, "
+        f"{sum(later)} of {len(later)} from {2 * STABLE_S:g} s after the crashes"
     )
     record.write("summary", text=summary)
     print(summary)
-    return any(wrong.values())
+    return shares[1] < shares[0] / 2
 
 
 if __name__ == "__main__":
