--- a/packages/core/persimmonstall/direct/packing.py
+++ b/packages/core/persimmonstall/direct/packing.py
@@ -119,6 +119,7 @@
     healthy = candidate.failure_score < HEALTHY_SCORE
     total = (
         expected
+        + candidate.surcharge
         + gap_excess
         + FAILURE_COST * candidate.failure_score
         + FULL_COST * full
--- a/packages/core/persimmonstall/direct/placing.py
+++ b/packages/core/persimmonstall/direct/placing.py
@@ -5,15 +5,14 @@
 latencies low when bursts of short and of long prompts alternate or overlap.
 """
 
-import functools
-import itertools
 import math
 import random
 
 import attrs
-import xxhash
 
 from ..failures import Failure, Postponed, Reason
+from .candidates import Candidate, RankedCandidates, rank_of
+from .eligibility import Eligibility
 from .engine_model import prefill_seconds
 from .loads import EndpointDemand, InFlightAttempt
 from .messages import AttemptRequest, Helper
@@ -23,6 +22,7 @@
 from .splitting import best_split
 from .spreading import choose_spread
 from .unseen import WorkKind
+from .urgency import urgency_of
 
 STEP = "place"
 
@@ -38,17 +38,6 @@
 REMOTE_COST = 0.1
 """Cost of an endpoint in another data centre, in the same unit."""
 
-MAX_RANKS = 4096
-"""Number of ranks that are cached, so that they are not hashed for each call."""
-
-HIGH_URGENCY = 3
-LOW_URGENCY = 5
-"""Urgency of calls whose latency objective is at most `URGENT_OBJECTIVE`, and of all others;
-engines admit lower values first."""
-
-URGENT_OBJECTIVE = 0.5
-"""Latency objective, in seconds, up to which a call is urgent."""
-
 
 @attrs.frozen
 class PlacedAttempt:
@@ -63,59 +52,6 @@
     tickets: tuple[tuple[Helper, int], ...] = ()
 
 
-@attrs.define
-class Candidate:
-    """An endpoint that a call could be sent to.
-
-    `rank` is its place in the order, from 0 to 1.  Short prompts prefer low ranks, parts of long
-    prompts high ones.
-    """
-
-    endpoint: object
-    load: object
-    rank: float
-    failure_score: float
-
-
-class RankedCandidates:
-    """Endpoints in rank order, made `Candidate`s where they are looked at; a load costs time."""
-
-    def __init__(self, placer, routed, endpoints, now):
-        self.placer = placer
-        self.routed = routed
-        self.endpoints = endpoints
-        self.now = now
-
-    def candidate(self, endpoint):
-        """Return an endpoint as a `Candidate`."""
-        return self.placer.candidate(self.routed, endpoint, self.now)
-
-    def with_fewer_than(self, slots):
-        """Yield the endpoints with fewer than `slots` calls in flight."""
-        count_in_flight = self.placer.load_tracker.count_in_flight
-        for endpoint in self.endpoints:
-            if count_in_flight(endpoint.name) < slots:
-                yield endpoint
-
-    def last_idle(self, count):
-        """Return up to `count` endpoints without any work, the last ones in rank order."""
-        is_idle = self.placer.load_tracker.is_idle
-        idle = (endpoint for endpoint in reversed(self.endpoints) if is_idle(endpoint.name))
-        return list(itertools.islice(idle, count))
-
-    def sample(self, count, random, without=()):
-        """Return the endpoints not in `without`, or `count` drawn at random if there are more."""
-        excluded = {endpoint.name for endpoint in without}
-        endpoints = [each for each in self.endpoints if each.name not in excluded]
-        return random.sample(endpoints, count) if len(endpoints) > count else endpoints
-
-
-@functools.lru_cache(maxsize=MAX_RANKS)
-def rank_of(name, salt=""):
-    """Return an endpoint's rank, from 0 to 1; entries with the same salt share the order."""
-    return xxhash.xxh3_64_intdigest((salt + name).encode()) / 2**64
-
-
 @attrs.define
 class Placer:
     """Chooses endpoints by the fleet, its notices, the attempts in flight and recent failures.
@@ -135,6 +71,11 @@
     random: object = attrs.field(factory=lambda: random.Random(0))
     ranked: dict = attrs.field(factory=dict)
     ranked_as_of: tuple = ()
+    eligibility: Eligibility = None
+
+    def __attrs_post_init__(self):
+        if self.eligibility is None:
+            self.eligibility = Eligibility(self.fleet, self.notices)
 
     def place(
         self,
@@ -201,14 +142,7 @@
         They come in rank order.
         """
         endpoints = self.ranked_endpoints(routed.service.name)
-        notices = self.notices
-        if not avoid and not notices.leaving and not notices.paused_until:
-            return endpoints
-        return [
-            endpoint
-            for endpoint in endpoints
-            if endpoint.name not in avoid and notices.accepts(endpoint.lifetime, now)
-        ]
+        return self.eligibility.select(endpoints, avoid, now)
 
     def is_limited(self, endpoint):
         """Return whether an endpoint names a limit on the requests that it takes."""
@@ -328,12 +262,7 @@
     return AttemptRequest(
         endpoint,
         routed.deadline - now,
-        urgency=urgency_of(routed.route),
+        urgency=urgency_of(routed),
         helpers=helpers,
         resume_after=resume_after,
     )
-
-
-def urgency_of(route):
-    """Return the urgency of the calls of a route."""
-    return HIGH_URGENCY if route.objective <= URGENT_OBJECTIVE else LOW_URGENCY
--- a/packages/core/persimmonstall/direct/splitting.py
+++ b/packages/core/persimmonstall/direct/splitting.py
@@ -196,6 +196,7 @@
     base = (
         QUEUE_COST * wait
         + SEQUENCE_COST * load.running()
+        + candidate.surcharge
         + FAILURE_COST * candidate.failure_score
         - RANK_COST * candidate.rank
     )
--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -175,8 +175,7 @@
 
     def accepts(self, endpoint, now):
         """Return whether a call that was placed at an endpoint may still be sent to it."""
-        usable = self.fleet.is_usable(endpoint.lifetime)
-        return usable and self.notices.accepts(endpoint.lifetime, now)
+        return self.placer.eligibility.accepts(endpoint, now)
 
     def apply_reachability(self, update, now):
         """Record whether the directory answers; an outage that ends starts the grace period."""
--- a/packages/daemon/persimmonstall_daemon/direct/beacon_builder.py
+++ b/packages/daemon/persimmonstall_daemon/direct/beacon_builder.py
@@ -3,7 +3,7 @@
 import attrs
 
 from persimmonstall.direct import beacon as beacons
-from persimmonstall.direct import findings
+from persimmonstall.direct import datagrams, findings
 from persimmonstall.direct.beacon import Beacon
 
 MAX_PEERS_NAMED = 16
@@ -22,12 +22,18 @@
         """Return the datagrams that carry the latest changes."""
         found = self.entry.state.findings_changes(self.peers.address, self.entry.now())
         limit = self.peers.pacer.max_changes_bytes(len(self.peers.peers))
-        return self.encode(beacons.trim(self.make_changes_beacon(), limit), found)
+        now = self.entry.now()
+        reports = [(kind, report.changes(now)) for kind, report in self.peers.reports.items()]
+        beacon = beacons.trim(self.make_changes_beacon(), limit)
+        return self.encode(beacon, found) + encode_reports(reports)
 
     def whole_datagrams(self):
         """Return the datagrams that carry the complete state."""
         found = self.entry.state.findings(self.peers.address, self.entry.now())
-        return self.encode(self.make_whole_beacon(), found, self.entry.state.load_tracker.ended)
+        now = self.entry.now()
+        reports = [(kind, report.state(now)) for kind, report in self.peers.reports.items()]
+        ended = self.entry.state.load_tracker.ended
+        return self.encode(self.make_whole_beacon(), found, ended) + encode_reports(reports)
 
     def encode(self, beacon, found, ended=()):
         """Return the datagrams of a beacon and of the findings that go with it, if there are any.
@@ -87,3 +93,8 @@
         if len(addresses) <= MAX_PEERS_NAMED:
             return tuple(addresses)
         return tuple(self.entry.clock.random.sample(addresses, MAX_PEERS_NAMED))
+
+
+def encode_reports(reports):
+    """Return the datagrams of (kind, fields) pairs; those without fields are left out."""
+    return [datagrams.encode(kind, fields) for kind, fields in reports if fields is not None]
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -2,9 +2,9 @@
 
 Beacons are sent at once after urgent changes, above all when a call is placed, shortly after other
 changes, and periodically.  Most carry only the latest changes of attempts; each peer also gets the
-complete state at intervals, which makes up for lost datagrams.  Findings go with the beacons in
-datagrams of their own, which earlier versions ignore.  A pacer keeps all within a share of the
-slowest link.
+complete state at intervals, which makes up for lost datagrams.  Findings and reports go with the
+beacons in datagrams of their own, which earlier versions ignore.  A pacer keeps all within a share
+of the slowest link.
 """
 
 import asyncio
@@ -59,6 +59,7 @@
         self.run_id = entry.clock.random.getrandbits(48)
         self.builder = BeaconBuilder(entry, self)
         self.peers = {}
+        self.reports = {}
         self.transport = None
         self.timer = None
         self.due = 0.0
@@ -83,6 +84,10 @@
         self.transport.close()
         await self.snapshots.stop()
 
+    def add_report(self, report):
+        """Exchange a `Report` with the other entries."""
+        self.reports[report.kind] = report
+
     def add_peer(self, address):
         """Add a peer that may exist at `address`, or update when it was last named."""
         if address == self.address:
@@ -181,6 +186,8 @@
     def record_changes_sent(self):
         """Record that the changes up to now were sent, and how long an urgent one waited."""
         self.entry.state.mark_changes_sent()
+        for report in self.reports.values():
+            report.mark_sent()
         if self.urgent_since is not None:
             waited = self.entry.now() - self.urgent_since
             self.entry.state.load_tracker.unseen.record_delay(waited)
@@ -199,11 +206,19 @@
             logs.log_failure(self.log, "datagram_unreadable", datagram)
         elif datagram.kind is Kind.FINDINGS:
             self.merge_findings(findings.decode(datagram.fields))
+        elif datagram.kind in self.reports:
+            self.merge_report(datagram)
         elif datagram.kind in (Kind.TRIAL_REQUEST, Kind.TRIAL_REPLY):
             self.entry.trials.on_datagram(datagram)
         else:
             self.entry.permits.on_datagram(datagram)
 
+    def merge_report(self, datagram):
+        """Merge the report of another entry."""
+        merged = self.reports[datagram.kind].merge(datagram.fields, self.entry.now())
+        if isinstance(merged, Failure):
+            logs.log_failure(self.log, "report_unreadable", merged, report=datagram.kind.value)
+
     def merge_findings(self, found):
         """Merge the findings of another entry."""
         if isinstance(found, Failure):
