--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -1,5 +1,6 @@
 """State of an entry: configuration, fleet, loads, retry budget, failures and crashes."""
 
+import math
 import random
 
 import attrs
@@ -33,7 +34,8 @@
 
     `unreachable_since` is when the directory stopped answering this entry, None while it answers;
     `directory_seen_at` is when the directory last answered this entry or, by their beacons, one of
-    its peers.  `random` makes the choices that are random.
+    its peers: the table whose answer is older counts.  `tables_seen_at` holds the times of this
+    entry's own answers by table.  `random` makes the choices that are random.
     """
 
     budget: SharedRetryBudget
@@ -49,6 +51,7 @@
     endpoints_known: bool = False
     unreachable_since: float | None = None
     directory_seen_at: float = 0.0
+    tables_seen_at: dict = attrs.field(factory=dict)
     random: object = attrs.field(factory=lambda: random.Random(0))
     placer: Placer = None
 
@@ -180,11 +183,13 @@
     def apply_reachability(self, update, now):
         """Record whether the directory answers; an outage that ends starts the grace period."""
         if not update.reachable:
+            self.tables_seen_at.setdefault(update.table, -math.inf)
             if self.unreachable_since is None:
                 self.unreachable_since = now
             return
         self.end_outage(now)
-        self.directory_seen_at = max(self.directory_seen_at, now)
+        self.tables_seen_at[update.table] = now
+        self.directory_seen_at = max(self.directory_seen_at, min(self.tables_seen_at.values()))
 
     def end_outage(self, now):
         """Start the grace period if the directory has not answered anybody for a while."""
--- a/packages/core/persimmonstall/direct/updates.py
+++ b/packages/core/persimmonstall/direct/updates.py
@@ -42,10 +42,14 @@
 
 @attrs.frozen
 class ReachabilityUpdate:
-    """Whether the directory answers this entry; `detail` describes the failure if not."""
+    """Whether the directory answers this entry; `detail` describes the failure if not.
+
+    `table` names what was read: a table can fail while others are answered.
+    """
 
     reachable: bool
     detail: str = ""
+    table: str = ""
 
 
 @attrs.frozen
--- a/packages/core/tests/test_direct_view.py
+++ b/packages/core/tests/test_direct_view.py
@@ -235,3 +235,14 @@
     sent = snapshots.Snapshot(ConfigurationUpdate(configuration(3)), listed("a"))
     assert snapshots.decode(snapshots.encode(sent)) == sent
     assert not snapshots.decode(b"rubbish")
+
+
+def test_table_that_fails_is_not_hidden_by_another_that_is_answered():
+    """Readers that got endpoints but no configuration kept all others from reading it."""
+    state = make_state()
+    for table in ("configuration", "endpoints"):
+        state.apply_update(ReachabilityUpdate(True, table=table), 1.0)
+    for now in (2.0, 3.0, 4.0):
+        state.apply_update(ReachabilityUpdate(True, table="endpoints"), now)
+        state.apply_update(ReachabilityUpdate(False, table="configuration"), now)
+    assert state.directory_seen_at == 1.0
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -33,6 +33,9 @@
 from .time_limits import TimeLimits
 from .trials import TrialExchange
 
+DIRECTORY_SOURCE = "directory"
+"""Source of updates that this entry itself has read."""
+
 TICK_SECONDS = 0.1
 """Interval at which state that changes with time alone is updated."""
 
@@ -128,7 +131,7 @@
         """Whether the load balancer should send new connections to this entry."""
         return self.state.ready and not self.leaving
 
-    def apply_update(self, update, source="directory"):
+    def apply_update(self, update, source=DIRECTORY_SOURCE):
         """Apply an update to the state; log a change and send it to the peers."""
         if isinstance(update, RestoredUpdate):
             self.write_again()
@@ -139,7 +142,10 @@
             self.use_own_engine_order()
         if changed:
             self.log_change(update, source)
-            self.peers.schedule_beacon(True)
+            if source == DIRECTORY_SOURCE:
+                self.peers.announce()
+            else:
+                self.peers.schedule_beacon(True)
 
     def write_again(self):
         """Write again what the directory may have lost."""
