Evacuation: nothing is sent to a data centre that operators evacuate, until they take it back

If all endpoints of a service are evacuated, calls are refused at once with a time to come back. The directory readers' tests now check evacuations beside configuration and endpoints.

--- a/packages/core/persimmonstall/direct/placing.py
+++ b/packages/core/persimmonstall/direct/placing.py
@@ -113,9 +113,15 @@
         return prefill_seconds(profile, routed.call.prompt_tokens) > SPLIT_SECONDS
 
     def no_endpoint(self, routed, now):
-        """Return the failure of a call without an endpoint; pauses say when there is one again."""
+        """Return the failure of a call without an endpoint, with the time to ask again, if any."""
         service, leaving = routed.service.name, self.notices.leaving
-        lifetimes = [endpoint.lifetime for endpoint in self.fleet.usable(service)]
+        usable = self.fleet.usable(service)
+        evacuations = self.eligibility.evacuations
+        if usable and all(map(evacuations.covers, usable)):
+            wait = evacuations.retry_seconds({each.data_centre for each in usable}, now)
+            detail = f"all data centres with endpoints of {service} are evacuated"
+            return Postponed(Reason.NO_ENDPOINT, STEP, detail=detail, delay=wait)
+        lifetimes = [each.lifetime for each in usable if not evacuations.covers(each)]
         waits = [self.notices.seconds_paused(e, now) for e in lifetimes if e not in leaving]
         wait = min(waits, default=0.0)
         if not wait:
--- a/packages/core/persimmonstall/direct/snapshot.py
+++ b/packages/core/persimmonstall/direct/snapshot.py
@@ -1,20 +1,21 @@
-"""Configuration and endpoints as one entry sends them to another."""
+"""Configuration, endpoints and evacuations as one entry sends them to another."""
 
 import attrs
 import msgspec
 
 from ..failures import Failure, Reason
-from .updates import ConfigurationUpdate, EndpointUpdate
+from .updates import ConfigurationUpdate, EndpointUpdate, EvacuationUpdate
 
 STEP = "peers"
 
 
 @attrs.frozen
 class Snapshot:
-    """Configuration and endpoints of an entry, each None if not known yet."""
+    """Configuration, endpoints and evacuations of an entry, each None if not known yet."""
 
     configuration: ConfigurationUpdate | None = None
     endpoints: EndpointUpdate | None = None
+    evacuations: EvacuationUpdate | None = None
 
 
 ENCODER = msgspec.msgpack.Encoder()
--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -5,6 +5,8 @@
 import attrs
 
 from .crash_tracker import CrashTracker
+from .eligibility import Eligibility
+from .evacuations import Evacuations
 from .failure_scores import FailureScores
 from .findings import Findings
 from .fleet import Fleet
@@ -15,7 +17,12 @@
 from .request_limits import RequestLimits
 from .retry_budget import SharedRetryBudget
 from .routing import RouteTable
-from .updates import ConfigurationUpdate, EndpointUpdate, ReachabilityUpdate
+from .updates import (
+    ConfigurationUpdate,
+    EndpointUpdate,
+    EvacuationUpdate,
+    ReachabilityUpdate,
+)
 
 OUTAGE_SECONDS = 1.0
 """Time without an answer of the directory to this entry or its peers that counts as an outage."""
@@ -46,6 +53,7 @@
     crash_tracker: CrashTracker = attrs.field(factory=CrashTracker)
     request_limits: RequestLimits = attrs.field(factory=RequestLimits)
     notices: EndpointNotices = attrs.field(factory=EndpointNotices)
+    evacuations: Evacuations = attrs.field(factory=Evacuations)
     endpoints_known: bool = False
     unreachable_since: float | None = None
     directory_seen_at: float = 0.0
@@ -61,6 +69,7 @@
             self.notices,
             data_centre=self.data_centre,
             random=self.random,
+            eligibility=Eligibility(self.fleet, self.notices, self.evacuations),
         )
 
     @property
@@ -117,11 +126,13 @@
         return revision > own_revision and (own_revision == 0 or digest != self.fleet.digest)
 
     def apply_update(self, update, now):
-        """Apply an update; return whether configuration or endpoints were updated."""
+        """Apply an update; return whether configuration, endpoints or evacuations changed."""
         if isinstance(update, ConfigurationUpdate):
             return self.apply_configuration(update.configuration)
         if isinstance(update, EndpointUpdate):
             return self.apply_endpoints(update, now)
+        if isinstance(update, EvacuationUpdate):
+            return self.evacuations.merge(update, now)
         if isinstance(update, ReachabilityUpdate):
             self.apply_reachability(update, now)
         return False
--- a/packages/core/persimmonstall/direct/updates.py
+++ b/packages/core/persimmonstall/direct/updates.py
@@ -40,6 +40,27 @@
     restored: bool = False
 
 
+@attrs.frozen
+class EvacuationChange:
+    """Whether operators evacuate a data centre."""
+
+    data_centre: str
+    evacuated: bool
+
+
+@attrs.frozen
+class EvacuationUpdate:
+    """Changes of evacuations up to `revision`; `whole` says that there are no other evacuations.
+
+    `restored` says that the directory has just come back from an old copy.
+    """
+
+    changes: tuple[EvacuationChange, ...]
+    revision: int
+    whole: bool = False
+    restored: bool = False
+
+
 @attrs.frozen
 class ReachabilityUpdate:
     """Whether the directory answers this entry; `detail` describes the failure if not."""
--- a/packages/core/persimmonstall/settings/schema.py
+++ b/packages/core/persimmonstall/settings/schema.py
@@ -251,6 +251,13 @@
     configuration_ms: int = option(
         2000, "Time in which a change of the configuration applies everywhere.", "ms", low=100
     )
+    evacuation_ms: int = option(
+        0,
+        "Time after which nothing is sent to an evacuated data centre; 0 for that of the"
+        " configuration.",
+        "ms",
+        low=0,
+    )
     unused_memory_ms: int = option(
         4000, "Time for which reserved engine memory may remain unused.", "ms", low=100
     )
--- a/packages/daemon/persimmonstall_daemon/direct/directory_readers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/directory_readers.py
@@ -31,8 +31,9 @@
     @property
     def rule(self):
         """The rule, by the current settings."""
-        milliseconds = self.entry.settings.direct.configuration_ms
-        return ReaderRule(self.peers.address, milliseconds / MS_PER_SECOND)
+        options = self.entry.settings.direct
+        bounds = (options.configuration_ms, options.evacuation_ms or options.configuration_ms)
+        return ReaderRule(self.peers.address, min(bounds) / MS_PER_SECOND)
 
     @property
     def told(self):
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -9,7 +9,7 @@
 from persimmonstall.clock import Context
 from persimmonstall.direct.retry_budget import SharedRetryBudget
 from persimmonstall.direct.state import State
-from persimmonstall.direct.updates import RestoredUpdate
+from persimmonstall.direct.updates import EvacuationUpdate, RestoredUpdate
 
 from ..observe import logs
 from ..observe.prometheus import PrometheusMetrics
@@ -22,6 +22,7 @@
 from .crash_reports import CrashReporter
 from .directory_readers import DirectoryReaders
 from .endpoint_client import EndpointClient
+from .evacuations import EvacuationReporter
 from .limits import LimitReporter
 from .loads import LoadReporter
 from .notices import NoticeReporter
@@ -97,6 +98,7 @@
         self.loads = LoadReporter(self, self.peers.schedule_beacon)
         self.limits = LimitReporter(self, self.peers.schedule_beacon)
         self.notices = NoticeReporter(self, self.peers.schedule_beacon)
+        self.evacuations = EvacuationReporter(self)
         self.chooser = EndpointChooser(self)
         self.crash_reporter = CrashReporter(self)
         self.crash_records = CrashRecords(self)
@@ -137,7 +139,9 @@
         changed = self.state.apply_update(update, self.now())
         if self.state.ready and not was_ready:
             self.use_own_engine_order()
-        if changed:
+        if changed and isinstance(update, EvacuationUpdate):
+            self.evacuations.record_change(source)
+        elif changed:
             self.log_change(update, source)
             self.peers.schedule_beacon(True)
 
@@ -218,6 +222,7 @@
                 self.directory.reconnect()
                 self.time_limits.reschedule()
             self.state.tick(now)
+            self.evacuations.expire(now)
             self.metrics.gauge("in_flight", self.callers.in_flight)
             if self.log_stream is not None:
                 self.metrics.gauge("log_lines_dropped", self.log_stream.dropped)
--- a/packages/daemon/persimmonstall_daemon/direct/snapshots.py
+++ b/packages/daemon/persimmonstall_daemon/direct/snapshots.py
@@ -103,7 +103,7 @@
         if isinstance(snapshot, Failure):
             logs.log_failure(self.log, "snapshot_unreadable", snapshot)
             return False
-        for update in (snapshot.configuration, snapshot.endpoints):
+        for update in (snapshot.evacuations, snapshot.configuration, snapshot.endpoints):
             if update is not None:
                 self.entry.apply_update(update, source=peer.address)
         return True
@@ -118,7 +118,8 @@
         known = version_in(request, ENDPOINTS_QUERY)
         if revision > known:
             endpoints = self.endpoints_since(known)
-        body = snapshots.encode(Snapshot(configuration, endpoints))
+        evacuations = state.evacuations.snapshot(self.entry.now())
+        body = snapshots.encode(Snapshot(configuration, endpoints, evacuations))
         self.entry.metrics.count("direct_snapshot_bytes", len(body), tag="sent")
         return web.Response(body=body, content_type="application/octet-stream")
 
--- a/packages/daemon/persimmonstall_daemon/observe/metric_names.py
+++ b/packages/daemon/persimmonstall_daemon/observe/metric_names.py
@@ -82,6 +82,7 @@
     Metric("direct_callers_left", Kind.COUNTER, "Callers that left before their answer."),
     Metric("loop_lag", Kind.TIMER, "Lateness of a periodic timer of the event loop."),
     Metric("direct_peers", Kind.GAUGE, "Entries heard lately."),
+    Metric("direct_evacuated", Kind.GAUGE, "Data centres that are evacuated, as far as known."),
     Metric("directory_reader", Kind.GAUGE, "Whether this entry reads the directory: 1 or 0."),
     Metric("directory_calls", Kind.COUNTER, "Calls of the platform's directory.", "outcome"),
     Metric("log_lines_dropped", Kind.GAUGE, "Log lines dropped to keep the volume bounded."),
--- a/packages/daemon/tests/direct_fleet.py
+++ b/packages/daemon/tests/direct_fleet.py
@@ -17,6 +17,7 @@
 from persimmonstall_daemon.direct.crash_records import CrashRecords
 from persimmonstall_daemon.direct.crash_reports import CrashReporter
 from persimmonstall_daemon.direct.directory_readers import DirectoryReaders
+from persimmonstall_daemon.direct.evacuations import EvacuationReporter
 from persimmonstall_daemon.direct.limits import LimitReporter
 from persimmonstall_daemon.direct.loads import LoadReporter
 from persimmonstall_daemon.direct.notices import NoticeReporter
@@ -56,6 +57,7 @@
     entry.loads = LoadReporter(entry, entry.peers.schedule_beacon)
     entry.limits = LimitReporter(entry, entry.peers.schedule_beacon)
     entry.notices = NoticeReporter(entry, entry.peers.schedule_beacon)
+    entry.evacuations = EvacuationReporter(entry)
     entry.chooser = EndpointChooser(entry)
     entry.crash_reporter = CrashReporter(entry)
     entry.crash_records = CrashRecords(entry)
--- a/packages/daemon/tests/test_direct_directory_readers.py
+++ b/packages/daemon/tests/test_direct_directory_readers.py
@@ -10,6 +10,8 @@
     ConfigurationUpdate,
     EndpointChange,
     EndpointUpdate,
+    EvacuationChange,
+    EvacuationUpdate,
     ReachabilityUpdate,
 )
 from persimmonstall_standins.virtual import loop as virtual_loop
@@ -25,7 +27,7 @@
 
 
 class VersionedDirectory:
-    """A directory with a configuration and one endpoint, both of the same version.
+    """A directory with a configuration, an endpoint and an evacuation, all of the same version.
 
     It does not answer entries in `turned_away`, and nobody while it is `down`.
     """
@@ -38,7 +40,7 @@
         self.changed = asyncio.Event()
 
     def change(self):
-        """Change the configuration and the endpoint."""
+        """Change all three."""
         self.version += 1
         self.changed.set()
         self.changed = asyncio.Event()
@@ -70,10 +72,16 @@
                 await entry.readers.gather()
 
 
+def data_centre(version):
+    """Return the data centre that is evacuated in a version."""
+    return f"dc{version}"
+
+
 def updates(version):
     """Return the updates of a version."""
     endpoint = Endpoint("e", "llm", "10.0.0.9:80", born=version, slots=8)
     return (
+        EvacuationUpdate((EvacuationChange(data_centre(version), True),), version, whole=True),
         ConfigurationUpdate(Configuration(version, (), {})),
         EndpointUpdate((EndpointChange("e", endpoint),), version, whole=True),
     )
@@ -85,7 +93,10 @@
     for entry in fleet.entries.values():
 
         def apply_update(update, source="", entry=entry):
-            if entry.state.apply_update(update, entry.now()):
+            changed = entry.state.apply_update(update, entry.now())
+            if changed and isinstance(update, EvacuationUpdate):
+                entry.evacuations.record_change(source)
+            elif changed:
                 entry.peers.schedule_beacon(True)
 
         async def fetch(peer, entry=entry, apply_update=apply_update):
@@ -124,10 +135,13 @@
 
 
 def informed_share(fleet, directory):
-    """Return the share of the entries that have the newest version of both."""
-    newest = (directory.version, directory.version)
-    entries = fleet.entries.values()
-    return sum(entry.state.versions() == newest for entry in entries) / len(entries)
+    """Return the share of the entries that have the newest version of all three."""
+    newest = (directory.version, directory.version, {data_centre(directory.version)})
+    known = [
+        (*entry.state.versions(), set(entry.state.evacuations.since))
+        for entry in fleet.entries.values()
+    ]
+    return known.count(newest) / len(known)
 
 
 def readers(fleet):
