--- a/packages/core/persimmonstall/direct/reports.py
+++ b/packages/core/persimmonstall/direct/reports.py
@@ -7,10 +7,12 @@
     """One subject that entries tell each other about, in typed datagrams of its own `kind`.
 
     Datagrams can be lost, repeated and overtake each other, so merging must be idempotent and
-    independent of the order.  Entries that do not know the kind drop them.
+    independent of the order.  Entries that do not know the kind drop them.  Changes of an
+    `urgent` report go with announcements, which the link's share does not hold back.
     """
 
     kind = None
+    urgent = False
 
     @abc.abstractmethod
     def changes(self, now):
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -155,13 +155,16 @@
 
     def send_empty_beacons(self):
         """Send a beacon without changes to every peer; they follow when the link allows it."""
-        empty = self.builder.empty_datagrams()
+        self.send_to_all(self.builder.empty_datagrams())
+
+    def send_to_all(self, batch):
+        """Send the same datagrams to every peer, though other changes wait."""
         for peer in self.peers.values():
-            self.send_all(peer, empty)
+            self.send_all(peer, batch)
         self.schedule_in(0.0)
 
     def announce(self):
-        """Tell every peer the versions that this entry has, as it is the first to have them.
+        """Tell every peer the versions that this entry is the first to have, and what is urgent.
 
         It is not held back by the link's share, since the time of a change is bounded.
         """
@@ -173,12 +176,12 @@
             self.announcement = loop.call_later(wait, self.send_announcement)
 
     def send_announcement(self):
-        """Send beacons that only name versions."""
+        """Send beacons that only name versions, and what is urgent."""
         self.announcement = None
         if self.transport is None or self.transport.is_closing():
             return
         self.announced_at = self.entry.now()
-        self.send_empty_beacons()
+        self.send_to_all(self.builder.announcement_datagrams())
 
     def send_whole_states(self):
         """Send the complete state to those who waited longest for it; return their addresses."""
--- a/packages/daemon/persimmonstall_daemon/direct/snapshots.py
+++ b/packages/daemon/persimmonstall_daemon/direct/snapshots.py
@@ -163,7 +163,7 @@
         if isinstance(snapshot, Failure):
             logs.log_failure(self.log, "snapshot_unreadable", snapshot)
             return False
-        for update in (snapshot.configuration, snapshot.endpoints):
+        for update in (snapshot.evacuations, snapshot.configuration, snapshot.endpoints):
             if update is not None:
                 self.entry.apply_update(update, source=peer.address)
         return True
@@ -178,8 +178,9 @@
             version_in(request, ENDPOINTS_QUERY),
         )
         compressed = CONTENT_ENCODING in request.headers.get("Accept-Encoding", "")
-        subject = (*self.entry.state.versions(), *known, compressed)
-        restoring = self.entry.state.fleet.is_restoring(self.entry.now())
+        state = self.entry.state
+        subject = (*state.versions(), state.evacuations.revision, *known, compressed)
+        restoring = state.fleet.is_restoring(self.entry.now())
         if self.body_of != subject or restoring:
             body = snapshots.encode(self.snapshot_since(*known))
             self.body = zlib.compress(body, COMPRESSION_LEVEL) if compressed else body
@@ -199,7 +200,8 @@
             configuration = ConfigurationUpdate(state.configuration)
         if revision > known_revision:
             endpoints = self.endpoints_since(known_revision)
-        return Snapshot(configuration, endpoints)
+        evacuations = state.evacuations.snapshot(self.entry.now())
+        return Snapshot(configuration, endpoints, evacuations)
 
     def endpoints_since(self, revision):
         """Return the `EndpointUpdate` of an entry that has the list as of `revision`.
--- a/packages/daemon/tests/test_direct_directory_readers.py
+++ b/packages/daemon/tests/test_direct_directory_readers.py
@@ -11,6 +11,8 @@
     ConfigurationUpdate,
     EndpointChange,
     EndpointUpdate,
+    EvacuationChange,
+    EvacuationUpdate,
     ReachabilityUpdate,
 )
 from persimmonstall_daemon.direct.entry import DIRECTORY_SOURCE
@@ -27,7 +29,7 @@
 
 
 class VersionedDirectory:
-    """A directory with a configuration and one endpoint, both of the same version.
+    """A directory with a configuration, an endpoint and an evacuation, all of the same version.
 
     It does not answer entries in `turned_away`, and nobody while it is `down`.
     """
@@ -40,7 +42,7 @@
         self.changed = asyncio.Event()
 
     def change(self):
-        """Change the configuration and the endpoint."""
+        """Change all three."""
         self.version += 1
         self.changed.set()
         self.changed = asyncio.Event()
@@ -80,10 +82,16 @@
         return 5.0
 
 
+def data_centre(version):
+    """Return the data centre that is evacuated in a version."""
+    return f"dc{version}"
+
+
 def updates(version):
     """Return the updates of a version."""
     endpoint = Endpoint("e", "llm", "10.0.0.9:80", born=version, slots=8)
     return (
+        EvacuationUpdate((EvacuationChange(data_centre(version), True),), version, whole=True),
         ConfigurationUpdate(Configuration(version, (), {})),
         EndpointUpdate((EndpointChange("e", endpoint),), version, whole=True),
     )
@@ -95,11 +103,12 @@
     for entry in fleet.entries.values():
 
         def apply_update(update, source="", entry=entry):
-            if not entry.state.apply_update(update, entry.now()):
-                return
-            if source == DIRECTORY_SOURCE:
+            changed = entry.state.apply_update(update, entry.now())
+            if changed and isinstance(update, EvacuationUpdate):
+                entry.evacuations.record_change(source)
+            elif changed and source == DIRECTORY_SOURCE:
                 entry.peers.announce()
-            else:
+            elif changed:
                 entry.peers.schedule_beacon(True)
 
         async def fetch(peer, entry=entry, apply_update=apply_update):
@@ -142,10 +151,13 @@
 
 
 def informed_share(fleet, directory):
-    """Return the share of the entries that have the newest version of both."""
-    newest = (directory.version, directory.version)
-    entries = fleet.entries.values()
-    return sum(entry.state.versions() == newest for entry in entries) / len(entries)
+    """Return the share of the entries that have the newest version of all three."""
+    newest = (directory.version, directory.version, {data_centre(directory.version)})
+    known = [
+        (*entry.state.versions(), set(entry.state.evacuations.since))
+        for entry in fleet.entries.values()
+    ]
+    return known.count(newest) / len(known)
 
 
 def readers(fleet):
