Cold endpoints: no more requests in any second than their service allows, from all entries together

Cause: nothing read that endpoints are cold; an endpoint that comes back is empty and draws all entries. Change: direct/cold.py knows which lifetimes are cold and how many permits an owner grants; permits are those of request limits, generalised (direct/grants.py, kind of bound in the permit request). An entry that hears less than most others grants and gets none. Coldness is a surcharge of the choice; an attempt whose permit has expired is not sent.

--- a/packages/core/persimmonstall/direct/messages.py
+++ b/packages/core/persimmonstall/direct/messages.py
@@ -80,10 +80,16 @@
 
 @attrs.frozen
 class Service:
-    """A service that calls are routed to; `engine` is None for a plain one without an engine."""
+    """A service that calls are routed to; `engine` is None for a plain one without an engine.
+
+    Its endpoints are cold for `cold_start` seconds after a start, and then take `cold_rate`
+    requests per second each; 0 for any number.
+    """
 
     name: str
     engine: EngineProfile | None = None
+    cold_start: float = 0.0
+    cold_rate: float = 0.0
 
 
 @attrs.frozen
@@ -121,7 +127,10 @@
 
 @attrs.frozen
 class Endpoint:
-    """One lifetime of an endpoint; `born` distinguishes lifetimes of the same name."""
+    """One lifetime of an endpoint; `born` distinguishes lifetimes of the same name.
+
+    `cold_seconds` is for how long it said it would still be cold, None if it did not say.
+    """
 
     name: str
     service: str
@@ -130,6 +139,7 @@
     born: int = 0
     slots: int = 1
     leaving: bool = False
+    cold_seconds: float | None = None
 
     @property
     def lifetime(self):
@@ -234,7 +244,8 @@
     `headers` are the ones to pass on to the caller.  `blamed_address` is the address of another
     endpoint that the answer blames for its failure, empty if none.  `request_limit` is the limit
     that the endpoint names, in requests per second from all entries together, None if it does not.
-    `notice` says whether it wants later calls.
+    `notice` says whether it wants later calls, `cold_seconds` for how long it is cold, 0 if it
+    does not say.
     """
 
     status: int
@@ -243,6 +254,7 @@
     blamed_address: str = ""
     event_stream: bool = False
     request_limit: float | None = None
+    cold_seconds: float = 0.0
     notice: Notice = NOTHING
 
 
--- a/packages/core/persimmonstall/direct/packing.py
+++ b/packages/core/persimmonstall/direct/packing.py
@@ -115,7 +115,7 @@
         0.0, prefill * load.slowdown - load.prefill_headroom(route.gap_objective * GAP_SHARE)
     )
     no_memory = load.free_memory() < expected_memory(call)
-    in_time = expected <= OBJECTIVE_SHARE * route.objective
+    in_time = expected + candidate.surcharge <= OBJECTIVE_SHARE * route.objective
     healthy = candidate.failure_score < HEALTHY_SCORE
     total = (
         expected
--- a/packages/core/persimmonstall/direct/permits.py
+++ b/packages/core/persimmonstall/direct/permits.py
@@ -1,24 +1,37 @@
-"""Datagrams by which an entry asks the owner of an endpoint's request limit for a permit.
+"""Datagrams by which an entry asks the owner of an endpoint's bound for a permit.
 
 Replies about trials of blocked contents have the same fields.
 """
 
+import enum
+
 import attrs
 
 from ..failures import Failure, Reason
 from . import datagrams
 from .datagrams import Kind
-from .request_limits import Permit
+from .grants import Permit
 
 STEP = "permit"
 
+LIMIT_FIELDS = 6
+"""Number of fields of a request that is about a request limit."""
+
+
+class BoundKind(enum.StrEnum):
+    """What bounds the requests to an endpoint: a limit that it names, or that it is cold."""
+
+    REQUEST_LIMIT = "request_limit"
+    COLD = "cold"
+
 
 @attrs.frozen
 class PermitRequest:
     """Asks for one request to an endpoint; `address` is that of the asking entry.
 
     `number` identifies the request at the asking entry.  `rate` is the limit that this entry
-    knows, in requests per second, `patience` the longest wait in seconds that it can use.
+    knows, in requests per second, 0 for the bound of a cold endpoint; `patience` is the longest
+    wait in seconds that it can use.  The bound of a cold endpoint is that of its `service`.
     """
 
     address: str
@@ -27,6 +40,8 @@
     born: int
     rate: float
     patience: float
+    bound: BoundKind = BoundKind.REQUEST_LIMIT
+    service: str = ""
 
     @property
     def lifetime(self):
@@ -43,8 +58,14 @@
 
 
 def encode_request(request):
-    """Return the datagram that encodes a `PermitRequest`."""
-    return datagrams.encode(Kind.PERMIT_REQUEST, attrs.astuple(request))
+    """Return the datagram that encodes a `PermitRequest`.
+
+    Earlier versions know request limits only, whose datagrams have fewer fields.
+    """
+    fields = attrs.astuple(request)
+    if request.bound is BoundKind.REQUEST_LIMIT:
+        fields = fields[:LIMIT_FIELDS]
+    return datagrams.encode(Kind.PERMIT_REQUEST, fields)
 
 
 def decode_request(fields):
@@ -53,11 +74,24 @@
     >>> sent = PermitRequest("10.0.0.1:7340", 3, "e", 1, 2.5, 0.3)
     >>> decode_request(datagrams.decode(encode_request(sent)).fields) == sent
     True
+    >>> cold = attrs.evolve(sent, bound=BoundKind.COLD, service="s")
+    >>> decode_request(datagrams.decode(encode_request(cold)).fields) == cold
+    True
     """
     try:
-        address, number, endpoint, born, rate, patience = fields
+        address, number, endpoint, born, rate, patience = fields[:LIMIT_FIELDS]
+        bound, service = fields[LIMIT_FIELDS:] or (BoundKind.REQUEST_LIMIT, "")
         datagrams.check_address(address)
-        return PermitRequest(address, number, endpoint, born, float(rate), float(patience))
+        return PermitRequest(
+            address,
+            number,
+            endpoint,
+            born,
+            float(rate),
+            float(patience),
+            BoundKind(bound),
+            service,
+        )
     except (AttributeError, TypeError, ValueError) as error:
         return malformed(error)
 
--- a/packages/core/persimmonstall/direct/placing.py
+++ b/packages/core/persimmonstall/direct/placing.py
@@ -12,6 +12,7 @@
 
 from ..failures import Failure, Postponed, Reason
 from .candidates import Candidate, RankedCandidates, rank_of
+from .cold import COLD_LOAD, COLD_SECONDS, ColdEndpoints
 from .eligibility import Eligibility
 from .engine_model import prefill_seconds
 from .loads import EndpointDemand, InFlightAttempt
@@ -44,12 +45,21 @@
     """Where an attempt is sent; `predicted_first_event` is in seconds from now.
 
     `tickets` holds (helper, tokens) pairs: the memory to reserve at each helper, under its ticket.
+    `permitted` are the names of the cold endpoints to which it may be sent, until the time
+    `permitted_until`.
     """
 
     request: AttemptRequest
     attempt: InFlightAttempt
     predicted_first_event: float = 0.0
     tickets: tuple[tuple[Helper, int], ...] = ()
+    permitted: frozenset = frozenset()
+    permitted_until: float = 0.0
+
+    @property
+    def endpoints(self):
+        """All endpoints that take part: the one that is called, and its helpers."""
+        return self.request.endpoint, *(helper.endpoint for helper in self.request.helpers)
 
 
 @attrs.define
@@ -72,6 +82,7 @@
     ranked: dict = attrs.field(factory=dict)
     ranked_as_of: tuple = ()
     eligibility: Eligibility = None
+    cold: ColdEndpoints = attrs.field(factory=ColdEndpoints)
 
     def __attrs_post_init__(self):
         if self.eligibility is None:
@@ -161,6 +172,13 @@
         limited = [e for e in self.untried_endpoints(routed, avoid, now) if self.is_limited(e)]
         return sorted(limited, key=lambda e: self.load_tracker.count_in_flight(e.name))
 
+    def cold_names(self, routed, now):
+        """Return the names of the cold endpoints of a call's service."""
+        if not self.cold.lifetimes:
+            return frozenset()
+        endpoints = self.ranked_endpoints(routed.service.name)
+        return frozenset(each.name for each in endpoints if self.cold.is_cold(each, now))
+
     def has_free_slot(self, endpoint):
         """Return whether fewer calls are in flight at an endpoint than it has slots."""
         return self.load_tracker.count_in_flight(endpoint.name) < endpoint.slots
@@ -179,6 +197,7 @@
             self.load_tracker.load_of(endpoint, routed.service, now),
             rank_of(endpoint.name, self.salt),
             self.failure_scores.score(endpoint.name, now),
+            COLD_SECONDS if self.cold.is_cold(endpoint, now) else 0.0,
         )
 
     def unseen(self, kind, now):
@@ -189,6 +208,7 @@
         """Choose the endpoint of a plain service, mainly by calls in flight per slot."""
         costs = {
             endpoint: self.plain_cost(self.candidate(routed, endpoint, now))
+            + COLD_LOAD * self.cold.is_cold(endpoint, now)
             for endpoint in endpoints
         }
         volume = self.unseen(WorkKind.PLAIN, now) / min(each.slots for each in endpoints)
--- a/packages/core/persimmonstall/direct/request_limits.py
+++ b/packages/core/persimmonstall/direct/request_limits.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from ..limits.bucket import Bucket
 from .change_log import ChangeLog
+from .grants import GrantRule, Grants
 
 USABLE_SHARE = 0.75
 """Share of a limit that its owner grants: while two entries take themselves for the owner, they
@@ -58,24 +58,12 @@
     named_at: float
 
 
-@attrs.frozen
-class Permit:
-    """The answer to a request for a permit.
-
-    If it is granted, the call may be sent after `wait` seconds, else another request may be
-    granted then.
-    """
-
-    granted: bool
-    wait: float
-
-
 @attrs.define
 class RequestLimits:
-    """Limits by endpoint lifetime, and the buckets of those that this entry owns."""
+    """Limits by endpoint lifetime, and the permits for those that this entry owns."""
 
     limits: dict = attrs.field(factory=dict)
-    buckets: dict = attrs.field(factory=dict)
+    grants: Grants = attrs.field(factory=Grants)
     changes: ChangeLog = attrs.field(factory=ChangeLog)
 
     def rate(self, lifetime):
@@ -131,24 +119,14 @@
         """
         own_rate = self.rate(lifetime)
         bucket = self.bucket_of(lifetime, rate if own_rate is None else own_rate, now)
-        wait = bucket.wait(1.0, now)
-        if wait > patience:
-            return Permit(False, wait)
-        bucket.take(1.0, now)
-        return Permit(True, wait)
+        return self.grants.acquire(bucket, patience, now)
 
     def bucket_of(self, lifetime, rate, now):
         """Return the bucket of a limit; a new one was empty when the limit was last named."""
-        usable = USABLE_SHARE * max(MIN_RATE, rate)
-        bucket = self.buckets.get(lifetime)
-        if bucket is None:
-            limit = self.limits.get(lifetime)
-            empty_at = now if limit is None else limit.named_at
-            bucket = self.buckets[lifetime] = Bucket(usable, BURST_REQUESTS, empty_at)
-            bucket.take(BURST_REQUESTS, empty_at)
-        elif bucket.rate != usable:
-            bucket.resize(usable, BURST_REQUESTS, now)
-        return bucket
+        rule = GrantRule(USABLE_SHARE * max(MIN_RATE, rate), BURST_REQUESTS)
+        limit = self.limits.get(lifetime)
+        empty_at = now if limit is None else limit.named_at
+        return self.grants.bucket_of(lifetime, rule, empty_at, now)
 
     def local_changes(self, now):
         """Return reports of the limits that changed lately, to be sent to other entries."""
@@ -176,4 +154,4 @@
             lifted = limit.rate is None and age > LIFTED_SECONDS
             if lifted or (lifetime not in listed and age > UNLISTED_SECONDS):
                 del self.limits[lifetime]
-                self.buckets.pop(lifetime, None)
+                self.grants.forget(lifetime)
--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from .cold import ColdEndpoints
 from .crash_tracker import CrashTracker
 from .eligibility import Eligibility
 from .evacuations import Evacuations
@@ -54,6 +55,7 @@
     request_limits: RequestLimits = attrs.field(factory=RequestLimits)
     notices: EndpointNotices = attrs.field(factory=EndpointNotices)
     evacuations: Evacuations = attrs.field(factory=Evacuations)
+    cold: ColdEndpoints = attrs.field(factory=ColdEndpoints)
     endpoints_known: bool = False
     unreachable_since: float | None = None
     directory_seen_at: float = 0.0
@@ -70,6 +72,7 @@
             data_centre=self.data_centre,
             random=self.random,
             eligibility=Eligibility(self.fleet, self.notices, self.evacuations),
+            cold=self.cold,
         )
 
     @property
@@ -128,28 +131,55 @@
     def apply_update(self, update, now):
         """Apply an update; return whether configuration, endpoints or evacuations changed."""
         if isinstance(update, ConfigurationUpdate):
-            return self.apply_configuration(update.configuration)
+            return self.apply_configuration(update.configuration, now)
         if isinstance(update, EndpointUpdate):
             return self.apply_endpoints(update, now)
         if isinstance(update, EvacuationUpdate):
-            return self.evacuations.merge(update, now)
+            return self.apply_evacuations(update, now)
         if isinstance(update, ReachabilityUpdate):
             self.apply_reachability(update, now)
         return False
 
-    def apply_configuration(self, configuration):
+    def apply_configuration(self, configuration, now):
         """Apply a newer configuration; an older one is ignored."""
         if self.configuration and configuration.version <= self.configuration.version:
             return False
         self.configuration = configuration
         self.routes = RouteTable(configuration)
+        self.cold.configure(configuration, self.fleet.endpoints.values(), now)
         return True
 
+    def set_cold_bounds(self, overage, slack, now):
+        """Apply changed settings of the bounds for cold endpoints."""
+        self.cold.overage, self.cold.slack = overage, slack
+        if self.configuration is not None:
+            self.cold.configure(self.configuration, self.fleet.endpoints.values(), now)
+
+    def apply_evacuations(self, update, now):
+        """Apply what operators evacuate; what they take back may have turned cold meanwhile."""
+        before = set(self.evacuations.since)
+        changed = self.evacuations.merge(update, now)
+        self.presume_cold(before - set(self.evacuations.since), now)
+        return changed
+
+    def expire_evacuations(self, now):
+        """End evacuations that have expired; return whether there are any."""
+        before = set(self.evacuations.since)
+        changed = self.evacuations.expire(now)
+        self.presume_cold(before - set(self.evacuations.since), now)
+        return changed
+
+    def presume_cold(self, data_centres, now):
+        """Take the endpoints of data centres for cold; they may say so only later."""
+        for endpoint in self.fleet.endpoints.values():
+            if endpoint.data_centre in data_centres:
+                self.cold.presume(endpoint, now)
+
     def apply_endpoints(self, update, now):
         """Apply changes of endpoints; the end of a lifetime can confirm a crash."""
         if update.revision < self.fleet.revision:
             return False
-        before = self.fleet.lifetimes()
+        before, watched = self.fleet.lifetimes(), self.endpoints_known
         if update.restored:
             self.fleet.start_restore(now)
         if update.whole:
@@ -159,9 +189,18 @@
             changes = [(change.name, change.endpoint) for change in update.changes]
             self.fleet.change(changes, update.revision, now)
         self.endpoints_known = True
+        self.record_cold_rows(update, before if watched else None, now)
         self.handle_ended_lifetimes(before, now)
         return True
 
+    def record_cold_rows(self, update, before, now):
+        """Record which endpoints are cold; `before` are the lifetimes that were known, or None."""
+        for change in update.changes:
+            endpoint = change.endpoint
+            if endpoint is not None:
+                started = before is not None and endpoint.lifetime not in before
+                self.cold.observe_row(endpoint, started, now)
+
     def handle_ended_lifetimes(self, before, now):
         """Clean up after lifetimes that are in `before` but have ended since."""
         after = self.fleet.lifetimes()
@@ -232,3 +271,4 @@
         self.crash_tracker.expire(now)
         self.notices.expire(now)
         self.request_limits.expire(self.fleet.lifetimes(), now)
+        self.cold.expire(self.fleet.lifetimes())
--- a/packages/core/persimmonstall/settings/schema.py
+++ b/packages/core/persimmonstall/settings/schema.py
@@ -251,6 +251,12 @@
     configuration_ms: int = option(
         2000, "Time in which a change of the configuration applies everywhere.", "ms", low=100
     )
+    cold_overage: float = option(
+        1.0, "Requests that a cold endpoint may get, as a multiple of what it names.", low=0
+    )
+    cold_slack: float = option(
+        0.0, "Requests that a cold endpoint may get in addition in any second.", low=0
+    )
     evacuation_ms: int = option(
         0,
         "Time after which nothing is sent to an evacuated data centre; 0 for that of the"
--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -90,20 +90,25 @@
         It may have said so while the attempt waited for a permit or for memory.
         """
         state, now = self.entry.state, self.entry.now()
-        request = self.placed.request
-        for endpoint in (request.endpoint, *(helper.endpoint for helper in request.helpers)):
+        cold = state.cold.unpermitted(self.placed, now)
+        if cold is not None:
+            return self.unwanted(cold, "it is cold, and there is no permit any more")
+        for endpoint in self.placed.endpoints:
             if state.accepts(endpoint, now):
                 continue
             pause = state.notices.seconds_paused(endpoint.lifetime, now)
-            failure = Failure(Reason.BUSY, STEP, endpoint.name, "it accepts no new calls")
-            return AttemptResult(
-                AttemptOutcome.NOT_RUN,
-                failure,
-                blamed_address=endpoint.address,
-                notice=Notice(leaving=not pause, pause=pause or None),
-            )
+            return self.unwanted(endpoint, "it accepts no new calls", pause)
         return None
 
+    def unwanted(self, endpoint, detail, pause=0.0):
+        """Return the result of an attempt that is not sent, since an endpoint must not get it."""
+        return AttemptResult(
+            AttemptOutcome.NOT_RUN,
+            Failure(Reason.BUSY, STEP, endpoint.name, detail),
+            blamed_address=endpoint.address,
+            notice=Notice(leaving=not pause, pause=pause or None),
+        )
+
     async def send_and_relay(self):
         """Send the call and relay its answer; raise TimeoutError if the endpoint is too slow."""
         self.history.attempt_sent()
@@ -155,6 +160,7 @@
         if not isinstance(answer, Failure):
             self.answer = answer
             self.entry.limits.record_answer(self.endpoint, answer.head, started_at)
+            self.entry.cold.record_answer(self.endpoint, answer.head)
             self.entry.notices.record_answer(self.endpoint, answer.head)
         return answer
 
--- a/packages/daemon/persimmonstall_daemon/direct/chooser.py
+++ b/packages/daemon/persimmonstall_daemon/direct/chooser.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from persimmonstall.direct.cold import RETRY_SECONDS, SEND_SECONDS
 from persimmonstall.failures import Failure, Postponed, Reason
 
 STEP = "place"
@@ -24,7 +25,73 @@
         return self.entry.state.placer
 
     async def choose(self, routed, name, history):
-        """Return the `PlacedAttempt` of the attempt `name`, or a `Failure`."""
+        """Return the `PlacedAttempt` of the attempt `name`, or a `Failure`.
+
+        Each cold endpoint that takes part needs a permit.  One without is left out; if there are
+        no others, the attempt waits for its turn at one.
+        """
+        denied = frozenset()
+        for _ in range(MAX_PERMITS_ASKED):
+            placed = await self.choose_within_limits(routed, name, history, denied)
+            if isinstance(placed, Failure) and not denied:
+                return placed
+            if isinstance(placed, Failure):
+                break
+            permitted, refused = await self.permit_cold(placed)
+            if not refused:
+                return permitted
+            denied |= refused
+        cold = self.placer.cold_names(routed, self.entry.now())
+        placed = await self.choose_within_limits(routed, name, history, denied | cold)
+        if not isinstance(placed, Failure):
+            return placed
+        return await self.wait_for_cold(routed, name, history, placed)
+
+    async def wait_for_cold(self, routed, name, history, failure):
+        """Place an attempt on cold endpoints once they are permitted, else return a `Failure`.
+
+        `failure` is that of placing it on others.
+        """
+        placed = await self.choose_within_limits(routed, name, history)
+        if isinstance(placed, Failure):
+            return failure
+        permitted, refused = await self.permit_cold(placed, routed.route.objective)
+        if not refused:
+            return self.with_time_left(permitted, routed)
+        detail = f"endpoints of {routed.service.name} are cold, and get all they can take"
+        return Postponed(Reason.BUSY, STEP, detail=detail, delay=RETRY_SECONDS)
+
+    async def permit_cold(self, placed, patience=0.0):
+        """Ask for a permit of each cold endpoint of a `PlacedAttempt`, and wait for its turn.
+
+        Return it with the permits, and the names of the endpoints that were refused.
+        """
+        asked_at = self.entry.now()
+        state = self.entry.state
+        cold = [each for each in placed.endpoints if state.cold.is_cold(each, asked_at)]
+        if not cold:
+            return placed, frozenset()
+        permits = await asyncio.gather(
+            *(self.entry.permits.acquire_cold(endpoint, patience) for endpoint in cold)
+        )
+        pairs = list(zip(cold, permits, strict=True))
+        refused = frozenset(each.name for each, permit in pairs if not permit.granted)
+        if refused:
+            return placed, refused
+        wait = max(permit.wait for permit in permits)
+        await asyncio.sleep(wait)
+        names = frozenset(endpoint.name for endpoint in cold)
+        until = asked_at + wait + SEND_SECONDS
+        return attrs.evolve(placed, permitted=names, permitted_until=until), refused
+
+    async def choose_within_limits(self, routed, name, history, denied=frozenset()):
+        """Return the `PlacedAttempt` of the attempt `name`, or a `Failure`.
+
+        It goes to none of the endpoints whose names are in `denied`.
+        """
+        if denied:
+            tried = history.tried_endpoints | denied
+            history = attrs.evolve(history, tried_endpoints=tried)
         avoid = history.tried_endpoints
         limited = self.placer.limited_endpoints(routed, avoid, self.entry.now())
         if not limited:
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -7,6 +7,7 @@
 import time
 
 from persimmonstall.clock import Context
+from persimmonstall.direct.cold import ColdEndpoints
 from persimmonstall.direct.retry_budget import SharedRetryBudget
 from persimmonstall.direct.state import State
 from persimmonstall.direct.updates import EvacuationUpdate, RestoredUpdate
@@ -18,6 +19,7 @@
 from .call_handler import CallHandler
 from .callers import CallerServer, listen
 from .chooser import EndpointChooser
+from .cold import ColdReporter
 from .crash_records import CrashRecords
 from .crash_reports import CrashReporter
 from .directory_readers import DirectoryReaders
@@ -85,7 +87,10 @@
         budget = SharedRetryBudget(
             options.budget_ratio, options.budget_slack, options.budget_window
         )
-        self.state = State(budget, settings.daemon.data_centre, random=self.clock.random)
+        cold = ColdEndpoints(options.cold_overage, options.cold_slack)
+        self.state = State(
+            budget, settings.daemon.data_centre, random=self.clock.random, cold=cold
+        )
         self.client = EndpointClient(self.dialect)
         adapter.attach(self)
         self.directory = adapter.directory
@@ -99,6 +104,7 @@
         self.limits = LimitReporter(self, self.peers.schedule_beacon)
         self.notices = NoticeReporter(self, self.peers.schedule_beacon)
         self.evacuations = EvacuationReporter(self)
+        self.cold = ColdReporter(self)
         self.chooser = EndpointChooser(self)
         self.crash_reporter = CrashReporter(self)
         self.crash_records = CrashRecords(self)
@@ -205,6 +211,7 @@
         self.state.budget.ratio = options.budget_ratio
         self.state.budget.slack = options.budget_slack
         self.state.budget.window = options.budget_window
+        self.state.set_cold_bounds(options.cold_overage, options.cold_slack, self.now())
         self.log.info("settings_reloaded", directory=options.directory)
 
     async def tick(self):
@@ -223,6 +230,7 @@
                 self.time_limits.reschedule()
             self.state.tick(now)
             self.evacuations.expire(now)
+            self.cold.review(now)
             self.metrics.gauge("in_flight", self.callers.in_flight)
             if self.log_stream is not None:
                 self.metrics.gauge("log_lines_dropped", self.log_stream.dropped)
--- a/packages/daemon/persimmonstall_daemon/direct/evacuations.py
+++ b/packages/daemon/persimmonstall_daemon/direct/evacuations.py
@@ -50,13 +50,13 @@
         if isinstance(decoded, Failure):
             return decoded
         address, update = decoded
-        if self.entry.state.evacuations.merge(update, now):
+        if self.entry.state.apply_update(update, now):
             self.record_change(address)
         return None
 
     def expire(self, now):
         """Drop evacuations that the directory has lacked since it came back from an old copy."""
-        if self.entry.state.evacuations.expire(now):
+        if self.entry.state.expire_evacuations(now):
             self.record_change("expired")
 
     def record_change(self, source):
--- a/packages/daemon/persimmonstall_daemon/direct/owner_exchange.py
+++ b/packages/daemon/persimmonstall_daemon/direct/owner_exchange.py
@@ -3,7 +3,7 @@
 import abc
 import asyncio
 
-from persimmonstall.direct.request_limits import Permit
+from persimmonstall.direct.grants import Permit
 
 from ..observe import logs
 
--- a/packages/daemon/persimmonstall_daemon/direct/ownership.py
+++ b/packages/daemon/persimmonstall_daemon/direct/ownership.py
@@ -5,6 +5,15 @@
 OWNER_SECONDS = 0.5
 """Time for which the owner of a key is remembered."""
 
+REMEMBERED_SECONDS = 120.0
+"""Time for which the largest number of entries that were heard is remembered."""
+
+STARTING_SECONDS = 1.0
+"""Time after the start in which the others may not know this entry yet."""
+
+PAIR = 2
+"""Number of entries of which each may act alone: there are no more than two owners then."""
+
 MAX_OWNERS = 1024
 """Maximum number of owners that are remembered."""
 
@@ -16,6 +25,9 @@
         self.entry = entry
         self.peers = peers
         self.owners = {}
+        self.started_at = entry.now()
+        self.most_heard = 0
+        self.most_heard_until = 0.0
 
     def owner(self, key):
         """Return the address of the entry that owns `key`."""
@@ -35,6 +47,23 @@
             members.append(self.peers.address)
         return members
 
+    def hears_most(self):
+        """Return whether this entry hears so many others that no other part of them is larger.
+
+        They are compared with all that are named now, and with the most that it heard lately, so
+        that one that was cut off does not take itself for alone.  One that has just started waits
+        until all others can know it.
+        """
+        now, peers = self.entry.now(), self.peers.peers.values()
+        heard = sum(peer.last_heard is not None for peer in peers) + 1
+        if heard >= self.most_heard or now > self.most_heard_until:
+            self.most_heard = heard
+            self.most_heard_until = now + REMEMBERED_SECONDS
+        if now < self.started_at + STARTING_SECONDS:
+            return False
+        known = max(self.most_heard, len(peers) + 1)
+        return known <= PAIR or 2 * (len(self.peers.active()) + 1) > known
+
     def owns(self, key):
         """Return whether this entry owns `key`."""
         return self.owner(key) == self.peers.address
--- a/packages/daemon/persimmonstall_daemon/direct/permits.py
+++ b/packages/daemon/persimmonstall_daemon/direct/permits.py
@@ -1,9 +1,9 @@
-"""Permits for requests to endpoints that name a limit, asked of the entry that owns the limit."""
+"""Permits for requests to endpoints with a bound, asked of the entry that owns the bound."""
 
 from persimmonstall.direct import permits
 from persimmonstall.direct.datagrams import Kind
-from persimmonstall.direct.permits import PermitReply, PermitRequest
-from persimmonstall.direct.request_limits import Permit
+from persimmonstall.direct.grants import Permit
+from persimmonstall.direct.permits import BoundKind, PermitReply, PermitRequest
 from persimmonstall.failures import Failure
 
 from ..observe import logs
@@ -11,7 +11,7 @@
 
 
 class PermitExchange(OwnerExchange):
-    """Asks the owners of limits for permits, and grants those of this entry's limits."""
+    """Asks the owners of bounds for permits, and grants those of the bounds it owns."""
 
     log_name = "permits"
 
@@ -31,6 +31,36 @@
         self.entry.metrics.count("direct_permits", tag="granted" if permit.granted else "denied")
         return permit
 
+    async def acquire_cold(self, endpoint, patience):
+        """Return the `Permit` for one request to a cold endpoint.
+
+        An entry that does not hear most others gets none: no share of the bound is certain then.
+        """
+        ownership = self.entry.ownership
+        owner = ownership.owner(endpoint.name)
+        if not ownership.hears_most():
+            permit = UNANSWERED
+        elif owner == self.peers.address:
+            permit = self.entry.state.cold.acquire(
+                endpoint.lifetime, endpoint.service, patience, self.entry.now()
+            )
+        else:
+            permit = await self.ask(
+                owner,
+                PermitRequest(
+                    self.peers.address,
+                    self.next_number(),
+                    *endpoint.lifetime,
+                    0.0,
+                    patience,
+                    BoundKind.COLD,
+                    endpoint.service,
+                ),
+            )
+        answer = "granted" if permit.granted else "denied"
+        self.entry.metrics.count("direct_cold_permits", tag=answer)
+        return permit
+
     def encode(self, request):
         """Return the datagram that encodes a request for a permit."""
         return permits.encode_request(request)
@@ -55,11 +85,19 @@
             self.settle(message)
 
     def grant(self, request):
-        """Answer a request; one for a limit that this entry does not own is denied."""
+        """Answer a request; one for a bound that this entry does not own is denied."""
         permit = UNANSWERED
         if self.entry.ownership.owns(request.endpoint):
-            permit = self.entry.state.request_limits.acquire(
-                request.lifetime, request.rate, request.patience, self.entry.now()
-            )
+            permit = self.decide(request)
         reply = permits.encode_reply(PermitReply(request.number, permit))
         self.peers.send(request.address, reply)
+
+    def decide(self, request):
+        """Return the `Permit` for a request, as the owner of its bound."""
+        state, now = self.entry.state, self.entry.now()
+        if request.bound is BoundKind.REQUEST_LIMIT:
+            limits = state.request_limits
+            return limits.acquire(request.lifetime, request.rate, request.patience, now)
+        if not self.entry.ownership.hears_most():
+            return UNANSWERED
+        return state.cold.acquire(request.lifetime, request.service, request.patience, now)
--- a/packages/daemon/persimmonstall_daemon/direct/trials.py
+++ b/packages/daemon/persimmonstall_daemon/direct/trials.py
@@ -3,8 +3,8 @@
 from persimmonstall.direct import permits, trials
 from persimmonstall.direct.crash_record import RecordKind
 from persimmonstall.direct.datagrams import Kind
+from persimmonstall.direct.grants import Permit
 from persimmonstall.direct.permits import PermitReply
-from persimmonstall.direct.request_limits import Permit
 from persimmonstall.direct.trials import TrialRequest
 from persimmonstall.failures import Failure
 
--- a/packages/daemon/persimmonstall_daemon/observe/metric_names.py
+++ b/packages/daemon/persimmonstall_daemon/observe/metric_names.py
@@ -82,6 +82,8 @@
     Metric("direct_callers_left", Kind.COUNTER, "Callers that left before their answer."),
     Metric("loop_lag", Kind.TIMER, "Lateness of a periodic timer of the event loop."),
     Metric("direct_peers", Kind.GAUGE, "Entries heard lately."),
+    Metric("direct_cold_permits", Kind.COUNTER, "Permits asked for cold endpoints.", "answer"),
+    Metric("direct_cold_endpoints", Kind.GAUGE, "Endpoints that are cold, as far as known."),
     Metric("direct_evacuated", Kind.GAUGE, "Data centres that are evacuated, as far as known."),
     Metric("directory_reader", Kind.GAUGE, "Whether this entry reads the directory: 1 or 0."),
     Metric("directory_calls", Kind.COUNTER, "Calls of the platform's directory.", "outcome"),
--- a/packages/daemon/tests/direct_fleet.py
+++ b/packages/daemon/tests/direct_fleet.py
@@ -14,6 +14,7 @@
 from persimmonstall.failures import Failure, Reason
 from persimmonstall.settings.schema import Settings
 from persimmonstall_daemon.direct.chooser import EndpointChooser
+from persimmonstall_daemon.direct.cold import ColdReporter
 from persimmonstall_daemon.direct.crash_records import CrashRecords
 from persimmonstall_daemon.direct.crash_reports import CrashReporter
 from persimmonstall_daemon.direct.directory_readers import DirectoryReaders
@@ -58,6 +59,7 @@
     entry.limits = LimitReporter(entry, entry.peers.schedule_beacon)
     entry.notices = NoticeReporter(entry, entry.peers.schedule_beacon)
     entry.evacuations = EvacuationReporter(entry)
+    entry.cold = ColdReporter(entry)
     entry.chooser = EndpointChooser(entry)
     entry.crash_reporter = CrashReporter(entry)
     entry.crash_records = CrashRecords(entry)
--- a/packages/daemon/tests/test_direct_limits.py
+++ b/packages/daemon/tests/test_direct_limits.py
@@ -10,12 +10,12 @@
 from persimmonstall.direct import beacon as beacons
 from persimmonstall.direct import findings
 from persimmonstall.direct.findings import Findings
+from persimmonstall.direct.grants import Permit
 from persimmonstall.direct.messages import Endpoint, Repeat, Route, RoutedCall, Service, Share
 from persimmonstall.direct.permits import PermitReply, PermitRequest
 from persimmonstall.direct.request_limits import (
     PROBE_SECONDS,
     LimitReport,
-    Permit,
     RequestLimits,
 )
 from persimmonstall_daemon.direct.permits import PermitExchange
