Header values pass as the octets that came, in both directions

Values are now text with surrogate escapes (PEP 383), as aiohttp itself reads them, and a writer for both sides writes these as the octets they stand for.

--- a/packages/daemon/persimmonstall_daemon/direct/callers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/callers.py
@@ -9,6 +9,7 @@
 from persimmonstall.direct.messages import CallerLimits
 from persimmonstall.failures import Failure, Outcome, Reason, refuse
 
+from ..exact_headers import ExactHeaderWriter, to_octets, to_text
 from ..observe import logs
 from .acceptor import BACKLOG, Acceptor
 
@@ -86,7 +87,7 @@
     async def reply(self, reply):
         """Send a complete `Reply`."""
         response = web.Response(status=reply.status, body=reply.body)
-        set_headers(response, [(n.encode(), v.encode()) for n, v in reply.headers])
+        set_headers(response, [(to_octets(n), to_octets(v)) for n, v in reply.headers])
         if reply.close:
             response.force_close()
         await self.send_head(response)
@@ -110,7 +111,7 @@
     """Set the headers of a response; aiohttp itself adds only those for framing."""
     response.headers.clear()
     for name, value in headers:
-        response.headers.add(name.decode("latin-1"), value.decode("latin-1"))
+        response.headers.add(to_text(name), to_text(value))
 
 
 def listen(address):
@@ -241,11 +242,15 @@
             lingering_time=LINGER_SECONDS,
         )
 
-    def make_request(self, message, payload, protocol, writer, task):
-        """Return a request whose body may be as large as the configuration allows."""
+    def make_request(self, message, payload, protocol, _writer, task):
+        """Return a request whose body may be as large as the configuration allows.
+
+        The headers of its answer are written exactly.
+        """
         protocol.request_started()
         max_size = self.limits.body_bytes or MAX_BODY_BYTES
         loop = asyncio.get_running_loop()
+        writer = ExactHeaderWriter(protocol, loop)
         return web.BaseRequest(
             message, payload, protocol, writer, task, loop, client_max_size=max_size
         )
--- a/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -16,6 +16,7 @@
 from persimmonstall.failures import Failure, Reason
 
 from ..bounded_http import AnswerRejected, BoundedConnector, ConnectionBroken, open_session
+from ..exact_headers import to_text, write_requests_exactly
 from .connecting import (
     CATCH_UP_SECONDS,
     CONNECT_SECONDS,
@@ -167,6 +168,7 @@
 
     async def start(self):
         """Open the HTTP session; must be called in the running event loop."""
+        write_requests_exactly()
         self.session = make_session(
             ExactRequest, trace_configs=(progress_reports(),), force_close=True
         )
@@ -184,7 +186,7 @@
         call = routed.call
         peer = request.endpoint.name
         headers = CIMultiDict(
-            (name.decode("latin-1"), value.decode("latin-1"))
+            (to_text(name), to_text(value))
             for name, value in self.dialect.attempt_headers(routed, request)
         )
         headers[EXACT_TARGET] = call.target
--- a/packages/daemon/persimmonstall_daemon/direct/final_answers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/final_answers.py
@@ -6,6 +6,7 @@
 from persimmonstall.direct.retrying import AttemptOutcome, final_refusal
 from persimmonstall.failures import Failure, Reason, Refusal, refuse
 
+from ..exact_headers import to_text
 from ..observe import logs
 from .time_limits import REPLY_MARGIN_SECONDS
 
@@ -77,7 +78,7 @@
 
     async def relay_answer(self, sink, result):
         """Give the caller an endpoint's complete answer."""
-        headers = tuple((n.decode("latin-1"), v.decode("latin-1")) for n, v in result.head.headers)
+        headers = tuple((to_text(n), to_text(v)) for n, v in result.head.headers)
         await sink.reply(Reply(result.head.status, headers, result.body))
 
     async def refuse(self, call, sink, failure):
