Parts that crash endpoints: blocked without waiting for answers, told apart by trials

One decision now: parts that two different calls crashed at two moments, and that no answer had, are blocked, however few answers there were. Those whose crashes do not tell them apart are a group; a call that lacks a part of it is tried at once, one at a time over all entries (the owner of the group's first part decides): its answer clears the parts that it has, its crash those that it lacks. A call with all of a group is tried as before. A stream that has gone on for a second counts as an answer here.

--- a/packages/core/persimmonstall/direct/crashing_parts.py
+++ b/packages/core/persimmonstall/direct/crashing_parts.py
@@ -1,24 +1,19 @@
 """Parts of prompts that crash the endpoints which begin to answer a call with them.
 
 Calls with such a part are all different, and share their other parts and their caller with sound
-ones.  A part is therefore known only by what different crashes have in common and no complete
-answer has; without complete answers nothing is known.  Calls beside such a one are lost with it:
-a crash counts against the part that most crashes have in common, not against the others.
+ones.  A part is therefore known only by what different crashes have in common and no answer has.
+Calls beside such a one are lost with it: a crash counts against the part that most crashes have
+in common, not against the others.  Parts that crashed together are all blocked, however few
+answers there were, and told apart by trials: a call that lacks one of them is tried at once.
 """
 
-import itertools
-
 import attrs
 
 from .change_log import ChangeLog
-from .content import is_body
+from .culprits import find_culprits
 from .sound_keys import SoundKeys
 from .suspect import BLOCK_CRASHES, Suspect
 
-MIN_WHOLE_ANSWERS = 10
-"""Number of complete answers of all entries before which no part of a prompt is blocked by its
-crashes; a body that several calls share is seldom one that all calls have."""
-
 BLOCK_SECONDS = 600.0
 SUSPECT_SECONDS = 120.0
 """Times after its last crash or trial for which a part is blocked, or only suspected."""
@@ -73,24 +68,18 @@
     """Suspected and sound parts, of this entry and as reported by others.
 
     `changes` has the keys (part, lifetime, content) of crashes and `cleared` the parts that are
-    found sound although an entry suspects them.  `whole_answers` is the number of complete answers
-    of this entry to prompts with parts, `remote_whole_answers` that of the others by address.
-    `enough_answers` says that some entry knew of enough of them, which outlives its restart.
-    `cached_culprits` is None after a change of the suspects.
+    found sound although an entry suspects them.  `cached_culprits` is None after a change of the
+    suspects.
     """
 
     suspects: dict = attrs.field(factory=dict)
     sound: SoundKeys = attrs.field(factory=lambda: SoundKeys(MAX_SOUND_PARTS))
     changes: ChangeLog = attrs.field(factory=ChangeLog)
     cleared: ChangeLog = attrs.field(factory=ChangeLog)
-    whole_answers: int = 0
-    remote_whole_answers: dict = attrs.field(factory=dict)
-    enough_answers: bool = False
-    cached_culprits: set | None = None
-
-    def record_whole(self, parts, now):
-        """Record a complete answer: its parts crash nothing."""
-        self.whole_answers += not all(map(is_body, parts))
+    cached_culprits: object = None
+
+    def record_answer(self, parts, now):
+        """Record an answer that went on beyond its beginning: its parts crash nothing."""
         for part in parts:
             if self.mark_sound(part, now):
                 self.cleared.record(part)
@@ -128,22 +117,11 @@
             suspect.last_trial = now
             self.cached_culprits = None
 
-    def knows_enough_answers(self):
-        """Return whether there were so many complete answers that parts of prompts are blocked."""
-        if not self.enough_answers:
-            total = self.whole_answers + sum(self.remote_whole_answers.values())
-            self.enough_answers = total >= MIN_WHOLE_ANSWERS
-        return self.enough_answers
-
-    def merge_remote(self, crashes, sound, entry, whole_answers, now, enough_answers=False):
-        """Merge the crashes and the sound parts that the entry at the address `entry` reports.
+    def merge_remote(self, crashes, sound, now):
+        """Merge the crashes and the sound parts that another entry reports.
 
-        A part that this entry knows to be sound is reported back as such.  The count of an entry
-        that restarted begins anew, but the answers before were complete all the same.
+        A part that this entry knows to be sound is reported back as such.
         """
-        known = self.remote_whole_answers.get(entry, 0)
-        self.remote_whole_answers[entry] = max(known, whole_answers)
-        self.enough_answers |= enough_answers
         for part in sound:
             self.mark_sound(part, now)
         for crash in crashes:
@@ -159,27 +137,17 @@
             return False
         if suspect.earlier >= BLOCK_CRASHES:
             return True
-        if part not in self.culprits():
-            return False
-        return is_body(part) or self.knows_enough_answers()
+        return part in self.culprits()
 
     def culprits(self):
-        """Return the suspects that stand out by crashes which no stronger suspect explains."""
+        """Return the `Culprits`."""
         if self.cached_culprits is None:
-            self.cached_culprits = self.find_culprits()
+            self.cached_culprits = find_culprits(self.suspects)
         return self.cached_culprits
 
-    def find_culprits(self):
-        """Find the culprits; of suspects with as many crashes none explains those of another."""
-        lifetimes = {part: suspect.lifetimes() for part, suspect in self.suspects.items()}
-        unexplained = set().union(*lifetimes.values())
-        culprits = set()
-        by_crashes = sorted(self.suspects, key=lambda part: -len(lifetimes[part]))
-        for _, tied in itertools.groupby(by_crashes, key=lambda part: len(lifetimes[part])):
-            found = {part for part in tied if self.suspects[part].stands_out(unexplained)}
-            culprits |= found
-            unexplained.difference_update(*(lifetimes[part] for part in found))
-        return culprits
+    def trial(self, parts):
+        """Return the `Trial` that a call needs, of whose `parts` some are blocked, or None."""
+        return self.culprits().trial(parts)
 
     def blocked_parts(self, parts):
         """Return the blocked ones of `parts`."""
@@ -194,25 +162,27 @@
         blocked = self.blocked_parts(self.culprits())
         return set().union(*(self.suspects[part].lifetimes() for part in blocked))
 
-    def trial_wait(self, part, now):
-        """Return the seconds until a call with a blocked part may be tried, 0 for now.
+    def trial_wait(self, part, telling, now):
+        """Return the seconds until a call may be tried for the group of a part, 0 for now.
 
-        Return None if the part is not known here.
+        Return None if the part is not suspected here; if it is sound, the others are told.
         """
         suspect = self.suspects.get(part)
         if suspect is None:
+            if self.sound.is_sound(part, now):
+                self.cleared.record(part)
             return None
-        wait = suspect.trial_wait(now)
+        group = self.culprits().group(part)
+        crashes = max(self.suspects[other].count() for other in group)
+        if telling and len(group) > 1:
+            wait = suspect.telling_trial_wait(crashes, now)
+        else:
+            wait = suspect.trial_wait(crashes, now)
         return max(0.0, suspect.blocked_since() + BLOCK_SECONDS - now) if wait is None else wait
 
-    def start_trial(self, part, now):
-        """Return whether a call with a blocked part may be tried; if so, record the trial."""
-        suspect = self.suspects[part]
-        if suspect.trial_wait(now) != 0.0:
-            return False
-        suspect.trials += 1
-        suspect.last_trial = now
-        return True
+    def start_trial(self, part, telling, now):
+        """Record that a call is tried."""
+        self.suspects[part].start_trial(telling, now)
 
     def local_changes(self, now):
         """Return the (crashes, sound parts) that changed lately, to be sent to other entries."""
--- a/packages/core/persimmonstall/direct/findings.py
+++ b/packages/core/persimmonstall/direct/findings.py
@@ -11,6 +11,8 @@
 from .request_limits import LimitReport
 
 STEP = "peers"
+UNUSED_NUMBER = 0
+"""Stands where earlier versions expect a number."""
 
 
 @attrs.frozen
@@ -18,26 +20,21 @@
     """Findings of the entry at `address`.
 
     `limits` are those that endpoints named, `crashes` what crashed calls have in common, and
-    `sound_parts` the suspected parts of prompts of which an answer was complete.
-    `whole_answers` is the number of complete answers to prompts with parts.  `excused` are the
-    crashes of contents, as (content, lifetimes) pairs, that complete answers excused; `leaving`
-    are the lifetimes of endpoints that said they leave.  `enough_answers` says that the entry
-    knows of enough complete answers, its own and others', to block parts of prompts.  Merging the
-    same findings again changes nothing, so datagrams may be lost or repeated.
+    `sound_parts` the suspected parts of prompts that were answered.  `excused` are the crashes of
+    contents, as (content, lifetimes) pairs, that complete answers excused; `leaving` are the
+    lifetimes of endpoints that said they leave.  Merging the same findings again changes nothing,
+    so datagrams may be lost or repeated.
     """
 
     address: str
     limits: tuple[LimitReport, ...] = ()
     crashes: tuple[PartCrash, ...] = ()
     sound_parts: tuple[str, ...] = ()
-    whole_answers: int = 0
     excused: tuple = ()
     leaving: tuple = ()
-    enough_answers: bool = False
 
     def __bool__(self):
-        reports = (self.limits, self.crashes, self.sound_parts, self.excused, self.leaving)
-        return any(reports) or self.enough_answers
+        return any((self.limits, self.crashes, self.sound_parts, self.excused, self.leaving))
 
 
 def encode(findings):
@@ -45,7 +42,7 @@
 
     >>> limit, crash = LimitReport("e", 1, 2.5, 0.1), PartCrash("5a", "c1", "e", 1, 0.2)
     >>> excused = ("c2", (("e", 1),))
-    >>> sent = Findings("a:1", (limit,), (crash,), ("5b",), 7, (excused,), (("f", 2),), True)
+    >>> sent = Findings("a:1", (limit,), (crash,), ("5b",), (excused,), (("f", 2),))
     >>> decode(datagrams.decode(encode(sent)).fields) == sent
     True
     """
@@ -56,10 +53,9 @@
         limits,
         crashes,
         findings.sound_parts,
-        findings.whole_answers,
+        UNUSED_NUMBER,
         findings.excused,
         findings.leaving,
-        findings.enough_answers,
     )
     return datagrams.encode(Kind.FINDINGS, fields)
 
@@ -73,16 +69,14 @@
     "ValueError('limit of nan requests per second')"
     """
     try:
-        address, limits, crashes, sound_parts, whole_answers = fields[:5]
+        address, limits, crashes, sound_parts, _unused = fields[:5]
         return Findings(
             address,
             tuple(map(read_limit, limits)),
             tuple(map(read_crash, crashes)),
             tuple(sound_parts),
-            int(whole_answers),
             tuple(map(read_excused, fields[5] if len(fields) > 5 else ())),
             read_lifetimes(fields[6] if len(fields) > 6 else ()),
-            len(fields) > 7 and bool(fields[7]),
         )
     except (TypeError, ValueError) as error:
         return Failure(Reason.BAD_REQUEST, STEP, detail=repr(error))
--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -75,7 +75,6 @@
             address,
             self.request_limits.local_changes(now),
             *parts.local_changes(now),
-            parts.whole_answers,
             tracker.excused_changes(),
             self.notices.local_changes(),
         )
@@ -87,10 +86,8 @@
             address,
             self.request_limits.local_state(now),
             *parts.local_state(now),
-            parts.whole_answers,
             tracker.excused_state(),
             self.notices.local_state(),
-            parts.knows_enough_answers(),
         )
 
     def mark_changes_sent(self):
@@ -197,7 +194,6 @@
     def forget_peer(self, address):
         """Drop what the entry at `address` reported of itself, since it is gone."""
         self.budget.forget(address)
-        self.crash_tracker.parts.remote_whole_answers.pop(address, None)
 
     def peer_saw_directory(self, at, now, relies_on_peers=False):
         """Record that the directory answered a peer at the time `at`.
--- a/packages/core/persimmonstall/direct/suspect.py
+++ b/packages/core/persimmonstall/direct/suspect.py
@@ -1,6 +1,7 @@
 """A part of prompts that may crash endpoints: its crashes, and when a call with it is tried."""
 
 import itertools
+import math
 
 import attrs
 
@@ -8,12 +9,19 @@
 """Number of crashes, and of different calls in them, from which a part is blocked."""
 
 FINAL_CRASHES = 5
-"""Number of crashes from which a blocked part gets no more trials."""
+"""Number of crashes from which a blocked part gets no more trials but telling ones."""
+
+FINAL_TELLING_CRASHES = FINAL_CRASHES + 2
+"""Number of crashes from which a blocked part gets no more telling trials either."""
 
 TRIAL_SECONDS = 3.0
 """Time after the last crash or trial of a blocked part from which one call may be tried; it
 doubles with each trial."""
 
+TELLING_TRIAL_SECONDS = 1.0
+"""Time after the first telling trial from which another one may follow; it doubles with each, up
+to `TRIAL_SECONDS`.  Most calls have begun to be answered by then."""
+
 MOMENT_SECONDS = 0.1
 """Time within which the crashes of several endpoints count as one: they have another cause."""
 
@@ -27,13 +35,16 @@
 
     `crashes` maps (lifetime, content) to the time of the crash.  `earlier` is the number of
     crashes that another entry recorded before this process started.  `last_trial` is the time of
-    the last of the `trials`, None before the first.
+    the last of the `trials`, None before the first.  `telling_trials` and `last_telling_trial` are
+    those of calls that lack a part which crashed as often.
     """
 
     crashes: dict = attrs.field(factory=dict)
     earlier: int = 0
     trials: int = 0
     last_trial: float | None = None
+    telling_trials: int = 0
+    last_telling_trial: float = -math.inf
 
     @property
     def last_crash(self):
@@ -76,15 +87,31 @@
         moments = count_moments(crashes.values())
         return len(contents) >= BLOCK_CRASHES and moments >= BLOCK_CRASHES
 
-    def trial_wait(self, now):
+    def trial_wait(self, crashes, now):
         """Return the seconds until one call with the blocked part may be tried, 0 for now.
 
-        Return None if there are no more trials.
+        Return None if there are no more trials after so many `crashes`.
         """
-        if self.count() >= FINAL_CRASHES:
+        if crashes >= FINAL_CRASHES:
             return None
         return max(0.0, self.blocked_since() + TRIAL_SECONDS * 2**self.trials - now)
 
+    def telling_trial_wait(self, crashes, now):
+        """Return the same for a call that lacks a part which crashed as often."""
+        if crashes >= FINAL_TELLING_CRASHES:
+            return None
+        pause = min(TRIAL_SECONDS, TELLING_TRIAL_SECONDS * 2 ** (self.telling_trials - 1))
+        return max(0.0, self.last_telling_trial + pause - now)
+
+    def start_trial(self, telling, now):
+        """Record that a call is tried."""
+        if telling:
+            self.telling_trials += 1
+            self.last_telling_trial = now
+        else:
+            self.trials += 1
+            self.last_trial = now
+
 
 def crash_time(item):
     """Return the time of an item of `Suspect.crashes`."""
--- a/packages/core/persimmonstall/direct/trials.py
+++ b/packages/core/persimmonstall/direct/trials.py
@@ -14,8 +14,8 @@
 class TrialRequest:
     """Asks to try one call with the content or part `key`; `address` is the asking entry's.
 
-    `number` identifies the request at the asking entry.  `at_once` says that the content was
-    answered completely there lately.
+    `number` identifies the request at the asking entry.  `at_once` says of a content that it was
+    answered completely there lately, of a part that the trial is a telling one.
     """
 
     address: str
--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -46,6 +46,7 @@
         self.sink = sink
         self.answer = None
         self.sent_at = None
+        self.first_event_at = None
         self.batches_relayed = 0
         self.dropped = False
         self.watch = SilenceWatch(self)
@@ -339,7 +340,11 @@
             events = max(1, reader.last - self.history.last_event)
             gap = now - self.history.last_event_at
             self.entry.loads.record_gap(self.endpoint.name, gap, events)
+            self.entry.crash_reporter.record_progress(
+                self.routed, self.batches_relayed, now - self.first_event_at
+            )
         else:
+            self.first_event_at = now
             self.entry.loads.record_first_event(self.placed.attempt.name)
         if not self.sink.started:
             await self.sink.start(self.answer.head.status, self.answer.head.headers)
--- a/packages/daemon/persimmonstall_daemon/direct/crash_reports.py
+++ b/packages/daemon/persimmonstall_daemon/direct/crash_reports.py
@@ -28,6 +28,9 @@
 MAX_BATCHES_BEFORE_CRASH = 1
 """How often a call that crashes its endpoint may have sent events before."""
 
+MIN_PROGRESS_SECONDS = 1.0
+"""Time since its first event after which an answer that goes on shows that no part of its prompt
+crashes endpoints: they crash as they begin to write."""
 
 KEY_NAMES = {RecordKind.PART: "prompt part", RecordKind.CONTENT: "content"}
 """What refusals call a blocked key."""
@@ -59,18 +62,31 @@
         blocked = self.blocked(routed)
         if not blocked:
             return None
-        kind, key = blocked[0]
-        if len(blocked) > 1:
+        permit = await self.ask_for_trial(routed, blocked)
+        if permit is None:
             return quarantined(blocked)
-        at_once = self.crash_tracker.sound.is_sound(key, self.entry.now())
-        permit = await self.entry.trials.acquire(kind, key, at_once)
         if not permit.granted:
             return quarantined(blocked, permit.wait)
-        self.log.warning(
-            f"{kind.value}_tried", **{kind.value: key}, request_id=routed.call.call_id
-        )
+        for kind, key in blocked:
+            self.log.warning(
+                f"{kind.value}_tried", **{kind.value: key}, request_id=routed.call.call_id
+            )
         return None
 
+    async def ask_for_trial(self, routed, blocked):
+        """Return the `Permit` to try a call with `blocked` keys, None if it is not tried.
+
+        One with a blocked content is tried only if no part of it is blocked too.
+        """
+        trials, (kind, key) = self.entry.trials, blocked[-1]
+        if kind is RecordKind.PART:
+            trial = self.crash_tracker.parts.trial(routed.parts)
+            return trial and await trials.acquire(kind, trial.key, trial.telling)
+        if len(blocked) > 1:
+            return None
+        at_once = self.crash_tracker.sound.is_sound(key, self.entry.now())
+        return await trials.acquire(kind, key, at_once)
+
     def blocked(self, routed):
         """Return the (kind, key) pairs of the call's content and parts that are blocked."""
         tracker = self.crash_tracker
@@ -86,15 +102,33 @@
 
     def record_whole(self, routed):
         """Record a complete answer: the call's parts crash nothing, its content hardly does."""
-        now, parts = self.entry.now(), self.crash_tracker.parts
-        cleared = [("part", part) for part in routed.parts if part in parts.suspects]
-        parts.record_whole(routed.parts, now)
-        if self.crash_tracker.record_whole(routed.content, now):
-            cleared.append(("content", routed.content))
-        for kind, key in cleared:
-            self.log.info(f"{kind}_cleared", **{kind: key}, request_id=routed.call.call_id)
-        if cleared:
-            self.entry.peers.schedule_beacon(True)
+        self.record_sound_parts(routed)
+        if self.crash_tracker.record_whole(routed.content, self.entry.now()):
+            self.report_cleared("content", routed.content, routed)
+
+    def record_progress(self, routed, batches_relayed, seconds):
+        """Record that an answer has gone on for some seconds since its first event.
+
+        A suspected part would have crashed the endpoint before; a trial that is answered slowly
+        clears its parts now.
+        """
+        if batches_relayed <= MAX_BATCHES_BEFORE_CRASH or seconds < MIN_PROGRESS_SECONDS:
+            return
+        if any(part in self.crash_tracker.parts.suspects for part in routed.parts):
+            self.record_sound_parts(routed)
+
+    def record_sound_parts(self, routed):
+        """Record that an answer to a call has gone beyond its beginning."""
+        parts = self.crash_tracker.parts
+        cleared = [part for part in routed.parts if part in parts.suspects]
+        parts.record_answer(routed.parts, self.entry.now())
+        for part in cleared:
+            self.report_cleared("part", part, routed)
+
+    def report_cleared(self, kind, key, routed):
+        """Log what an answer has cleared, and tell the peers."""
+        self.log.info(f"{kind}_cleared", **{kind: key}, request_id=routed.call.call_id)
+        self.entry.peers.schedule_beacon(True)
 
     def record_lost(self, routed, endpoint, result):
         """Record an attempt that failed, and check whether its endpoint is dead.
@@ -214,14 +248,7 @@
         self.crash_tracker.merge_excused(found.excused, self.entry.now())
         parts = self.crash_tracker.parts
         before = set(parts.blocked())
-        parts.merge_remote(
-            found.crashes,
-            found.sound_parts,
-            found.address,
-            found.whole_answers,
-            self.entry.now(),
-            found.enough_answers,
-        )
+        parts.merge_remote(found.crashes, found.sound_parts, self.entry.now())
         self.log_blocked(before, found.address)
 
     def log_blocked(self, before, source):
--- a/packages/daemon/persimmonstall_daemon/direct/trials.py
+++ b/packages/daemon/persimmonstall_daemon/direct/trials.py
@@ -38,15 +38,23 @@
         """Return the permit to try a call, as the owner of its key, and record the trial."""
         tracker, now = self.entry.state.crash_tracker, self.entry.now()
         if kind is RecordKind.CONTENT:
-            wait, suspects = tracker.trial_wait(key, at_once, now), tracker
+            wait = tracker.trial_wait(key, at_once, now)
         else:
-            wait, suspects = tracker.parts.trial_wait(key, now), tracker.parts
+            wait = tracker.parts.trial_wait(key, at_once, now)
         if wait is None:
             return UNANSWERED
         if wait == 0.0:
-            suspects.start_trial(key, now)
+            self.start(kind, key, at_once)
         return Permit(wait == 0.0, wait)
 
+    def start(self, kind, key, at_once):
+        """Record that a call is tried."""
+        tracker, now = self.entry.state.crash_tracker, self.entry.now()
+        if kind is RecordKind.CONTENT:
+            tracker.start_trial(key, now)
+        else:
+            tracker.parts.start_trial(key, at_once, now)
+
     def on_datagram(self, datagram):
         """Process a request to try a call, or the reply to one."""
         asked = datagram.kind is Kind.TRIAL_REQUEST
--- a/packages/daemon/tests/test_direct_crashes.py
+++ b/packages/daemon/tests/test_direct_crashes.py
@@ -7,22 +7,19 @@
 import attrs
 import pytest
 
-from persimmonstall.direct.crashing_parts import (
-    MIN_WHOLE_ANSWERS,
-    CrashingParts,
-    LostCall,
-    PartCrash,
-)
+from persimmonstall.direct.content import BODY_PREFIX
+from persimmonstall.direct.crashing_parts import CrashingParts, LostCall, PartCrash
 from persimmonstall.direct.sound_keys import SOUND_SECONDS
 from persimmonstall.direct.suspect import FINAL_CRASHES, MOMENT_SECONDS, TRIAL_SECONDS
 from persimmonstall_standins.virtual import loop as virtual_loop
 
-from .direct_fleet import GossipFleet
+from .direct_fleet import GossipFleet, make_entry
 
 STABLE_SECONDS = 3.0
 ALLOWED_ARRIVALS = 3
 PLAY_SECONDS = 20.0
 CALLS_PER_SECOND = 15.0
+CRASHING_SHARE = 0.15
 ATTEMPTS = 2
 CRASH_SECONDS = 0.1
 ANSWER_SECONDS = 1.5
@@ -57,30 +54,67 @@
         return self.content
 
 
+@attrs.frozen
+class Service:
+    """What calls look like: the parts that all share, and how many others some share.
+
+    `sharing` is the share of the sound calls that have any of them; the others have no parts.  The
+    crashing calls come `warm_up` seconds after the first sound ones.
+    """
+
+    shared: tuple = ("5a",)
+    callers: int = 4
+    topics: int = 60
+    sharing: float = 1.0
+    warm_up: float = WARM_UP_SECONDS
+    calls_per_second: float = CALLS_PER_SECOND
+    crashing_share: float = CRASHING_SHARE
+
+
+DEFAULT_SERVICE = Service()
+JUST_STARTED = Service(warm_up=0.0)
+SELDOM_SHARED = Service(callers=0, topics=0, sharing=0.1, warm_up=0.0, crashing_share=0.4)
+MANY_SHARED = Service(shared=("5a", "5b", "5c"), callers=2, topics=0, warm_up=0.0)
+FEW_CALLS = Service(("5a", "5b"), 0, 0, warm_up=0.0, calls_per_second=3.0, crashing_share=0.5)
+
+
 @attrs.define
 class Play:
     """Calls to engines that `BAD` crashes, and what came of them."""
 
     fleet: GossipFleet
     numbers: random.Random
+    service: "Service"
     arrivals: list = attrs.field(factory=list)
     crashes: list = attrs.field(factory=list)
     refused: int = 0
     sound: int = 0
+    begun: list = attrs.field(factory=list)
     in_flight: list = attrs.field(factory=list)
     number: itertools.count = attrs.field(factory=itertools.count)
 
     def make_call(self, crashing):
         """Return a call; of the parts of a crashing one, a sound one has all but `BAD`."""
-        middle = BAD if crashing else f"c{self.numbers.randrange(60)}"
-        parts = ("5a", f"t{self.numbers.randrange(4)}", middle)
-        return PartCall(f"{next(self.number):x}", parts)
+        service, content = self.service, f"{next(self.number):x}"
+        if not crashing and self.numbers.random() >= service.sharing:
+            return PartCall(content, (f"{BODY_PREFIX}{content}",))
+        parts = list(service.shared)
+        if service.callers:
+            parts.append(f"t{self.numbers.randrange(service.callers)}")
+        if crashing:
+            parts.append(BAD)
+        elif service.topics:
+            parts.append(f"c{self.numbers.randrange(service.topics)}")
+        return PartCall(content, tuple(parts))
 
     async def serve_sound(self, entry):
         """Serve a sound call, unless its part is blocked or its engine crashes."""
         call = self.make_call(False)
         self.sound += 1
-        if await entry.crash_reporter.check(call) is not None:
+        started_at = self.fleet.clock()
+        begun = await entry.crash_reporter.check(call) is None
+        self.begun.append((started_at, begun))
+        if not begun:
             self.refused += 1
             return
         flight = (entry, call, self.fleet.clock())
@@ -121,14 +155,17 @@
     async def run(self, disturbed):
         """Send calls to random entries, of which some are killed if `disturbed`."""
         calls = []
-        crashing_from = self.fleet.clock() + WARM_UP_SECONDS
+        crashing_from = self.fleet.clock() + self.service.warm_up
         until = crashing_from + PLAY_SECONDS
         disturbing = asyncio.create_task(self.disturb()) if disturbed else None
         while self.fleet.clock() < until:
-            crashing = self.numbers.random() < 0.15 and self.fleet.clock() > crashing_from
+            crashing = (
+                self.numbers.random() < self.service.crashing_share
+                and self.fleet.clock() > crashing_from
+            )
             serve = self.serve_crashing if crashing else self.serve_sound
             calls.append(asyncio.create_task(serve(self.fleet.random_entry())))
-            await asyncio.sleep(self.numbers.expovariate(CALLS_PER_SECOND))
+            await asyncio.sleep(self.numbers.expovariate(self.service.calls_per_second))
         await asyncio.gather(*calls)
         if disturbing is not None:
             disturbing.cancel()
@@ -142,6 +179,12 @@
             await asyncio.sleep(1.0)
             self.fleet.start(address)
 
+    def late_sound_share(self):
+        """Return the share of the sound calls that begin, from a while after two crashes."""
+        known_at = self.crashes[1] + 2 * STABLE_SECONDS
+        begun = [begun for at, begun in self.begun if at > known_at]
+        return sum(begun) / len(begun)
+
     def late_arrivals(self):
         """Return the number of calls with `BAD` that came too late after the first crashes."""
         if len(self.crashes) < FINAL_CRASHES:
@@ -150,14 +193,14 @@
         return sum(at > known_at for at in self.arrivals)
 
 
-def play(count, seed, loss=0.0, disturbed=False):
+def play(count, seed, loss=0.0, disturbed=False, service=DEFAULT_SERVICE):
     """Return the `Play` of a fleet of `count` entries."""
 
     async def run():
         numbers = random.Random(seed)
         fleet = GossipFleet(count, numbers, loss)
         await asyncio.sleep(2.0)
-        played = Play(fleet, numbers)
+        played = Play(fleet, numbers, service)
         await played.run(disturbed)
         fleet.stop()
         return played
@@ -174,6 +217,16 @@
     assert played.refused <= 0.05 * played.sound
 
 
+@pytest.mark.parametrize("count", [1, 3, 8])
+@pytest.mark.parametrize("service", [JUST_STARTED, SELDOM_SHARED, MANY_SHARED, FEW_CALLS])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_crashing_part_is_found_though_nothing_is_known_of_the_others(service, count, seed):
+    played = play(count, seed, service=service)
+    assert played.crashes
+    assert played.late_arrivals() <= ALLOWED_ARRIVALS
+    assert played.late_sound_share() >= 0.9
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_part_stays_blocked_while_entries_restart_and_datagrams_are_lost(seed):
     played = play(8, seed, loss=0.05, disturbed=True)
@@ -199,11 +252,8 @@
 
 @pytest.fixture
 def parts():
-    """Return the parts of an entry that has had complete answers of other parts."""
-    parts = CrashingParts()
-    for number in range(MIN_WHOLE_ANSWERS):
-        parts.record_whole((f"w{number}",), 0.0)
-    return parts
+    """Return the parts that an entry knows, none so far."""
+    return CrashingParts()
 
 
 def crash(parts, number, at, *names):
@@ -229,28 +279,30 @@
     other = CrashingParts()
     for number in range(2):
         crash(parts, number, 5.0 + number, "p")
-    other.record_whole(("p",), 6.0)
-    other.merge_remote(*parts.local_changes(7.0), "a", 0, 7.0)
+    other.record_answer(("p",), 6.0)
+    other.merge_remote(*parts.local_changes(7.0), 7.0)
     assert parts.is_blocked("p")
-    parts.merge_remote(*other.local_changes(7.0), "b", 1, 7.0)
+    parts.merge_remote(*other.local_changes(7.0), 7.0)
     assert not parts.is_blocked("p")
     assert not parts.suspects
 
 
 def test_part_is_suspected_again_long_after_its_last_complete_answer(parts):
-    parts.record_whole(("p",), 0.0)
+    parts.record_answer(("p",), 0.0)
     for number in range(2):
         crash(parts, number, SOUND_SECONDS + number, "p")
     assert parts.is_blocked("p")
 
 
-def test_nothing_is_blocked_before_there_are_complete_answers():
+def test_parts_that_crashed_before_any_answer_are_blocked_until_one_is_answered():
     parts = CrashingParts()
     for number in range(3):
         crash(parts, number, 5.0 + number, "everywhere", "p")
-    assert not parts.blocked()
-    parts.merge_remote((), (), "a", MIN_WHOLE_ANSWERS, 9.0)
     assert set(parts.blocked()) == {"everywhere", "p"}
+    trial = parts.trial(("everywhere",))
+    assert parts.trial_wait(trial.key, trial.telling, 8.0) == 0.0
+    parts.merge_remote((), ("everywhere",), 9.0)
+    assert set(parts.blocked()) == {"p"}
 
 
 def test_blocked_part_is_tried_a_few_times_and_then_not_any_more(parts):
@@ -259,7 +311,8 @@
     now, trials = 6.0, 0
     for number in range(2, 50):
         now += TRIAL_SECONDS
-        if parts.start_trial("p", now):
+        if parts.trial_wait("p", False, now) == 0.0:
+            parts.start_trial("p", False, now)
             trials += 1
             crash(parts, number, now, "p")
     assert 1 <= trials <= FINAL_CRASHES - 2
@@ -269,7 +322,7 @@
     parts = CrashingParts()
     parts.add_earlier("p", FINAL_CRASHES, 1.0)
     assert parts.is_blocked("p")
-    assert not parts.start_trial("p", 1.0 + 2 * TRIAL_SECONDS)
+    assert parts.trial_wait("p", False, 1.0 + 2 * TRIAL_SECONDS) > TRIAL_SECONDS
 
 
 def test_crashes_count_against_the_part_that_most_of_them_share(parts):
@@ -283,14 +336,18 @@
 
 def test_report_of_a_crash_that_is_known_already_changes_nothing(parts):
     crash(parts, 1, 5.0, "p")
-    parts.merge_remote((PartCrash("p", "c1", "e1", 1, 0.5),), (), "a", 3, 5.5)
+    parts.merge_remote((PartCrash("p", "c1", "e1", 1, 0.5),), (), 5.5)
     assert parts.suspects["p"].count() == 1
 
 
-def test_complete_answers_of_an_entry_that_restarted_still_count():
-    parts = CrashingParts()
-    parts.merge_remote((), (), "a", MIN_WHOLE_ANSWERS, 1.0)
-    parts.merge_remote((), (), "a", 1, 2.0)
-    for number in range(3):
-        crash(parts, number, 5.0 + number, "p")
-    assert parts.is_blocked("p")
+@pytest.mark.parametrize(
+    ("batches", "seconds", "cleared"), [(1, 5.0, 0), (2, 0.5, 0), (2, 1.0, 1)]
+)
+def test_answer_that_goes_on_clears_its_parts_before_it_is_complete(batches, seconds, cleared):
+    entry = make_entry(lambda: 8.0)
+    entry.peers.schedule_beacon = lambda urgent: None
+    parts = entry.state.crash_tracker.parts
+    for number in range(2):
+        crash(parts, number, 5.0 + number, "p", "q")
+    entry.crash_reporter.record_progress(PartCall("c", ("p",)), batches, seconds)
+    assert set(parts.blocked()) == ({"q"} if cleared else {"p", "q"})
