Distance: short prompts fill the engines of their own data centre sooner

Cause: all entries ranked engines in one order without regard to data centres, so that two thirds of all calls went to another one, each a way of two or more round trips later.

Change: the delays that engines' configurations name are decoded (`Configuration.delays`, `distance.Distances`). An engine in another data centre is ranked half a fleet later for short prompts, and its way (round trips on a new connection, more of them for large bodies) is part of `Candidate.surcharge`; only the first engine of a split pays for it. Without delays all is as before.

--- a/packages/core/persimmonstall/direct/candidates.py
+++ b/packages/core/persimmonstall/direct/candidates.py
@@ -16,7 +16,7 @@
 
     `rank` is its place in the order, from 0 to 1.  Short prompts prefer low ranks, parts of long
     prompts high ones.  `surcharge` is what makes it worse than its load says, in seconds of
-    latency.
+    latency; `way` is the part of it that is due to the way to another data centre.
     """
 
     endpoint: object
@@ -24,6 +24,7 @@
     rank: float
     failure_score: float
     surcharge: float = 0.0
+    way: float = 0.0
 
 
 class RankedCandidates:
--- a/packages/core/persimmonstall/direct/messages.py
+++ b/packages/core/persimmonstall/direct/messages.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from .distance import Delay
 from .notices import NOTHING, Notice
 
 NO_RESUME = -1
@@ -108,7 +109,7 @@
 class Configuration:
     """The operators' configuration at one version; `keys` holds organisations by API key.
 
-    `keyed` says whether calls need a key.
+    `keyed` says whether calls need a key, `delays` are those between data centres.
     """
 
     version: int
@@ -117,6 +118,7 @@
     keys: dict[str, Organisation] = attrs.field(factory=dict)
     keyed: bool = False
     caps: CallerLimits = attrs.field(factory=CallerLimits)
+    delays: tuple[Delay, ...] = ()
 
 
 @attrs.frozen
--- a/packages/core/persimmonstall/direct/placing.py
+++ b/packages/core/persimmonstall/direct/placing.py
@@ -2,7 +2,8 @@
 
 Short prompts fill the engines from one end of a fixed order, parts of long prompts from the
 other, so that few sequences are generating where long prefills lengthen the passes.  This keeps
-latencies low when bursts of short and of long prompts alternate or overlap.
+latencies low when bursts of short and of long prompts alternate or overlap.  Where data centres
+have delays, short prompts fill the engines of their own data centre sooner than those of others.
 """
 
 import math
@@ -12,6 +13,7 @@
 
 from ..failures import Failure, Postponed, Reason
 from .candidates import Candidate, RankedCandidates, rank_of
+from .distance import Distances
 from .eligibility import Eligibility
 from .engine_model import prefill_seconds
 from .loads import EndpointDemand, InFlightAttempt
@@ -38,6 +40,10 @@
 REMOTE_COST = 0.1
 """Cost of an endpoint in another data centre, in the same unit."""
 
+REMOTE_RANKS = 0.5
+"""By how much an engine in another data centre is ranked later for short prompts: half of the
+near engines come before the first of the others."""
+
 
 @attrs.frozen
 class PlacedAttempt:
@@ -59,6 +65,7 @@
     All entries rank engines in the same order.  An entry that does not know the attempts of the
     others yet uses a `salt`, which gives it an order of its own.  `data_centre` is the entry's.
     Where other entries place calls that are not known yet, `random` spreads the choice.
+    `distances` are those between data centres.
     """
 
     fleet: object
@@ -72,11 +79,17 @@
     ranked: dict = attrs.field(factory=dict)
     ranked_as_of: tuple = ()
     eligibility: Eligibility = None
+    distances: Distances = attrs.field(factory=Distances)
 
     def __attrs_post_init__(self):
         if self.eligibility is None:
             self.eligibility = Eligibility(self.fleet, self.notices)
 
+    def use_distances(self, distances):
+        """Use other distances between data centres."""
+        self.distances = distances
+        self.ranked.clear()
+
     def place(
         self,
         routed,
@@ -123,25 +136,38 @@
         detail = f"all endpoints of {service} asked for a pause"
         return Postponed(Reason.BUSY, STEP, detail=detail, delay=wait)
 
-    def ranked_endpoints(self, service):
-        """Return the endpoints of a service that accept calls, in rank order."""
+    def ranked_endpoints(self, service, near_first):
+        """Return the endpoints of a service that accept calls, in rank order.
+
+        With `near_first`, those in other data centres come later.
+        """
         as_of = (self.fleet.generation, self.salt)
         if self.ranked_as_of != as_of:
             self.ranked.clear()
             self.ranked_as_of = as_of
-        endpoints = self.ranked.get(service)
+        endpoints = self.ranked.get((service, near_first))
         if endpoints is None:
             endpoints = self.fleet.usable(service)
-            endpoints.sort(key=lambda endpoint: rank_of(endpoint.name, self.salt))
-            self.ranked[service] = endpoints
+            endpoints.sort(key=self.near_rank if near_first else self.rank)
+            self.ranked[service, near_first] = endpoints
         return endpoints
 
+    def rank(self, endpoint):
+        """Return the rank of an endpoint, the same at all entries."""
+        return rank_of(endpoint.name, self.salt)
+
+    def near_rank(self, endpoint):
+        """Return the rank of an endpoint for entries in this data centre."""
+        remote = self.distances.between(self.data_centre, endpoint.data_centre) > 0.0
+        return self.rank(endpoint) + REMOTE_RANKS * remote
+
     def untried_endpoints(self, routed, avoid, now):
         """Return the endpoints that accept calls, except those whose names are in `avoid`.
 
-        They come in rank order.
+        They come in rank order, near ones first unless the prompt is split.
         """
-        endpoints = self.ranked_endpoints(routed.service.name)
+        near_first = not self.is_split(routed)
+        endpoints = self.ranked_endpoints(routed.service.name, near_first)
         return self.eligibility.select(endpoints, avoid, now)
 
     def is_limited(self, endpoint):
@@ -168,11 +194,16 @@
 
     def candidate(self, routed, endpoint, now):
         """Return an endpoint as a `Candidate`, with its load as of `now`."""
+        way = self.distances.seconds_of_call(
+            self.data_centre, endpoint.data_centre, len(routed.call.body)
+        )
         return Candidate(
             endpoint,
             self.load_tracker.load_of(endpoint, routed.service, now),
-            rank_of(endpoint.name, self.salt),
+            self.rank(endpoint),
             self.failure_scores.score(endpoint.name, now),
+            surcharge=way,
+            way=way,
         )
 
     def unseen(self, kind, now):
--- a/packages/core/persimmonstall/direct/splitting.py
+++ b/packages/core/persimmonstall/direct/splitting.py
@@ -174,7 +174,7 @@
     ordered = sorted((each.cost(part), number) for number, each in enumerate(costs))[:count]
     chosen = [costs[number] for number in sorted(number for _, number in ordered)]
     first, *helpers = chosen
-    expected = max(each.first_event(part) for each in chosen)
+    expected = max(each.first_event(part) for each in chosen) + first.candidate.way
     engines_cost = sum(cost for cost, _ in ordered)
     late_cost = (
         late_probability(expected, routed.route.objective) * LATE_COST * call_weight(routed.call)
@@ -190,13 +190,14 @@
 
 
 def part_costs(candidate, now):
-    """Return the `PartCosts` of an engine."""
+    """Return the `PartCosts` of an engine; only the first engine of a split pays for the way."""
     load = candidate.load
     wait = max(0.0, load.busy_until - now) + load.pending_prefill()
     base = (
         QUEUE_COST * wait
         + SEQUENCE_COST * load.running()
         + candidate.surcharge
+        - candidate.way
         + FAILURE_COST * candidate.failure_score
         - RANK_COST * candidate.rank
     )
@@ -208,4 +209,5 @@
     """Return the sort key by which the engine that generates a long prompt's answer is chosen."""
     load = candidate.load
     full = load.running() >= load.profile.slots
-    return full, max(0, memory - load.free_memory()), load.running(), -candidate.rank
+    memory_short = max(0, memory - load.free_memory())
+    return full, memory_short, load.running(), candidate.way, -candidate.rank
--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -5,6 +5,7 @@
 import attrs
 
 from .crash_tracker import CrashTracker
+from .distance import Distances
 from .failure_scores import FailureScores
 from .findings import Findings
 from .fleet import Fleet
@@ -132,6 +133,7 @@
             return False
         self.configuration = configuration
         self.routes = RouteTable(configuration)
+        self.placer.use_distances(Distances.of(configuration.delays))
         return True
 
     def apply_endpoints(self, update, now):
--- a/packages/core/tests/delayed_fleet.py
+++ b/packages/core/tests/delayed_fleet.py
@@ -72,18 +72,19 @@
             at, _, action = heapq.heappop(self.events)
             action(at)
 
-    def place(self, call, now):
-        """Place a call, and end it when its answer is complete."""
+    def place(self, call, now, placer=None):
+        """Place a call, and end it when its answer is complete; return where it was placed."""
         self.advance(now)
         name = f"f{next(self.numbers)}"
-        placed = self.placer.place(call, now, name)
+        placer = placer or self.placer
+        placed = placer.place(call, now, name)
         attempt, profile = placed.attempt, call.service.engine
         first = self.placer.fleet.endpoints[attempt.demands[0].endpoint]
         full = self.truth.load_of(first, call.service, now).running() >= profile.slots
         for demand in attempt.demands[1:]:
             self.truth.load_of(self.placer.fleet.endpoints[demand.endpoint], call.service, now)
         self.truth.begin(attempt, now)
-        expected = max(
+        expected = self.way(placer, first, call) + max(
             self.truth.loads[demand.endpoint].predict_first_event(0.0, now)
             for demand in attempt.demands
         )
@@ -93,6 +94,13 @@
         self.schedule(end, lambda at: self.truth.end(name))
         self.schedule(now + self.lag, lambda at: self.see(at, (attempt,), ()))
         self.schedule(end + self.lag, lambda at: self.see(at, (), (name,)))
+        return placed
+
+    def way(self, placer, endpoint, call):
+        """Return the seconds that the way to an endpoint takes."""
+        return placer.distances.seconds_of_call(
+            placer.data_centre, endpoint.data_centre, len(call.call.body)
+        )
 
     def see(self, now, attempts, ended):
         """Let the entries see what began and ended."""
