Splits: a slow engine no longer holds up a split prompt

Cause: the engines of a split were chosen without their speed; one idle engine measured 5 times slower was always among them, and as the first event follows the last part, the cheapest split had 4 parts in place of 17.

Change: an engine costs the time for which the others would wait for its part, weighed like any second until the first event; a part on a slow engine is compared with the limits of the calls there as long as it really takes; a slow engine generates only where no normal one can. Where all engines are slow, all are used.

--- a/packages/core/persimmonstall/direct/splitting.py
+++ b/packages/core/persimmonstall/direct/splitting.py
@@ -3,6 +3,8 @@
 Parts are prefilled before other prompts, in the same passes that also generate, so a large part
 makes the gaps of all streams on its engine too long.  Few large parts on engines that generate
 nothing are weighed against many small parts that fit into the passes, by the cost to all callers.
+The first event follows the last part, so that an engine slower than the others costs the time for
+which they would wait for it.
 """
 
 import attrs
@@ -109,12 +111,20 @@
     def cost(self, part):
         """Return the cost of a part of `part` seconds.
 
-        >>> PartCosts(None, 0.5, [(0.1, 2.0), (0.3, 1.0)]).cost(0.2)
+        >>> from .candidates import Candidate
+        >>> from .engine_model import EngineModel
+        >>> candidate = Candidate(None, EngineModel(None), 0.5, 0.0)
+        >>> PartCosts(candidate, 0.5, [(0.1, 2.0), (0.3, 1.0)]).cost(0.2)
         2.5
         """
         if not self.limits:
             return self.base
-        return self.base + sum(weight for limit, weight in self.limits if limit < part)
+        busy = part * self.load.slowdown
+        return self.base + sum(weight for limit, weight in self.limits if limit < busy)
+
+    def excess(self, part):
+        """Return the seconds by which a part takes longer than its engine's profile says."""
+        return part * (self.load.slowdown - 1.0)
 
     def first_event(self, part):
         """Return the seconds to the first event of a prompt with a part of `part` seconds."""
@@ -171,11 +181,14 @@
     `costs` are in the order in which the engine that generates the answer is chosen.
     """
     part = total / count
-    ordered = sorted((each.cost(part), number) for number, each in enumerate(costs))[:count]
+    wait = WAIT_COST * call_weight(routed.call)
+    ordered = sorted(
+        (each.cost(part) + wait * each.excess(part), number) for number, each in enumerate(costs)
+    )[:count]
     chosen = [costs[number] for number in sorted(number for _, number in ordered)]
     first, *helpers = chosen
     expected = max(each.first_event(part) for each in chosen) + first.candidate.way
-    engines_cost = sum(cost for cost, _ in ordered)
+    engines_cost = sum(each.cost(part) for each in chosen)
     late_cost = (
         late_probability(expected, routed.route.objective) * LATE_COST * call_weight(routed.call)
     )
@@ -183,8 +196,7 @@
     share = memory / count if spread_memory else memory
     holders = chosen if spread_memory else [first]
     memory_short = any(each.load.free_memory() < share for each in holders)
-    wait = WAIT_COST * call_weight(routed.call) * expected
-    cost = engines_cost + late_cost + wait + (NO_MEMORY_COST if memory_short else 0.0)
+    cost = engines_cost + late_cost + wait * expected + (NO_MEMORY_COST if memory_short else 0.0)
     candidates = [each.candidate for each in helpers]
     return Split(first.candidate, candidates, part, expected, cost, spread_memory)
 
@@ -210,4 +222,4 @@
     load = candidate.load
     full = load.running() >= load.profile.slots
     memory_short = max(0, memory - load.free_memory())
-    return full, memory_short, load.running(), candidate.way, -candidate.rank
+    return full, memory_short, load.slowdown, load.running(), candidate.way, -candidate.rank
