Failures and slowness are told apart by the data centre of the callers

Cause: a failure score or a slowdown that the callers of one data centre saw kept the callers of all others away from an endpoint that served them well, for as long as it was reported.

Change: entries that know the delays between data centres send failure scores and slowdowns in a report of their own (`observations.Observations`), with their data centre, and no longer in the beacons; becoming slow or normal goes with the next beacon, no longer only with complete states. A report from another data centre holds until an entry of this one has seen since that the endpoint serves its callers well, and that is told too. Slowdowns reported by others decay and no longer end at once. Without delays the beacons carry both as before.

`direct_remote_attempts`, `direct_reports_refuted`, `way_ms` in the line `placed`, `report_refuted`.

--- a/packages/core/persimmonstall/direct/failure_scores.py
+++ b/packages/core/persimmonstall/direct/failure_scores.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from .reported_values import ReportedValues
+
 DECAY_SECONDS = 3.0
 """Time constant of the exponential decay of a score."""
 
@@ -25,7 +27,7 @@
 
 @attrs.define
 class FailureScores:
-    """Scores by endpoint name, of this entry and as reported by others; one failure adds 1.
+    """Scores by endpoint name, of this entry and as `reported` by others; one failure adds 1.
 
     `silent` maps the names of silent endpoints to the time at which they were last waited for.
 
@@ -36,14 +38,13 @@
     """
 
     scores: dict = attrs.field(factory=dict)
-    remote: dict = attrs.field(factory=dict)
+    reported: ReportedValues = attrs.field(factory=lambda: ReportedValues(decayed))
     silent: dict = attrs.field(factory=dict)
 
     def score(self, name, now):
         """Return an endpoint's decayed score, by this entry or another, whichever is higher."""
-        remote_score = [decayed(*self.remote[name], now)] if name in self.remote else []
         silent_score = SILENT_SCORE if self.is_silent(name, now) else 0.0
-        return max(self.local_score(name, now), *remote_score, silent_score)
+        return max(self.local_score(name, now), self.reported.value(name, now), silent_score)
 
     def is_silent(self, name, now):
         """Return whether an endpoint was silent when last waited for, a short time ago."""
@@ -66,11 +67,13 @@
         self.silent.pop(name, None)
 
     def record_success(self, name, now):
-        """Record a complete answer of an endpoint, which halves its score."""
+        """Record a complete answer of an endpoint, which halves its score.
+
+        Return whether other data centres reported failures that this one does not see.
+        """
         if name in self.scores:
             self.scores[name] = (self.local_score(name, now) / 2, now)
-        if name in self.remote:
-            self.remote[name] = (decayed(*self.remote[name], now) / 2, now)
+        return self.reported.record_sound(name, now)
 
     def local_state(self, now):
         """Return the (name, score) pairs to be sent to other entries."""
@@ -79,15 +82,15 @@
             (name, round(score, 2)) for name, score in local_scores if score >= MIN_REPORTED_SCORE
         )
 
-    def merge_remote(self, remote, now):
+    def merge_remote(self, remote, now, data_centre=""):
         """Merge the scores reported by another entry; of two, the higher one stays."""
         for name, score in remote:
-            if name not in self.remote or decayed(*self.remote[name], now) < score:
-                self.remote[name] = (score, now)
+            self.reported.merge(name, score, data_centre, now)
 
     def forget(self, names):
         """Drop all endpoints except those in `names`."""
-        for scores in (self.scores, self.remote, self.silent):
+        self.reported.forget(names)
+        for scores in (self.scores, self.silent):
             for name in set(scores) - set(names):
                 del scores[name]
 
--- a/packages/core/persimmonstall/direct/placing.py
+++ b/packages/core/persimmonstall/direct/placing.py
@@ -194,9 +194,7 @@
 
     def candidate(self, routed, endpoint, now):
         """Return an endpoint as a `Candidate`, with its load as of `now`."""
-        way = self.distances.seconds_of_call(
-            self.data_centre, endpoint.data_centre, len(routed.call.body)
-        )
+        way = self.seconds_of_way(routed, endpoint)
         return Candidate(
             endpoint,
             self.load_tracker.load_of(endpoint, routed.service, now),
@@ -206,6 +204,12 @@
             way=way,
         )
 
+    def seconds_of_way(self, routed, endpoint):
+        """Return the seconds that the way to an endpoint adds to a call's first event."""
+        return self.distances.seconds_of_call(
+            self.data_centre, endpoint.data_centre, len(routed.call.body)
+        )
+
     def unseen(self, kind, now):
         """Return the expected number of calls or parts that other entries place unseen."""
         return self.load_tracker.count_unseen(kind, now)
--- a/packages/core/persimmonstall/direct/slowdowns.py
+++ b/packages/core/persimmonstall/direct/slowdowns.py
@@ -4,9 +4,13 @@
 """
 
 import collections
+import math
 
 import attrs
 
+from .change_log import ChangeLog
+from .reported_values import ReportedValues
+
 SAMPLES = 3
 """Number of latest gaps of an engine that are considered; the shortest one counts, since a single
 long gap may be caused by a prompt that this entry does not know of."""
@@ -18,14 +22,19 @@
 """Upper bound of a slowdown."""
 
 EXPIRY_SECONDS = 1.5
-"""Time after which a measured gap expires; without recent ones an engine counts as fast."""
+"""Time after which a measured gap expires, and time constant by which a reported slowdown decays;
+without recent ones an engine counts as fast."""
+
+REPORTED_RATIO = 1.1
+"""Slowdown below which what is left of a report no longer counts."""
 
 
 @attrs.define
 class Slowdowns:
     """Ratios of measured to predicted gaps between the events of a stream, by endpoint name.
 
-    A ratio of 1 means as fast as predicted.
+    A ratio of 1 means as fast as predicted.  `reported` holds by how much the slowdowns that other
+    entries measured exceed 1, `changes` the engines that became slow or normal here lately.
 
     >>> slowdowns = Slowdowns()
     >>> for ratio in (5.0, 4.0, 6.0):
@@ -37,7 +46,8 @@
     """
 
     samples: dict = attrs.field(factory=dict)
-    remote: dict = attrs.field(factory=dict)
+    reported: ReportedValues = attrs.field(factory=lambda: ReportedValues(decayed_excess))
+    changes: ChangeLog = attrs.field(factory=ChangeLog)
 
     def observe(self, name, ratio, now):
         """Record that a gap between events was `ratio` times as long as predicted.
@@ -47,7 +57,12 @@
         was_slow = self.local_slowdown(name, now) > 1.0
         samples = self.samples.setdefault(name, collections.deque(maxlen=SAMPLES))
         samples.append((ratio, now))
-        return (self.local_slowdown(name, now) > 1.0) is not was_slow
+        is_slow = self.local_slowdown(name, now) > 1.0
+        if is_slow is not was_slow:
+            self.changes.record(name)
+        elif not is_slow and len(samples) == SAMPLES and now - samples[0][1] < EXPIRY_SECONDS:
+            self.reported.record_sound(name, now)
+        return is_slow is not was_slow
 
     def slowdown(self, name, now):
         """Return an endpoint's slowdown by this or another entry, whichever is greater."""
@@ -61,22 +76,27 @@
         return min(MAX_SLOWDOWN, *recent)
 
     def remote_slowdown(self, name, now):
-        """Return an endpoint's slowdown as last reported by another entry."""
-        slowdown, at = self.remote.get(name, (1.0, now))
-        return slowdown if now - at < EXPIRY_SECONDS else 1.0
+        """Return an endpoint's slowdown as reported by other entries, and not refuted."""
+        return 1.0 + self.reported.value(name, now)
 
     def local_state(self, now):
         """Return the (name, slowdown) pairs of slow endpoints, to be sent to other entries."""
         slowdowns = ((name, self.local_slowdown(name, now)) for name in self.samples)
         return tuple((name, round(slowdown, 1)) for name, slowdown in slowdowns if slowdown > 1.0)
 
-    def merge_remote(self, remote, now):
+    def merge_remote(self, remote, now, data_centre=""):
         """Merge the slowdowns reported by another entry."""
         for name, slowdown in remote:
-            self.remote[name] = (slowdown, now)
+            self.reported.merge(name, min(MAX_SLOWDOWN, slowdown) - 1.0, data_centre, now)
 
     def forget(self, names):
         """Drop all endpoints except those in `names`."""
-        for known in (self.samples, self.remote):
-            for name in set(known) - set(names):
-                del known[name]
+        self.reported.forget(names)
+        for name in set(self.samples) - set(names):
+            del self.samples[name]
+
+
+def decayed_excess(value, at, now):
+    """Return what is left at `now` of a slowdown that exceeded 1 by `value` at the time `at`."""
+    left = value * math.exp((at - now) / EXPIRY_SECONDS)
+    return left if left >= REPORTED_RATIO - 1.0 else 0.0
--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -12,6 +12,7 @@
 from .loads import LoadTracker
 from .messages import Configuration
 from .notices import EndpointNotices
+from .observations import Observations
 from .placing import Placer
 from .request_limits import RequestLimits
 from .retry_budget import SharedRetryBudget
@@ -52,8 +53,12 @@
     directory_seen_at: float = 0.0
     random: object = attrs.field(factory=lambda: random.Random(0))
     placer: Placer = None
+    observations: Observations = None
 
     def __attrs_post_init__(self):
+        self.observations = Observations(
+            self.failure_scores, self.load_tracker.slowdowns, self.data_centre
+        )
         self.placer = Placer(
             self.fleet,
             self.load_tracker,
@@ -133,9 +138,14 @@
             return False
         self.configuration = configuration
         self.routes = RouteTable(configuration)
-        self.placer.use_distances(Distances.of(configuration.delays))
+        self.use_distances(Distances.of(configuration.delays))
         return True
 
+    def use_distances(self, distances):
+        """Use other distances between data centres."""
+        self.placer.use_distances(distances)
+        self.observations.activate(distances)
+
     def apply_endpoints(self, update, now):
         """Apply changes of endpoints; the end of a lifetime can confirm a crash."""
         if update.revision < self.fleet.revision:
--- a/packages/daemon/persimmonstall_daemon/direct/beacon_builder.py
+++ b/packages/daemon/persimmonstall_daemon/direct/beacon_builder.py
@@ -76,13 +76,14 @@
     def make_whole_beacon(self):
         """Return a beacon with the complete state of this entry."""
         state, now = self.entry.state, self.entry.now()
+        reported = state.observations.active
         return attrs.evolve(
             self.make_changes_beacon(),
             attempts=state.load_tracker.local_attempts(),
             crashes=state.crash_tracker.local_state(now),
             peers=self.some_addresses(),
-            failure_scores=state.failure_scores.local_state(now),
-            slowdowns=state.load_tracker.slowdowns.local_state(now),
+            failure_scores=() if reported else state.failure_scores.local_state(now),
+            slowdowns=() if reported else state.load_tracker.slowdowns.local_state(now),
             whole=True,
             ended=(),
         )
--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -203,7 +203,7 @@
         """Update the failure score and lost connections of an endpoint by an attempt's result."""
         state, now = self.entry.state, self.entry.now()
         if result.ending is AttemptOutcome.WHOLE:
-            state.failure_scores.record_success(endpoint.name, now)
+            self.record_success(endpoint, now)
             self.entry.crash_reporter.record_whole(routed)
             return
         self.entry.metrics.count("direct_failed_attempts", tag=str(result.ending))
@@ -224,13 +224,23 @@
             state.failure_scores.record_failure(endpoint.name, now)
         self.entry.crash_reporter.record_lost(routed, endpoint, result)
 
+    def record_success(self, endpoint, now):
+        """Record a complete answer; log if another data centre reported failures."""
+        if self.entry.state.failure_scores.record_success(endpoint.name, now):
+            self.entry.metrics.count("direct_reports_refuted")
+            self.log.info("report_refuted", endpoint=endpoint.name, report="failures")
+
     def log_placed(self, routed, placed, history, now):
         """Log which endpoint an attempt goes to and the data behind the choice."""
         state = self.entry.state
+        way = state.placer.seconds_of_way(routed, placed.request.endpoint)
+        if way:
+            self.entry.metrics.count("direct_remote_attempts")
         self.log.info(
             "placed",
             request_id=routed.call.call_id,
             endpoint=placed.request.endpoint.name,
+            way_ms=round(way * 1000, 1),
             route=routed.route.name,
             organisation=routed.organisation.name if routed.organisation else "",
             sending=history.attempts + 1,
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -90,6 +90,7 @@
         self.directory = adapter.directory
         self.memory_reservations = adapter.memory_reservations
         self.peers = Peers(self)
+        self.peers.add_report(self.state.observations)
         self.ownership = Ownership(self, self.peers)
         self.readers = DirectoryReaders(self, self.peers, self.ownership)
         self.permits = PermitExchange(self, self.peers)
--- a/packages/daemon/persimmonstall_daemon/observe/metric_names.py
+++ b/packages/daemon/persimmonstall_daemon/observe/metric_names.py
@@ -79,6 +79,12 @@
     Metric("direct_beacon_bytes", Kind.COUNTER, "Bytes of these datagrams.", "direction"),
     Metric("direct_snapshot_bytes", Kind.COUNTER, "Bytes of snapshots.", "direction"),
     Metric("direct_permits", Kind.COUNTER, "Permits asked for limited endpoints.", "answer"),
+    Metric("direct_remote_attempts", Kind.COUNTER, "Attempts sent to another data centre."),
+    Metric(
+        "direct_reports_refuted",
+        Kind.COUNTER,
+        "Failures that only another data centre's callers see.",
+    ),
     Metric("direct_callers_left", Kind.COUNTER, "Callers that left before their answer."),
     Metric("loop_lag", Kind.TIMER, "Lateness of a periodic timer of the event loop."),
     Metric("direct_peers", Kind.GAUGE, "Entries heard lately."),
