--- a/packages/core/persimmonstall/direct/datagrams.py
+++ b/packages/core/persimmonstall/direct/datagrams.py
@@ -26,6 +26,7 @@
     TRIAL_REQUEST = "trial_request"
     TRIAL_REPLY = "trial_reply"
     EVACUATIONS = "evacuations"
+    OBSERVATIONS = "observations"
 
 
 @attrs.frozen
--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -7,6 +7,7 @@
 
 from .cold import ColdEndpoints
 from .crash_tracker import CrashTracker
+from .distance import Distances
 from .eligibility import Eligibility
 from .evacuations import Evacuations
 from .failure_scores import FailureScores
@@ -15,6 +16,7 @@
 from .loads import LoadTracker
 from .messages import Configuration
 from .notices import EndpointNotices
+from .observations import Observations
 from .placing import Placer
 from .request_limits import RequestLimits
 from .retry_budget import SharedRetryBudget
@@ -64,8 +66,12 @@
     tables_seen_at: dict = attrs.field(factory=dict)
     random: object = attrs.field(factory=lambda: random.Random(0))
     placer: Placer = None
+    observations: Observations = None
 
     def __attrs_post_init__(self):
+        self.observations = Observations(
+            self.failure_scores, self.load_tracker.slowdowns, self.data_centre
+        )
         self.placer = Placer(
             self.fleet,
             self.load_tracker,
@@ -147,8 +153,14 @@
         self.configuration = configuration
         self.routes = RouteTable(configuration)
         self.cold.configure(configuration, self.fleet.endpoints.values(), now)
+        self.use_distances(Distances.of(configuration.delays))
         return True
 
+    def use_distances(self, distances):
+        """Use other distances between data centres."""
+        self.placer.use_distances(distances)
+        self.observations.activate(distances)
+
     def set_cold_bounds(self, overage, slack, now):
         """Apply changed settings of the bounds for cold endpoints."""
         self.cold.overage, self.cold.slack = overage, slack
