Rows of entries that are gone hold up no news, and end

Addresses that have not answered yet are strangers now: they get empty beacons at a bounded rate, those that a peer names first, then the rows written last; knowledge goes to entries that have answered.

Tests changed: fleets whose entries know each other from the start name them with `meet` in place of `add_peer`, which now adds an address that has yet to answer.

--- a/packages/core/persimmonstall/outside/direct.py
+++ b/packages/core/persimmonstall/outside/direct.py
@@ -26,7 +26,17 @@
 
     @abc.abstractmethod
     async def register(self, address):
-        """Store this entry's address; return those of other entries, or a `Failure`."""
+        """Write this entry's row; return the `EntryRow`s of the others, or a `Failure`.
+
+        Those that were written last come first.
+        """
+
+    @abc.abstractmethod
+    async def remove_entries(self, rows):
+        """Remove the `EntryRow`s, all or none of them.
+
+        Return True, False if one was written since it was read, or a `Failure`.
+        """
 
     @abc.abstractmethod
     async def read_crash_records(self, kind):
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -144,7 +144,8 @@
     def write_again(self):
         """Write again what the directory may have lost."""
         self.crash_records.write_again()
-        self.spawn(self.peers.discover())
+        self.peers.registration.rows.forget()
+        self.spawn(self.peers.registration.register())
 
     def use_own_engine_order(self):
         """Rank engines in an order of this entry's own until it knows the other entries' calls.
@@ -179,6 +180,7 @@
         await self.callers.start(self.listener or listen(self.settings.daemon.http))
         self.spawn(self.directory.follow(self.apply_update, self.readers))
         self.spawn(self.peers.run())
+        self.spawn(self.peers.registration.run())
         self.spawn(self.crash_records.run())
         self.spawn(self.tick())
         self.spawn(self.watch_settings())
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -4,7 +4,7 @@
 changes, and periodically.  Most carry only the latest changes of attempts; each peer also gets the
 complete state at intervals, which makes up for lost datagrams.  Findings and reports go with the
 beacons in datagrams of their own, which earlier versions ignore.  A pacer keeps all within a share
-of the slowest link.
+of the slowest link.  Addresses that have not answered yet only get empty beacons, as greetings.
 """
 
 import asyncio
@@ -13,11 +13,13 @@
 from persimmonstall.direct import datagrams, findings
 from persimmonstall.direct.beacon_pacing import BeaconPacer, heartbeat_interval
 from persimmonstall.direct.datagrams import Kind
+from persimmonstall.direct.strangers import Strangers
 from persimmonstall.failures import Failure
 
 from ..observe import logs
 from .beacon_builder import BeaconBuilder
 from .peer import DatagramReceiver, Peer
+from .registration import Registration
 from .snapshots import SnapshotExchange
 
 URGENT_DELAY_SECONDS = 0.0
@@ -50,7 +52,10 @@
 
 
 class Peers:
-    """The other entries, and the exchange of beacons with them."""
+    """The other entries, and the exchange of beacons with them.
+
+    `peers` are those that were heard, by address; `strangers` are addresses of possible others.
+    """
 
     def __init__(self, entry):
         self.entry = entry
@@ -59,6 +64,8 @@
         self.run_id = entry.clock.random.getrandbits(48)
         self.builder = BeaconBuilder(entry, self)
         self.peers = {}
+        self.strangers = Strangers()
+        self.registration = Registration(entry, self)
         self.reports = {}
         self.transport = None
         self.timer = None
@@ -88,12 +95,23 @@
         """Exchange a `Report` with the other entries."""
         self.reports[report.kind] = report
 
-    def add_peer(self, address):
-        """Add a peer that may exist at `address`, or update when it was last named."""
+    def add_peer(self, address, first=False):
+        """Add a peer that may exist at `address`, or update when it was last named.
+
+        Of strangers those added `first` are greeted first.
+        """
         if address == self.address:
             return
-        peer = self.peers.setdefault(address, Peer(address))
-        peer.last_named = self.entry.now()
+        peer = self.peers.get(address)
+        if peer is None:
+            self.strangers.add(address, self.entry.now(), first)
+        else:
+            peer.last_named = self.entry.now()
+
+    def meet(self, address):
+        """Return the peer at `address`, which is no stranger any more."""
+        self.strangers.remove(address)
+        return self.peers.setdefault(address, Peer(address))
 
     def active(self):
         """Return the active peers: those with a recent beacon."""
@@ -146,6 +164,15 @@
             if peer.address not in informed:
                 self.send_all(peer, changes)
         self.record_changes_sent()
+        self.greet_strangers()
+
+    def greet_strangers(self):
+        """Send an empty beacon to some of the addresses that have not answered yet."""
+        greeted = self.strangers.next_greeted(self.entry.now())
+        if greeted:
+            (greeting,) = self.builder.empty_datagrams()
+            for address in greeted:
+                self.send(address, greeting)
 
     def send_empty_beacons(self):
         """Send a beacon without changes to every peer; they follow when the link allows it."""
@@ -236,7 +263,7 @@
             return
         if beacon.address == self.address:
             return
-        peer = self.peers.setdefault(beacon.address, Peer(beacon.address))
+        peer = self.meet(beacon.address)
         if peer.run == beacon.run and beacon.sequence <= peer.sequence:
             return
         if peer.last_heard is None or peer.run != beacon.run:
@@ -251,7 +278,7 @@
         peer.leaving = beacon.leaving
         for address in beacon.peers:
             if address not in self.peers:
-                self.add_peer(address)
+                self.add_peer(address, first=True)
         self.entry.metrics.count("direct_beacons", tag="received")
         self.entry.metrics.count("direct_beacon_bytes", len(data), tag="received")
         self.merge_beacon(beacon)
@@ -282,23 +309,14 @@
             now = self.entry.now()
             if not self.active() and now - last_discovery > DISCOVERY_INTERVAL_SECONDS:
                 last_discovery = now
-                await self.discover()
+                await self.registration.register()
             pause = heartbeat_interval(len(self.peers))
             await asyncio.sleep(self.entry.clock.jitter(pause))
 
-    async def discover(self):
-        """Register this entry's address in the directory and add the entries listed there."""
-        found = await self.entry.directory.register(self.address)
-        if isinstance(found, Failure):
-            logs.log_failure(self.log, "introduction_failed", found)
-            return
-        for address in found:
-            self.add_peer(address)
-        self.log.info("introduced", peers=len(found))
-
     def expire(self):
         """Remove peers that have been silent for long; update the gauge of active peers."""
         now = self.entry.now()
+        self.strangers.expire(now)
         for address, peer in list(self.peers.items()):
             if now - peer.last_named > REMOVAL_TIMEOUT_SECONDS:
                 del self.peers[address]
--- a/packages/daemon/tests/direct_fleet.py
+++ b/packages/daemon/tests/direct_fleet.py
@@ -80,6 +80,10 @@
         """Return no other entries."""
         return ()
 
+    async def remove_entries(self, _rows):
+        """Remove nothing."""
+        return True
+
     async def read_crash_records(self, kind):
         """Return the records of a kind."""
         self.reads += 1
@@ -174,8 +178,9 @@
             self.tasks[address] = running
             return
         entry.peers.schedule_beacon = entry.limits.on_change = lambda urgent: None
-        for peer in entry.peers.peers.values():
-            peer.last_heard = float("inf")
+        for other in self.addresses:
+            if other != address:
+                entry.peers.meet(other).last_heard = math.inf
 
     def kill(self, address):
         """Stop an entry at once."""
--- a/packages/daemon/tests/test_direct_mesh.py
+++ b/packages/daemon/tests/test_direct_mesh.py
@@ -62,7 +62,7 @@
         entry = make_entry(loop.time)
         link = entry.peers.transport = QueueingLink(loop.time)
         for number in range(PEER_COUNT):
-            entry.peers.add_peer(f"10.0.{number // 200}.{number % 200 + 2}:7340")
+            entry.peers.meet(f"10.0.{number // 200}.{number % 200 + 2}:7340")
         tasks = [asyncio.create_task(entry.peers.run())]
         loop.call_at(SECONDS / 3, lose_calls, entry, lost)
         for number in itertools.count():
--- a/packages/daemon/tests/test_direct_peers.py
+++ b/packages/daemon/tests/test_direct_peers.py
@@ -107,7 +107,7 @@
         entry = make_entry(loop.time)
         link = entry.peers.transport = QueueingLink(loop.time)
         for number in range(PEER_COUNT):
-            entry.peers.add_peer(f"10.0.1.{number}:7340")
+            entry.peers.meet(f"10.0.1.{number}:7340")
         tasks = [asyncio.create_task(entry.peers.run())]
         numbers = itertools.count()
         while loop.time() < BUSY_SECONDS:
