--- a/packages/core/tests/delayed_fleet.py
+++ b/packages/core/tests/delayed_fleet.py
@@ -90,12 +90,16 @@
         )
         outcome = self.outcomes.setdefault(call.route.name, Outcome())
         outcome.record(expected, call.route.objective, full)
-        end = now + expected + EVENTS * SHORTEST_PASS_SECONDS
+        end = now + expected + EVENTS * self.pass_seconds(first, now)
         self.schedule(end, lambda at: self.truth.end(name))
         self.schedule(now + self.lag, lambda at: self.see(at, (attempt,), ()))
         self.schedule(end + self.lag, lambda at: self.see(at, (), (name,)))
         return placed
 
+    def pass_seconds(self, _endpoint, _now):
+        """Return the usual duration of a pass of an engine that generates."""
+        return SHORTEST_PASS_SECONDS
+
     def way(self, placer, endpoint, call):
         """Return the seconds that the way to an endpoint takes."""
         return placer.distances.seconds_of_call(
--- a/packages/core/tests/test_direct_distance.py
+++ b/packages/core/tests/test_direct_distance.py
@@ -7,6 +7,7 @@
 import pytest
 
 from persimmonstall.direct.distance import Delay, Distances
+from persimmonstall.direct.messages import Endpoint
 from persimmonstall.direct.placing import Placer
 
 from .delayed_fleet import DelayedFleet
@@ -135,3 +136,18 @@
     for delays in ([], DELAYS):
         placer.use_distances(Distances.of(delays))
         assert placer.place(call, 0.0, "f").request.endpoint.data_centre == "a"
+
+
+def test_new_endpoints_in_the_crowded_data_centre_take_what_left_it():
+    """25 in 100 endpoints are new; their data centre has 0.7 of the demand."""
+    fleet = SpreadFleet(engines=45)
+    fleet.play_shares(70, CROWDED, 0.0, 3.0)
+    for number in range(15):
+        address = f"10.0.1.{number}:80"
+        fleet.placer.fleet.put(Endpoint(f"new{number}", "llm", address, "a", born=2, slots=6))
+    fleet.play_shares(70, CROWDED, 3.0, 4.0)
+    fleet.calls.clear()
+    fleet.crossings.clear()
+    fleet.play_shares(70, CROWDED, 4.0, 7.0)
+    assert fleet.crossing_share() < BLIND_CROSSING / 3
+    assert fleet.outcomes["short"].late_share <= 0.01
--- a/packages/core/tests/test_direct_speeds.py
+++ b/packages/core/tests/test_direct_speeds.py
@@ -1,8 +1,10 @@
 """What callers get where endpoints differ in speed."""
 
+import attrs
 import pytest
 
-from .direct_parts import LONG, make_placer, routed
+from .delayed_fleet import EVENTS, SHORTEST_PASS_SECONDS, DelayedFleet
+from .direct_parts import LLM, LONG, SHORT, make_placer, routed
 from .test_direct_paces import SLOWDOWN, record_gaps
 
 LONG_TOKENS = 133_000
@@ -42,3 +44,81 @@
         record_gaps(placer, name, SLOWDOWN, 0.0)
         placed, _ = place_long(placer, 0.1)
         assert placed.request.endpoint.name != name
+
+
+SMALL_ENGINES = attrs.evolve(LLM, engine=attrs.evolve(LLM.engine, slots=6))
+
+
+@attrs.define
+class TrueSpeeds:
+    """How many times slower engines really are: pairs of (start, end) by name."""
+
+    slow: dict = attrs.field(factory=dict)
+
+    def slowdown(self, name, now):
+        """Return the slowdown of an engine."""
+        start, end = self.slow.get(name, (0.0, 0.0))
+        return SLOWDOWN if start <= now < end else 1.0
+
+
+class UnevenFleet(DelayedFleet):
+    """Engines that are slow at times, and entries that see the gaps of their streams.
+
+    `late_streams` counts the short calls by whether a gap was longer than their callers accept.
+    """
+
+    def __init__(self, engines, slow, lag=0.05, seed=1):
+        super().__init__(engines, lag, slots=6, seed=seed)
+        self.truth.slowdowns = TrueSpeeds(slow)
+        self.streams = self.late_streams = 0
+
+    def pass_seconds(self, endpoint, now):
+        """Return the duration of a pass of an engine that generates."""
+        return SHORTEST_PASS_SECONDS * self.truth.slowdowns.slowdown(endpoint.name, now)
+
+    def place(self, call, now, placer=None):
+        """Place a call and let its entry see the gaps of its stream."""
+        placed = super().place(call, now, placer)
+        first = placed.request.endpoint
+        gaps = [self.pass_seconds(first, now)]
+        at = now + self.outcomes[call.route.name].first_events[-1]
+        for _ in range(EVENTS):
+            gaps.append(self.pass_seconds(first, at))
+            at += gaps[-1]
+            self.schedule(at + self.lag, lambda at, gap=gaps[-1]: self.see_gap(first, gap, at))
+        self.streams += 1
+        self.late_streams += max(gaps) > call.route.gap_objective
+        return placed
+
+    def see_gap(self, endpoint, seconds, now):
+        """Let the entries see a gap of a stream."""
+        tracker = self.placer.load_tracker
+        load = tracker.load_of(endpoint, SMALL_ENGINES, now)
+        usual = SHORTEST_PASS_SECONDS / load.expected_gap()
+        tracker.record_gap(endpoint.name, seconds / usual, 1, now)
+
+    def short_calls(self, rate, start, end):
+        """Return short calls at a rate."""
+        return [(at, routed(SHORT, SMALL_ENGINES)) for at in self.arrivals(rate, start, end)]
+
+    def long_calls(self, rate, start, end):
+        """Return long calls at a rate."""
+        call = routed(LONG, SMALL_ENGINES, tokens=LONG_TOKENS, max_output_tokens=700)
+        return [(at, call) for at in self.arrivals(rate, start, end)]
+
+
+SLOW_FROM, SLOW_UNTIL = 1.0, 7.0
+"""Time in seconds for which engines are slow."""
+
+
+@pytest.mark.parametrize("slow", [1, 4])
+def test_engines_that_are_slow_for_six_seconds_make_few_calls_late(slow):
+    """The engines that short prompts fill first are 5 times slower."""
+    fleet = UnevenFleet(45, {})
+    order = fleet.placer.ranked_endpoints("llm", near_first=True)
+    fleet.truth.slowdowns.slow = {each.name: (SLOW_FROM, SLOW_UNTIL) for each in order[:slow]}
+    fleet.play(fleet.short_calls(40, 0.0, 8.0))
+    assert fleet.late_streams / fleet.streams <= 0.1
+    assert fleet.outcomes["short"].late_share <= 0.05
+    fleet.play(fleet.short_calls(40, 8.0, 10.0))
+    assert fleet.place(routed(SHORT, SMALL_ENGINES), 10.0).request.endpoint in order[:5]
