--- a/packages/core/persimmonstall/direct/evacuations.py
+++ b/packages/core/persimmonstall/direct/evacuations.py
@@ -5,6 +5,8 @@
 they stay listed, and what already runs there is finished.
 """
 
+import math
+
 import attrs
 
 from ..failures import Failure, Reason
@@ -14,6 +16,9 @@
 
 STEP = "peers"
 
+END_TOLD_SECONDS = 60.0
+"""Time for which others are told that the last evacuation has ended."""
+
 MIN_RETRY_SECONDS = 1.0
 MAX_RETRY_SECONDS = 5.0
 """Bounds of the time after which an evacuation may have ended."""
@@ -25,8 +30,8 @@
 
     `names` are those that the directory held then.  After it came back from an old copy it may
     lack some until operators have written again; `held` maps those to the time until which they
-    still count.  `since` maps data centres to the time from which they have counted.  `known`
-    says that there has been an evacuation.
+    still count.  `since` maps data centres to the time from which they have counted, `changed_at`
+    is when that last changed.
     """
 
     revision: int = -1
@@ -34,7 +39,7 @@
     held: dict = attrs.field(factory=dict)
     since: dict = attrs.field(factory=dict)
     restored_until: float = 0.0
-    known: bool = False
+    changed_at: float = -math.inf
 
     def covers(self, endpoint):
         """Return whether an endpoint's data centre is evacuated."""
@@ -72,7 +77,7 @@
         if counting == set(self.since):
             return False
         self.since = {name: self.since.get(name, now) for name in counting}
-        self.known = True
+        self.changed_at = now
         return True
 
     def expire(self, now):
@@ -82,6 +87,10 @@
         self.held = {name: until for name, until in self.held.items() if until > now}
         return self.review(now)
 
+    def is_news(self, now):
+        """Return whether others need to be told: what counts, or for a while that none does."""
+        return bool(self.since) or now - self.changed_at < END_TOLD_SECONDS
+
     def snapshot(self, now):
         """Return an `EvacuationUpdate` that tells another entry everything, None if unknown."""
         if self.revision < 0:
--- a/packages/core/tests/test_direct_evacuations.py
+++ b/packages/core/tests/test_direct_evacuations.py
@@ -6,7 +6,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from persimmonstall.direct.evacuations import MAX_RETRY_SECONDS, MIN_RETRY_SECONDS, Evacuations
+from persimmonstall.direct.evacuations import (
+    END_TOLD_SECONDS,
+    MAX_RETRY_SECONDS,
+    MIN_RETRY_SECONDS,
+    Evacuations,
+)
 from persimmonstall.direct.fleet import RESTORE_SECONDS
 from persimmonstall.direct.updates import EvacuationChange, EvacuationUpdate
 from persimmonstall.failures import Failure, Reason
@@ -228,6 +233,17 @@
     assert set(evacuations.since) == {"b"}
 
 
+def test_others_are_told_of_evacuations_and_for_a_while_that_they_have_ended():
+    evacuations = Evacuations()
+    evacuations.merge(told(revision=1), 0.0)
+    assert not evacuations.is_news(0.0)
+    evacuations.merge(told("a", revision=2), 1.0)
+    assert evacuations.is_news(1000.0)
+    evacuations.merge(told(revision=3), 1000.0)
+    assert evacuations.is_news(1001.0)
+    assert not evacuations.is_news(1000.0 + END_TOLD_SECONDS)
+
+
 def test_operator_that_ends_an_evacuation_after_a_restore_ends_it_at_once():
     evacuations = Evacuations()
     evacuations.merge(told("a", revision=5), 0.0)
--- a/packages/daemon/persimmonstall_daemon/direct/evacuations.py
+++ b/packages/daemon/persimmonstall_daemon/direct/evacuations.py
@@ -34,9 +34,9 @@
         return self.state(now) if self.change_log.pending() else None
 
     def state(self, now):
-        """Return everything once there has been an evacuation: that it has ended is news too."""
+        """Return everything while there is an evacuation, and for a while after the last one."""
         evacuations = self.entry.state.evacuations
-        if not evacuations.known:
+        if not evacuations.is_news(now):
             return None
         return encode_fields(self.entry.peers.address, evacuations.snapshot(now))
 
