--- a/packages/core/persimmonstall/direct/datagrams.py
+++ b/packages/core/persimmonstall/direct/datagrams.py
@@ -26,6 +26,7 @@
     TRIAL_REQUEST = "trial_request"
     TRIAL_REPLY = "trial_reply"
     OBSERVATIONS = "observations"
+    EVACUATIONS = "evacuations"
 
 
 @attrs.frozen
--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -1,11 +1,14 @@
 """State of an entry: configuration, fleet, loads, retry budget, failures and crashes."""
 
+import math
 import random
 
 import attrs
 
 from .crash_tracker import CrashTracker
 from .distance import Distances
+from .eligibility import Eligibility
+from .evacuations import Evacuations
 from .failure_scores import FailureScores
 from .findings import Findings
 from .fleet import Fleet
@@ -17,7 +20,12 @@
 from .request_limits import RequestLimits
 from .retry_budget import SharedRetryBudget
 from .routing import RouteTable
-from .updates import ConfigurationUpdate, EndpointUpdate, ReachabilityUpdate
+from .updates import (
+    ConfigurationUpdate,
+    EndpointUpdate,
+    EvacuationUpdate,
+    ReachabilityUpdate,
+)
 
 OUTAGE_SECONDS = 1.0
 """Time without an answer of the directory to this entry or its peers that counts as an outage."""
@@ -35,7 +43,8 @@
 
     `unreachable_since` is when the directory stopped answering this entry, None while it answers;
     `directory_seen_at` is when the directory last answered this entry or, by their beacons, one of
-    its peers.  `random` makes the choices that are random.
+    its peers: the table whose answer is older counts.  `tables_seen_at` holds the times of this
+    entry's own answers by table.  `random` makes the choices that are random.
     """
 
     budget: SharedRetryBudget
@@ -48,9 +57,11 @@
     crash_tracker: CrashTracker = attrs.field(factory=CrashTracker)
     request_limits: RequestLimits = attrs.field(factory=RequestLimits)
     notices: EndpointNotices = attrs.field(factory=EndpointNotices)
+    evacuations: Evacuations = attrs.field(factory=Evacuations)
     endpoints_known: bool = False
     unreachable_since: float | None = None
     directory_seen_at: float = 0.0
+    tables_seen_at: dict = attrs.field(factory=dict)
     random: object = attrs.field(factory=lambda: random.Random(0))
     placer: Placer = None
     observations: Observations = None
@@ -67,6 +78,7 @@
             self.notices,
             data_centre=self.data_centre,
             random=self.random,
+            eligibility=Eligibility(self.fleet, self.notices, self.evacuations),
         )
 
     @property
@@ -123,11 +135,13 @@
         return revision > own_revision and (own_revision == 0 or digest != self.fleet.digest)
 
     def apply_update(self, update, now):
-        """Apply an update; return whether configuration or endpoints were updated."""
+        """Apply an update; return whether configuration, endpoints or evacuations changed."""
         if isinstance(update, ConfigurationUpdate):
             return self.apply_configuration(update.configuration)
         if isinstance(update, EndpointUpdate):
             return self.apply_endpoints(update, now)
+        if isinstance(update, EvacuationUpdate):
+            return self.evacuations.merge(update, now)
         if isinstance(update, ReachabilityUpdate):
             self.apply_reachability(update, now)
         return False
@@ -192,11 +206,13 @@
     def apply_reachability(self, update, now):
         """Record whether the directory answers; an outage that ends starts the grace period."""
         if not update.reachable:
+            self.tables_seen_at.setdefault(update.table, -math.inf)
             if self.unreachable_since is None:
                 self.unreachable_since = now
             return
         self.end_outage(now)
-        self.directory_seen_at = max(self.directory_seen_at, now)
+        self.tables_seen_at[update.table] = now
+        self.directory_seen_at = max(self.directory_seen_at, min(self.tables_seen_at.values()))
 
     def end_outage(self, now):
         """Start the grace period if the directory has not answered anybody for a while."""
--- a/packages/daemon/persimmonstall_daemon/direct/beacon_builder.py
+++ b/packages/daemon/persimmonstall_daemon/direct/beacon_builder.py
@@ -22,10 +22,9 @@
         """Return the datagrams that carry the latest changes."""
         found = self.entry.state.findings_changes(self.peers.address, self.entry.now())
         limit = self.peers.pacer.max_changes_bytes(len(self.peers.peers))
-        now = self.entry.now()
-        reports = [(kind, report.changes(now)) for kind, report in self.peers.reports.items()]
         beacon = beacons.trim(self.make_changes_beacon(), limit)
-        return self.encode(beacon, found) + encode_reports(reports)
+        changes = self.report_changes(self.peers.reports.values())
+        return self.encode(beacon, found) + changes
 
     def whole_datagrams(self):
         """Return the datagrams that carry the complete state."""
@@ -48,6 +47,16 @@
             encoded.append(findings.encode(found))
         return encoded
 
+    def report_changes(self, reports):
+        """Return the datagrams with the latest changes of some reports."""
+        now = self.entry.now()
+        return encode_reports([(report.kind, report.changes(now)) for report in reports])
+
+    def announcement_datagrams(self):
+        """Return the datagrams that name versions, and carry the changes of urgent reports."""
+        urgent = [report for report in self.peers.reports.values() if report.urgent]
+        return self.empty_datagrams() + self.report_changes(urgent)
+
     def empty_datagrams(self):
         """Return the datagrams of a beacon without changes."""
         beacon = attrs.evolve(self.make_changes_beacon(), attempts=(), ended=(), crashes=())
