--- a/packages/core/persimmonstall/direct/splitting.py
+++ b/packages/core/persimmonstall/direct/splitting.py
@@ -11,6 +11,7 @@
 
 from .engine_model import prefill_seconds
 from .sizes import call_weight
+from .slowdowns import SLOW_RATIO
 
 MAX_HELPERS = 16
 """Maximum number of engines that help the first one."""
@@ -222,4 +223,5 @@
     load = candidate.load
     full = load.running() >= load.profile.slots
     memory_short = max(0, memory - load.free_memory())
-    return full, memory_short, load.slowdown, load.running(), candidate.way, -candidate.rank
+    slow = load.slowdown >= SLOW_RATIO
+    return full, memory_short, slow, load.running(), candidate.way, -candidate.rank
--- a/packages/core/tests/test_direct_speeds.py
+++ b/packages/core/tests/test_direct_speeds.py
@@ -3,6 +3,8 @@
 import attrs
 import pytest
 
+from persimmonstall.direct.loads import EndpointDemand, InFlightAttempt
+
 from .delayed_fleet import EVENTS, SHORTEST_PASS_SECONDS, DelayedFleet
 from .direct_parts import LLM, LONG, SHORT, make_placer, routed
 from .test_direct_paces import SLOWDOWN, record_gaps
@@ -49,6 +51,19 @@
 SMALL_ENGINES = attrs.evolve(LLM, engine=attrs.evolve(LLM.engine, slots=6))
 
 
+def test_engine_that_was_slow_a_while_ago_generates_rather_than_a_crowded_one():
+    """What is left of a report must not send a long answer to the engine with most streams."""
+    placer = make_placer(2)
+    for number in range(3):
+        demand = EndpointDemand("e0", 0.01, 1000, 2000)
+        attempt = InFlightAttempt(f"s{number}", (demand,), started=True)
+        placer.load_tracker.begin(attempt, 0.0)
+    placer.load_tracker.slowdowns.merge_remote([("e1", SLOWDOWN)], 0.0)
+    placed, _ = place_long(placer, 3.0)
+    assert placer.load_tracker.slowdowns.slowdown("e1", 3.0) > 1.0
+    assert placed.request.endpoint.name == "e1"
+
+
 @attrs.define
 class TrueSpeeds:
     """How many times slower engines really are: pairs of (start, end) by name."""
