Observations: trouble that goes on elsewhere is not news with each report

Cause: a report of slowness decays between two reports, and each one rose by enough to count as news, so that a sound engine was left and used again by turns. Change: a report is news if it is twice what is left of the last one.

--- a/packages/core/persimmonstall/direct/observations.py
+++ b/packages/core/persimmonstall/direct/observations.py
@@ -68,6 +68,7 @@
         """Merge the fields of another entry's datagram; return a `Failure` if malformed."""
         try:
             data_centre, failing, slow, sound, fast = fields[:5]
+            data_centre = str(data_centre)
             failing, slow = read_pairs(failing), read_pairs(slow)
             sound, fast = list(map(str, sound)), list(map(str, fast))
         except (TypeError, ValueError) as error:
--- a/packages/core/persimmonstall/direct/reported_values.py
+++ b/packages/core/persimmonstall/direct/reported_values.py
@@ -11,9 +11,9 @@
 
 from .change_log import ChangeLog
 
-RAISE = 0.5
-"""Rise of a reported value from which it counts as news, which earlier observations do not
-refute."""
+NEWS_FACTOR = 2.0
+"""How many times as high as what is left of the last report a value counts as news, which earlier
+observations do not refute."""
 
 
 @attrs.frozen
@@ -53,7 +53,7 @@
         current = 0.0 if known is None else self.decayed(known.value, known.at, now)
         if value < current or not value > 0.0:
             return
-        risen = known is None or value >= current + RAISE
+        risen = value >= NEWS_FACTOR * current
         reports[data_centre] = Reported(value, now, now if risen else known.raised_at)
 
     def value(self, name, now):
--- a/packages/core/tests/test_direct_observations.py
+++ b/packages/core/tests/test_direct_observations.py
@@ -94,6 +94,22 @@
     assert usual_engine(other, 0.1) != usual
 
 
+@pytest.mark.parametrize(("trouble", "again"), [(fail, False), (be_slow, True)])
+def test_trouble_that_goes_on_elsewhere_is_not_news_with_each_report(trouble, again):
+    """A sound engine was left and used again by turns, with each report of its trouble."""
+    near, other = make_state("a"), make_state("b")
+    usual = usual_engine(other, 0.0)
+    trouble(near, usual, 0.0)
+    tell(near, other, now=0.1)
+    serve_well(other, usual, 0.2)
+    for number in range(1, 6):
+        now = 0.1 + number * 0.4
+        if again:
+            trouble(near, usual, now)
+        tell(near, other, now=now)
+        assert usual_engine(other, now) == usual
+
+
 def test_report_that_overtakes_an_older_one_or_comes_twice_changes_nothing():
     near, other = make_state("a"), make_state("b")
     fail(near, "e0", 0.0)
@@ -126,7 +142,13 @@
 
 @pytest.mark.parametrize(
     "fields",
-    [(), ("a", 5, (), (), ()), ("a", [("e", "x")], (), (), ()), ("a", [("e", 1e999)], (), (), ())],
+    [
+        (),
+        (5, None, (), (), ()),
+        ("a", 5, (), (), ()),
+        ("a", [("e", "x")], (), (), ()),
+        ("a", [("e", 1e999)], (), (), ()),
+    ],
 )
 def test_malformed_report_is_a_failure(fields):
     assert isinstance(make_state("b").observations.merge(fields, 0.0), Failure)
