--- a/packages/core/persimmonstall/direct/datagrams.py
+++ b/packages/core/persimmonstall/direct/datagrams.py
@@ -27,6 +27,8 @@
     TRIAL_REPLY = "trial_reply"
     EVACUATIONS = "evacuations"
     OBSERVATIONS = "observations"
+    OBSERVATIONS = "observations"
+    EVACUATIONS = "evacuations"
 
 
 @attrs.frozen
