--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -148,9 +148,12 @@
         return placed if state.budget.try_acquire(service, self.entry.now()) else None
 
     async def attempt(self, routed, sink, history, placed=None):
-        """Run one attempt, which is `placed` already or whose endpoints are chosen now."""
+        """Run one attempt, which is `placed` already or whose endpoints are chosen now.
+
+        One that was placed a while ago is placed anew if a permit of it has expired.
+        """
         entry = self.entry
-        if placed is None:
+        if placed is None or entry.state.cold.unpermitted(placed, entry.now()) is not None:
             placed = await self.choose(routed, history)
         if isinstance(placed, Failure):
             return AttemptResult(AttemptOutcome.OVERDUE, placed)
--- a/packages/daemon/tests/test_direct_attempt.py
+++ b/packages/daemon/tests/test_direct_attempt.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from persimmonstall.direct.cold import ColdEndpoints
 from persimmonstall.direct.failure_scores import FailureScores
 from persimmonstall.direct.messages import Repeat, ResponseKind, Route
 from persimmonstall.direct.retrying import AttemptHistory
@@ -37,15 +38,28 @@
 
 def make_attempt(client, now):
     route = Route("r", "h", "/", (), Repeat.ALLOWED, streaming=True, objective=0.3, attempts=2)
-    state = SimpleNamespace(failure_scores=FailureScores(), accepts=lambda endpoint, now: True)
-    endpoint = SimpleNamespace(name="e", address="")
+    state = SimpleNamespace(
+        failure_scores=FailureScores(),
+        accepts=lambda endpoint, now: True,
+        cold=ColdEndpoints(),
+    )
+    endpoint = SimpleNamespace(name="e", address="", service="s", lifetime=("e", 1))
     return Attempt(
         SimpleNamespace(
-            client=client, now=now, state=state, limits=Recorder(), notices=Recorder()
+            client=client,
+            now=now,
+            state=state,
+            limits=Recorder(),
+            notices=Recorder(),
+            cold=Recorder(),
         ),
         SimpleNamespace(route=route, deadline=now() + 10.0),
         SimpleNamespace(
-            request=SimpleNamespace(endpoint=endpoint, helpers=()), predicted_first_event=0.0
+            request=SimpleNamespace(endpoint=endpoint, helpers=()),
+            endpoints=(endpoint,),
+            permitted=frozenset(),
+            permitted_until=0.0,
+            predicted_first_event=0.0,
         ),
         AttemptHistory(),
         sink=None,
@@ -76,5 +90,6 @@
         assert not any(answer.open for answer in answers)
         heads = [answer.head for answer in answers]
         assert attempt.entry.notices.heads == attempt.entry.limits.heads == heads
+        assert attempt.entry.cold.heads == heads
 
     asyncio.run(scenario())
