Silence of an endpoint counts from the sending of the call

The watch counted that as silence of the engine, left it 1.71 s after placing, when it had been silent for some 1.2 of its 1.4 s, and the second engine's silence of 1.4 s did not fit into the 1.29 s left: 504.

The watch now counts from when the head of the request was sent, as its documentation says, and an endpoint that is not yet conspicuous is not recorded as silent.

--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -123,6 +123,7 @@
     def record_sent(self):
         """Record that the head of the request was sent."""
         self.sent_at = self.entry.now()
+        self.watch.record_sent()
 
     async def end_sending(self, sending):
         """Cancel the sending, but if the call was sent just now only after a moment.
--- a/packages/daemon/persimmonstall_daemon/direct/silence_watch.py
+++ b/packages/daemon/persimmonstall_daemon/direct/silence_watch.py
@@ -31,6 +31,13 @@
         self.last_event_at = self.entry.now()
         self.decide_at = None
 
+    def record_sent(self):
+        """Count from now: the endpoint has only now got the call.
+
+        This entry may have been held up since it began to connect, and that is no silence.
+        """
+        self.last_event_at = self.entry.now()
+
     def silent_seconds(self):
         """Return the seconds since the last event, or since the call was sent."""
         return self.entry.now() - self.last_event_at
@@ -89,7 +96,7 @@
     async def decide(self, timeouts):
         """Set `followed_by` if a silent endpoint is to be left and another attempt can follow."""
         attempt, silent = self.attempt, self.silent_seconds()
-        if silent >= timeouts.end:
+        if not timeouts.conspicuous <= silent < timeouts.end:
             return
         self.record_silence()
         leave = silent >= timeouts.leave or (
