Parts blocked before all entries restarted are told apart by trials too

Parts without known crashes are one group now.

Measured: test_parts_blocked_before_all_entries_restarted_are_told_apart_too fails before and passes now; the 436 cases of its file and those of test_direct_crashes.py pass.

--- a/packages/core/persimmonstall/direct/culprits.py
+++ b/packages/core/persimmonstall/direct/culprits.py
@@ -72,17 +72,24 @@
 def alike(evidence):
     """Return the groups of the parts in `evidence`, a dict of parts to crashed lifetimes.
 
-    >>> found = alike({"a": {1, 2}, "b": {3, 4}, "c": {1, 2}})
+    Parts that were blocked before a restart, so that nothing tells them apart, are alike.
+
+    >>> found = alike({"a": {1, 2}, "b": {3, 4}, "c": {1, 2}, "d": set(), "e": set()})
     >>> sorted(map(sorted, found))
-    [['a', 'c'], ['b']]
+    [['a', 'c'], ['b'], ['d', 'e']]
     """
     groups = []
     for part, lifetimes in evidence.items():
         near = [
             group
             for group in groups
-            if any(len(lifetimes & evidence[other]) >= BLOCK_CRASHES for other in group)
+            if any(are_alike(lifetimes, evidence[other]) for other in group)
         ]
         groups = [group for group in groups if group not in near]
         groups.append(frozenset((part,)).union(*near))
     return groups
+
+
+def are_alike(lifetimes, others):
+    """Return whether two sets of crashed lifetimes don't tell apart the parts that they are of."""
+    return len(lifetimes & others) >= BLOCK_CRASHES or not (lifetimes or others)
--- a/packages/core/tests/test_crashing_parts.py
+++ b/packages/core/tests/test_crashing_parts.py
@@ -110,6 +110,18 @@
     assert not parts.trial(("s", "bad")).telling
 
 
+def test_parts_blocked_before_all_entries_restarted_are_told_apart_too():
+    parts = CrashingParts()
+    for part in ("s", "t", "bad"):
+        parts.add_earlier(part, FINAL_CRASHES, 0.0)
+    trial = parts.trial(("s", "t"))
+    assert parts.trial_wait(trial.key, trial.telling, 0.0) == 0.0
+    parts.record_answer(("s", "t"), 1.0)
+    assert set(parts.blocked()) == {"bad"}
+    trial = parts.trial(("s", "bad"))
+    assert parts.trial_wait(trial.key, trial.telling, 60.0) > 60.0
+
+
 def test_owner_that_knows_a_part_to_be_sound_tells_the_one_that_asks_to_try_it():
     parts = CrashingParts()
     parts.record_answer(("s",), 0.0)
