--- a/packages/core/persimmonstall/direct/candidates.py
+++ b/packages/core/persimmonstall/direct/candidates.py
@@ -39,6 +39,10 @@
         """Return an endpoint as a `Candidate`."""
         return self.placer.candidate(self.routed, endpoint, self.now)
 
+    def count_running(self):
+        """Return the number of attempts in flight, of all services."""
+        return len(self.placer.load_tracker.attempts)
+
     def with_fewer_than(self, slots):
         """Yield the endpoints with fewer than `slots` calls in flight."""
         count_in_flight = self.placer.load_tracker.count_in_flight
--- /dev/null
+++ b/packages/core/tests/test_direct_contention.py
@@ -0,0 +1,61 @@
+"""What callers get where more is asked than fits, or nearly so, by the load that is played."""
+
+import attrs
+import pytest
+
+from persimmonstall.direct.messages import EngineProfile
+
+from .contended_fleet import ContendedFleet
+from .direct_parts import LLM, LONG, SHORT, routed
+
+PROFILE = EngineProfile(6, 172_000, 1.31e-3, 0.9e-6, 2.1e-9, 1 / 154_000, 162e-12, 2048, 38)
+SERVICE = attrs.evolve(LLM, engine=PROFILE)
+QUOTE = attrs.evolve(SHORT, name="quote", objective=0.32, gap_objective=0.25)
+REVIEW = attrs.evolve(LONG, name="review", objective=4.0, gap_objective=1.0)
+ENGINES = 45
+
+
+def ask_quotes(fleet, rate, start, end, **options):
+    return [fleet.ask(at, quote(**options)) for at in fleet.arrivals(rate, start, end)]
+
+
+def quote(service=SERVICE, **options):
+    return routed(QUOTE, service, tokens=5_000, max_output_tokens=1300, **options)
+
+
+def ask_reviews(fleet, interval, end):
+    review = routed(REVIEW, SERVICE, tokens=260_000, max_output_tokens=700)
+    times = [number * interval for number in range(int(end / interval))]
+    return [fleet.ask(at, review, events=20) for at in times]
+
+
+def share_in_time(calls, since=0.0):
+    """Return the share of calls in time, of those that were asked since then."""
+    judged = [call for call in calls if call.asked >= since]
+    return sum(call.in_time for call in judged) / len(judged)
+
+
+@pytest.fixture
+def fleets():
+    """Return fleets of engines whose entries see each other's calls 30 ms late."""
+    return [ContendedFleet(ENGINES, 0.03, PROFILE, seed) for seed in range(1, 7)]
+
+
+def test_flood_that_needs_four_fifths_of_the_slots_is_served_in_time(fleets):
+    """A third of the slots was left free for unseen calls, however few there were."""
+    calls = []
+    for fleet in fleets:
+        calls += ask_quotes(fleet, 95.0, 0.0, 8.0)
+        fleet.run(20.0)
+    assert share_in_time(calls, since=3.0) >= 0.98
+
+
+def test_flood_of_short_prompts_beside_long_ones_is_served_in_time(fleets):
+    """The short ones were spread over all engines, so that each long one met streams."""
+    quotes, reviews = [], []
+    for fleet in fleets:
+        quotes += ask_quotes(fleet, 80.0, 0.0, 8.0)
+        reviews += ask_reviews(fleet, 1.0, 8.0)
+        fleet.run(40.0)
+    assert share_in_time(quotes, since=3.0) >= 0.95
+    assert share_in_time(reviews) >= 0.95
