--- a/packages/core/persimmonstall/direct/packing.py
+++ b/packages/core/persimmonstall/direct/packing.py
@@ -75,7 +75,10 @@
     drawn = list(itertools.islice(uncrowded, width))
     random.shuffle(drawn)
     for endpoint in itertools.chain(drawn, uncrowded):
-        fit = evaluate(routed, candidates.candidate(endpoint), now)
+        candidate = candidates.candidate(endpoint)
+        if candidate.load.running() >= usable:
+            continue
+        fit = evaluate(routed, candidate, now)
         if fit.meets_objectives:
             return fit
     return None
--- a/packages/core/tests/test_direct_contention.py
+++ b/packages/core/tests/test_direct_contention.py
@@ -6,7 +6,7 @@
 from persimmonstall.direct.messages import EngineProfile
 
 from .contended_fleet import ContendedFleet
-from .direct_parts import LLM, LONG, SHORT, routed
+from .direct_parts import LLM, LONG, SHORT, make_placer, routed
 
 PROFILE = EngineProfile(6, 172_000, 1.31e-3, 0.9e-6, 2.1e-9, 1 / 154_000, 162e-12, 2048, 38)
 SERVICE = attrs.evolve(LLM, engine=PROFILE)
@@ -59,3 +59,15 @@
         fleet.run(40.0)
     assert share_in_time(quotes, since=3.0) >= 0.95
     assert share_in_time(reviews) >= 0.95
+
+
+def test_what_others_placed_counts_at_an_engine_that_this_entry_has_not_used_yet():
+    """Nearly all engines are new to an entry whose own calls are few."""
+    one, other = (make_placer(3, slots=PROFILE.slots) for _ in range(2))
+    for number in range(PROFILE.slots):
+        placed = one.place(quote(), number * 0.1, f"f{number}")
+        one.load_tracker.begin(placed.attempt, number * 0.1)
+        other.load_tracker.merge_remote_changes("one", (placed.attempt,), (), number * 0.1)
+    first = placed.request.endpoint
+    assert one.load_tracker.count_in_flight(first.name) == PROFILE.slots
+    assert other.place(quote(), 0.7, "g").request.endpoint != first
