Engine model: an engine that is looked at seldom keeps its prefills

The simulation stopped after 64 passes, 3.4 s of a prefill alone, and then took all prefills for finished.

--- a/packages/core/persimmonstall/direct/engine_model.py
+++ b/packages/core/persimmonstall/direct/engine_model.py
@@ -4,6 +4,8 @@
 every running sequence generate a few tokens, which reach its caller as one event.
 """
 
+import math
+
 import attrs
 
 PREFILL_ONLY_STEPS = 4
@@ -12,9 +14,9 @@
 The engine itself runs one step in such a pass; simulating several makes a prediction cheaper.
 """
 
-MAX_PASSES = 64
-"""Maximum number of passes simulated at once; an engine that has not been advanced for longer is
-assumed to have finished its prefills."""
+MAX_PASSES = 256
+"""Maximum number of passes simulated at once; of an engine that would need more, the prefills are
+assumed to have finished."""
 
 PREFILL_TOLERANCE_SECONDS = 1e-6
 """Remaining prefill time, in seconds, up to which a prefill counts as complete."""
@@ -107,21 +109,33 @@
             self.finish_pass()
             if not self.prefills and not self.generating:
                 break
-            self.start_pass()
+            self.start_pass(now)
         else:
             self.prefills.clear()
         self.busy_until = max(self.busy_until, now)
 
-    def start_pass(self):
-        """Choose the prefills of the next pass and set when it ends."""
-        available = self.max_prefill()
-        for attempt, prefill in sorted(self.prefills.items(), key=prefill_order):
+    def start_pass(self, until):
+        """Choose the prefills of the next pass and set when it ends.
+
+        Passes that are alike, up to `until`, count as one: those that only generate, and those
+        that only prefill the first prompt.
+        """
+        if not self.prefills:
+            duration = self.generation_seconds()
+            self.busy_until += duration * max(1, math.ceil((until - self.busy_until) / duration))
+            return
+        ordered = sorted(self.prefills.items(), key=prefill_order)
+        one_pass = available = self.max_prefill()
+        if not self.generating:
+            available = max(one_pass, min(ordered[0][1].seconds, until - self.busy_until))
+        passes = available / one_pass
+        for attempt, prefill in ordered:
             part = min(prefill.seconds, available)
             if part <= 0.0:
                 break
             self.scheduled[attempt] = part
             available -= part
-        self.busy_until += self.generation_seconds() + sum(self.scheduled.values())
+        self.busy_until += passes * self.generation_seconds() + sum(self.scheduled.values())
 
     def expected_gap(self):
         """Return the expected seconds between two events of a stream, without any slowdown."""
@@ -159,7 +173,7 @@
         )
         if self.busy_until <= now:
             self.busy_until = now
-            self.start_pass()
+            self.start_pass(now)
 
     def end(self, attempt):
         """Remove an attempt."""
--- a/packages/core/tests/test_direct_contention.py
+++ b/packages/core/tests/test_direct_contention.py
@@ -3,6 +3,8 @@
 import attrs
 import pytest
 
+from persimmonstall.direct.engine_model import EngineModel
+from persimmonstall.direct.loads import EndpointDemand
 from persimmonstall.direct.messages import EngineProfile
 
 from .contended_fleet import ContendedFleet
@@ -71,3 +73,25 @@
     first = placed.request.endpoint
     assert one.load_tracker.count_in_flight(first.name) == PROFILE.slots
     assert other.place(quote(), 0.7, "g").request.endpoint != first
+
+
+@pytest.mark.parametrize("writers", [0, 3])
+@pytest.mark.parametrize("seconds", [5.2, 12.0])
+def test_engine_that_is_looked_at_seldom_is_predicted_like_one_that_is_often(writers, seconds):
+    """Entries with few calls took engines for idle that had prefilled a long prompt for 3 s."""
+    models = [EngineModel(PROFILE) for _ in range(2)]
+    for model in models:
+        for number in range(writers):
+            model.begin(f"w{number}", EndpointDemand("e", 0.03, 5_000, 6_000), 0.0)
+            model.prefill_done(f"w{number}")
+        model.begin("part", EndpointDemand("e", seconds, generates=False), 0.0)
+        model.begin("own", EndpointDemand("e", 0.03, 5_000, 6_000), 0.1)
+    often, seldom = models
+    for tick in range(1, 250):
+        often.advance(tick * 0.04)
+    seldom.advance(9.96)
+    assert set(seldom.generating) == set(often.generating)
+    late = 2 * PROFILE.stride * PROFILE.step
+    assert seldom.predict_first_event(0.0, 9.96) == pytest.approx(
+        often.predict_first_event(0.0, 9.96), abs=late
+    )
