Admission: calls wait, go on or are refused where room is short; organisations share it

Every call was placed at once, whatever the load, so that all were late alike once more was asked than fits, and one organisation with half of the traffic took half of the places. Where priorities differ or calls belong to organisations, and only while places are short, a call now waits in the entry for a place expected in time, is offered when its patience ends, or is refused at once with the time of its turn. Priority first, then what the organisation used lately over all entries (rates that merge, decay and are bounded), then who asked first; a call that comes back keeps its place.

fair_level (limits/fairness.py) and weight_of are used from the own interface's module.

--- a/packages/core/persimmonstall/direct/datagrams.py
+++ b/packages/core/persimmonstall/direct/datagrams.py
@@ -25,6 +25,7 @@
     PERMIT_REPLY = "permit_reply"
     TRIAL_REQUEST = "trial_request"
     TRIAL_REPLY = "trial_reply"
+    USAGE = "usage"
 
 
 @attrs.frozen
--- a/packages/core/persimmonstall/direct/messages.py
+++ b/packages/core/persimmonstall/direct/messages.py
@@ -173,7 +173,7 @@
     """A call with its route, service and organisation.
 
     `content` is the fingerprint of its content, `parts` are those of it that other calls may
-    share.
+    share.  `priorities` are those that calls of this service can have, in ascending order.
     """
 
     call: Call
@@ -182,6 +182,7 @@
     organisation: Organisation | None = None
     content: str = ""
     parts: tuple[str, ...] = ()
+    priorities: tuple[int, ...] = ()
 
     @property
     def deadline(self):
--- a/packages/core/persimmonstall/direct/room.py
+++ b/packages/core/persimmonstall/direct/room.py
@@ -11,7 +11,8 @@
 
 import attrs
 
-from .sizes import call_weight
+from .engine_model import prefill_seconds
+from .sizes import call_weight, expected_memory
 from .splitting import late_probability
 
 OVERFLOW_SHARE = 0.05
@@ -104,3 +105,72 @@
     late = late_probability(expected, routed.route.objective)
     others = load.lateness_cost(prefill * load.slowdown, now) / call_weight(routed.call)
     return LATE_SECONDS * (max(late, waits) + others)
+
+
+@attrs.frozen
+class Room:
+    """The slots of the endpoints of a service.
+
+    `places` are free slots, `queued` calls that wait for a slot at an endpoint, `slots` all slots.
+    """
+
+    places: int
+    queued: int
+    slots: int
+
+    @property
+    def taken_share(self):
+        """Share of the slots that are taken."""
+        return 1.0 - self.places / self.slots if self.slots else 1.0
+
+
+def has_places(placer, routed, endpoints, wanted, now):
+    """Return whether more than `wanted` slots of the endpoints are free.
+
+    The last endpoints in rank order are looked at first, as these are filled last.
+    """
+    free = 0
+    for endpoint in reversed(endpoints):
+        free += max(0, slots_left(placer, routed, endpoint, now))
+        if free > wanted:
+            return True
+    return False
+
+
+def room_of(placer, routed, endpoints, now):
+    """Return the `Room` that a call finds at the endpoints of its service."""
+    places = queued = slots = 0
+    for endpoint in endpoints:
+        left = slots_left(placer, routed, endpoint, now)
+        slots += slots_of(routed, endpoint)
+        places += max(0, left)
+        queued += max(0, -left)
+    return Room(places, queued, slots)
+
+
+def slots_of(routed, endpoint):
+    """Return the slots of an endpoint."""
+    profile = routed.service.engine
+    return endpoint.slots if profile is None else profile.slots
+
+
+def slots_left(placer, routed, endpoint, now):
+    """Return how many slots of an endpoint are free, negative if calls wait for one."""
+    load = placer.load_tracker.load_of(endpoint, routed.service, now)
+    return slots_of(routed, endpoint) - load.running()
+
+
+def takes_prompt(placer, routed, endpoints, now):
+    """Return whether the engines have the memory for a long prompt, and prefill it in time.
+
+    Prefills that wait are taken as spread evenly, like the parts of the prompt.  Any other call
+    needs no more than a slot.
+    """
+    if not placer.is_split(routed):
+        return True
+    loads = [placer.load_tracker.load_of(each, routed.service, now) for each in endpoints]
+    memory = sum(max(0, load.free_memory()) for load in loads)
+    prefill = prefill_seconds(routed.service.engine, routed.call.prompt_tokens)
+    waiting = sum(load.pending_prefill() for load in loads) + prefill
+    in_time = late_probability(waiting / len(loads), routed.route.objective) < 1.0
+    return in_time and memory >= expected_memory(routed.call)
--- a/packages/core/persimmonstall/direct/routing.py
+++ b/packages/core/persimmonstall/direct/routing.py
@@ -25,6 +25,7 @@
         self.by_host = {}
         for route in configuration.routes:
             self.by_host.setdefault(route.host.lower(), {})[route.prefix] = route
+        self.priorities = priorities_by_service(configuration)
 
     def match(self, host, path):
         """Return the route of `host` with the longest prefix that matches `path`, or None."""
@@ -53,7 +54,8 @@
         if service is None:
             return Failure(Reason.UNKNOWN_SERVICE, STEP, detail=name)
         content, parts = content_fingerprint(call), call_parts(call)
-        return RoutedCall(call, route, service, organisation, content, parts)
+        priorities = self.priorities.get(name, ())
+        return RoutedCall(call, route, service, organisation, content, parts, priorities)
 
     def choose_service(self, route, call_id):
         """Return the service of a call, by the weights of the route and a hash of the call id."""
@@ -66,3 +68,26 @@
             if point < 0:
                 return share.service
         return route.shares[-1].service if route.shares else ""
+
+
+def priorities_by_service(configuration):
+    """Return the priorities that calls of each service can have, in ascending order.
+
+    They are those that organisations have of their own, and those of the routes to the service
+    that organisations without one can use.
+
+    >>> from .messages import Configuration, Organisation, Route, Share
+    >>> routes = (Route("a", "h", "/x/", (Share("s"),), priority=2),)
+    >>> keys = {"k": Organisation("o", 0), "l": Organisation("p")}
+    >>> priorities_by_service(Configuration(1, routes, keys=keys))
+    {'s': (0, 2)}
+    """
+    own = {owner.priority for owner in configuration.keys.values()}
+    without_own = not configuration.keyed or None in own
+    own.discard(None)
+    priorities = {}
+    for route in configuration.routes:
+        of_route = {route.priority} if without_own or route.public else set()
+        for share in route.shares:
+            priorities.setdefault(share.service, set(own)).update(of_route)
+    return {service: tuple(sorted(found)) for service, found in priorities.items()}
--- a/packages/core/persimmonstall/limits/fairness.py
+++ b/packages/core/persimmonstall/limits/fairness.py
@@ -6,6 +6,8 @@
 that less urgent organisations are limited first.
 """
 
+import math
+
 import attrs
 
 from ..failures import Reason, Refusal
@@ -43,6 +45,26 @@
     return 1.2 ** (LOWEST_PRIORITY - priority)
 
 
+def fair_level(demands, capacity):
+    """Return the rate per weight up to which demands are met if `capacity` is shared fairly.
+
+    `demands` are pairs of a rate and a weight.  What some do not use goes to those who ask for
+    more; the level is infinite if there is enough for all.
+
+    >>> fair_level([(50.0, 1.0), (1.0, 1.0), (1.0, 1.0)], 30.0)
+    28.0
+    >>> fair_level([(30.0, 1.0), (30.0, 2.0)], 30.0), fair_level([(30.0, 1.0)], 40.0)
+    (10.0, inf)
+    """
+    left, weights = capacity, sum(weight for _, weight in demands)
+    for rate, weight in sorted(demands, key=lambda demand: demand[0] / demand[1]):
+        if rate / weight > left / weights:
+            return left / weights
+        left -= rate
+        weights -= weight
+    return math.inf
+
+
 class FairShare:
     """Usage by organisation at one entry; only of recently active organisations."""
 
--- a/packages/core/tests/contended_fleet.py
+++ b/packages/core/tests/contended_fleet.py
@@ -32,7 +32,9 @@
     last_event: float = 0.0
     longest_gap: float = 0.0
     ended: float | None = None
+    admitted: float = 0.0
     refusals: int = 0
+    retry_after: list = attrs.field(factory=list)
 
     @property
     def in_time(self):
@@ -133,6 +135,7 @@
         self.placer.random = self.random
         self.placer.load_tracker.unseen.record_delay(lag)
         self.engines = {name: PlayedEngine(profile, self) for name in self.placer.fleet.endpoints}
+        self.now = 0.0
         self.events = []
         self.numbers = itertools.count()
         self.calls = []
@@ -144,8 +147,8 @@
     def run(self, until):
         """Run what is due until then."""
         while self.events and self.events[0][0] <= until:
-            at, _, action = heapq.heappop(self.events)
-            action(at)
+            self.now, _, action = heapq.heappop(self.events)
+            action(self.now)
 
     def ask(self, at, routed, events=USUAL_EVENTS):
         """Let a caller ask at the time `at`."""
@@ -171,6 +174,17 @@
         self.engines[first.endpoint].send(call, now)
         self.see((placed.attempt,), (), now)
 
+    def lose_engines(self, count):
+        """End some engines in a moment; the entries hear of it at once, their calls are lost."""
+        fleet, tracker = self.placer.fleet, self.placer.load_tracker
+        for endpoint in fleet.usable("llm")[:count]:
+            fleet.drop(endpoint.name, self.now)
+            self.engines.pop(endpoint.name)
+        for name, attempt in list(tracker.attempts.items()):
+            if any(demand.endpoint not in self.engines for demand in attempt.demands):
+                tracker.end(name, "others")
+        tracker.forget(fleet.endpoints)
+
     def started(self, call, now):
         """Let the entries see that an answer began."""
         attempt = self.placer.load_tracker.attempts.get(call.name)
--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -58,7 +58,11 @@
         history = AttemptHistory(last_event=call.resume_after, trial=trial)
         started_at = self.entry.now()
         try:
-            result = await self.run(routed, sink, history)
+            postponed = await self.entry.admission.admit(routed)
+            if postponed is not None:
+                result = AttemptResult(AttemptOutcome.OVERDUE, postponed)
+            else:
+                result = await self.run(routed, sink, history)
         except asyncio.CancelledError:
             self.log_caller_left(routed, history, started_at, sink.seconds_since_close())
             raise
@@ -95,12 +99,14 @@
         last = AttemptResult(AttemptOutcome.OVERDUE)
         placed = None
         self.entry.state.budget.record_call(routed.service.name, self.entry.now())
+        placed_at = self.entry.now()
         try:
             async with self.entry.time_limits.until(routed.deadline):
                 while True:
                     last = await self.attempt(routed, sink, history, placed)
                     placed = last.followed_by
                     if placed is None and not self.should_retry(routed, history, last):
+                        self.entry.admission.record_served(routed, self.entry.now() - placed_at)
                         return last
         except TimeoutError:
             outlives_entry = routed.deadline > self.entry.exits_at
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -14,6 +14,7 @@
 from ..observe import logs
 from ..observe.prometheus import PrometheusMetrics
 from ..service import DaemonService
+from .admission import AdmissionQueue
 from .answer_memory import AnswerMemory
 from .call_handler import CallHandler
 from .callers import CallerServer, listen
@@ -98,6 +99,7 @@
         self.limits = LimitReporter(self, self.peers.schedule_beacon)
         self.notices = NoticeReporter(self, self.peers.schedule_beacon)
         self.chooser = EndpointChooser(self)
+        self.admission = AdmissionQueue(self)
         self.crash_reporter = CrashReporter(self)
         self.crash_records = CrashRecords(self)
         self.reservations = Reservations(self)
@@ -218,6 +220,7 @@
                 self.directory.reconnect()
                 self.time_limits.reschedule()
             self.state.tick(now)
+            self.admission.tick(now)
             self.metrics.gauge("in_flight", self.callers.in_flight)
             if self.log_stream is not None:
                 self.metrics.gauge("log_lines_dropped", self.log_stream.dropped)
