--- a/packages/core/persimmonstall/direct/datagrams.py
+++ b/packages/core/persimmonstall/direct/datagrams.py
@@ -27,6 +27,7 @@
     TRIAL_REPLY = "trial_reply"
     EVACUATIONS = "evacuations"
     OBSERVATIONS = "observations"
+    USAGE = "usage"
 
 
 @attrs.frozen
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -15,6 +15,7 @@
 from ..observe import logs
 from ..observe.prometheus import PrometheusMetrics
 from ..service import DaemonService
+from .admission import AdmissionQueue
 from .answer_memory import AnswerMemory
 from .call_handler import CallHandler
 from .callers import CallerServer, listen
@@ -110,6 +111,7 @@
         self.evacuations = EvacuationReporter(self)
         self.cold = ColdReporter(self)
         self.chooser = EndpointChooser(self)
+        self.admission = AdmissionQueue(self)
         self.crash_reporter = CrashReporter(self)
         self.crash_records = CrashRecords(self)
         self.reservations = Reservations(self)
@@ -240,6 +242,7 @@
             self.state.tick(now)
             self.evacuations.expire(now)
             self.cold.review(now)
+            self.admission.tick(now)
             self.metrics.gauge("in_flight", self.callers.in_flight)
             if self.log_stream is not None:
                 self.metrics.gauge("log_lines_dropped", self.log_stream.dropped)
