--- a/packages/core/persimmonstall/direct/room.py
+++ b/packages/core/persimmonstall/direct/room.py
@@ -154,6 +154,11 @@
     return endpoint.slots if profile is None else profile.slots
 
 
+def total_slots(routed, endpoints):
+    """Return the slots of all endpoints of a service."""
+    return sum(slots_of(routed, endpoint) for endpoint in endpoints)
+
+
 def slots_left(placer, routed, endpoint, now):
     """Return how many slots of an endpoint are free, negative if calls wait for one."""
     load = placer.load_tracker.load_of(endpoint, routed.service, now)
