Entry: holds callers' bytes within the machine's memory

Heads, bodies, requests sent ahead, answers and connections are charged to a budget from the machine's memory (new settings memory_mb and descriptors, off by default) less what the process itself takes, measured. What gives way is refused with 503 before it was sent, or closed. A head of legal size with more than 128 fields is served. Reading is resumed only if it is paused: aiohttp parsed again after each chunk, which let chunks of one byte take the processor.

--- a/packages/core/persimmonstall/direct/routing.py
+++ b/packages/core/persimmonstall/direct/routing.py
@@ -40,8 +40,11 @@
             end = path.rfind("/", 0, end)
         return None
 
-    def admit(self, call):
-        """Return the `RoutedCall` of a call, or a `Failure` if it has no route, key or service."""
+    def find(self, call):
+        """Return route, service and organisation of a call, or a `Failure` if one is missing.
+
+        It looks at the head of the call alone.
+        """
         route = self.match(call.host, call.path)
         if route is None:
             return Failure(Reason.NOT_FOUND, STEP, detail=f"{call.host}{call.path}")
@@ -53,6 +56,14 @@
         service = self.configuration.services.get(name)
         if service is None:
             return Failure(Reason.UNKNOWN_SERVICE, STEP, detail=name)
+        return route, service, organisation
+
+    def admit(self, call):
+        """Return the `RoutedCall` of a call, or a `Failure` if it has no route, key or service."""
+        found = self.find(call)
+        if isinstance(found, Failure):
+            return found
+        route, service, organisation = found
         content, parts = content_fingerprint(call), call_parts(call)
         priorities = self.priorities.get(name, ())
         return RoutedCall(call, route, service, organisation, content, parts, priorities)
--- a/packages/core/persimmonstall/settings/schema.py
+++ b/packages/core/persimmonstall/settings/schema.py
@@ -248,6 +248,17 @@
         "bytes",
         low=1024,
     )
+    memory_mb: int = option(
+        0,
+        "Memory of the machine, which the entry stays within; 0 to hold any amount.",
+        "MB",
+        low=0,
+    )
+    descriptors: int = option(
+        0,
+        "Descriptors that the entry may have open; 0 to accept any number of connections.",
+        low=0,
+    )
     configuration_ms: int = option(
         2000, "Time in which a change of the configuration applies everywhere.", "ms", low=100
     )
--- a/packages/daemon/persimmonstall_daemon/direct/answer_memory.py
+++ b/packages/daemon/persimmonstall_daemon/direct/answer_memory.py
@@ -1,5 +1,7 @@
 """Bounds the memory of the answers that an entry holds."""
 
+from persimmonstall.direct.byte_budget import LARGE_BYTES
+
 
 class AnswerMemory:
     """The bytes of answers that are read or not yet passed on, by the sink of their call.
@@ -18,11 +20,23 @@
 
         The answer that is dropped may be that of `attempt` itself.
         """
-        self.total += size - self.sizes.get(sink, 0)
+        more = size - self.sizes.get(sink, 0)
+        self.total += more
         self.sizes[sink] = size
         self.readers[sink] = attempt
-        while self.total > self.entry.settings.direct.answers_bytes and self.readers:
-            self.drop(max(self.readers, key=self.sizes.__getitem__))
+        room = self.entry.memory.hold_answer(sink, size, more)
+        while self.readers and (self.exceeded or not room):
+            largest = max(self.readers, key=self.sizes.__getitem__)
+            if not self.exceeded and self.sizes[largest] < LARGE_BYTES:
+                return
+            freed = self.sizes[largest]
+            self.drop(largest)
+            room = room or freed >= more
+
+    @property
+    def exceeded(self):
+        """Whether all answers together exceed the bound of the settings."""
+        return self.total > self.entry.settings.direct.answers_bytes
 
     def drop(self, sink):
         """Make an attempt give up the answer that it reads."""
@@ -37,4 +51,6 @@
     def release(self, sink):
         """Record that the answer is no longer held; releasing it twice is harmless."""
         self.readers.pop(sink, None)
-        self.total -= self.sizes.pop(sink, 0)
+        size = self.sizes.pop(sink, 0)
+        self.total -= size
+        self.entry.memory.release_answer(sink, size)
--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -13,6 +13,7 @@
 from .attempt_result import AttemptResult
 from .connecting import wait_past_suspension
 from .endpoint_client import NOT_CONNECTED_IN_TIME, never_connected
+from .held_body import BodyBuffer
 from .silence_watch import SilenceWatch
 
 STEP = "relay"
@@ -286,27 +287,36 @@
     async def collect_answer(self):
         """Read a non-streamed answer; the caller gets it only once it is complete."""
         self.watch.decide_at = None
+        body = BodyBuffer(self.entry.settings.direct.answer_bytes)
+        try:
+            failed = await self.read_answer(body)
+        except BaseException:
+            body.discard()
+            raise
+        if failed is not None:
+            body.discard()
+            return failed
+        self.entry.answer_memory.reading_ended(self.sink)
+        head = self.answer.head
+        error = head.kind is ResponseKind.ENDPOINT_ERROR
+        ending = AttemptOutcome.ENDPOINT_ERROR if error else AttemptOutcome.WHOLE
+        return AttemptResult(ending, head=head, body=body.content())
+
+    async def read_answer(self, body):
+        """Read the answer into `body`; return the `AttemptResult` if that fails, or None."""
         timeout = self.answer_timeout()
-        limit = self.entry.settings.direct.answer_bytes
-        memory = self.entry.answer_memory
         size = self.answer.announced_bytes
-        body = bytearray()
-        while size <= limit:
+        while size <= body.limit:
             data = await self.watch.receive(self.answer.read, timeout)
             if isinstance(data, Failure) or self.dropped:
                 return self.broken_result(data)
             if not data:
-                break
-            body += data
-            size = len(body)
-            memory.hold(self.sink, size, self)
-        if size > limit:
-            return self.too_large(f"an answer of {size} bytes or more, the limit is {limit}")
-        memory.reading_ended(self.sink)
-        head = self.answer.head
-        error = head.kind is ResponseKind.ENDPOINT_ERROR
-        ending = AttemptOutcome.ENDPOINT_ERROR if error else AttemptOutcome.WHOLE
-        return AttemptResult(ending, head=head, body=bytes(body))
+                return None
+            size = body.size + len(data)
+            if size <= body.limit:
+                body.add(data)
+            self.entry.answer_memory.hold(self.sink, size, self)
+        return self.too_large(f"an answer of {size} bytes or more, the limit is {body.limit}")
 
     async def relay_events(self):
         """Relay complete events as they arrive."""
--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -15,6 +15,7 @@
 from .attempt_result import AttemptResult
 from .endpoint_client import connect_timed_out
 from .final_answers import FinalAnswers
+from .held_body import discard
 
 STEP = "exchange"
 
@@ -70,6 +71,7 @@
             await self.final_answers.finish(routed, sink, history, result, started_at)
         finally:
             self.entry.answer_memory.release(sink)
+            discard(result.body)
 
     def check_in_time(self, call):
         """Refuse a call whose deadline passed while it waited for the configuration."""
--- a/packages/daemon/persimmonstall_daemon/direct/callers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/callers.py
@@ -4,34 +4,26 @@
 import socket
 
 import attrs
-from aiohttp import http, web
+from aiohttp import web
 
+from persimmonstall.direct.byte_budget import Phase
 from persimmonstall.direct.messages import CallerLimits
-from persimmonstall.failures import Failure, Outcome, Reason, refuse
+from persimmonstall.failures import Failure, Outcome, Postponed, Reason, refuse
 
 from ..exact_headers import ExactHeaderWriter, to_octets, to_text
 from ..observe import logs
 from .acceptor import BACKLOG, Acceptor
+from .body_reader import BodyReader, no_room
+from .connection import IDLE_MARGIN_SECONDS, Connection
+from .held_body import PIECE_BYTES, HeldBody
 
 LOG = logs.get("callers")
 STEP = "read"
 
-HEADER_LIMIT_FACTOR = 4
-"""Multiple of the allowed header size that is parsed, so that headers above the limit are refused
-by the entry and not by the parser."""
-
-MAX_BODY_BYTES = 1 << 24
-"""Largest body of a request if the configuration has no limit."""
-
 LINGER_SECONDS = 1.0
 """Time for which the unread rest of a request body is still read and discarded."""
 
 SHUTDOWN_SECONDS = 0.1
-IDLE_MARGIN_SECONDS = 2.0
-"""Added to the idle timeout, so that a call rarely arrives while its connection closes."""
-
-LAST_READ_SECONDS = 0.1
-"""Time after a timeout in which a request that has arrived may still be read."""
 
 
 @attrs.frozen
@@ -54,6 +46,11 @@
         self.closing = closing
         self.response = None
 
+    @property
+    def connection(self):
+        """The `Connection` on which the call arrived."""
+        return self.request.protocol
+
     @property
     def started(self):
         """Whether any part of an answer has been sent."""
@@ -78,18 +75,25 @@
 
     async def write(self, data):
         """Send a piece of the body."""
+        self.connection.enter(Phase.ANSWERING)
         await self.response.write(data)
+        self.connection.enter(Phase.RUNNING)
 
     async def finish(self):
         """End the body of a streamed answer."""
+        self.connection.enter(Phase.ANSWERING)
         await self.response.write_eof()
 
     async def reply(self, reply):
         """Send a complete `Reply`."""
-        response = web.Response(status=reply.status, body=reply.body)
+        body = reply.body
+        if len(body) > PIECE_BYTES:
+            body = HeldBody(body, self.connection.sent)
+        response = web.Response(status=reply.status, body=body)
         set_headers(response, [(to_octets(n), to_octets(v)) for n, v in reply.headers])
         if reply.close:
             response.force_close()
+        self.connection.enter(Phase.ANSWERING)
         await self.send_head(response)
         await response.write_eof()
 
@@ -120,86 +124,6 @@
     return socket.create_server((host, int(port)), backlog=BACKLOG)
 
 
-class Connection(web.RequestHandler):
-    """A caller's connection; it is closed if the head of a request is not complete in time.
-
-    `limits` are those that applied when the connection was opened; `lost_at` is the time of the
-    event loop at which it closed, None while it is open.  `reading` says that bytes of a request
-    have arrived that has not been answered.
-    """
-
-    def __init__(self, server, limits, **options):
-        super().__init__(server, **options)
-        self.limits = limits
-        self.timer = None
-        self.in_request = False
-        self.reading = False
-        self.lost_at = None
-
-    def connection_made(self, transport):
-        """Start the idle timeout of the first request, the same as for later ones."""
-        super().connection_made(transport)
-        self.start_timeout(self.limits.idle_timeout + IDLE_MARGIN_SECONDS)
-
-    def data_received(self, data):
-        """Pass data to the parser; the first bytes of a request start its header timeout."""
-        self.reading = True
-        if not self.in_request:
-            self.start_timeout(self.limits.header_timeout)
-        super().data_received(data)
-
-    def start_timeout(self, seconds):
-        """Close the connection unless a head is complete within `seconds`.
-
-        A timeout that is due earlier stays as it is.
-        """
-        loop = asyncio.get_running_loop()
-        due = loop.time() + seconds
-        if self.timer is not None:
-            if self.timer.when() <= due:
-                return
-            self.timer.cancel()
-        self.timer = loop.call_at(due, self.on_timeout)
-
-    def on_timeout(self):
-        """Read what has arrived, since the event loop may be late, before closing."""
-        loop = asyncio.get_running_loop()
-        self.timer = loop.call_later(LAST_READ_SECONDS, loop.call_soon, self.close_unless_served)
-
-    def close_unless_served(self):
-        """Close the connection, unless a request that was read has begun to be served.
-
-        Tasks that were made ready before this callback have run.
-        """
-        if self.in_request:
-            return
-        if self.reading:
-            LOG.info("request_incomplete", step=STEP, reason="head incomplete at the timeout")
-        self.force_close()
-
-    def request_started(self):
-        """Stop the header timeout: the head is complete."""
-        self.in_request = True
-        self.cancel_timeout()
-
-    def request_ended(self):
-        """Expect the head of another request: this one has been answered."""
-        self.in_request = False
-        self.reading = False
-
-    def cancel_timeout(self):
-        """Cancel the timeout of a head."""
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-
-    def connection_lost(self, exc):
-        """Cancel the timeout of a connection that has closed, and the call in progress."""
-        self.lost_at = asyncio.get_running_loop().time()
-        self.cancel_timeout()
-        super().connection_lost(exc)
-
-
 class CallerServer:
     """Accepts callers' connections and passes their calls to the entry's `CallHandler`.
 
@@ -233,27 +157,20 @@
         return Connection(
             self.server,
             limits,
+            self.entry.memory,
             loop=asyncio.get_running_loop(),
             access_log=None,
             keepalive_timeout=limits.idle_timeout + IDLE_MARGIN_SECONDS,
-            max_line_size=limits.header_bytes * HEADER_LIMIT_FACTOR,
-            max_field_size=limits.header_bytes * HEADER_LIMIT_FACTOR,
             auto_decompress=False,
             lingering_time=LINGER_SECONDS,
         )
 
     def make_request(self, message, payload, protocol, _writer, task):
-        """Return a request whose body may be as large as the configuration allows.
-
-        The headers of its answer are written exactly.
-        """
+        """Return a request whose head is complete; the headers of its answer are exact."""
         protocol.request_started()
-        max_size = self.limits.body_bytes or MAX_BODY_BYTES
         loop = asyncio.get_running_loop()
         writer = ExactHeaderWriter(protocol, loop)
-        return web.BaseRequest(
-            message, payload, protocol, writer, task, loop, client_max_size=max_size
-        )
+        return web.BaseRequest(message, payload, protocol, writer, task, loop)
 
     async def handle(self, request):
         """Serve one request."""
@@ -289,34 +206,58 @@
     async def serve(self, request, sink):
         """Read a complete request and serve its call."""
         head = RequestHead(request.method, request.message.path, request.raw_headers)
-        arrived = self.entry.now()
-        body = await self.read_body(request)
+        call = self.entry.dialect.read_call(head, b"", self.entry.now())
+        body = await self.read_body(request, call)
         if isinstance(body, Failure):
-            await sink.reply(self.entry.dialect.refusal_reply(refuse(body)))
+            await self.refuse(sink, body)
             return
-        call = self.entry.dialect.read_call(head, body, arrived)
         if isinstance(call, Failure):
             self.entry.log.warning("call_unreadable", reason=call.reason, detail=call.detail)
-            await sink.reply(self.entry.dialect.refusal_reply(refuse(call)))
+            await self.refuse(sink, call)
             return
-        await self.entry.call_handler.serve(call, sink)
-
-    async def read_body(self, request):
-        """Return the body, or a `Failure` if it is too large, too slow or malformed."""
+        sink.connection.enter(Phase.RUNNING)
+        await self.entry.call_handler.serve(attrs.evolve(call, body=body), sink)
+
+    async def refuse(self, sink, failure):
+        """Send the caller a refusal: its call has not run."""
+        refusal = refuse(failure, getattr(failure, "delay", None))
+        reply = self.entry.dialect.refusal_reply(refusal)
+        if isinstance(failure, Postponed):
+            self.entry.metrics.count("direct_refusals", tag=str(refusal.reason))
+            logs.log_failure(LOG, "refused", refusal, status=reply.status)
+            reply = attrs.evolve(reply, close=True)
+        await sink.reply(reply)
+
+    async def read_body(self, request, call):
+        """Return the body, or a `Failure` if it is too large, too slow or malformed.
+
+        The body of a call that will be refused for its head is read and not kept.
+        """
         size = sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
         if size > self.limits.header_bytes > 0:
             return Failure(Reason.HEADERS_TOO_LARGE, STEP, detail=f"{size} bytes")
-        deadline = self.entry.now() + self.limits.idle_timeout
-        try:
-            async with self.entry.time_limits.until(deadline):
-                return await request.read()
-        except TimeoutError:
-            reason = Reason.LEAVING if deadline > self.entry.exits_at else Reason.BODY_TOO_SLOW
-            return Failure(reason, STEP, detail="body incomplete at the timeout")
-        except web.HTTPRequestEntityTooLarge as error:
-            return Failure(Reason.BODY_TOO_LARGE, STEP, detail=str(error))
-        except (http.HttpProcessingError, ValueError) as error:
-            return Failure(Reason.BAD_REQUEST, STEP, detail=repr(error))
+        connection = request.protocol
+        if not await connection.accept(request.message):
+            return no_room(self.entry, "a call")
+        return await BodyReader(self.entry, request, self.limits).read(
+            self.is_served(call, connection)
+        )
+
+    def is_served(self, call, connection):
+        """Return whether a call may be served, as far as its head tells.
+
+        Its connection then shares the memory of its organisation's callers at that address.
+        """
+        if isinstance(call, Failure):
+            return False
+        if not self.entry.state.ready:
+            return True
+        found = self.entry.state.routes.find(call)
+        if isinstance(found, Failure):
+            return False
+        _route, _service, organisation = found
+        connection.join_group(organisation.name if organisation else "")
+        return True
 
     async def stop_accepting(self):
         """Close the listening socket; open connections stay open."""
--- /dev/null
+++ b/packages/daemon/persimmonstall_daemon/direct/connection.py
@@ -0,0 +1,396 @@
+"""A caller's connection: its timeouts, and the bytes that it holds."""
+
+import asyncio
+import collections
+
+import attrs
+from aiohttp import web
+
+from persimmonstall.direct.byte_budget import Phase
+
+from ..observe import logs
+from .entry_memory import EXCHANGE_BYTES
+
+LOG = logs.get("callers")
+STEP = "read"
+
+LAST_READ_SECONDS = 0.1
+"""Time after a timeout in which a request that has arrived may still be read."""
+
+IDLE_MARGIN_SECONDS = 2.0
+"""Added to the idle timeout, so that a call rarely arrives while its connection closes."""
+
+PARSED_BYTES = 16_384
+"""Bytes that are parsed at once, between which the memory is checked."""
+
+FIELD_BYTES = 512
+"""Estimated memory of a header field beyond its characters."""
+
+CHUNK_BYTES = 64
+"""Estimated memory of a piece of a body beyond its bytes."""
+
+HEADER_LIMIT_FACTOR = 4
+"""Multiple of the allowed header size that is parsed, so that headers above the limit are refused
+by the entry and not by the parser."""
+
+MIN_FIELD_BYTES = 4
+"""Size of the shortest header field: a name, a colon and the end of its line."""
+
+MAX_HEADER_BYTES = 65_536
+"""Largest head if the configuration has no limit."""
+
+FRAMING_BYTES = 65_536
+FRAMING_FACTOR = 16
+"""Most bytes of chunk sizes and trailers: a constant, and a multiple of the body."""
+
+CHUNKED_BYTES = 4096
+"""The same for bodies in chunks, which are dear to parse if they are small."""
+
+PACED_LINES = 512
+"""Lines of heads and chunks in one read from which a caller is read at a bounded pace."""
+
+LINE_SECONDS = 2.5e-6
+"""Estimated time to parse a line."""
+
+SERVED_FIELDS = 128
+FIELD_SECONDS = 5e-6
+"""Fields of a head from which its calls are served at a bounded pace, and their time each."""
+
+READ_BUFFER_BYTES = 65_536
+"""Size of the read buffer of a connection; twice as much is read ahead of the reader."""
+
+
+def parser_options(limits):
+    """Return the options of aiohttp with which heads of the allowed size are parsed."""
+    allowed = limits.header_bytes or MAX_HEADER_BYTES
+    return {
+        "max_line_size": allowed * HEADER_LIMIT_FACTOR,
+        "max_field_size": allowed * HEADER_LIMIT_FACTOR,
+        "max_headers": allowed // MIN_FIELD_BYTES,
+        "read_bufsize": READ_BUFFER_BYTES,
+    }
+
+
+def head_bytes(message):
+    """Return the estimated memory of a parsed head; 0 for one that could not be parsed."""
+    fields = getattr(message, "raw_headers", ())
+    return sum(len(name) + len(value) for name, value in fields) * 2 + len(fields) * FIELD_BYTES
+
+
+@attrs.define
+class HeadInProgress:
+    """Bytes and lines of a head that is not complete, and bytes that wait for the parser."""
+
+    size: int = 0
+    lines: int = 0
+    unparsed: int = 0
+
+    @property
+    def memory(self):
+        """The estimated memory that they take."""
+        return 2 * self.size + self.lines * FIELD_BYTES + self.unparsed
+
+
+class Connection(web.RequestHandler):
+    """A caller's connection; it is closed if the head of a request is not complete in time.
+
+    `limits` are those that applied when the connection was opened; `lost_at` is the time of the
+    event loop at which it closed, None while it is open.  `reading` says that bytes of a request
+    have arrived that has not been answered.  It is `essential` if it does not serve callers.
+
+    `holder` stands for it in the budget of `memory`.  `wire` are the bytes charged for what has
+    arrived and is not served yet: the `head` in progress, the requests that wait, of which
+    `queued` holds the sizes of the heads, and `unparsed` data that waits for its turn.  `taken`
+    are those of the request that is served, and `stored` is its body.  `body` is the body that is
+    parsed, of which `body_received` bytes came; `counted` is the number of requests that were
+    parsed, `work` the number of lines since the last turn.  `denied` says that there was no room
+    for a request; `revoke`, if there is one, refuses the request whose body arrives.
+    """
+
+    def __init__(self, server, limits, memory, essential=False, **options):
+        super().__init__(server, **parser_options(limits), **options)
+        self.limits = limits
+        self.memory = memory
+        self.essential = essential
+        self.address = ""
+        self.holder = None
+        self.head = HeadInProgress()
+        self.counted = 0
+        self.body = None
+        self.body_received = 0
+        self.chunked = False
+        self.queued = collections.deque()
+        self.work = 0
+        self.paced = False
+        self.unparsed = b""
+        self.wire = 0
+        self.taken = 0
+        self.stored = None
+        self.denied = False
+        self.revoke = None
+        self.timer = None
+        self.in_request = False
+        self.reading = False
+        self.lost_at = None
+
+    def connection_made(self, transport):
+        """Start the idle timeout of the first request, the same as for later ones."""
+        super().connection_made(transport)
+        peer = transport.get_extra_info("peername")
+        self.address = peer[0] if peer else ""
+        self.holder = self.memory.open(self, (self.address, ""), self.essential)
+        if self.holder is None:
+            transport.abort()
+            return
+        self.start_timeout(self.limits.idle_timeout + IDLE_MARGIN_SECONDS)
+
+    def data_received(self, data):
+        """Pass data to the parser; the first bytes of a request start its header timeout."""
+        if data:
+            self.reading = True
+            if not self.in_request:
+                self.start_timeout(self.limits.header_timeout)
+        if self._close:
+            return
+        if self.unparsed and data:
+            self.unparsed += data
+            return
+        self.parse(data)
+
+    def parse(self, data):
+        """Parse data piece by piece; what is dear to parse waits for its turn."""
+        start = 0
+        while True:
+            size = CHUNKED_BYTES if self.chunked else PARSED_BYTES
+            piece = data[start : start + size]
+            super().data_received(piece)
+            if self.holder is None or self.transport is None:
+                return
+            self.account(piece)
+            start += len(piece)
+            if self.work >= PACED_LINES:
+                self.pace()
+                self.unparsed += data[start:]
+                return
+            if start >= len(data):
+                return
+
+    def pace(self):
+        """Read no more for as long as parsing takes the share that is left to such callers."""
+        seconds = self.memory.pacer.delay(self.work * LINE_SECONDS, self.memory.entry.now())
+        self.work = 0
+        if self.transport is None or self.paced:
+            return
+        self.paced = True
+        self._pause_transport_reading()
+        asyncio.get_running_loop().call_later(seconds, self.resume_pace)
+
+    def resume_pace(self):
+        """Parse what is left, then read again, unless something else forbids it."""
+        self.paced = False
+        data, self.unparsed = self.unparsed, b""
+        if data and self.transport is not None and not self._close:
+            self.parse(data)
+        if not self._reading_paused and not self._buffer_paused:
+            self._resume_transport_reading()
+
+    def resume_reading(self, resume_parser=True):
+        """Resume reading if it is paused; aiohttp asks for it after each piece of a body."""
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
+
+    def _resume_transport_reading(self):
+        """Resume reading as aiohttp asks for, but not before the pace allows it."""
+        if not self.paced:
+            super()._resume_transport_reading()
+
+    def account(self, piece):
+        """Charge what has arrived and is not served yet; give way if there is no room for it."""
+        self.holder.move(len(piece), self.memory.entry.now())
+        self.count(piece)
+        if self.is_endless():
+            self.abort("head or framing too large")
+            return
+        if not self.charge_wire(self.waiting_bytes()):
+            self.give_way()
+
+    def waiting_bytes(self):
+        """Return the estimated memory of what has arrived and is not served yet."""
+        return self.head.memory + len(self.unparsed) + self.queued_bytes()
+
+    def queued_bytes(self):
+        """Return the estimated memory of the requests that have not begun to be served."""
+        while len(self.queued) > len(self._messages):
+            self.queued.popleft()
+        return sum(self.queued) + sum(waiting_bytes(payload) for _, payload in self._messages)
+
+    def count(self, piece):
+        """Count the bytes of the head or the body that arrives."""
+        new = self._request_count - self.counted
+        self.counted = self._request_count
+        if new:
+            self.head = HeadInProgress()
+            message, self.body = self._messages[-1]
+            self.chunked = getattr(message, "chunked", False)
+            self.body_received = 0
+            last = list(self._messages)[-new:]
+            self.queued.extend(head_bytes(message) for message, _ in last)
+            self.work += sum(len(getattr(message, "raw_headers", ())) for message, _ in last)
+        elif self._buffer_paused:
+            self.head.unparsed += len(piece)
+        elif self.body is not None and not self.body.is_eof():
+            self.body_received += len(piece)
+            if self.chunked:
+                self.work += piece.count(b"\n")
+        else:
+            self.head.size += len(piece)
+            self.head.lines += piece.count(b"\n")
+
+    def is_endless(self):
+        """Return whether a head or the framing of a body exceeds every limit."""
+        allowed = self.limits.header_bytes or MAX_HEADER_BYTES
+        if self.head.size > allowed * HEADER_LIMIT_FACTOR + PARSED_BYTES:
+            return True
+        if self.body is None or self._reading_paused:
+            return False
+        return self.body_received > FRAMING_BYTES + FRAMING_FACTOR * self.body.total_bytes
+
+    def charge_wire(self, size):
+        """Charge `size` bytes for what waits, in place of what was charged so far."""
+        if size <= self.wire:
+            self.memory.release(self.holder, self.wire - size)
+        elif not self.memory.charge(self.holder, size - self.wire):
+            return False
+        self.wire = size
+        return True
+
+    def give_way(self):
+        """Free memory: refuse the request that arrives, or close the connection.
+
+        A request that was passed on keeps its answer; what was sent after it is not read.
+        """
+        if self.revoke is not None:
+            self.revoke()
+        elif self.holder.phase is Phase.READING:
+            self.denied = True
+        elif self.holder.phase is Phase.RUNNING:
+            self._close = True
+            self._messages.clear()
+            self.charge_wire(0)
+        elif self.holder.phase is Phase.WAITING and self._messages:
+            self.denied = True
+            self._close = True
+            self._messages = type(self._messages)([self._messages[0]])
+        else:
+            self.abort("it has to give way")
+
+    def abort(self, reason):
+        """Close the connection at once."""
+        LOG.info("connection_closed", step=STEP, reason=reason, peer=str(self.holder.group))
+        transport = self.transport
+        self.force_close()
+        if transport is not None:
+            transport.abort()
+
+    async def take(self, size):
+        """Reserve `size` bytes for the request that is served; return whether there was room."""
+        if not await self.memory.reserve(self.holder, size):
+            return False
+        self.taken += size
+        return True
+
+    def give_back(self, size):
+        """Release bytes of the request that is served."""
+        self.taken -= size
+        self.memory.release(self.holder, size)
+
+    def join_group(self, organisation):
+        """Share the memory of an organisation's callers at the same address."""
+        self.memory.budget.regroup(self.holder, (self.address, organisation))
+
+    def enter(self, phase):
+        """Record what the connection is doing now."""
+        self.holder.enter(phase, self.memory.entry.now())
+
+    def sent(self, size):
+        """Record that the caller took bytes of the answer."""
+        self.holder.move(size, self.memory.entry.now())
+
+    def start_timeout(self, seconds):
+        """Close the connection unless a head is complete within `seconds`.
+
+        A timeout that is due earlier stays as it is.
+        """
+        loop = asyncio.get_running_loop()
+        due = loop.time() + seconds
+        if self.timer is not None:
+            if self.timer.when() <= due:
+                return
+            self.timer.cancel()
+        self.timer = loop.call_at(due, self.on_timeout)
+
+    def on_timeout(self):
+        """Read what has arrived, since the event loop may be late, before closing."""
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(LAST_READ_SECONDS, loop.call_soon, self.close_unless_served)
+
+    def close_unless_served(self):
+        """Close the connection, unless a request that was read has begun to be served.
+
+        Tasks that were made ready before this callback have run.
+        """
+        if self.in_request:
+            return
+        if self.reading:
+            LOG.info("request_incomplete", step=STEP, reason="head incomplete at the timeout")
+        self.force_close()
+
+    def request_started(self):
+        """Stop the header timeout: the head is complete."""
+        self.in_request = True
+        self.cancel_timeout()
+        if self.holder is not None:
+            self.charge_wire(min(self.wire, self.waiting_bytes()))
+            self.enter(Phase.READING)
+
+    async def accept(self, message):
+        """Reserve what a call needs beside its body; return whether there was room."""
+        if self.denied or not await self.take(EXCHANGE_BYTES + head_bytes(message)):
+            return False
+        fields = len(message.raw_headers)
+        if fields > SERVED_FIELDS:
+            now = self.memory.entry.now()
+            await asyncio.sleep(self.memory.pacer.delay(fields * FIELD_SECONDS, now))
+        return not self.denied
+
+    def request_ended(self):
+        """Expect the head of another request: this one has been answered."""
+        self.in_request = False
+        self.reading = bool(self._messages)
+        if self.stored is not None:
+            self.stored.discard()
+            self.stored = None
+        if self.holder is not None:
+            self.give_back(self.taken)
+            self.memory.budget.spare(self.holder)
+            self.enter(Phase.WAITING)
+
+    def cancel_timeout(self):
+        """Cancel the timeout of a head."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def connection_lost(self, exc):
+        """Cancel the timeout of a connection that has closed, and the call in progress."""
+        self.lost_at = asyncio.get_running_loop().time()
+        self.cancel_timeout()
+        if self.holder is not None:
+            self.memory.close(self.holder)
+        super().connection_lost(exc)
+
+
+def waiting_bytes(payload):
+    """Return the estimated memory of a body that has arrived and that nobody reads yet."""
+    pieces = getattr(payload, "_buffer", ())
+    return getattr(payload, "total_bytes", 0) + CHUNK_BYTES * len(pieces)
--- a/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -26,6 +26,7 @@
     progress_reports,
     wait_past_suspension,
 )
+from .held_body import payload_of
 
 STEP = "send"
 NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
@@ -196,7 +197,7 @@
                 call.method,
                 url,
                 headers=headers,
-                data=call.body or None,
+                data=payload_of(call.body),
                 allow_redirects=False,
                 on_sent=on_sent,
             )
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -25,6 +25,7 @@
 from .crash_reports import CrashReporter
 from .directory_readers import DirectoryReaders
 from .endpoint_client import EndpointClient
+from .entry_memory import EntryMemory
 from .evacuations import EvacuationReporter
 from .limits import LimitReporter
 from .loads import LoadReporter
@@ -85,6 +86,7 @@
     def __init__(self, settings, adapter, listener=None, log_stream=None):
         super().__init__(settings, PrometheusMetrics(), boottime_context())
         options = settings.direct
+        self.memory = EntryMemory(self)
         self.adapter = adapter
         self.dialect = adapter.dialect
         self.log = logs.get("direct")
@@ -196,6 +198,7 @@
         await self.client.start()
         await self.adapter.start()
         await self.peers.start()
+        self.memory.start()
         await self.callers.start(self.listener or listen(self.settings.daemon.http))
         self.spawn(self.directory.follow(self.apply_update, self.readers))
         self.spawn(self.peers.run())
@@ -240,6 +243,7 @@
                 self.directory.reconnect()
                 self.time_limits.reschedule()
             self.state.tick(now)
+            self.memory.tick()
             self.evacuations.expire(now)
             self.cold.review(now)
             self.admission.tick(now)
--- a/packages/daemon/persimmonstall_daemon/direct/http_server.py
+++ b/packages/daemon/persimmonstall_daemon/direct/http_server.py
@@ -6,7 +6,7 @@
 
 from persimmonstall.direct.messages import CallerLimits
 
-from .callers import Connection
+from .connection import Connection
 
 LIMITS = CallerLimits(header_timeout=2.0, idle_timeout=60.0)
 """A head may take 2 s; an idle connection is kept for a minute."""
@@ -20,8 +20,9 @@
 class ShortRequestServer:
     """Answers each request with `handler(request)`; connections of endless requests are closed."""
 
-    def __init__(self, handler):
+    def __init__(self, handler, memory):
         self.handler = handler
+        self.memory = memory
         self.server = None
         self.sockets = None
 
@@ -36,6 +37,8 @@
         return Connection(
             self.server,
             LIMITS,
+            self.memory,
+            essential=True,
             loop=asyncio.get_running_loop(),
             access_log=None,
             keepalive_timeout=LIMITS.idle_timeout,
--- a/packages/daemon/persimmonstall_daemon/direct/snapshots.py
+++ b/packages/daemon/persimmonstall_daemon/direct/snapshots.py
@@ -56,7 +56,7 @@
         self.body = b""
         self.body_of = None
         self.session = None
-        self.server = ShortRequestServer(self.serve)
+        self.server = ShortRequestServer(self.serve, entry.memory)
 
     async def start(self, host, port):
         """Listen for requests and open the HTTP session."""
--- a/packages/daemon/persimmonstall_daemon/direct/status.py
+++ b/packages/daemon/persimmonstall_daemon/direct/status.py
@@ -26,7 +26,7 @@
     async def listen(self, address, handler):
         """Serve every request at `address` with `handler`."""
         host, _, port = address.rpartition(":")
-        server = ShortRequestServer(handler)
+        server = ShortRequestServer(handler, self.entry.memory)
         await server.start(host, int(port))
         self.servers.append(server)
 
--- a/packages/daemon/tests/test_direct_reading.py
+++ b/packages/daemon/tests/test_direct_reading.py
@@ -25,7 +25,11 @@
 @pytest.fixture
 def memory():
     direct = SimpleNamespace(answers_bytes=100)
-    return AnswerMemory(SimpleNamespace(settings=SimpleNamespace(direct=direct)))
+    unlimited = SimpleNamespace(
+        hold_answer=lambda sink, size, more: True, release_answer=lambda sink, size: None
+    )
+    settings = SimpleNamespace(direct=direct)
+    return AnswerMemory(SimpleNamespace(settings=settings, memory=unlimited))
 
 
 @pytest.fixture
