--- a/review/standins.py
+++ b/review/standins.py
@@ -49,6 +49,8 @@
     "zone": "z-a",
     "region": "z",
     "limits.link_mbps": 350.0,
+    "limits.memory_mb": 222,
+    "limits.max_fds": 1570,
     "bounds.grace_s": 8,
     "bounds.budget_ratio": 0.2,
     "bounds.budget_slack": 204,
@@ -457,6 +459,8 @@
             "seeds": ",".join(seeds),
         }
         template = (ROOT / "deploy" / "entry.ini").read_text()
+        # A section is there if its value is; these installations have none of them.
+        template = re.sub(r"\{\{#(.+?)\}\}.*?\{\{/\1\}\}", "", template, flags=re.DOTALL)
         text = re.sub(r"\{\{(.+?)\}\}", lambda found: str(values[found.group(1)]), template)
         # Entries on one machine can't share the port of their metrics.
         self.path.write_text(text.replace(":9464/", f":{self.ports['metrics']}/"))
