--- a/packages/core/persimmonstall/direct/routing.py
+++ b/packages/core/persimmonstall/direct/routing.py
@@ -65,7 +65,7 @@
             return found
         route, service, organisation = found
         content, parts = content_fingerprint(call), call_parts(call)
-        priorities = self.priorities.get(name, ())
+        priorities = self.priorities.get(service.name, ())
         return RoutedCall(call, route, service, organisation, content, parts, priorities)
 
     def choose_service(self, route, call_id):
