--- a/packages/core/persimmonstall/direct/snapshot.py
+++ b/packages/core/persimmonstall/direct/snapshot.py
@@ -26,7 +26,7 @@
     """Return the bytes that encode a snapshot.
 
     >>> decode(encode(Snapshot()))
-    Snapshot(configuration=None, endpoints=None)
+    Snapshot(configuration=None, endpoints=None, evacuations=None)
     """
     return ENCODER.encode(snapshot)
 
