Admission: turns promised in an earlier shortage hold back nobody

Cause: each refused call moves the last promised turn on, and nothing moves it back. Refused callers that don't return leave it far in the future, so that the first call refused in a later, brief shortage is sent away for that long.

Change: once room was not short for 10 s, the promises are dropped; those told to come back find room or a new order.

--- a/packages/core/persimmonstall/direct/admission.py
+++ b/packages/core/persimmonstall/direct/admission.py
@@ -94,7 +94,7 @@
     """The calls that wait in an entry, and all by which their order is decided.
 
     `residence` is the mean time that calls of a service occupy a slot, `promised` the time of the
-    last turn that was promised to a refused call, both by service.
+    last turn that was promised to a refused call in this shortage, both by service.
     """
 
     placer: object
@@ -162,6 +162,8 @@
 
     def postpone(self, routed, asked, wanted, endpoints, now):
         """Return the refusal of a call without a place, or the `WaitingCall`."""
+        if not self.is_short(now):
+            self.promised.clear()
         self.short_at = now
         room = room_of(self.placer, routed, endpoints, now)
         predicted = self.predicted_wait(routed, room, wanted)
--- a/packages/core/tests/test_direct_admission.py
+++ b/packages/core/tests/test_direct_admission.py
@@ -3,7 +3,7 @@
 import attrs
 import pytest
 
-from persimmonstall.direct.admission import Admission, WaitingCall
+from persimmonstall.direct.admission import SHORTAGE_SECONDS, Admission, WaitingCall
 from persimmonstall.direct.loads import EndpointDemand, InFlightAttempt
 from persimmonstall.direct.urgency import urgency_of
 from persimmonstall.direct.usage import OrganisationUsage
@@ -148,6 +148,15 @@
     assert turns[0] > QUOTE.objective / 2
 
 
+def test_turns_that_were_promised_in_an_earlier_shortage_hold_back_nobody(full):
+    """Few of those that were refused may come back, and there were places since."""
+    full.record_served(quote(), 60.0)
+    turns = [full.decide(call_of("a", f"c{n}"), 0.1).delay for n in range(40)]
+    later = 0.2 + SHORTAGE_SECONDS
+    assert turns[-1] > 2 * SHORTAGE_SECONDS
+    assert full.decide(call_of("b", "late", later), later).delay <= turns[0]
+
+
 def test_call_that_comes_back_is_before_those_that_came_later(full):
     full.record_served(quote(), 60.0)
     refused = full.decide(call_of("a", "early"), 0.1)
