Cold endpoints: an entry that hears nobody remembers and counts the others all the same

Cause: the number of entries heard was recorded only when a permit was asked for, so one that was cut off over 15 s before the first cold endpoint took itself for alone. Since addresses that have not answered are strangers and no peers, those named did not count any more either: one that starts while it hears nobody, or few, granted after a second. Each such entry grants half of the bound by itself.

Change: the number is recorded with each heartbeat; strangers that are named count as known, as they did before they were told apart.

--- a/packages/daemon/persimmonstall_daemon/direct/ownership.py
+++ b/packages/daemon/persimmonstall_daemon/direct/ownership.py
@@ -54,15 +54,20 @@
         that one that was cut off does not take itself for alone.  One that has just started waits
         until all others can know it.
         """
+        self.record_heard()
+        if self.entry.now() < self.started_at + STARTING_SECONDS:
+            return False
+        named = len(self.peers.peers) + len(self.peers.strangers.named)
+        known = max(self.most_heard, named + 1)
+        return known <= PAIR or 2 * (len(self.peers.active()) + 1) > known
+
+    def record_heard(self):
+        """Record how many entries were heard, this one included."""
         now, peers = self.entry.now(), self.peers.peers.values()
         heard = sum(peer.last_heard is not None for peer in peers) + 1
         if heard >= self.most_heard or now > self.most_heard_until:
             self.most_heard = heard
             self.most_heard_until = now + REMEMBERED_SECONDS
-        if now < self.started_at + STARTING_SECONDS:
-            return False
-        known = max(self.most_heard, len(peers) + 1)
-        return known <= PAIR or 2 * (len(self.peers.active()) + 1) > known
 
     def owns(self, key):
         """Return whether this entry owns `key`."""
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -353,6 +353,7 @@
     def expire(self):
         """Remove peers that have been silent for long; update the gauge of active peers."""
         now = self.entry.now()
+        self.entry.ownership.record_heard()
         self.strangers.expire(now)
         for address, peer in list(self.peers.items()):
             if now - peer.last_named > REMOVAL_TIMEOUT_SECONDS:
--- a/packages/daemon/tests/test_direct_cold.py
+++ b/packages/daemon/tests/test_direct_cold.py
@@ -196,6 +196,40 @@
     assert virtual_loop.run(run()) == (True, False, False)
 
 
+def test_entry_that_is_cut_off_before_it_is_asked_for_a_permit_grants_none():
+    """The number of others is remembered though no endpoint was cold while they were heard."""
+
+    async def run():
+        fleet = GossipFleet(9, random.Random(1))
+        await asyncio.sleep(SETTLE_SECONDS)
+        entry = fleet.random_entry()
+        for address in list(fleet.entries):
+            if address != entry.settings.daemon.address:
+                fleet.kill(address)
+        await asyncio.sleep(30.0)
+        make_cold(entry)
+        permit = await entry.permits.acquire_cold(COLD, PATIENCE_SECONDS)
+        fleet.stop()
+        return permit.granted
+
+    assert not virtual_loop.run(run())
+
+
+def test_entry_that_starts_while_it_hears_none_of_those_named_grants_none():
+    async def run():
+        fleet = GossipFleet(9, random.Random(1))
+        for address in fleet.addresses[1:]:
+            fleet.kill(address)
+        await asyncio.sleep(2 * STARTING_SECONDS)
+        entry = fleet.random_entry()
+        make_cold(entry)
+        permit = await entry.permits.acquire_cold(COLD, PATIENCE_SECONDS)
+        fleet.stop()
+        return permit.granted
+
+    assert not virtual_loop.run(run())
+
+
 @attrs.frozen
 class SimpleCall:
     """A call without a prompt."""
