Tests of cold endpoints: the call of the fake has a body

Change: SimpleCall has an empty body, as the calls of the tests have no prompt.

Result: test_direct_cold.py: 18 passed; before 2 failed.

--- a/packages/daemon/tests/test_direct_cold.py
+++ b/packages/daemon/tests/test_direct_cold.py
@@ -237,6 +237,7 @@
     arrived: float = 0.0
     deadline: float = 100.0
     prompt_tokens: int = 0
+    body: bytes = b""
 
 
 @attrs.frozen
