Cold endpoints: a silent endpoint is read on, not left unread while its successor waits for a turn

Cause: the attempt that may follow one at a silent endpoint is placed while nobody reads from that one. Where all others were cold without a permit, placing waited up to the latency objective, seconds for a long one; events that came meanwhile reached the caller that much later.

Change: such an attempt does not wait for a turn; without a permit at once none follows.

--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -138,7 +138,8 @@
     async def prepare_retry(self, routed, history, endpoint):
         """Return the attempt that may follow one at a silent endpoint, None if there is none.
 
-        It is charged to the shared retry budget, and placed at an endpoint with a free slot.
+        It is charged to the shared retry budget, and placed at an endpoint with a free slot.  It
+        does not wait for its turn at a cold one, as nobody reads from the silent one meanwhile.
         """
         state, service = self.entry.state, routed.service.name
         after = history.after(endpoint.name, AttemptOutcome.LATE)
@@ -148,7 +149,8 @@
             return None
         if not state.budget.has_room(service, self.entry.now()):
             return None
-        placed = await self.entry.chooser.choose(routed, self.entry.new_attempt_name(), after)
+        name = self.entry.new_attempt_name()
+        placed = await self.entry.chooser.choose(routed, name, after, patient=False)
         if isinstance(placed, Failure) or not state.placer.has_free_slot(placed.request.endpoint):
             return None
         return placed if state.budget.try_acquire(service, self.entry.now()) else None
--- a/packages/daemon/persimmonstall_daemon/direct/chooser.py
+++ b/packages/daemon/persimmonstall_daemon/direct/chooser.py
@@ -24,11 +24,11 @@
         """The placer, which decides without I/O."""
         return self.entry.state.placer
 
-    async def choose(self, routed, name, history):
+    async def choose(self, routed, name, history, patient=True):
         """Return the `PlacedAttempt` of the attempt `name`, or a `Failure`.
 
         Each cold endpoint that takes part needs a permit.  One without is left out; if there are
-        no others, the attempt waits for its turn at one.
+        no others, the attempt waits for its turn at one if it is `patient`.
         """
         denied = frozenset()
         for _ in range(MAX_PERMITS_ASKED):
@@ -45,6 +45,8 @@
         placed = await self.choose_within_limits(routed, name, history, denied | cold)
         if not isinstance(placed, Failure):
             return placed
+        if not patient:
+            return placed
         return await self.wait_for_cold(routed, name, history, placed)
 
     async def wait_for_cold(self, routed, name, history, failure):
--- a/packages/daemon/tests/test_direct_cold.py
+++ b/packages/daemon/tests/test_direct_cold.py
@@ -9,6 +9,8 @@
 
 from persimmonstall.direct.cold import SEND_SECONDS, ColdBound
 from persimmonstall.direct.messages import Endpoint, Repeat, Route, RoutedCall, Service, Share
+from persimmonstall.direct.retrying import AttemptHistory
+from persimmonstall_daemon.direct.call_handler import CallHandler
 from persimmonstall_daemon.direct.connecting import CONNECT_SECONDS
 from persimmonstall_daemon.direct.ownership import STARTING_SECONDS
 from persimmonstall_standins.virtual import loop as virtual_loop
@@ -286,3 +288,23 @@
     entry.ownership.hears_most = lambda: False
     chosen = {choose(entry).request.endpoint.name for _ in range(20)}
     assert chosen == {"warm"}
+
+
+def test_silent_endpoint_is_read_on_while_all_others_have_no_permit_yet(entry):
+    """Its events are late if nobody reads them while the next attempt waits for its turn."""
+    entry.new_attempt_name = lambda: "b"
+    rule = entry.state.cold.bounds["plain"].rule
+    entry.state.cold.acquire(COLD.lifetime, "plain", 0.0, entry.now())
+    entry.time[0] += 0.5 / rule.rate
+    route = attrs.evolve(ROUTE, attempts=3)
+    silent = attrs.evolve(COLD, name="silent")
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        routed = RoutedCall(SimpleCall(), route, PLAIN)
+        handler = CallHandler(entry)
+        following = await handler.prepare_retry(routed, AttemptHistory(), silent)
+        return following, loop.time() - started
+
+    assert virtual_loop.run(run()) == (None, 0.0)
