--- a/packages/daemon/tests/test_direct_cold.py
+++ b/packages/daemon/tests/test_direct_cold.py
@@ -9,6 +9,8 @@
 
 from persimmonstall.direct.cold import SEND_SECONDS, ColdBound
 from persimmonstall.direct.messages import Endpoint, Repeat, Route, RoutedCall, Service, Share
+from persimmonstall.direct.retrying import AttemptHistory
+from persimmonstall_daemon.direct.call_handler import CallHandler
 from persimmonstall_daemon.direct.connecting import CONNECT_SECONDS
 from persimmonstall_daemon.direct.ownership import STARTING_SECONDS
 from persimmonstall_standins.virtual import loop as virtual_loop
@@ -196,6 +198,40 @@
     assert virtual_loop.run(run()) == (True, False, False)
 
 
+def test_entry_that_is_cut_off_before_it_is_asked_for_a_permit_grants_none():
+    """The number of others is remembered though no endpoint was cold while they were heard."""
+
+    async def run():
+        fleet = GossipFleet(9, random.Random(1))
+        await asyncio.sleep(SETTLE_SECONDS)
+        entry = fleet.random_entry()
+        for address in list(fleet.entries):
+            if address != entry.settings.daemon.address:
+                fleet.kill(address)
+        await asyncio.sleep(30.0)
+        make_cold(entry)
+        permit = await entry.permits.acquire_cold(COLD, PATIENCE_SECONDS)
+        fleet.stop()
+        return permit.granted
+
+    assert not virtual_loop.run(run())
+
+
+def test_entry_that_starts_while_it_hears_none_of_those_named_grants_none():
+    async def run():
+        fleet = GossipFleet(9, random.Random(1))
+        for address in fleet.addresses[1:]:
+            fleet.kill(address)
+        await asyncio.sleep(2 * STARTING_SECONDS)
+        entry = fleet.random_entry()
+        make_cold(entry)
+        permit = await entry.permits.acquire_cold(COLD, PATIENCE_SECONDS)
+        fleet.stop()
+        return permit.granted
+
+    assert not virtual_loop.run(run())
+
+
 @attrs.frozen
 class SimpleCall:
     """A call without a prompt."""
@@ -203,6 +239,7 @@
     arrived: float = 0.0
     deadline: float = 100.0
     prompt_tokens: int = 0
+    body: bytes = b""
 
 
 @attrs.frozen
@@ -251,3 +288,23 @@
     entry.ownership.hears_most = lambda: False
     chosen = {choose(entry).request.endpoint.name for _ in range(20)}
     assert chosen == {"warm"}
+
+
+def test_silent_endpoint_is_read_on_while_all_others_have_no_permit_yet(entry):
+    """Its events are late if nobody reads them while the next attempt waits for its turn."""
+    entry.new_attempt_name = lambda: "b"
+    rule = entry.state.cold.bounds["plain"].rule
+    entry.state.cold.acquire(COLD.lifetime, "plain", 0.0, entry.now())
+    entry.time[0] += 0.5 / rule.rate
+    route = attrs.evolve(ROUTE, attempts=3)
+    silent = attrs.evolve(COLD, name="silent")
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        routed = RoutedCall(SimpleCall(), route, PLAIN)
+        handler = CallHandler(entry)
+        following = await handler.prepare_retry(routed, AttemptHistory(), silent)
+        return following, loop.time() - started
+
+    assert virtual_loop.run(run()) == (None, 0.0)
