--- a/packages/daemon/tests/direct_fleet.py
+++ b/packages/daemon/tests/direct_fleet.py
@@ -18,6 +18,7 @@
 from persimmonstall_daemon.direct.crash_records import CrashRecords
 from persimmonstall_daemon.direct.crash_reports import CrashReporter
 from persimmonstall_daemon.direct.directory_readers import DirectoryReaders
+from persimmonstall_daemon.direct.entry_memory import EntryMemory
 from persimmonstall_daemon.direct.evacuations import EvacuationReporter
 from persimmonstall_daemon.direct.limits import LimitReporter
 from persimmonstall_daemon.direct.loads import LoadReporter
@@ -50,6 +51,7 @@
         leaving=False,
         told_at=math.inf,
     )
+    entry.memory = EntryMemory(entry)
     entry.peers = Peers(entry)
     entry.ownership = Ownership(entry, entry.peers)
     entry.readers = DirectoryReaders(entry, entry.peers, entry.ownership)
