--- a/packages/daemon/tests/test_direct_limits.py
+++ b/packages/daemon/tests/test_direct_limits.py
@@ -213,6 +213,7 @@
     arrived: float = 0.0
     deadline: float = 10.0
     prompt_tokens: int = 0
+    body: bytes = b""
 
 
 @attrs.frozen
