Admission is off unless the settings ask for it; trials pass it by; its review goes on after an error

From the review: a trial that its owner counted is not refused; a report with endless values is malformed; an error in a review no longer strands the calls that wait.

--- a/packages/core/persimmonstall/direct/admission.py
+++ b/packages/core/persimmonstall/direct/admission.py
@@ -93,12 +93,14 @@
 class Admission:
     """The calls that wait in an entry, and all by which their order is decided.
 
+    Unless `enabled`, all calls are placed at once.
     `residence` is the mean time that calls of a service occupy a slot, `promised` the time of the
     last turn that was promised to a refused call in this shortage, both by service.
     """
 
     placer: object
     random: object
+    enabled: bool = True
     usage: OrganisationUsage = attrs.field(factory=OrganisationUsage)
     returns: Returns = attrs.field(factory=Returns)
     waiting: list = attrs.field(factory=list)
@@ -117,7 +119,7 @@
         An entry that does not know the others' calls yet cannot tell what is free.
         """
         competes = routed.organisation is not None or len(routed.priorities) > 1
-        return competes and not self.placer.salt
+        return self.enabled and competes and not self.placer.salt
 
     def decide(self, routed, now):
         """Return None if a call may be placed, a `Postponed` refusal, or a `WaitingCall`."""
--- a/packages/core/persimmonstall/direct/usage.py
+++ b/packages/core/persimmonstall/direct/usage.py
@@ -261,11 +261,20 @@
             rates = [(str(name), float(got), float(asked)) for name, got, asked in rates]
             waiting = [(int(priority), float(used)) for priority, used in waiting]
             returns = [(str(key), float(age), float(left)) for key, age, left in returns]
-        except (TypeError, ValueError) as error:
+            run, number = int(run), int(number)
+            require_finite(value for row in (*rates, *returns) for value in row[1:])
+            require_finite(used for _, used in waiting)
+        except (OverflowError, TypeError, ValueError) as error:
             detail = f"{type(error).__name__}: {error}"
             return Failure(Reason.BAD_REQUEST, STEP, detail=detail)
         if address != self.address:
-            self.usage.merge(str(address), int(run), int(number), rates, now)
+            self.usage.merge(str(address), run, number, rates, now)
             self.admission.merge_waiting(str(address), waiting, now)
             self.admission.returns.merge(returns, now)
         return None
+
+
+def require_finite(values):
+    """Raise ValueError unless all values are finite."""
+    if not all(map(math.isfinite, values)):
+        raise ValueError("a value is not finite")
--- a/packages/core/persimmonstall/settings/schema.py
+++ b/packages/core/persimmonstall/settings/schema.py
@@ -262,6 +262,10 @@
     configuration_ms: int = option(
         2000, "Time in which a change of the configuration applies everywhere.", "ms", low=100
     )
+    admission: bool = option(
+        False,
+        "Whether calls wait or are refused by priority and organisation while room is short.",
+    )
     cold_overage: float = option(
         1.0, "Requests that a cold endpoint may get, as a multiple of what it names.", low=0
     )
--- a/packages/core/tests/test_direct_admission.py
+++ b/packages/core/tests/test_direct_admission.py
@@ -239,3 +239,16 @@
     split = of_organisation(routed(QUOTE, SERVICE, tokens=20_000, arrived=0.1), "a")
     assert full.placer.is_split(split)
     assert full.decide(split, 0.1) is None
+
+
+def test_calls_are_placed_at_once_where_the_settings_ask_for_no_admission(full):
+    full.enabled = False
+    assert full.decide(call_of("a"), 0.1) is None
+
+
+@pytest.mark.parametrize("value", [float("nan"), float("inf")])
+def test_report_of_an_endless_usage_is_a_failure(value):
+    fleet = AdmittingFleet(1, 0.03, PROFILE, entries=1)
+    report = fleet.entries[0].report
+    assert isinstance(report.merge(("x", 1, 2, [("a", value, 1.0)], [], []), 1.0), Failure)
+    assert isinstance(report.merge(("x", value, 2, [], [], []), 1.0), Failure)
--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -59,7 +59,7 @@
         history = AttemptHistory(last_event=call.resume_after, trial=trial)
         started_at = self.entry.now()
         try:
-            postponed = await self.entry.admission.admit(routed)
+            postponed = None if trial else await self.entry.admission.admit(routed)
             if postponed is not None:
                 result = AttemptResult(AttemptOutcome.OVERDUE, postponed)
             else:
--- a/packages/daemon/tests/test_direct_admission.py
+++ b/packages/daemon/tests/test_direct_admission.py
@@ -43,6 +43,7 @@
 def queue(loop):
     """Return the admission of an entry whose only endpoint is full."""
     entry = make_entry(loop.time)
+    entry.settings.direct.admission = True
     endpoint = Endpoint("e", "plain", "10.0.0.9:80", born=1, slots=SLOTS)
     update = EndpointUpdate((EndpointChange("e", endpoint),), 1, whole=True)
     entry.state.apply_update(update, loop.time())
