--- a/packages/core/persimmonstall/direct/messages.py
+++ b/packages/core/persimmonstall/direct/messages.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from .distance import Delay
 from .notices import NOTHING, Notice
 
 NO_RESUME = -1
@@ -80,10 +81,16 @@
 
 @attrs.frozen
 class Service:
-    """A service that calls are routed to; `engine` is None for a plain one without an engine."""
+    """A service that calls are routed to; `engine` is None for a plain one without an engine.
+
+    Its endpoints are cold for `cold_start` seconds after a start, and then take `cold_rate`
+    requests per second each; 0 for any number.
+    """
 
     name: str
     engine: EngineProfile | None = None
+    cold_start: float = 0.0
+    cold_rate: float = 0.0
 
 
 @attrs.frozen
@@ -108,7 +115,7 @@
 class Configuration:
     """The operators' configuration at one version; `keys` holds organisations by API key.
 
-    `keyed` says whether calls need a key.
+    `keyed` says whether calls need a key, `delays` are those between data centres.
     """
 
     version: int
@@ -117,11 +124,15 @@
     keys: dict[str, Organisation] = attrs.field(factory=dict)
     keyed: bool = False
     caps: CallerLimits = attrs.field(factory=CallerLimits)
+    delays: tuple[Delay, ...] = ()
 
 
 @attrs.frozen
 class Endpoint:
-    """One lifetime of an endpoint; `born` distinguishes lifetimes of the same name."""
+    """One lifetime of an endpoint; `born` distinguishes lifetimes of the same name.
+
+    `cold_seconds` is for how long it said it would still be cold, None if it did not say.
+    """
 
     name: str
     service: str
@@ -130,6 +141,7 @@
     born: int = 0
     slots: int = 1
     leaving: bool = False
+    cold_seconds: float | None = None
 
     @property
     def lifetime(self):
@@ -173,7 +185,7 @@
     """A call with its route, service and organisation.
 
     `content` is the fingerprint of its content, `parts` are those of it that other calls may
-    share.
+    share.  `priorities` are those that calls of this service can have, in ascending order.
     """
 
     call: Call
@@ -182,6 +194,7 @@
     organisation: Organisation | None = None
     content: str = ""
     parts: tuple[str, ...] = ()
+    priorities: tuple[int, ...] = ()
 
     @property
     def deadline(self):
@@ -234,7 +247,8 @@
     `headers` are the ones to pass on to the caller.  `blamed_address` is the address of another
     endpoint that the answer blames for its failure, empty if none.  `request_limit` is the limit
     that the endpoint names, in requests per second from all entries together, None if it does not.
-    `notice` says whether it wants later calls.
+    `notice` says whether it wants later calls, `cold_seconds` for how long it is cold, 0 if it
+    does not say.
     """
 
     status: int
@@ -243,6 +257,7 @@
     blamed_address: str = ""
     event_stream: bool = False
     request_limit: float | None = None
+    cold_seconds: float = 0.0
     notice: Notice = NOTHING
 
 
--- a/packages/core/persimmonstall/direct/placing.py
+++ b/packages/core/persimmonstall/direct/placing.py
@@ -2,18 +2,20 @@
 
 Short prompts fill the engines from one end of a fixed order, parts of long prompts from the
 other, so that few sequences are generating where long prefills lengthen the passes.  This keeps
-latencies low when bursts of short and of long prompts alternate or overlap.
+latencies low when bursts of short and of long prompts alternate or overlap.  Where data centres
+have delays, short prompts fill the engines of their own data centre sooner than those of others.
 """
 
-import functools
-import itertools
 import math
 import random
 
 import attrs
-import xxhash
 
 from ..failures import Failure, Postponed, Reason
+from .candidates import Candidate, RankedCandidates, rank_of
+from .cold import COLD_LOAD, COLD_SECONDS, ColdEndpoints
+from .distance import Distances
+from .eligibility import Eligibility
 from .engine_model import prefill_seconds
 from .loads import EndpointDemand, InFlightAttempt
 from .messages import AttemptRequest, Helper
@@ -23,6 +25,7 @@
 from .splitting import best_split
 from .spreading import choose_spread
 from .unseen import WorkKind
+from .urgency import urgency_of
 
 STEP = "place"
 
@@ -38,16 +41,9 @@
 REMOTE_COST = 0.1
 """Cost of an endpoint in another data centre, in the same unit."""
 
-MAX_RANKS = 4096
-"""Number of ranks that are cached, so that they are not hashed for each call."""
-
-HIGH_URGENCY = 3
-LOW_URGENCY = 5
-"""Urgency of calls whose latency objective is at most `URGENT_OBJECTIVE`, and of all others;
-engines admit lower values first."""
-
-URGENT_OBJECTIVE = 0.5
-"""Latency objective, in seconds, up to which a call is urgent."""
+REMOTE_RANKS = 0.65
+"""By how much an engine in another data centre is ranked later for short prompts: two thirds of
+the near engines come before the first of the others."""
 
 
 @attrs.frozen
@@ -55,65 +51,21 @@
     """Where an attempt is sent; `predicted_first_event` is in seconds from now.
 
     `tickets` holds (helper, tokens) pairs: the memory to reserve at each helper, under its ticket.
+    `permitted` are the names of the cold endpoints to which it may be sent, until the time
+    `permitted_until`.
     """
 
     request: AttemptRequest
     attempt: InFlightAttempt
     predicted_first_event: float = 0.0
     tickets: tuple[tuple[Helper, int], ...] = ()
+    permitted: frozenset = frozenset()
+    permitted_until: float = 0.0
 
-
-@attrs.define
-class Candidate:
-    """An endpoint that a call could be sent to.
-
-    `rank` is its place in the order, from 0 to 1.  Short prompts prefer low ranks, parts of long
-    prompts high ones.
-    """
-
-    endpoint: object
-    load: object
-    rank: float
-    failure_score: float
-
-
-class RankedCandidates:
-    """Endpoints in rank order, made `Candidate`s where they are looked at; a load costs time."""
-
-    def __init__(self, placer, routed, endpoints, now):
-        self.placer = placer
-        self.routed = routed
-        self.endpoints = endpoints
-        self.now = now
-
-    def candidate(self, endpoint):
-        """Return an endpoint as a `Candidate`."""
-        return self.placer.candidate(self.routed, endpoint, self.now)
-
-    def with_fewer_than(self, slots):
-        """Yield the endpoints with fewer than `slots` calls in flight."""
-        count_in_flight = self.placer.load_tracker.count_in_flight
-        for endpoint in self.endpoints:
-            if count_in_flight(endpoint.name) < slots:
-                yield endpoint
-
-    def last_idle(self, count):
-        """Return up to `count` endpoints without any work, the last ones in rank order."""
-        is_idle = self.placer.load_tracker.is_idle
-        idle = (endpoint for endpoint in reversed(self.endpoints) if is_idle(endpoint.name))
-        return list(itertools.islice(idle, count))
-
-    def sample(self, count, random, without=()):
-        """Return the endpoints not in `without`, or `count` drawn at random if there are more."""
-        excluded = {endpoint.name for endpoint in without}
-        endpoints = [each for each in self.endpoints if each.name not in excluded]
-        return random.sample(endpoints, count) if len(endpoints) > count else endpoints
-
-
-@functools.lru_cache(maxsize=MAX_RANKS)
-def rank_of(name, salt=""):
-    """Return an endpoint's rank, from 0 to 1; entries with the same salt share the order."""
-    return xxhash.xxh3_64_intdigest((salt + name).encode()) / 2**64
+    @property
+    def endpoints(self):
+        """All endpoints that take part: the one that is called, and its helpers."""
+        return self.request.endpoint, *(helper.endpoint for helper in self.request.helpers)
 
 
 @attrs.define
@@ -123,6 +75,7 @@
     All entries rank engines in the same order.  An entry that does not know the attempts of the
     others yet uses a `salt`, which gives it an order of its own.  `data_centre` is the entry's.
     Where other entries place calls that are not known yet, `random` spreads the choice.
+    `distances` are those between data centres.
     """
 
     fleet: object
@@ -135,6 +88,18 @@
     random: object = attrs.field(factory=lambda: random.Random(0))
     ranked: dict = attrs.field(factory=dict)
     ranked_as_of: tuple = ()
+    eligibility: Eligibility = None
+    cold: ColdEndpoints = attrs.field(factory=ColdEndpoints)
+    distances: Distances = attrs.field(factory=Distances)
+
+    def __attrs_post_init__(self):
+        if self.eligibility is None:
+            self.eligibility = Eligibility(self.fleet, self.notices)
+
+    def use_distances(self, distances):
+        """Use other distances between data centres."""
+        self.distances = distances
+        self.ranked.clear()
 
     def place(
         self,
@@ -172,9 +137,15 @@
         return prefill_seconds(profile, routed.call.prompt_tokens) > SPLIT_SECONDS
 
     def no_endpoint(self, routed, now):
-        """Return the failure of a call without an endpoint; pauses say when there is one again."""
+        """Return the failure of a call without an endpoint, with the time to ask again, if any."""
         service, leaving = routed.service.name, self.notices.leaving
-        lifetimes = [endpoint.lifetime for endpoint in self.fleet.usable(service)]
+        usable = self.fleet.usable(service)
+        evacuations = self.eligibility.evacuations
+        if usable and all(map(evacuations.covers, usable)):
+            wait = evacuations.retry_seconds({each.data_centre for each in usable}, now)
+            detail = f"all data centres with endpoints of {service} are evacuated"
+            return Postponed(Reason.NO_ENDPOINT, STEP, detail=detail, delay=wait)
+        lifetimes = [each.lifetime for each in usable if not evacuations.covers(each)]
         waits = [self.notices.seconds_paused(e, now) for e in lifetimes if e not in leaving]
         wait = min(waits, default=0.0)
         if not wait:
@@ -182,33 +153,39 @@
         detail = f"all endpoints of {service} asked for a pause"
         return Postponed(Reason.BUSY, STEP, detail=detail, delay=wait)
 
-    def ranked_endpoints(self, service):
-        """Return the endpoints of a service that accept calls, in rank order."""
+    def ranked_endpoints(self, service, near_first=False):
+        """Return the endpoints of a service that accept calls, in rank order.
+
+        With `near_first`, those in other data centres come later.
+        """
         as_of = (self.fleet.generation, self.salt)
         if self.ranked_as_of != as_of:
             self.ranked.clear()
             self.ranked_as_of = as_of
-        endpoints = self.ranked.get(service)
+        endpoints = self.ranked.get((service, near_first))
         if endpoints is None:
             endpoints = self.fleet.usable(service)
-            endpoints.sort(key=lambda endpoint: rank_of(endpoint.name, self.salt))
-            self.ranked[service] = endpoints
+            endpoints.sort(key=self.near_rank if near_first else self.rank)
+            self.ranked[service, near_first] = endpoints
         return endpoints
 
+    def rank(self, endpoint):
+        """Return the rank of an endpoint, the same at all entries."""
+        return rank_of(endpoint.name, self.salt)
+
+    def near_rank(self, endpoint):
+        """Return the rank of an endpoint for entries in this data centre."""
+        remote = self.distances.between(self.data_centre, endpoint.data_centre) > 0.0
+        return self.rank(endpoint) + REMOTE_RANKS * remote
+
     def untried_endpoints(self, routed, avoid, now):
         """Return the endpoints that accept calls, except those whose names are in `avoid`.
 
-        They come in rank order.
+        They come in rank order, near ones first unless the prompt is split.
         """
-        endpoints = self.ranked_endpoints(routed.service.name)
-        notices = self.notices
-        if not avoid and not notices.leaving and not notices.paused_until:
-            return endpoints
-        return [
-            endpoint
-            for endpoint in endpoints
-            if endpoint.name not in avoid and notices.accepts(endpoint.lifetime, now)
-        ]
+        near_first = not self.is_split(routed)
+        endpoints = self.ranked_endpoints(routed.service.name, near_first)
+        return self.eligibility.select(endpoints, avoid, now)
 
     def is_limited(self, endpoint):
         """Return whether an endpoint names a limit on the requests that it takes."""
@@ -221,6 +198,13 @@
         limited = [e for e in self.untried_endpoints(routed, avoid, now) if self.is_limited(e)]
         return sorted(limited, key=lambda e: self.load_tracker.count_in_flight(e.name))
 
+    def cold_names(self, routed, now):
+        """Return the names of the cold endpoints of a call's service."""
+        if not self.cold.lifetimes:
+            return frozenset()
+        endpoints = self.ranked_endpoints(routed.service.name)
+        return frozenset(each.name for each in endpoints if self.cold.is_cold(each, now))
+
     def has_free_slot(self, endpoint):
         """Return whether fewer calls are in flight at an endpoint than it has slots."""
         return self.load_tracker.count_in_flight(endpoint.name) < endpoint.slots
@@ -234,11 +218,21 @@
 
     def candidate(self, routed, endpoint, now):
         """Return an endpoint as a `Candidate`, with its load as of `now`."""
+        way = self.seconds_of_way(routed, endpoint)
+        cold = COLD_SECONDS if self.cold.is_cold(endpoint, now) else 0.0
         return Candidate(
             endpoint,
             self.load_tracker.load_of(endpoint, routed.service, now),
-            rank_of(endpoint.name, self.salt),
+            self.rank(endpoint),
             self.failure_scores.score(endpoint.name, now),
+            surcharge=way + cold,
+            way=way,
+        )
+
+    def seconds_of_way(self, routed, endpoint):
+        """Return the seconds that the way to an endpoint adds to a call's first event."""
+        return self.distances.seconds_of_call(
+            self.data_centre, endpoint.data_centre, len(routed.call.body)
         )
 
     def unseen(self, kind, now):
@@ -249,6 +243,7 @@
         """Choose the endpoint of a plain service, mainly by calls in flight per slot."""
         costs = {
             endpoint: self.plain_cost(self.candidate(routed, endpoint, now))
+            + COLD_LOAD * self.cold.is_cold(endpoint, now)
             for endpoint in endpoints
         }
         volume = self.unseen(WorkKind.PLAIN, now) / min(each.slots for each in endpoints)
@@ -328,12 +323,7 @@
     return AttemptRequest(
         endpoint,
         routed.deadline - now,
-        urgency=urgency_of(routed.route),
+        urgency=urgency_of(routed),
         helpers=helpers,
         resume_after=resume_after,
     )
-
-
-def urgency_of(route):
-    """Return the urgency of the calls of a route."""
-    return HIGH_URGENCY if route.objective <= URGENT_OBJECTIVE else LOW_URGENCY
--- a/packages/core/persimmonstall/direct/routing.py
+++ b/packages/core/persimmonstall/direct/routing.py
@@ -25,6 +25,7 @@
         self.by_host = {}
         for route in configuration.routes:
             self.by_host.setdefault(route.host.lower(), {})[route.prefix] = route
+        self.priorities = priorities_by_service(configuration)
 
     def match(self, host, path):
         """Return the route of `host` with the longest prefix that matches `path`, or None."""
@@ -39,8 +40,11 @@
             end = path.rfind("/", 0, end)
         return None
 
-    def admit(self, call):
-        """Return the `RoutedCall` of a call, or a `Failure` if it has no route, key or service."""
+    def find(self, call):
+        """Return route, service and organisation of a call, or a `Failure` if one is missing.
+
+        It looks at the head of the call alone.
+        """
         route = self.match(call.host, call.path)
         if route is None:
             return Failure(Reason.NOT_FOUND, STEP, detail=f"{call.host}{call.path}")
@@ -52,8 +56,17 @@
         service = self.configuration.services.get(name)
         if service is None:
             return Failure(Reason.UNKNOWN_SERVICE, STEP, detail=name)
+        return route, service, organisation
+
+    def admit(self, call):
+        """Return the `RoutedCall` of a call, or a `Failure` if it has no route, key or service."""
+        found = self.find(call)
+        if isinstance(found, Failure):
+            return found
+        route, service, organisation = found
         content, parts = content_fingerprint(call), call_parts(call)
-        return RoutedCall(call, route, service, organisation, content, parts)
+        priorities = self.priorities.get(service.name, ())
+        return RoutedCall(call, route, service, organisation, content, parts, priorities)
 
     def choose_service(self, route, call_id):
         """Return the service of a call, by the weights of the route and a hash of the call id."""
@@ -66,3 +79,26 @@
             if point < 0:
                 return share.service
         return route.shares[-1].service if route.shares else ""
+
+
+def priorities_by_service(configuration):
+    """Return the priorities that calls of each service can have, in ascending order.
+
+    They are those that organisations have of their own, and those of the routes to the service
+    that organisations without one can use.
+
+    >>> from .messages import Configuration, Organisation, Route, Share
+    >>> routes = (Route("a", "h", "/x/", (Share("s"),), priority=2),)
+    >>> keys = {"k": Organisation("o", 0), "l": Organisation("p")}
+    >>> priorities_by_service(Configuration(1, routes, keys=keys))
+    {'s': (0, 2)}
+    """
+    own = {owner.priority for owner in configuration.keys.values()}
+    without_own = not configuration.keyed or None in own
+    own.discard(None)
+    priorities = {}
+    for route in configuration.routes:
+        of_route = {route.priority} if without_own or route.public else set()
+        for share in route.shares:
+            priorities.setdefault(share.service, set(own)).update(of_route)
+    return {service: tuple(sorted(found)) for service, found in priorities.items()}
--- a/packages/core/persimmonstall/direct/snapshot.py
+++ b/packages/core/persimmonstall/direct/snapshot.py
@@ -1,20 +1,21 @@
-"""Configuration and endpoints as one entry sends them to another."""
+"""Configuration, endpoints and evacuations as one entry sends them to another."""
 
 import attrs
 import msgspec
 
 from ..failures import Failure, Reason
-from .updates import ConfigurationUpdate, EndpointUpdate
+from .updates import ConfigurationUpdate, EndpointUpdate, EvacuationUpdate
 
 STEP = "peers"
 
 
 @attrs.frozen
 class Snapshot:
-    """Configuration and endpoints of an entry, each None if not known yet."""
+    """Configuration, endpoints and evacuations of an entry, each None if not known yet."""
 
     configuration: ConfigurationUpdate | None = None
     endpoints: EndpointUpdate | None = None
+    evacuations: EvacuationUpdate | None = None
 
 
 ENCODER = msgspec.msgpack.Encoder()
@@ -25,7 +26,7 @@
     """Return the bytes that encode a snapshot.
 
     >>> decode(encode(Snapshot()))
-    Snapshot(configuration=None, endpoints=None)
+    Snapshot(configuration=None, endpoints=None, evacuations=None)
     """
     return ENCODER.encode(snapshot)
 
--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -1,21 +1,32 @@
 """State of an entry: configuration, fleet, loads, retry budget, failures and crashes."""
 
+import math
 import random
 
 import attrs
 
+from .cold import ColdEndpoints
 from .crash_tracker import CrashTracker
+from .distance import Distances
+from .eligibility import Eligibility
+from .evacuations import Evacuations
 from .failure_scores import FailureScores
 from .findings import Findings
 from .fleet import Fleet
 from .loads import LoadTracker
 from .messages import Configuration
 from .notices import EndpointNotices
+from .observations import Observations
 from .placing import Placer
 from .request_limits import RequestLimits
 from .retry_budget import SharedRetryBudget
 from .routing import RouteTable
-from .updates import ConfigurationUpdate, EndpointUpdate, ReachabilityUpdate
+from .updates import (
+    ConfigurationUpdate,
+    EndpointUpdate,
+    EvacuationUpdate,
+    ReachabilityUpdate,
+)
 
 OUTAGE_SECONDS = 1.0
 """Time without an answer of the directory to this entry or its peers that counts as an outage."""
@@ -33,7 +44,8 @@
 
     `unreachable_since` is when the directory stopped answering this entry, None while it answers;
     `directory_seen_at` is when the directory last answered this entry or, by their beacons, one of
-    its peers.  `random` makes the choices that are random.
+    its peers: the table whose answer is older counts.  `tables_seen_at` holds the times of this
+    entry's own answers by table.  `random` makes the choices that are random.
     """
 
     budget: SharedRetryBudget
@@ -46,13 +58,20 @@
     crash_tracker: CrashTracker = attrs.field(factory=CrashTracker)
     request_limits: RequestLimits = attrs.field(factory=RequestLimits)
     notices: EndpointNotices = attrs.field(factory=EndpointNotices)
+    evacuations: Evacuations = attrs.field(factory=Evacuations)
+    cold: ColdEndpoints = attrs.field(factory=ColdEndpoints)
     endpoints_known: bool = False
     unreachable_since: float | None = None
     directory_seen_at: float = 0.0
+    tables_seen_at: dict = attrs.field(factory=dict)
     random: object = attrs.field(factory=lambda: random.Random(0))
     placer: Placer = None
+    observations: Observations = None
 
     def __attrs_post_init__(self):
+        self.observations = Observations(
+            self.failure_scores, self.load_tracker.slowdowns, self.data_centre
+        )
         self.placer = Placer(
             self.fleet,
             self.load_tracker,
@@ -61,6 +80,8 @@
             self.notices,
             data_centre=self.data_centre,
             random=self.random,
+            eligibility=Eligibility(self.fleet, self.notices, self.evacuations),
+            cold=self.cold,
         )
 
     @property
@@ -75,7 +96,6 @@
             address,
             self.request_limits.local_changes(now),
             *parts.local_changes(now),
-            parts.whole_answers,
             tracker.excused_changes(),
             self.notices.local_changes(),
         )
@@ -87,10 +107,8 @@
             address,
             self.request_limits.local_state(now),
             *parts.local_state(now),
-            parts.whole_answers,
             tracker.excused_state(),
             self.notices.local_state(),
-            parts.knows_enough_answers(),
         )
 
     def mark_changes_sent(self):
@@ -117,28 +135,63 @@
         return revision > own_revision and (own_revision == 0 or digest != self.fleet.digest)
 
     def apply_update(self, update, now):
-        """Apply an update; return whether configuration or endpoints were updated."""
+        """Apply an update; return whether configuration, endpoints or evacuations changed."""
         if isinstance(update, ConfigurationUpdate):
-            return self.apply_configuration(update.configuration)
+            return self.apply_configuration(update.configuration, now)
         if isinstance(update, EndpointUpdate):
             return self.apply_endpoints(update, now)
+        if isinstance(update, EvacuationUpdate):
+            return self.apply_evacuations(update, now)
         if isinstance(update, ReachabilityUpdate):
             self.apply_reachability(update, now)
         return False
 
-    def apply_configuration(self, configuration):
+    def apply_configuration(self, configuration, now):
         """Apply a newer configuration; an older one is ignored."""
         if self.configuration and configuration.version <= self.configuration.version:
             return False
         self.configuration = configuration
         self.routes = RouteTable(configuration)
+        self.cold.configure(configuration, self.fleet.endpoints.values(), now)
+        self.use_distances(Distances.of(configuration.delays))
         return True
 
+    def use_distances(self, distances):
+        """Use other distances between data centres."""
+        self.placer.use_distances(distances)
+        self.observations.activate(distances)
+
+    def set_cold_bounds(self, overage, slack, now):
+        """Apply changed settings of the bounds for cold endpoints."""
+        self.cold.overage, self.cold.slack = overage, slack
+        if self.configuration is not None:
+            self.cold.configure(self.configuration, self.fleet.endpoints.values(), now)
+
+    def apply_evacuations(self, update, now):
+        """Apply what operators evacuate; what they take back may have turned cold meanwhile."""
+        before = set(self.evacuations.since)
+        changed = self.evacuations.merge(update, now)
+        self.presume_cold(before - set(self.evacuations.since), now)
+        return changed
+
+    def expire_evacuations(self, now):
+        """End evacuations that have expired; return whether there are any."""
+        before = set(self.evacuations.since)
+        changed = self.evacuations.expire(now)
+        self.presume_cold(before - set(self.evacuations.since), now)
+        return changed
+
+    def presume_cold(self, data_centres, now):
+        """Take the endpoints of data centres for cold; they may say so only later."""
+        for endpoint in self.fleet.endpoints.values():
+            if endpoint.data_centre in data_centres:
+                self.cold.presume(endpoint, now)
+
     def apply_endpoints(self, update, now):
         """Apply changes of endpoints; the end of a lifetime can confirm a crash."""
         if update.revision < self.fleet.revision:
             return False
-        before = self.fleet.lifetimes()
+        before, watched = self.fleet.lifetimes(), self.endpoints_known
         if update.restored:
             self.fleet.start_restore(now)
         if update.whole:
@@ -148,9 +201,18 @@
             changes = [(change.name, change.endpoint) for change in update.changes]
             self.fleet.change(changes, update.revision, now)
         self.endpoints_known = True
+        self.record_cold_rows(update, before if watched else None, now)
         self.handle_ended_lifetimes(before, now)
         return True
 
+    def record_cold_rows(self, update, before, now):
+        """Record which endpoints are cold; `before` are the lifetimes that were known, or None."""
+        for change in update.changes:
+            endpoint = change.endpoint
+            if endpoint is not None:
+                started = before is not None and endpoint.lifetime not in before
+                self.cold.observe_row(endpoint, started, now)
+
     def handle_ended_lifetimes(self, before, now):
         """Clean up after lifetimes that are in `before` but have ended since."""
         after = self.fleet.lifetimes()
@@ -175,17 +237,18 @@
 
     def accepts(self, endpoint, now):
         """Return whether a call that was placed at an endpoint may still be sent to it."""
-        usable = self.fleet.is_usable(endpoint.lifetime)
-        return usable and self.notices.accepts(endpoint.lifetime, now)
+        return self.placer.eligibility.accepts(endpoint, now)
 
     def apply_reachability(self, update, now):
         """Record whether the directory answers; an outage that ends starts the grace period."""
         if not update.reachable:
+            self.tables_seen_at.setdefault(update.table, -math.inf)
             if self.unreachable_since is None:
                 self.unreachable_since = now
             return
         self.end_outage(now)
-        self.directory_seen_at = max(self.directory_seen_at, now)
+        self.tables_seen_at[update.table] = now
+        self.directory_seen_at = max(self.directory_seen_at, min(self.tables_seen_at.values()))
 
     def end_outage(self, now):
         """Start the grace period if the directory has not answered anybody for a while."""
@@ -198,7 +261,6 @@
     def forget_peer(self, address):
         """Drop what the entry at `address` reported of itself, since it is gone."""
         self.budget.forget(address)
-        self.crash_tracker.parts.remote_whole_answers.pop(address, None)
 
     def peer_saw_directory(self, at, now, relies_on_peers=False):
         """Record that the directory answered a peer at the time `at`.
@@ -222,3 +284,4 @@
         self.crash_tracker.expire(now)
         self.notices.expire(now)
         self.request_limits.expire(self.fleet.lifetimes(), now)
+        self.cold.expire(self.fleet.lifetimes())
--- a/packages/core/persimmonstall/settings/schema.py
+++ b/packages/core/persimmonstall/settings/schema.py
@@ -248,9 +248,37 @@
         "bytes",
         low=1024,
     )
+    memory_mb: int = option(
+        0,
+        "Memory of the machine, which the entry stays within; 0 to hold any amount.",
+        "MB",
+        low=0,
+    )
+    descriptors: int = option(
+        0,
+        "Descriptors that the entry may have open; 0 to accept any number of connections.",
+        low=0,
+    )
     configuration_ms: int = option(
         2000, "Time in which a change of the configuration applies everywhere.", "ms", low=100
     )
+    admission: bool = option(
+        False,
+        "Whether calls wait or are refused by priority and organisation while room is short.",
+    )
+    cold_overage: float = option(
+        1.0, "Requests that a cold endpoint may get, as a multiple of what it names.", low=0
+    )
+    cold_slack: float = option(
+        0.0, "Requests that a cold endpoint may get in addition in any second.", low=0
+    )
+    evacuation_ms: int = option(
+        0,
+        "Time after which nothing is sent to an evacuated data centre; 0 for that of the"
+        " configuration.",
+        "ms",
+        low=0,
+    )
     unused_memory_ms: int = option(
         4000, "Time for which reserved engine memory may remain unused.", "ms", low=100
     )
--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -13,6 +13,7 @@
 from .attempt_result import AttemptResult
 from .connecting import wait_past_suspension
 from .endpoint_client import NOT_CONNECTED_IN_TIME, never_connected
+from .held_body import BodyBuffer
 from .silence_watch import SilenceWatch
 
 STEP = "relay"
@@ -46,6 +47,7 @@
         self.sink = sink
         self.answer = None
         self.sent_at = None
+        self.first_event_at = None
         self.batches_relayed = 0
         self.dropped = False
         self.watch = SilenceWatch(self)
@@ -90,20 +92,25 @@
         It may have said so while the attempt waited for a permit or for memory.
         """
         state, now = self.entry.state, self.entry.now()
-        request = self.placed.request
-        for endpoint in (request.endpoint, *(helper.endpoint for helper in request.helpers)):
+        cold = state.cold.unpermitted(self.placed, now)
+        if cold is not None:
+            return self.unwanted(cold, "it is cold, and there is no permit any more")
+        for endpoint in self.placed.endpoints:
             if state.accepts(endpoint, now):
                 continue
             pause = state.notices.seconds_paused(endpoint.lifetime, now)
-            failure = Failure(Reason.BUSY, STEP, endpoint.name, "it accepts no new calls")
-            return AttemptResult(
-                AttemptOutcome.NOT_RUN,
-                failure,
-                blamed_address=endpoint.address,
-                notice=Notice(leaving=not pause, pause=pause or None),
-            )
+            return self.unwanted(endpoint, "it accepts no new calls", pause)
         return None
 
+    def unwanted(self, endpoint, detail, pause=0.0):
+        """Return the result of an attempt that is not sent, since an endpoint must not get it."""
+        return AttemptResult(
+            AttemptOutcome.NOT_RUN,
+            Failure(Reason.BUSY, STEP, endpoint.name, detail),
+            blamed_address=endpoint.address,
+            notice=Notice(leaving=not pause, pause=pause or None),
+        )
+
     async def send_and_relay(self):
         """Send the call and relay its answer; raise TimeoutError if the endpoint is too slow."""
         self.history.attempt_sent()
@@ -122,6 +129,7 @@
     def record_sent(self):
         """Record that the head of the request was sent."""
         self.sent_at = self.entry.now()
+        self.watch.record_sent()
 
     async def end_sending(self, sending):
         """Cancel the sending, but if the call was sent just now only after a moment.
@@ -155,6 +163,7 @@
         if not isinstance(answer, Failure):
             self.answer = answer
             self.entry.limits.record_answer(self.endpoint, answer.head, started_at)
+            self.entry.cold.record_answer(self.endpoint, answer.head)
             self.entry.notices.record_answer(self.endpoint, answer.head)
         return answer
 
@@ -278,27 +287,36 @@
     async def collect_answer(self):
         """Read a non-streamed answer; the caller gets it only once it is complete."""
         self.watch.decide_at = None
+        body = BodyBuffer(self.entry.settings.direct.answer_bytes)
+        try:
+            failed = await self.read_answer(body)
+        except BaseException:
+            body.discard()
+            raise
+        if failed is not None:
+            body.discard()
+            return failed
+        self.entry.answer_memory.reading_ended(self.sink)
+        head = self.answer.head
+        error = head.kind is ResponseKind.ENDPOINT_ERROR
+        ending = AttemptOutcome.ENDPOINT_ERROR if error else AttemptOutcome.WHOLE
+        return AttemptResult(ending, head=head, body=body.content())
+
+    async def read_answer(self, body):
+        """Read the answer into `body`; return the `AttemptResult` if that fails, or None."""
         timeout = self.answer_timeout()
-        limit = self.entry.settings.direct.answer_bytes
-        memory = self.entry.answer_memory
         size = self.answer.announced_bytes
-        body = bytearray()
-        while size <= limit:
+        while size <= body.limit:
             data = await self.watch.receive(self.answer.read, timeout)
             if isinstance(data, Failure) or self.dropped:
                 return self.broken_result(data)
             if not data:
-                break
-            body += data
-            size = len(body)
-            memory.hold(self.sink, size, self)
-        if size > limit:
-            return self.too_large(f"an answer of {size} bytes or more, the limit is {limit}")
-        memory.reading_ended(self.sink)
-        head = self.answer.head
-        error = head.kind is ResponseKind.ENDPOINT_ERROR
-        ending = AttemptOutcome.ENDPOINT_ERROR if error else AttemptOutcome.WHOLE
-        return AttemptResult(ending, head=head, body=bytes(body))
+                return None
+            size = body.size + len(data)
+            if size <= body.limit:
+                body.add(data)
+            self.entry.answer_memory.hold(self.sink, size, self)
+        return self.too_large(f"an answer of {size} bytes or more, the limit is {body.limit}")
 
     async def relay_events(self):
         """Relay complete events as they arrive."""
@@ -339,7 +357,11 @@
             events = max(1, reader.last - self.history.last_event)
             gap = now - self.history.last_event_at
             self.entry.loads.record_gap(self.endpoint.name, gap, events)
+            self.entry.crash_reporter.record_progress(
+                self.routed, self.batches_relayed, now - self.first_event_at
+            )
         else:
+            self.first_event_at = now
             self.entry.loads.record_first_event(self.placed.attempt.name)
         if not self.sink.started:
             await self.sink.start(self.answer.head.status, self.answer.head.headers)
--- a/packages/daemon/persimmonstall_daemon/direct/beacon_builder.py
+++ b/packages/daemon/persimmonstall_daemon/direct/beacon_builder.py
@@ -3,7 +3,7 @@
 import attrs
 
 from persimmonstall.direct import beacon as beacons
-from persimmonstall.direct import findings
+from persimmonstall.direct import datagrams, findings
 from persimmonstall.direct.beacon import Beacon
 
 MAX_PEERS_NAMED = 16
@@ -22,12 +22,17 @@
         """Return the datagrams that carry the latest changes."""
         found = self.entry.state.findings_changes(self.peers.address, self.entry.now())
         limit = self.peers.pacer.max_changes_bytes(len(self.peers.peers))
-        return self.encode(beacons.trim(self.make_changes_beacon(), limit), found)
+        beacon = beacons.trim(self.make_changes_beacon(), limit)
+        changes = self.report_changes(self.peers.reports.values())
+        return self.encode(beacon, found) + changes
 
     def whole_datagrams(self):
         """Return the datagrams that carry the complete state."""
         found = self.entry.state.findings(self.peers.address, self.entry.now())
-        return self.encode(self.make_whole_beacon(), found, self.entry.state.load_tracker.ended)
+        now = self.entry.now()
+        reports = [(kind, report.state(now)) for kind, report in self.peers.reports.items()]
+        ended = self.entry.state.load_tracker.ended
+        return self.encode(self.make_whole_beacon(), found, ended) + encode_reports(reports)
 
     def encode(self, beacon, found, ended=()):
         """Return the datagrams of a beacon and of the findings that go with it, if there are any.
@@ -42,6 +47,16 @@
             encoded.append(findings.encode(found))
         return encoded
 
+    def report_changes(self, reports):
+        """Return the datagrams with the latest changes of some reports."""
+        now = self.entry.now()
+        return encode_reports([(report.kind, report.changes(now)) for report in reports])
+
+    def announcement_datagrams(self):
+        """Return the datagrams that name versions, and carry the changes of urgent reports."""
+        urgent = [report for report in self.peers.reports.values() if report.urgent]
+        return self.empty_datagrams() + self.report_changes(urgent)
+
     def empty_datagrams(self):
         """Return the datagrams of a beacon without changes."""
         beacon = attrs.evolve(self.make_changes_beacon(), attempts=(), ended=(), crashes=())
@@ -70,13 +85,14 @@
     def make_whole_beacon(self):
         """Return a beacon with the complete state of this entry."""
         state, now = self.entry.state, self.entry.now()
+        reported = state.observations.active
         return attrs.evolve(
             self.make_changes_beacon(),
             attempts=state.load_tracker.local_attempts(),
             crashes=state.crash_tracker.local_state(now),
             peers=self.some_addresses(),
-            failure_scores=state.failure_scores.local_state(now),
-            slowdowns=state.load_tracker.slowdowns.local_state(now),
+            failure_scores=() if reported else state.failure_scores.local_state(now),
+            slowdowns=() if reported else state.load_tracker.slowdowns.local_state(now),
             whole=True,
             ended=(),
         )
@@ -87,3 +103,8 @@
         if len(addresses) <= MAX_PEERS_NAMED:
             return tuple(addresses)
         return tuple(self.entry.clock.random.sample(addresses, MAX_PEERS_NAMED))
+
+
+def encode_reports(reports):
+    """Return the datagrams of (kind, fields) pairs; those without fields are left out."""
+    return [datagrams.encode(kind, fields) for kind, fields in reports if fields is not None]
--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -15,6 +15,7 @@
 from .attempt_result import AttemptResult
 from .endpoint_client import connect_timed_out
 from .final_answers import FinalAnswers
+from .held_body import discard
 
 STEP = "exchange"
 
@@ -58,7 +59,11 @@
         history = AttemptHistory(last_event=call.resume_after, trial=trial)
         started_at = self.entry.now()
         try:
-            result = await self.run(routed, sink, history)
+            postponed = None if trial else await self.entry.admission.admit(routed)
+            if postponed is not None:
+                result = AttemptResult(AttemptOutcome.OVERDUE, postponed)
+            else:
+                result = await self.run(routed, sink, history)
         except asyncio.CancelledError:
             self.log_caller_left(routed, history, started_at, sink.seconds_since_close())
             raise
@@ -66,6 +71,7 @@
             await self.final_answers.finish(routed, sink, history, result, started_at)
         finally:
             self.entry.answer_memory.release(sink)
+            discard(result.body)
 
     def check_in_time(self, call):
         """Refuse a call whose deadline passed while it waited for the configuration."""
@@ -95,12 +101,14 @@
         last = AttemptResult(AttemptOutcome.OVERDUE)
         placed = None
         self.entry.state.budget.record_call(routed.service.name, self.entry.now())
+        placed_at = self.entry.now()
         try:
             async with self.entry.time_limits.until(routed.deadline):
                 while True:
                     last = await self.attempt(routed, sink, history, placed)
                     placed = last.followed_by
                     if placed is None and not self.should_retry(routed, history, last):
+                        self.entry.admission.record_served(routed, self.entry.now() - placed_at)
                         return last
         except TimeoutError:
             outlives_entry = routed.deadline > self.entry.exits_at
@@ -132,7 +140,8 @@
     async def prepare_retry(self, routed, history, endpoint):
         """Return the attempt that may follow one at a silent endpoint, None if there is none.
 
-        It is charged to the shared retry budget, and placed at an endpoint with a free slot.
+        It is charged to the shared retry budget, and placed at an endpoint with a free slot.  It
+        does not wait for its turn at a cold one, as nobody reads from the silent one meanwhile.
         """
         state, service = self.entry.state, routed.service.name
         after = history.after(endpoint.name, AttemptOutcome.LATE)
@@ -142,15 +151,19 @@
             return None
         if not state.budget.has_room(service, self.entry.now()):
             return None
-        placed = await self.entry.chooser.choose(routed, self.entry.new_attempt_name(), after)
+        name = self.entry.new_attempt_name()
+        placed = await self.entry.chooser.choose(routed, name, after, patient=False)
         if isinstance(placed, Failure) or not state.placer.has_free_slot(placed.request.endpoint):
             return None
         return placed if state.budget.try_acquire(service, self.entry.now()) else None
 
     async def attempt(self, routed, sink, history, placed=None):
-        """Run one attempt, which is `placed` already or whose endpoints are chosen now."""
+        """Run one attempt, which is `placed` already or whose endpoints are chosen now.
+
+        One that was placed a while ago is placed anew if a permit of it has expired.
+        """
         entry = self.entry
-        if placed is None:
+        if placed is None or entry.state.cold.unpermitted(placed, entry.now()) is not None:
             placed = await self.choose(routed, history)
         if isinstance(placed, Failure):
             return AttemptResult(AttemptOutcome.OVERDUE, placed)
@@ -203,7 +216,7 @@
         """Update the failure score and lost connections of an endpoint by an attempt's result."""
         state, now = self.entry.state, self.entry.now()
         if result.ending is AttemptOutcome.WHOLE:
-            state.failure_scores.record_success(endpoint.name, now)
+            self.record_success(endpoint, now)
             self.entry.crash_reporter.record_whole(routed)
             return
         self.entry.metrics.count("direct_failed_attempts", tag=str(result.ending))
@@ -224,13 +237,23 @@
             state.failure_scores.record_failure(endpoint.name, now)
         self.entry.crash_reporter.record_lost(routed, endpoint, result)
 
+    def record_success(self, endpoint, now):
+        """Record a complete answer; log if another data centre reported failures."""
+        if self.entry.state.failure_scores.record_success(endpoint.name, now):
+            self.entry.metrics.count("direct_reports_refuted")
+            self.log.info("report_refuted", endpoint=endpoint.name, report="failures")
+
     def log_placed(self, routed, placed, history, now):
         """Log which endpoint an attempt goes to and the data behind the choice."""
         state = self.entry.state
+        way = state.placer.seconds_of_way(routed, placed.request.endpoint)
+        if way:
+            self.entry.metrics.count("direct_remote_attempts")
         self.log.info(
             "placed",
             request_id=routed.call.call_id,
             endpoint=placed.request.endpoint.name,
+            way_ms=round(way * 1000, 1),
             route=routed.route.name,
             organisation=routed.organisation.name if routed.organisation else "",
             sending=history.attempts + 1,
--- a/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -16,6 +16,7 @@
 from persimmonstall.failures import Failure, Reason
 
 from ..bounded_http import AnswerRejected, BoundedConnector, ConnectionBroken, open_session
+from ..exact_headers import to_text, write_requests_exactly
 from .connecting import (
     CATCH_UP_SECONDS,
     CONNECT_SECONDS,
@@ -25,6 +26,7 @@
     progress_reports,
     wait_past_suspension,
 )
+from .held_body import payload_of
 
 STEP = "send"
 NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
@@ -167,6 +169,7 @@
 
     async def start(self):
         """Open the HTTP session; must be called in the running event loop."""
+        write_requests_exactly()
         self.session = make_session(
             ExactRequest, trace_configs=(progress_reports(),), force_close=True
         )
@@ -184,7 +187,7 @@
         call = routed.call
         peer = request.endpoint.name
         headers = CIMultiDict(
-            (name.decode("latin-1"), value.decode("latin-1"))
+            (to_text(name), to_text(value))
             for name, value in self.dialect.attempt_headers(routed, request)
         )
         headers[EXACT_TARGET] = call.target
@@ -194,7 +197,7 @@
                 call.method,
                 url,
                 headers=headers,
-                data=call.body or None,
+                data=payload_of(call.body),
                 allow_redirects=False,
                 on_sent=on_sent,
             )
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -7,21 +7,26 @@
 import time
 
 from persimmonstall.clock import Context
+from persimmonstall.direct.cold import ColdEndpoints
 from persimmonstall.direct.retry_budget import SharedRetryBudget
 from persimmonstall.direct.state import State
-from persimmonstall.direct.updates import RestoredUpdate
+from persimmonstall.direct.updates import EvacuationUpdate, RestoredUpdate
 
 from ..observe import logs
 from ..observe.prometheus import PrometheusMetrics
 from ..service import DaemonService
+from .admission import AdmissionQueue
 from .answer_memory import AnswerMemory
 from .call_handler import CallHandler
 from .callers import CallerServer, listen
 from .chooser import EndpointChooser
+from .cold import ColdReporter
 from .crash_records import CrashRecords
 from .crash_reports import CrashReporter
 from .directory_readers import DirectoryReaders
 from .endpoint_client import EndpointClient
+from .entry_memory import EntryMemory
+from .evacuations import EvacuationReporter
 from .limits import LimitReporter
 from .loads import LoadReporter
 from .notices import NoticeReporter
@@ -33,6 +38,9 @@
 from .time_limits import TimeLimits
 from .trials import TrialExchange
 
+DIRECTORY_SOURCE = "directory"
+"""Source of updates that this entry itself has read."""
+
 TICK_SECONDS = 0.1
 """Interval at which state that changes with time alone is updated."""
 
@@ -78,18 +86,23 @@
     def __init__(self, settings, adapter, listener=None, log_stream=None):
         super().__init__(settings, PrometheusMetrics(), boottime_context())
         options = settings.direct
+        self.memory = EntryMemory(self)
         self.adapter = adapter
         self.dialect = adapter.dialect
         self.log = logs.get("direct")
         budget = SharedRetryBudget(
             options.budget_ratio, options.budget_slack, options.budget_window
         )
-        self.state = State(budget, settings.daemon.data_centre, random=self.clock.random)
+        cold = ColdEndpoints(options.cold_overage, options.cold_slack)
+        self.state = State(
+            budget, settings.daemon.data_centre, random=self.clock.random, cold=cold
+        )
         self.client = EndpointClient(self.dialect)
         adapter.attach(self)
         self.directory = adapter.directory
         self.memory_reservations = adapter.memory_reservations
         self.peers = Peers(self)
+        self.peers.add_report(self.state.observations)
         self.ownership = Ownership(self, self.peers)
         self.readers = DirectoryReaders(self, self.peers, self.ownership)
         self.permits = PermitExchange(self, self.peers)
@@ -97,7 +110,10 @@
         self.loads = LoadReporter(self, self.peers.schedule_beacon)
         self.limits = LimitReporter(self, self.peers.schedule_beacon)
         self.notices = NoticeReporter(self, self.peers.schedule_beacon)
+        self.evacuations = EvacuationReporter(self)
+        self.cold = ColdReporter(self)
         self.chooser = EndpointChooser(self)
+        self.admission = AdmissionQueue(self)
         self.crash_reporter = CrashReporter(self)
         self.crash_records = CrashRecords(self)
         self.reservations = Reservations(self)
@@ -128,7 +144,7 @@
         """Whether the load balancer should send new connections to this entry."""
         return self.state.ready and not self.leaving
 
-    def apply_update(self, update, source="directory"):
+    def apply_update(self, update, source=DIRECTORY_SOURCE):
         """Apply an update to the state; log a change and send it to the peers."""
         if isinstance(update, RestoredUpdate):
             self.write_again()
@@ -137,14 +153,20 @@
         changed = self.state.apply_update(update, self.now())
         if self.state.ready and not was_ready:
             self.use_own_engine_order()
-        if changed:
+        if changed and isinstance(update, EvacuationUpdate):
+            self.evacuations.record_change(source)
+        elif changed:
             self.log_change(update, source)
-            self.peers.schedule_beacon(True)
+            if source == DIRECTORY_SOURCE:
+                self.peers.announce()
+            else:
+                self.peers.schedule_beacon(True)
 
     def write_again(self):
         """Write again what the directory may have lost."""
         self.crash_records.write_again()
-        self.spawn(self.peers.discover())
+        self.peers.registration.rows.forget()
+        self.spawn(self.peers.registration.register())
 
     def use_own_engine_order(self):
         """Rank engines in an order of this entry's own until it knows the other entries' calls.
@@ -176,9 +198,11 @@
         await self.client.start()
         await self.adapter.start()
         await self.peers.start()
+        self.memory.start()
         await self.callers.start(self.listener or listen(self.settings.daemon.http))
         self.spawn(self.directory.follow(self.apply_update, self.readers))
         self.spawn(self.peers.run())
+        self.spawn(self.peers.registration.run())
         self.spawn(self.crash_records.run())
         self.spawn(self.tick())
         self.spawn(self.watch_settings())
@@ -201,6 +225,7 @@
         self.state.budget.ratio = options.budget_ratio
         self.state.budget.slack = options.budget_slack
         self.state.budget.window = options.budget_window
+        self.state.set_cold_bounds(options.cold_overage, options.cold_slack, self.now())
         self.log.info("settings_reloaded", directory=options.directory)
 
     async def tick(self):
@@ -218,6 +243,10 @@
                 self.directory.reconnect()
                 self.time_limits.reschedule()
             self.state.tick(now)
+            self.memory.tick()
+            self.evacuations.expire(now)
+            self.cold.review(now)
+            self.admission.tick(now)
             self.metrics.gauge("in_flight", self.callers.in_flight)
             if self.log_stream is not None:
                 self.metrics.gauge("log_lines_dropped", self.log_stream.dropped)
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -2,22 +2,25 @@
 
 Beacons are sent at once after urgent changes, above all when a call is placed, shortly after other
 changes, and periodically.  Most carry only the latest changes of attempts; each peer also gets the
-complete state at intervals, which makes up for lost datagrams.  Findings go with the beacons in
-datagrams of their own, which earlier versions ignore.  A pacer keeps all within a share of the
-slowest link.
+complete state at intervals, which makes up for lost datagrams.  Findings and reports go with the
+beacons in datagrams of their own, which earlier versions ignore.  A pacer keeps all within a share
+of the slowest link.  Addresses that have not answered yet only get empty beacons, as greetings.
 """
 
 import asyncio
+import math
 
 from persimmonstall.direct import beacon as beacons
 from persimmonstall.direct import datagrams, findings
 from persimmonstall.direct.beacon_pacing import BeaconPacer, heartbeat_interval
 from persimmonstall.direct.datagrams import Kind
+from persimmonstall.direct.strangers import Strangers
 from persimmonstall.failures import Failure
 
 from ..observe import logs
 from .beacon_builder import BeaconBuilder
 from .peer import DatagramReceiver, Peer
+from .registration import Registration
 from .snapshots import SnapshotExchange
 
 URGENT_DELAY_SECONDS = 0.0
@@ -37,6 +40,9 @@
 """Time after which an empty beacon is sent although the link's share is used up, so that a second
 one comes before this entry counts as silent."""
 
+ANNOUNCEMENT_SECONDS = 0.1
+"""Shortest interval of announcements, which are sent although the link's share is used up."""
+
 MIN_WAIT_SECONDS = 0.01
 """Wait up to which beacons are not held back, as timers are inexact."""
 
@@ -50,7 +56,10 @@
 
 
 class Peers:
-    """The other entries, and the exchange of beacons with them."""
+    """The other entries, and the exchange of beacons with them.
+
+    `peers` are those that were heard, by address; `strangers` are addresses of possible others.
+    """
 
     def __init__(self, entry):
         self.entry = entry
@@ -59,11 +68,16 @@
         self.run_id = entry.clock.random.getrandbits(48)
         self.builder = BeaconBuilder(entry, self)
         self.peers = {}
+        self.strangers = Strangers()
+        self.registration = Registration(entry, self)
+        self.reports = {}
         self.transport = None
         self.timer = None
         self.due = 0.0
         self.sent_at = 0.0
         self.urgent_since = None
+        self.announced_at = -math.inf
+        self.announcement = None
         self.pacer = BeaconPacer()
         self.snapshots = SnapshotExchange(entry, self)
 
@@ -83,12 +97,27 @@
         self.transport.close()
         await self.snapshots.stop()
 
-    def add_peer(self, address):
-        """Add a peer that may exist at `address`, or update when it was last named."""
+    def add_report(self, report):
+        """Exchange a `Report` with the other entries."""
+        self.reports[report.kind] = report
+
+    def add_peer(self, address, first=False):
+        """Add a peer that may exist at `address`, or update when it was last named.
+
+        Of strangers those added `first` are greeted first.
+        """
         if address == self.address:
             return
-        peer = self.peers.setdefault(address, Peer(address))
-        peer.last_named = self.entry.now()
+        peer = self.peers.get(address)
+        if peer is None:
+            self.strangers.add(address, self.entry.now(), first)
+        else:
+            peer.last_named = self.entry.now()
+
+    def meet(self, address):
+        """Return the peer at `address`, which is no stranger any more."""
+        self.strangers.remove(address)
+        return self.peers.setdefault(address, Peer(address))
 
     def active(self):
         """Return the active peers: those with a recent beacon."""
@@ -141,14 +170,46 @@
             if peer.address not in informed:
                 self.send_all(peer, changes)
         self.record_changes_sent()
+        self.greet_strangers()
+
+    def greet_strangers(self):
+        """Send an empty beacon to some of the addresses that have not answered yet."""
+        greeted = self.strangers.next_greeted(self.entry.now())
+        if greeted:
+            (greeting,) = self.builder.empty_datagrams()
+            for address in greeted:
+                self.send(address, greeting)
 
     def send_empty_beacons(self):
         """Send a beacon without changes to every peer; they follow when the link allows it."""
-        empty = self.builder.empty_datagrams()
+        self.send_to_all(self.builder.empty_datagrams())
+
+    def send_to_all(self, batch):
+        """Send the same datagrams to every peer, though other changes wait."""
         for peer in self.peers.values():
-            self.send_all(peer, empty)
+            self.send_all(peer, batch)
         self.schedule_in(0.0)
 
+    def announce(self):
+        """Tell every peer the versions that this entry is the first to have, and what is urgent.
+
+        It is not held back by the link's share, since the time of a change is bounded.
+        """
+        wait = self.announced_at + ANNOUNCEMENT_SECONDS - self.entry.now()
+        if wait <= 0.0:
+            self.send_announcement()
+        elif self.announcement is None:
+            loop = asyncio.get_running_loop()
+            self.announcement = loop.call_later(wait, self.send_announcement)
+
+    def send_announcement(self):
+        """Send beacons that only name versions, and what is urgent."""
+        self.announcement = None
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.announced_at = self.entry.now()
+        self.send_to_all(self.builder.announcement_datagrams())
+
     def send_whole_states(self):
         """Send the complete state to those who waited longest for it; return their addresses."""
         now = self.entry.now()
@@ -181,6 +242,8 @@
     def record_changes_sent(self):
         """Record that the changes up to now were sent, and how long an urgent one waited."""
         self.entry.state.mark_changes_sent()
+        for report in self.reports.values():
+            report.mark_sent()
         if self.urgent_since is not None:
             waited = self.entry.now() - self.urgent_since
             self.entry.state.load_tracker.unseen.record_delay(waited)
@@ -199,11 +262,19 @@
             logs.log_failure(self.log, "datagram_unreadable", datagram)
         elif datagram.kind is Kind.FINDINGS:
             self.merge_findings(findings.decode(datagram.fields))
+        elif datagram.kind in self.reports:
+            self.merge_report(datagram)
         elif datagram.kind in (Kind.TRIAL_REQUEST, Kind.TRIAL_REPLY):
             self.entry.trials.on_datagram(datagram)
         else:
             self.entry.permits.on_datagram(datagram)
 
+    def merge_report(self, datagram):
+        """Merge the report of another entry."""
+        merged = self.reports[datagram.kind].merge(datagram.fields, self.entry.now())
+        if isinstance(merged, Failure):
+            logs.log_failure(self.log, "report_unreadable", merged, report=datagram.kind.value)
+
     def merge_findings(self, found):
         """Merge the findings of another entry."""
         if isinstance(found, Failure):
@@ -221,7 +292,7 @@
             return
         if beacon.address == self.address:
             return
-        peer = self.peers.setdefault(beacon.address, Peer(beacon.address))
+        peer = self.meet(beacon.address)
         if peer.run == beacon.run and beacon.sequence <= peer.sequence:
             return
         if peer.last_heard is None or peer.run != beacon.run:
@@ -234,9 +305,11 @@
         peer.endpoints_digest = beacon.endpoints_digest
         peer.link = beacon.link
         peer.leaving = beacon.leaving
+        if self.entry.state.lacks(peer.configuration, peer.endpoints, peer.endpoints_digest):
+            self.snapshots.wake()
         for address in beacon.peers:
             if address not in self.peers:
-                self.add_peer(address)
+                self.add_peer(address, first=True)
         self.entry.metrics.count("direct_beacons", tag="received")
         self.entry.metrics.count("direct_beacon_bytes", len(data), tag="received")
         self.merge_beacon(beacon)
@@ -258,32 +331,30 @@
         state.peer_saw_directory(now - beacon.directory_age, now, relies_on_peers)
 
     async def run(self):
-        """Send beacons periodically, fetch newer snapshots and remove peers that are gone."""
+        """Exchange beacons, and fetch newer snapshots."""
+        await asyncio.gather(self.beat(), self.snapshots.follow(self.heartbeat_pause))
+
+    def heartbeat_pause(self):
+        """Return the seconds until the next beacon without a change."""
+        return self.entry.clock.jitter(heartbeat_interval(len(self.peers)))
+
+    async def beat(self):
+        """Send beacons periodically and remove peers that are gone."""
         last_discovery = -DISCOVERY_INTERVAL_SECONDS
         while True:
             self.schedule_in(0.0)
             self.expire()
-            await self.snapshots.catch_up()
             now = self.entry.now()
             if not self.active() and now - last_discovery > DISCOVERY_INTERVAL_SECONDS:
                 last_discovery = now
-                await self.discover()
-            pause = heartbeat_interval(len(self.peers))
-            await asyncio.sleep(self.entry.clock.jitter(pause))
-
-    async def discover(self):
-        """Register this entry's address in the directory and add the entries listed there."""
-        found = await self.entry.directory.register(self.address)
-        if isinstance(found, Failure):
-            logs.log_failure(self.log, "introduction_failed", found)
-            return
-        for address in found:
-            self.add_peer(address)
-        self.log.info("introduced", peers=len(found))
+                await self.registration.register()
+            await asyncio.sleep(self.heartbeat_pause())
 
     def expire(self):
         """Remove peers that have been silent for long; update the gauge of active peers."""
         now = self.entry.now()
+        self.entry.ownership.record_heard()
+        self.strangers.expire(now)
         for address, peer in list(self.peers.items()):
             if now - peer.last_named > REMOVAL_TIMEOUT_SECONDS:
                 del self.peers[address]
--- a/packages/daemon/tests/direct_fleet.py
+++ b/packages/daemon/tests/direct_fleet.py
@@ -14,9 +14,12 @@
 from persimmonstall.failures import Failure, Reason
 from persimmonstall.settings.schema import Settings
 from persimmonstall_daemon.direct.chooser import EndpointChooser
+from persimmonstall_daemon.direct.cold import ColdReporter
 from persimmonstall_daemon.direct.crash_records import CrashRecords
 from persimmonstall_daemon.direct.crash_reports import CrashReporter
 from persimmonstall_daemon.direct.directory_readers import DirectoryReaders
+from persimmonstall_daemon.direct.entry_memory import EntryMemory
+from persimmonstall_daemon.direct.evacuations import EvacuationReporter
 from persimmonstall_daemon.direct.limits import LimitReporter
 from persimmonstall_daemon.direct.loads import LoadReporter
 from persimmonstall_daemon.direct.notices import NoticeReporter
@@ -48,6 +51,7 @@
         leaving=False,
         told_at=math.inf,
     )
+    entry.memory = EntryMemory(entry)
     entry.peers = Peers(entry)
     entry.ownership = Ownership(entry, entry.peers)
     entry.readers = DirectoryReaders(entry, entry.peers, entry.ownership)
@@ -56,6 +60,8 @@
     entry.loads = LoadReporter(entry, entry.peers.schedule_beacon)
     entry.limits = LimitReporter(entry, entry.peers.schedule_beacon)
     entry.notices = NoticeReporter(entry, entry.peers.schedule_beacon)
+    entry.evacuations = EvacuationReporter(entry)
+    entry.cold = ColdReporter(entry)
     entry.chooser = EndpointChooser(entry)
     entry.crash_reporter = CrashReporter(entry)
     entry.crash_records = CrashRecords(entry)
@@ -80,6 +86,10 @@
         """Return no other entries."""
         return ()
 
+    async def remove_entries(self, _rows):
+        """Remove nothing."""
+        return True
+
     async def read_crash_records(self, kind):
         """Return the records of a kind."""
         self.reads += 1
@@ -174,8 +184,9 @@
             self.tasks[address] = running
             return
         entry.peers.schedule_beacon = entry.limits.on_change = lambda urgent: None
-        for peer in entry.peers.peers.values():
-            peer.last_heard = float("inf")
+        for other in self.addresses:
+            if other != address:
+                entry.peers.meet(other).last_heard = math.inf
 
     def kill(self, address):
         """Stop an entry at once."""
