--- a/packages/daemon/persimmonstall_daemon/direct/chooser.py
+++ b/packages/daemon/persimmonstall_daemon/direct/chooser.py
@@ -43,9 +43,7 @@
             denied |= refused
         cold = self.placer.cold_names(routed, self.entry.now())
         placed = await self.choose_within_limits(routed, name, history, denied | cold)
-        if not isinstance(placed, Failure):
-            return placed
-        if not patient:
+        if not patient or not isinstance(placed, Failure):
             return placed
         return await self.wait_for_cold(routed, name, history, placed)
 
