--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -176,6 +176,7 @@
         try:
             result = await entry.reservations.run(routed, placed, attempt.run)
         except asyncio.CancelledError:
+            self.log_abandoned(routed, attempt, sink)
             if attempt.sent:
                 entry.crash_reporter.record_abandoned(
                     routed, attempt.endpoint, attempt.batches_relayed
@@ -264,9 +265,22 @@
             request_limit=state.request_limits.rate(placed.request.endpoint.lifetime),
             expected_ms=round(placed.predicted_first_event * 1000),
             left_ms=round((routed.deadline - now) * 1000),
-            configuration=state.configuration.version,
             endpoints_revision=state.fleet.revision,
-            directory_age_ms=round((now - state.directory_seen_at) * 1000),
+            **self.entry.provenance.fields(),
+        )
+
+    def log_abandoned(self, routed, attempt, sink):
+        """Log an attempt that ends since its caller left, and what may have delayed that."""
+        sent_at = attempt.sent_at
+        self.log.info(
+            "attempt_abandoned",
+            request_id=routed.call.call_id,
+            endpoint=attempt.endpoint.name,
+            sent_ms=None if sent_at is None else round((self.entry.now() - sent_at) * 1000),
+            events=attempt.batches_relayed,
+            since_close_ms=round(sink.seconds_since_close() * 1000),
+            loop_lag_ms=round(self.entry.loop_lag * 1000),
+            reading_paused=sink.connection.reading_paused,
         )
 
     def log_caller_left(self, routed, history, started_at, since_close):
--- a/packages/daemon/persimmonstall_daemon/direct/connection.py
+++ b/packages/daemon/persimmonstall_daemon/direct/connection.py
@@ -175,6 +175,11 @@
             if start >= len(data):
                 return
 
+    @property
+    def reading_paused(self):
+        """Whether the connection is not read now, so that its close is not noticed."""
+        return self.paced or self._reading_paused or self._buffer_paused
+
     def pace(self):
         """Read no more for as long as parsing takes the share that is left to such callers."""
         seconds = self.memory.pacer.delay(self.work * LINE_SECONDS, self.memory.entry.now())
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -33,6 +33,7 @@
 from .ownership import Ownership
 from .peers import Peers
 from .permits import PermitExchange
+from .provenance import Provenance
 from .reservations import Reservations
 from .status import StatusServer
 from .time_limits import TimeLimits
@@ -101,6 +102,7 @@
         adapter.attach(self)
         self.directory = adapter.directory
         self.memory_reservations = adapter.memory_reservations
+        self.provenance = Provenance(self)
         self.peers = Peers(self)
         self.peers.add_report(self.state.observations)
         self.ownership = Ownership(self, self.peers)
@@ -129,6 +131,7 @@
         self.balancer_informed_at = math.inf
         self.exits_at = math.inf
         self.next_attempt = 0
+        self.loop_lag = 0.0
 
     def now(self):
         """Return the time in seconds, including time spent suspended."""
@@ -156,6 +159,7 @@
         if changed and isinstance(update, EvacuationUpdate):
             self.evacuations.record_change(source)
         elif changed:
+            self.provenance.record(update, source)
             self.log_change(update, source)
             if source == DIRECTORY_SOURCE:
                 self.peers.announce()
@@ -185,7 +189,7 @@
             "view_changed",
             news=update.LOG_NAME,
             source=source,
-            configuration=state.configuration.version if state.configuration else 0,
+            **self.provenance.fields(),
             endpoints_revision=state.fleet.revision,
             endpoints=len(state.fleet.endpoints),
             leaving=sum(e.leaving for e in state.fleet.endpoints.values()),
@@ -248,12 +252,14 @@
             self.cold.review(now)
             self.admission.tick(now)
             self.metrics.gauge("in_flight", self.callers.in_flight)
+            self.metrics.gauge("directory_age", now - self.state.directory_seen_at)
             if self.log_stream is not None:
                 self.metrics.gauge("log_lines_dropped", self.log_stream.dropped)
 
     def record_lag(self, seconds):
         """Record how late a tick of the event loop was; log it if callers notice."""
-        self.metrics.timing("loop_lag", max(0.0, seconds))
+        self.loop_lag = max(0.0, seconds)
+        self.metrics.timing("loop_lag", self.loop_lag)
         if seconds > LATE_TICK_SECONDS:
             self.log.warning("loop_late", ms=round(seconds * 1000))
 
--- a/packages/daemon/persimmonstall_daemon/direct/final_answers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/final_answers.py
@@ -94,5 +94,6 @@
             outcome=str(refusal.outcome),
             status=reply.status,
             retry_after=refusal.retry_after,
+            **self.entry.provenance.fields(),
         )
         await sink.reply(reply)
--- a/packages/daemon/persimmonstall_daemon/direct/snapshots.py
+++ b/packages/daemon/persimmonstall_daemon/direct/snapshots.py
@@ -166,8 +166,22 @@
         for update in (snapshot.evacuations, snapshot.configuration, snapshot.endpoints):
             if update is not None:
                 self.entry.apply_update(update, source=peer.address)
+        self.log_fetched(peer, version, snapshot)
         return True
 
+    def log_fetched(self, peer, version, snapshot):
+        """Log what a peer's snapshot brought to an entry that had configuration `version`."""
+        configuration, endpoints = snapshot.configuration, snapshot.endpoints
+        self.log.info(
+            "snapshot_fetched",
+            peer=peer.address,
+            had=version,
+            named=peer.configuration,
+            configuration=configuration.configuration.version if configuration else None,
+            endpoints_revision=endpoints.revision if endpoints else None,
+            behind_ms=round(self.seconds_behind(self.entry.now()) * 1000),
+        )
+
     async def serve(self, request):
         """Return a snapshot of what this entry knows and the asking one lacks.
 
--- a/packages/daemon/persimmonstall_daemon/observe/metric_names.py
+++ b/packages/daemon/persimmonstall_daemon/observe/metric_names.py
@@ -101,6 +101,8 @@
     Metric("direct_cold_permits", Kind.COUNTER, "Permits asked for cold endpoints.", "answer"),
     Metric("direct_cold_endpoints", Kind.GAUGE, "Endpoints that are cold, as far as known."),
     Metric("direct_evacuated", Kind.GAUGE, "Data centres that are evacuated, as far as known."),
+    Metric("direct_configuration", Kind.GAUGE, "Version of the configuration in force."),
+    Metric("directory_age", Kind.GAUGE, "Seconds since the directory answered anybody."),
     Metric("directory_reader", Kind.GAUGE, "Whether this entry reads the directory: 1 or 0."),
     Metric("directory_calls", Kind.COUNTER, "Calls of the platform's directory.", "outcome"),
     Metric("log_lines_dropped", Kind.GAUGE, "Log lines dropped to keep the volume bounded."),
