Datagrams: an odd one is a logged failure, and never closes the socket or ends a loop

Callers: one datagram of another shape (a text for a sequence number, a list nested 600 deep, an address that is none) ended what an entry hears from the others, or was kept and made each later sending and fetching fail; the entry then served an older version than the others knew. A row of another writer in the entries' table with port 99999 ended the greetings of all addresses after it. Cause: beacons were taken apart without a check of types; uvloop closes a datagram socket for good when its protocol raises. Class: as with the rows, one item ends what follows all of them. Why it works: a beacon is decoded into typed rows by msgspec, addresses are checked where they come in, all decoders share one boundary, and what an error still brings about is logged as a bug at the receiver.

--- a/packages/core/persimmonstall/direct/beacon.py
+++ b/packages/core/persimmonstall/direct/beacon.py
@@ -2,11 +2,13 @@
 
 import math
 import types
+import typing
 
 import attrs
 import msgspec
 
-from ..failures import Failure, Reason
+from .addresses import is_address
+from .decoding import decoder
 from .loads import EndpointDemand, InFlightAttempt
 
 STEP = "peers"
@@ -75,18 +77,63 @@
     )
 
 
+class DemandRow(typing.NamedTuple):
+    """An `EndpointDemand` as it is sent."""
+
+    endpoint: str
+    prefill: int
+    context: int | float
+    memory: int | float
+    generates: bool
+    max_gap: int
+    max_first_event: int
+    weight: int
+
+
+class AttemptRow(typing.NamedTuple):
+    """An `InFlightAttempt` as it is sent."""
+
+    name: str
+    started: bool
+    demands: tuple[DemandRow, ...]
+
+
+class BeaconRow(typing.NamedTuple):
+    """A `Beacon` as it is sent; an entry of an earlier version ends before `whole`."""
+
+    address: str
+    run: int
+    sequence: int
+    leaving: bool
+    configuration: int
+    endpoints: int
+    directory_age: float
+    attempts: tuple[AttemptRow, ...]
+    retry_usage: dict[str, tuple[float, float]]
+    crashes: tuple[tuple[str, tuple[tuple[str, int], ...]], ...]
+    peers: tuple[str, ...]
+    failure_scores: tuple[tuple[str, float], ...]
+    slowdowns: tuple[tuple[str, float], ...]
+    whole: bool = True
+    ended: tuple[str, ...] = ()
+    link: float = math.inf
+    endpoints_digest: int = 0
+
+
+DECODER = msgspec.msgpack.Decoder(BeaconRow)
+
+
 def demand_from_row(row):
     """Return the demand that a row encodes."""
-    endpoint, prefill, context, memory, generates, max_gap, max_first_event, weight = row
     return EndpointDemand(
-        endpoint,
-        prefill / TIME_UNITS_PER_SECOND,
-        context,
-        memory,
-        generates,
-        max_gap / TIME_UNITS_PER_SECOND,
-        max_first_event / TIME_UNITS_PER_SECOND,
-        weight / WEIGHT_UNITS,
+        row.endpoint,
+        row.prefill / TIME_UNITS_PER_SECOND,
+        row.context,
+        row.memory,
+        row.generates,
+        row.max_gap / TIME_UNITS_PER_SECOND,
+        row.max_first_event / TIME_UNITS_PER_SECOND,
+        row.weight / WEIGHT_UNITS,
     )
 
 
@@ -99,7 +146,7 @@
     """Return the datagram that encodes a beacon.
 
     >>> sent = Beacon(
-    ...     "a:1",
+    ...     "10.0.0.1:1",
     ...     1,
     ...     2,
     ...     attempts=(InFlightAttempt("f", (EndpointDemand("e", 0.1),)),),
@@ -166,27 +213,17 @@
     return groups
 
 
-def decode_changes(fields):
-    """Return the fields from `whole` on; an entry of an earlier version does not send them."""
-    if not fields:
-        return ()
-    whole, ended, link, endpoints_digest = fields
-    if not link > 0:
-        raise ValueError(f"bandwidth of {link} bytes per second")
-    return whole, tuple(ended), link, endpoints_digest
-
-
 def attempt_from_row(row, known):
     """Return the attempt that a row encodes; those `known` keep the demands that they have."""
-    name, started, demands = row
-    attempt = known.get(name)
+    attempt = known.get(row.name)
     if attempt is None:
-        return InFlightAttempt(name, tuple(map(demand_from_row, demands)), started)
-    if attempt.started == started:
+        return InFlightAttempt(row.name, tuple(map(demand_from_row, row.demands)), row.started)
+    if attempt.started == row.started:
         return attempt
-    return attrs.evolve(attempt, started=started)
+    return attrs.evolve(attempt, started=row.started)
 
 
+@decoder("beacon", STEP)
 def decode(data, known=types.MappingProxyType({})):
     """Return the beacon in a datagram, or a `Failure` if it is malformed.
 
@@ -195,26 +232,12 @@
     >>> decode(b"rubbish").reason
     <Reason.BAD_REQUEST: 'bad_request'>
     """
-    try:
-        fields = msgspec.msgpack.decode(data)
-        attempts = tuple(attempt_from_row(row, known) for row in fields[7])
-        retry_usage = {
-            service: (calls, retries) for service, (calls, retries) in fields[8].items()
-        }
-        crashes = tuple(
-            (content, tuple(tuple(lifetime) for lifetime in lifetimes))
-            for content, lifetimes in fields[9]
-        )
-        beacon = Beacon(
-            *fields[:7],
-            attempts,
-            retry_usage,
-            crashes,
-            tuple(fields[10]),
-            tuple(map(tuple, fields[11])),
-            tuple(map(tuple, fields[12])),
-            *decode_changes(fields[13:]),
-        )
-    except (msgspec.MsgspecError, AttributeError, IndexError, TypeError, ValueError) as error:
-        return Failure(Reason.BAD_REQUEST, STEP, detail=repr(error))
-    return beacon
+    row = DECODER.decode(data)
+    if not is_address(row.address):
+        raise ValueError(f"not an address with a port: {row.address!r}")
+    if not row.link > 0:
+        raise ValueError(f"bandwidth of {row.link} bytes per second")
+    if not row.directory_age >= 0:
+        raise ValueError(f"directory answered {row.directory_age} s ago")
+    attempts = tuple(attempt_from_row(attempt, known) for attempt in row.attempts)
+    return Beacon(*row._replace(attempts=attempts))
--- a/packages/core/persimmonstall/direct/datagrams.py
+++ b/packages/core/persimmonstall/direct/datagrams.py
@@ -9,7 +9,8 @@
 import attrs
 import msgspec
 
-from ..failures import Failure, Reason
+from .addresses import is_address
+from .decoding import decoder
 
 STEP = "peers"
 
@@ -52,20 +53,18 @@
     return msgspec.msgpack.encode([str(kind), fields])
 
 
+@decoder("datagram", STEP)
 def decode(data):
     """Return the `Datagram` in `data`, or a `Failure` if it is malformed or of unknown kind.
 
     >>> decode(encode("later_kind", ())).detail
-    "ValueError: 'later_kind' is not a valid Kind"
+    "invalid datagram: ValueError: 'later_kind' is not a valid Kind"
     """
-    try:
-        kind, fields = msgspec.msgpack.decode(data)
-        return Datagram(Kind(kind), tuple(fields))
-    except (msgspec.MsgspecError, TypeError, ValueError) as error:
-        return Failure(Reason.BAD_REQUEST, STEP, detail=f"{type(error).__name__}: {error}")
+    kind, fields = msgspec.msgpack.decode(data)
+    return Datagram(Kind(kind), tuple(fields))
 
 
 def check_address(address):
-    """Raise AttributeError or ValueError unless `address` is one to which a reply can be sent."""
-    if not address.rpartition(":")[2].isdigit():
-        raise ValueError(f"address without a port: {address!r}")
+    """Raise ValueError unless `address` is one to which a reply can be sent."""
+    if not is_address(address):
+        raise ValueError(f"not an address with a port: {address!r}")
--- a/packages/core/persimmonstall/direct/evacuations.py
+++ b/packages/core/persimmonstall/direct/evacuations.py
@@ -9,8 +9,8 @@
 
 import attrs
 
-from ..failures import Failure, Reason
 from . import datagrams
+from .decoding import decoder
 from .fleet import RESTORE_SECONDS
 from .updates import EvacuationChange, EvacuationUpdate
 
@@ -120,18 +120,16 @@
     return address, update.revision, names, update.restored
 
 
+@decoder("evacuations", STEP)
 def decode_fields(fields):
     """Return the address and the `EvacuationUpdate` in a datagram's fields, or a `Failure`.
 
     >>> decode_fields(("10.0.0.1:7340", "7", [], False)).detail
-    "TypeError('revision or data centres are malformed')"
+    'invalid evacuations: TypeError: revision or data centres are malformed'
     """
-    try:
-        address, revision, names, restored = fields[:4]
-        datagrams.check_address(address)
-        if type(revision) is not int or not all(isinstance(name, str) for name in names):
-            raise TypeError("revision or data centres are malformed")
-    except (AttributeError, TypeError, ValueError) as error:
-        return Failure(Reason.BAD_REQUEST, STEP, detail=repr(error))
+    address, revision, names, restored = fields[:4]
+    datagrams.check_address(address)
+    if type(revision) is not int or not all(isinstance(name, str) for name in names):
+        raise TypeError("revision or data centres are malformed")
     changes = tuple(EvacuationChange(name, True) for name in names)
     return address, EvacuationUpdate(changes, revision, whole=True, restored=bool(restored))
--- a/packages/core/persimmonstall/direct/findings.py
+++ b/packages/core/persimmonstall/direct/findings.py
@@ -4,10 +4,10 @@
 
 import attrs
 
-from ..failures import Failure, Reason
 from . import datagrams
 from .crashing_parts import PartCrash
 from .datagrams import Kind
+from .decoding import decoder
 from .request_limits import LimitReport
 
 STEP = "peers"
@@ -60,26 +60,24 @@
     return datagrams.encode(Kind.FINDINGS, fields)
 
 
+@decoder("findings", STEP)
 def decode(fields):
     """Return the findings in the fields of a datagram, or a `Failure` if they are malformed.
 
     Fields that a later version adds are ignored; an earlier one sends the first five.
 
     >>> decode(("10.0.0.1:7340", [("e", 1, float("nan"), 0.1)], [], [], 0)).detail
-    "ValueError('limit of nan requests per second')"
+    'invalid findings: ValueError: limit of nan requests per second'
     """
-    try:
-        address, limits, crashes, sound_parts, _unused = fields[:5]
-        return Findings(
-            address,
-            tuple(map(read_limit, limits)),
-            tuple(map(read_crash, crashes)),
-            tuple(sound_parts),
-            tuple(map(read_excused, fields[5] if len(fields) > 5 else ())),
-            read_lifetimes(fields[6] if len(fields) > 6 else ()),
-        )
-    except (TypeError, ValueError) as error:
-        return Failure(Reason.BAD_REQUEST, STEP, detail=repr(error))
+    address, limits, crashes, sound_parts, _unused = fields[:5]
+    return Findings(
+        address,
+        tuple(map(read_limit, limits)),
+        tuple(map(read_crash, crashes)),
+        tuple(sound_parts),
+        tuple(map(read_excused, fields[5] if len(fields) > 5 else ())),
+        read_lifetimes(fields[6] if len(fields) > 6 else ()),
+    )
 
 
 def read_limit(row):
--- a/packages/core/persimmonstall/direct/permits.py
+++ b/packages/core/persimmonstall/direct/permits.py
@@ -7,9 +7,9 @@
 
 import attrs
 
-from ..failures import Failure, Reason
 from . import datagrams
 from .datagrams import Kind
+from .decoding import decoder
 from .grants import Permit
 
 STEP = "permit"
@@ -68,6 +68,7 @@
     return datagrams.encode(Kind.PERMIT_REQUEST, fields)
 
 
+@decoder("permit request", STEP)
 def decode_request(fields):
     """Return the `PermitRequest` in the fields of a datagram, or a `Failure`.
 
@@ -78,22 +79,19 @@
     >>> decode_request(datagrams.decode(encode_request(cold)).fields) == cold
     True
     """
-    try:
-        address, number, endpoint, born, rate, patience = fields[:LIMIT_FIELDS]
-        bound, service = fields[LIMIT_FIELDS:] or (BoundKind.REQUEST_LIMIT, "")
-        datagrams.check_address(address)
-        return PermitRequest(
-            address,
-            number,
-            endpoint,
-            born,
-            float(rate),
-            float(patience),
-            BoundKind(bound),
-            service,
-        )
-    except (AttributeError, TypeError, ValueError) as error:
-        return malformed(error)
+    address, number, endpoint, born, rate, patience = fields[:LIMIT_FIELDS]
+    bound, service = fields[LIMIT_FIELDS:] or (BoundKind.REQUEST_LIMIT, "")
+    datagrams.check_address(address)
+    return PermitRequest(
+        address,
+        number,
+        endpoint,
+        born,
+        float(rate),
+        float(patience),
+        BoundKind(bound),
+        service,
+    )
 
 
 def encode_reply(reply, kind=Kind.PERMIT_REPLY):
@@ -101,19 +99,12 @@
     return datagrams.encode(kind, (reply.number, reply.permit.granted, reply.permit.wait))
 
 
+@decoder("permit reply", STEP)
 def decode_reply(fields):
     """Return the `PermitReply` in the fields of a datagram, or a `Failure`.
 
     >>> decode_reply((3, True, 0.5))
     PermitReply(number=3, permit=Permit(granted=True, wait=0.5))
     """
-    try:
-        number, granted, wait = fields
-        return PermitReply(number, Permit(bool(granted), float(wait)))
-    except (TypeError, ValueError) as error:
-        return malformed(error)
-
-
-def malformed(error):
-    """Return the failure of a datagram whose fields cannot be read."""
-    return Failure(Reason.BAD_REQUEST, STEP, detail=repr(error))
+    number, granted, wait = fields
+    return PermitReply(number, Permit(bool(granted), float(wait)))
--- a/packages/core/persimmonstall/direct/snapshot.py
+++ b/packages/core/persimmonstall/direct/snapshot.py
@@ -3,7 +3,7 @@
 import attrs
 import msgspec
 
-from ..failures import Failure, Reason
+from .decoding import decoder
 from .updates import ConfigurationUpdate, EndpointUpdate, EvacuationUpdate
 
 STEP = "peers"
@@ -31,9 +31,7 @@
     return ENCODER.encode(snapshot)
 
 
+@decoder("snapshot", STEP)
 def decode(data):
     """Return the snapshot in `data`, or a `Failure` if it is malformed."""
-    try:
-        return DECODER.decode(data)
-    except msgspec.MsgspecError as error:
-        return Failure(Reason.BAD_REQUEST, STEP, detail=str(error))
+    return DECODER.decode(data)
--- a/packages/core/persimmonstall/direct/trials.py
+++ b/packages/core/persimmonstall/direct/trials.py
@@ -2,10 +2,10 @@
 
 import attrs
 
-from ..failures import Failure, Reason
 from . import datagrams
 from .crash_record import RecordKind
 from .datagrams import Kind
+from .decoding import decoder
 
 STEP = "trial"
 
@@ -31,6 +31,7 @@
     return datagrams.encode(Kind.TRIAL_REQUEST, fields)
 
 
+@decoder("trial request", STEP)
 def decode_request(fields):
     """Return the `TrialRequest` in the fields of a datagram, or a `Failure`.
 
@@ -38,11 +39,8 @@
     >>> decode_request(datagrams.decode(encode_request(sent)).fields) == sent
     True
     >>> decode_request(("10.0.0.1:7340", 3, "word", "5a", True)).detail
-    "ValueError: 'word' is not a valid RecordKind"
+    "invalid trial request: ValueError: 'word' is not a valid RecordKind"
     """
-    try:
-        address, number, kind, key, at_once = fields
-        datagrams.check_address(address)
-        return TrialRequest(address, number, RecordKind(kind), str(key), bool(at_once))
-    except (AttributeError, TypeError, ValueError) as error:
-        return Failure(Reason.BAD_REQUEST, STEP, detail=f"{type(error).__name__}: {error}")
+    address, number, kind, key, at_once = fields
+    datagrams.check_address(address)
+    return TrialRequest(address, number, RecordKind(kind), str(key), bool(at_once))
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -12,6 +12,7 @@
 
 from persimmonstall.direct import beacon as beacons
 from persimmonstall.direct import datagrams, findings
+from persimmonstall.direct.addresses import is_address
 from persimmonstall.direct.beacon_pacing import BeaconPacer, heartbeat_interval
 from persimmonstall.direct.datagrams import Kind
 from persimmonstall.direct.strangers import Strangers
@@ -104,9 +105,11 @@
     def add_peer(self, address, first=False):
         """Add a peer that may exist at `address`, or update when it was last named.
 
+        What is no address, such as the key of another writer's row, is ignored.
+
         Of strangers those added `first` are greeted first.
         """
-        if address == self.address:
+        if address == self.address or not is_address(address):
             return
         peer = self.peers.get(address)
         if peer is None:
@@ -250,11 +253,18 @@
             self.urgent_since = None
 
     def on_datagram(self, data):
-        """Process a datagram of another entry."""
-        if datagrams.is_typed(data):
-            self.on_typed_datagram(datagrams.decode(data))
-        else:
-            self.on_beacon(data)
+        """Process a datagram of another entry.
+
+        An error in it is logged: one that is passed on would close the socket for good.
+        """
+        try:
+            if datagrams.is_typed(data):
+                self.on_typed_datagram(datagrams.decode(data))
+            else:
+                self.on_beacon(data)
+        except Exception as error:
+            self.entry.metrics.count("bugs")
+            self.log.error("bug", error=repr(error), exc_info=error)
 
     def on_typed_datagram(self, datagram):
         """Process findings, or pass on a message about permits or trials."""
