Daemons: a loop that meets an unexpected error runs again, and the process does not end

Callers: an error that one update brought about in the loop that follows the directory shut the entry down; since all entries follow the same rows, all of them at once. The same for gossip, registration, crash records, the tick and the settings, and for the followers of the product's own interface. Cause: every background task ended the daemon with its first error, so that none went on with stale state; for a loop that reads what others write that is the worse of the two. Why it works: supervise() logs and counts the error as a bug and runs the loop again after 0.25 s, which reads everything anew; gossip's two halves are one task group, so neither goes on alone.

--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -204,12 +204,12 @@
         await self.peers.start()
         self.memory.start()
         await self.callers.start(self.listener or listen(self.settings.daemon.http))
-        self.spawn(self.directory.follow(self.apply_update, self.readers))
-        self.spawn(self.peers.run())
-        self.spawn(self.peers.registration.run())
-        self.spawn(self.crash_records.run())
-        self.spawn(self.tick())
-        self.spawn(self.watch_settings())
+        self.supervise(lambda: self.directory.follow(self.apply_update, self.readers))
+        self.supervise(self.peers.run)
+        self.supervise(self.peers.registration.run)
+        self.supervise(self.crash_records.run)
+        self.supervise(self.tick)
+        self.supervise(self.watch_settings)
 
     def reload(self):
         """Reload the settings file after a signal."""
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -342,7 +342,9 @@
 
     async def run(self):
         """Exchange beacons, and fetch newer snapshots."""
-        await asyncio.gather(self.beat(), self.snapshots.follow(self.heartbeat_pause))
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.beat())
+            group.create_task(self.snapshots.follow(self.heartbeat_pause))
 
     def heartbeat_pause(self):
         """Return the seconds until the next beacon without a change."""
--- a/packages/daemon/persimmonstall_daemon/roles.py
+++ b/packages/daemon/persimmonstall_daemon/roles.py
@@ -45,7 +45,7 @@
     def start_following(self, control_handlers):
         """Start following the catalogue; peers' messages arrive through `control_handlers`."""
         self.peers.register(self.follower, control_handlers)
-        self.spawn(self.follower.run())
+        self.supervise(self.follower.run)
 
 
 class EntryRole(LinkedRole):
@@ -68,8 +68,8 @@
         )
         self.start_following(self.entry.control_handlers)
         await self.entry.start()
-        self.spawn(self.entry.membership.run())
-        self.spawn(self.entry.tick())
+        self.supervise(self.entry.membership.run)
+        self.supervise(self.entry.tick)
         self.http = HttpServer(self.entry)
         await self.http.start()
         self.admin = AdminServer(self.make_administration())
@@ -82,7 +82,7 @@
         compactor = CatalogueCompactor(
             self.settings, platform.table, platform.objects, self.follower
         )
-        self.spawn(compactor.run())
+        self.supervise(compactor.run)
         view = EntryView(self.entry)
         return Administration(self.settings, self.clock, self.follower, store, view)
 
@@ -125,15 +125,15 @@
         self.membership.subscribe(leaving.update)
         for backend in self.engines():
             backend.memory.listed_instances = self.membership.listed_names
-        self.spawn(leaving.follow(self.follower))
-        self.spawn(self.membership.run())
+        self.supervise(lambda: leaving.follow(self.follower))
+        self.supervise(self.membership.run)
 
     def start_order_reconcilers(self):
         """Start a task for each engine that makes it serve what the catalogue assigns to it."""
         platform = self.platform
         for backend in self.engines():
             reconciler = OrderReconciler(backend, platform.table, platform.weights, self.follower)
-            self.spawn(reconciler.run())
+            self.supervise(reconciler.run)
 
     def engines(self):
         """Return the backends that are model engines."""
--- a/packages/daemon/persimmonstall_daemon/service.py
+++ b/packages/daemon/persimmonstall_daemon/service.py
@@ -12,6 +12,10 @@
 from .observe import logs
 
 LOG = logs.get("daemon")
+
+RESTART_SECONDS = 0.25
+"""Pause after an unexpected error before a supervised loop runs again."""
+
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 HANDLED_SIGNALS = (*STOP_SIGNALS, signal.SIGHUP)
 
@@ -36,18 +40,36 @@
         self.tasks.add(task)
         return task
 
-    def on_task_done(self, task):
-        """Shut down gracefully if a task has ended with an unexpected error.
+    def supervise(self, run):
+        """Run the coroutine function `run` until the daemon stops; return its task.
 
-        Without its follower or its heartbeats, a daemon would continue with stale state.
+        After an unexpected error it is run again.  A loop that follows what others write would
+        otherwise end with one odd item, at all daemons at once, and leave them with stale state.
         """
+        return self.spawn(self.run_again(run))
+
+    async def run_again(self, run):
+        """Await `run()` until it returns; log unexpected errors."""
+        while True:
+            try:
+                return await run()
+            except Exception as error:
+                self.log_bug(error)
+            await asyncio.sleep(RESTART_SECONDS)
+
+    def on_task_done(self, task):
+        """Shut down gracefully if a task has ended with an unexpected error."""
         self.tasks.discard(task)
         if task.cancelled() or task.exception() is None:
             return
-        self.metrics.count("bugs")
-        LOG.error("bug", error=repr(task.exception()), exc_info=task.exception())
+        self.log_bug(task.exception())
         self.begin_drain()
 
+    def log_bug(self, error):
+        """Log and count an unexpected error."""
+        self.metrics.count("bugs")
+        LOG.error("bug", error=repr(error), exc_info=error)
+
     async def start(self):
         """Handle stop signals and start the role."""
         loop = asyncio.get_running_loop()
