Callers: a call whose route or key comes while its body arrives is not sent without its body

Callers: a call that began before a change and ended after it reached the endpoint with an empty body (UNASKED, and for an unsafe call work on nothing). Cause: route and key are looked up when the head has come, so as not to keep bodies that will be refused, and again when the body has; a change in between admitted what had been dropped. Class: one decision taken twice, by two versions. Why it works: both look-ups are compared; the call is answered 503 with a short Retry-After, which is true, since it has not run. A configuration also replaces the one in force only once its routes are built.

--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -150,8 +150,8 @@
         """Apply a newer configuration; an older one is ignored."""
         if self.configuration and configuration.version <= self.configuration.version:
             return False
-        self.configuration = configuration
-        self.routes = RouteTable(configuration)
+        routes = RouteTable(configuration)
+        self.configuration, self.routes = configuration, routes
         self.cold.configure(configuration, self.fleet.endpoints.values(), now)
         self.use_distances(Distances.of(configuration.delays))
         return True
--- a/packages/daemon/persimmonstall_daemon/direct/callers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/callers.py
@@ -25,6 +25,9 @@
 
 SHUTDOWN_SECONDS = 0.1
 
+ADMITTED_RETRY_SECONDS = 0.05
+"""`Retry-After` of a call that is served if it is sent again now."""
+
 
 @attrs.frozen
 class RequestHead:
@@ -111,6 +114,12 @@
             transport.abort()
 
 
+def admitted_late():
+    """Return the failure of a call that a new configuration admits after its body was dropped."""
+    detail = "the configuration admits the call only since its body arrived"
+    return Postponed(Reason.NO_ENDPOINT, STEP, "", detail, ADMITTED_RETRY_SECONDS)
+
+
 def set_headers(response, headers):
     """Set the headers of a response; aiohttp itself adds only those for framing."""
     response.headers.clear()
@@ -239,9 +248,12 @@
         connection = request.protocol
         if not await connection.accept(request.message):
             return no_room(self.entry, "a call")
-        return await BodyReader(self.entry, request, self.limits).read(
-            self.is_served(call, connection)
-        )
+        served = self.is_served(call, connection)
+        reader = BodyReader(self.entry, request, self.limits)
+        body = await reader.read(served)
+        if body == b"" and reader.size and not served and self.is_served(call, connection):
+            return admitted_late()
+        return body
 
     def is_served(self, call, connection):
         """Return whether a call may be served, as far as its head tells.
