Directory: a long poll is given up in time for the change that it missed

Callers: refused with 404 or 401 as an older version says, up to 3.4 s after a change was confirmed, where it has to be in force after 2 s (CONFIG), and calls to an endpoint that leaves (DRAIN). Cause: with fewer than 13 entries a poll lasted 2.5 s and was given up 0.8 s later, whatever the bound. A connection that dies in silence, or whose answer is lost, is noticed only then; peers do not help if theirs died with it, and all polls begin together, at the last change. Class: a time of its own where the bound has to be in the sum. The bound of leaving endpoints, drain_ms, counts too. The older tests of few readers stand as they were; their stand-in's copy of the loop went.

--- a/packages/core/persimmonstall/direct/readers.py
+++ b/packages/core/persimmonstall/direct/readers.py
@@ -15,6 +15,7 @@
 import attrs
 
 from ..membership import rendezvous
+from ..outside.direct import PollTimes
 
 MIN_MEMBERS = 13
 """Number of entries from which a few read for all."""
@@ -32,7 +33,29 @@
 """Share of the time in which a change has to apply after which an entry reads by itself."""
 
 POLL_SHARE = 0.25
-"""Share of that time for which a reader waits for a change in one call."""
+FEW_POLL_SHARE = 0.4
+"""Share of that time for which an entry waits for a change in one call, where few read for all and
+where all read."""
+
+ANSWER_SHARE = 0.2
+"""Share of that time in which an answer comes after the wait, unless its connection has died."""
+
+CATCH_UP_SHARE = 0.25
+"""Share of that time in which a call without a wait is answered that repeats a failed one; the
+next ones may take twice as long each."""
+
+MAX_POLL_SECONDS = 2.5
+MAX_ANSWER_SECONDS = 2.0
+"""Longest wait for a change in one call, and longest time for an answer after it."""
+
+RETRY_SHARE = 0.075
+MAX_RETRY_SHARE = 0.3
+OUTDATED_RETRY_SHARE = 0.6
+"""Share of that time for which an entry pauses after a second failed call, and after many of them:
+as a reader, and as one that was not chosen to read."""
+
+MAX_DOUBLINGS = 8
+"""Number of failed calls after which times are not doubled any more."""
 
 BEHIND_SHARE = 0.3
 """Share of that time for which an entry may know of news without getting them from a peer."""
@@ -106,10 +129,37 @@
         """Age in seconds of what an entry is told from which it reads by itself."""
         return AGE_SHARE * self.apply_seconds
 
-    @property
-    def poll_seconds(self):
-        """Time in seconds for which a reader waits for a change in one call."""
-        return POLL_SHARE * self.apply_seconds
+    def poll_times(self, shared, failures):
+        """Return the `PollTimes` of the next call, after `failures` failed ones.
+
+        After a failure nothing is awaited: what came meanwhile is due already.
+
+        >>> ReaderRule("10.0.0.1:80", 2.0).poll_times(False, 0)
+        PollTimes(wait=0.8, answer=0.4)
+        >>> ReaderRule("10.0.0.1:80", 2.0).poll_times(False, 2)
+        PollTimes(wait=0.0, answer=1.0)
+        """
+        if failures:
+            answer = CATCH_UP_SHARE * self.apply_seconds * 2 ** min(failures - 1, MAX_DOUBLINGS)
+            return PollTimes(0.0, min(MAX_ANSWER_SECONDS, answer))
+        wait = (POLL_SHARE if shared else FEW_POLL_SHARE) * self.apply_seconds
+        answer = ANSWER_SHARE * self.apply_seconds
+        return PollTimes(min(MAX_POLL_SECONDS, wait), min(MAX_ANSWER_SECONDS, answer))
+
+    def retry_seconds(self, chosen, failures):
+        """Return the pause in seconds after `failures` failed calls, none after the first.
+
+        An entry that was not `chosen` to read hears from the readers once they get answers.
+
+        >>> rule = ReaderRule("10.0.0.1:80", 2.0)
+        >>> [round(rule.retry_seconds(True, failures), 2) for failures in (1, 2, 3, 9)]
+        [0.0, 0.15, 0.3, 0.6]
+        """
+        if failures <= 1:
+            return 0.0
+        longest = MAX_RETRY_SHARE if chosen else OUTDATED_RETRY_SHARE
+        share = RETRY_SHARE * 2 ** min(failures - 2, MAX_DOUBLINGS)
+        return min(share, longest) * self.apply_seconds
 
     @property
     def review_seconds(self):
--- a/packages/core/persimmonstall/outside/direct.py
+++ b/packages/core/persimmonstall/outside/direct.py
@@ -2,6 +2,46 @@
 
 import abc
 
+import attrs
+
+
+@attrs.frozen
+class Rows:
+    """Rows of a table as of `revision`; `position` is its place in the order of all writes.
+
+    The store comes back from an old copy with a higher `era`.  `history_gone` says that it no
+    longer has the changes since the requested revision.
+    """
+
+    rows: tuple
+    revision: int
+    position: int = 0
+    era: int = 0
+    history_gone: bool = False
+
+
+@attrs.frozen
+class PollTimes:
+    """Times in seconds of a call that awaits a change.
+
+    The store answers after `wait` if there is no change; its answer may take `answer` more.
+    """
+
+    wait: float
+    answer: float
+
+
+class TableStore(abc.ABC):
+    """Tables of rows that many write; a call may get no answer, also after it was received."""
+
+    @abc.abstractmethod
+    async def read(self, table):
+        """Return all `Rows` of a table, or a `Failure`."""
+
+    @abc.abstractmethod
+    async def changes(self, table, revision, times):
+        """Return the `Rows` changed after a revision within the `PollTimes`, or a `Failure`."""
+
 
 class Directory(abc.ABC):
     """The store to which operators write the configuration and endpoints register.
--- a/packages/core/persimmonstall/settings/schema.py
+++ b/packages/core/persimmonstall/settings/schema.py
@@ -279,6 +279,13 @@
         "ms",
         low=0,
     )
+    drain_ms: int = option(
+        0,
+        "Time after which nothing is sent to an endpoint that leaves; 0 for that of the"
+        " configuration.",
+        "ms",
+        low=0,
+    )
     unused_memory_ms: int = option(
         4000, "Time for which reserved engine memory may remain unused.", "ms", low=100
     )
--- a/packages/daemon/persimmonstall_daemon/direct/crash_records.py
+++ b/packages/daemon/persimmonstall_daemon/direct/crash_records.py
@@ -30,7 +30,9 @@
 
     async def run(self):
         """Read the records, then save changes until cancelled."""
-        await asyncio.gather(*(table.run() for table in self.tables))
+        async with asyncio.TaskGroup() as group:
+            for table in self.tables:
+                group.create_task(table.run())
 
     @property
     def loaded(self):
--- a/packages/daemon/persimmonstall_daemon/direct/directory_readers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/directory_readers.py
@@ -6,9 +6,6 @@
 
 from ..observe import logs
 
-OUTDATED_RETRY_SECONDS = 1.2
-"""Longest pause after failed calls of an entry that was not chosen to read."""
-
 MS_PER_SECOND = 1000.0
 
 
@@ -26,8 +23,8 @@
     def rule(self):
         """The rule, by the current settings."""
         options = self.entry.settings.direct
-        bounds = (options.configuration_ms, options.evacuation_ms or options.configuration_ms)
-        return ReaderRule(self.peers.address, min(bounds) / MS_PER_SECOND)
+        bounds = (options.configuration_ms, options.evacuation_ms, options.drain_ms)
+        return ReaderRule(self.peers.address, min(filter(None, bounds)) / MS_PER_SECOND)
 
     @property
     def told(self):
@@ -65,16 +62,13 @@
             await asyncio.sleep(self.entry.clock.jitter(self.rule.review_seconds))
             self.review()
 
-    def poll_seconds(self, longest):
-        """Return the seconds for which a call waits for a change, at most `longest`."""
-        return min(longest, self.rule.poll_seconds) if self.reason.shared else longest
-
-    def retry_seconds(self, longest):
-        """Return the longest pause in seconds after calls that failed, `longest` for a reader.
+    def poll_times(self, failures):
+        """Return the `PollTimes` of the next call, after `failures` failed ones."""
+        return self.rule.poll_times(self.reason.shared, failures)
 
-        An entry that reads since it is told nothing hears from the readers once they get answers.
-        """
-        return OUTDATED_RETRY_SECONDS if self.reason is ReadReason.OUTDATED else longest
+    def retry_seconds(self, failures):
+        """Return the pause in seconds after `failures` failed calls."""
+        return self.rule.retry_seconds(self.reason is not ReadReason.OUTDATED, failures)
 
     async def gather(self):
         """Pause after changes, so that the next call returns several of them."""
--- a/packages/daemon/tests/test_direct_directory_readers.py
+++ b/packages/daemon/tests/test_direct_directory_readers.py
@@ -13,9 +13,11 @@
     EndpointUpdate,
     EvacuationChange,
     EvacuationUpdate,
-    ReachabilityUpdate,
 )
+from persimmonstall.failures import Failure, Reason
+from persimmonstall.outside.direct import PollTimes, Rows, TableStore
 from persimmonstall_daemon.direct.entry import DIRECTORY_SOURCE
+from persimmonstall_daemon.direct.table_follower import TableFollower
 from persimmonstall_standins.virtual import loop as virtual_loop
 
 from .direct_fleet import GossipFleet
@@ -24,14 +26,14 @@
 """Time in which a change has to apply, the default of `configuration_ms`."""
 
 SETTLE_SECONDS = 4.0
-LONG_POLL_SECONDS = 2.5
 LOSS = 0.05
 
 
 class VersionedDirectory:
     """A directory with a configuration, an endpoint and an evacuation, all of the same version.
 
-    It does not answer entries in `turned_away`, and nobody while it is `down`.
+    It does not answer entries in `turned_away`, and nobody while it is `down`.  Calls that were
+    open when it fell silent for the last of `silences` times are never answered.
     """
 
     def __init__(self):
@@ -39,6 +41,7 @@
         self.calls = 0
         self.turned_away = set()
         self.down = False
+        self.silences = 0
         self.changed = asyncio.Event()
 
     def change(self):
@@ -47,31 +50,49 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def silence_open_calls(self):
+        """Let the connections of all open calls fall silent for good."""
+        self.silences += 1
+
     def answers(self, address):
         """Return whether it answers an entry."""
         return not self.down and address not in self.turned_away
 
     async def follow(self, entry):
-        """Read for an entry when it is its turn."""
-        address, version = entry.settings.daemon.address, 0
-        while True:
-            await entry.readers.wait_for_turn()
-            self.calls += 1
-            if not self.answers(address):
-                entry.apply_update(ReachabilityUpdate(False), "directory")
-                await asyncio.sleep(entry.readers.retry_seconds(0.6))
-                continue
-            if version == self.version:
-                wait = entry.readers.poll_seconds(LONG_POLL_SECONDS)
-                await asyncio.wait([asyncio.ensure_future(self.changed.wait())], timeout=wait)
-            if not self.answers(address):
-                continue
-            entry.apply_update(ReachabilityUpdate(True), "directory")
-            if version < self.version:
-                version = self.version
-                for update in updates(version):
-                    entry.apply_update(update, "directory")
-                await entry.readers.gather()
+        """Follow it for an entry."""
+        port = DirectoryPort(self, entry.settings.daemon.address)
+        follower = TableFollower(
+            "all", port, entry.clock, entry.readers, decode, entry.apply_update
+        )
+        await follower.run()
+
+
+class DirectoryPort(TableStore):
+    """The directory as the entry at `address` reaches it."""
+
+    def __init__(self, directory, address):
+        self.directory = directory
+        self.address = address
+
+    async def read(self, table):
+        """Return the newest version."""
+        return await self.changes(table, 0, PollTimes(0.0, 1.0))
+
+    async def changes(self, _table, revision, times):
+        """Return the newest version, once it is newer than `revision` or the wait is over."""
+        directory = self.directory
+        directory.calls += 1
+        silences = directory.silences
+        if directory.answers(self.address) and revision == directory.version:
+            changed = asyncio.ensure_future(directory.changed.wait())
+            await asyncio.wait([changed], timeout=times.wait)
+            if silences != directory.silences:
+                await asyncio.sleep(times.wait + times.answer)
+                return Failure(Reason.STORE_DOWN, "store")
+        if not directory.answers(self.address):
+            return Failure(Reason.STORE_DOWN, "store")
+        version = directory.version
+        return Rows((version,) if version > revision else (), version, version)
 
 
 class FullLinkPacer(BeaconPacer):
@@ -87,8 +108,9 @@
     return f"dc{version}"
 
 
-def updates(version):
+def decode(rows, _whole, _restored):
     """Return the updates of a version."""
+    version = rows.revision
     endpoint = Endpoint("e", "llm", "10.0.0.9:80", born=version, slots=8)
     return (
         EvacuationUpdate((EvacuationChange(data_centre(version), True),), version, whole=True),
@@ -97,12 +119,12 @@
     )
 
 
-def connect(fleet, directory):
-    """Let the entries of a fleet follow a directory and fetch from each other."""
+def connect(fleet, directory, addresses):
+    """Let entries of a fleet follow a directory and fetch from each other; return the tasks."""
     tasks = []
-    for entry in fleet.entries.values():
+    for entry in [fleet.entries[address] for address in addresses]:
 
-        def apply_update(update, source="", entry=entry):
+        def apply_update(update, source=DIRECTORY_SOURCE, entry=entry):
             changed = entry.state.apply_update(update, entry.now())
             if changed and isinstance(update, EvacuationUpdate):
                 entry.evacuations.record_change(source)
@@ -121,9 +143,9 @@
                 return False
             version, revision = entry.state.versions()
             if other.state.configuration.version > version:
-                apply_update(ConfigurationUpdate(other.state.configuration))
+                apply_update(ConfigurationUpdate(other.state.configuration), peer.address)
             if other.state.fleet.revision > revision:
-                apply_update(other.peers.snapshots.endpoints_since(revision))
+                apply_update(other.peers.snapshots.endpoints_since(revision), peer.address)
             return True
 
         entry.apply_update = apply_update
@@ -139,10 +161,10 @@
         fleet = GossipFleet(count, random.Random(seed), LOSS)
         fleet.lost_fetches = 0.0
         directory = VersionedDirectory()
-        tasks = connect(fleet, directory)
+        fleet.tasks_of_directory = connect(fleet, directory, fleet.addresses)
         await asyncio.sleep(SETTLE_SECONDS)
         result = await scenario(fleet, directory)
-        for task in tasks:
+        for task in fleet.tasks_of_directory:
             task.cancel()
         fleet.stop()
         return result
@@ -165,6 +187,7 @@
     return [address for address, entry in fleet.entries.items() if not entry.readers.told]
 
 
+CROSSING_SEEDS = [1, 2, *(pytest.param(seed, marks=pytest.mark.soak) for seed in range(3, 9))]
 FLEETS = [2, 18, 68, pytest.param(300, marks=pytest.mark.soak)]
 
 
@@ -178,6 +201,49 @@
     assert play(count, scenario) == 1.0
 
 
+@pytest.mark.parametrize("count", [1, 2, 8, 12, 13, 14, 20, 40])
+@pytest.mark.parametrize("silent_before", [0.0, 0.3, 0.7, 1.3])
+def test_change_reaches_all_entries_in_time_when_every_open_call_fell_silent(count, silent_before):
+    """With fewer than 13 entries a silent call was given up after 3.3 s."""
+
+    async def scenario(fleet, directory):
+        directory.change()
+        await asyncio.sleep(0.2)
+        directory.silence_open_calls()
+        await asyncio.sleep(silent_before)
+        directory.change()
+        await asyncio.sleep(APPLY_SECONDS)
+        return informed_share(fleet, directory)
+
+    assert play(count, scenario) == 1.0
+
+
+@pytest.mark.parametrize("seed", CROSSING_SEEDS)
+def test_change_reaches_all_entries_in_time_while_their_number_crosses_that_of_few_readers(seed):
+    async def scenario(fleet, directory):
+        late = fleet.addresses[11:]
+        for address in late:
+            fleet.kill(address)
+        await asyncio.sleep(5.0)
+        shares = []
+        for address in late:
+            fleet.start(address)
+            fleet.tasks_of_directory += connect(fleet, directory, [address])
+            await asyncio.sleep(fleet.numbers.uniform(0.0, 1.0))
+            directory.silence_open_calls()
+            directory.change()
+            await asyncio.sleep(APPLY_SECONDS)
+            shares.append(informed_share(fleet, directory))
+        for address in late:
+            fleet.kill(address)
+            directory.change()
+            await asyncio.sleep(APPLY_SECONDS)
+            shares.append(informed_share(fleet, directory))
+        return shares
+
+    assert set(play(14, scenario, seed)) == {1.0}
+
+
 @pytest.mark.parametrize("count", [18, 68])
 def test_calls_to_the_directory_do_not_grow_with_the_number_of_entries(count):
     """Each entry read by itself: 13,001 calls of 68 entries on a quiet day."""
