--- a/packages/daemon/persimmonstall_daemon/direct/snapshots.py
+++ b/packages/daemon/persimmonstall_daemon/direct/snapshots.py
@@ -75,20 +75,25 @@
     def newer_peer(self):
         """Return a random peer with newer data, one with a fast link, or None if there is none.
 
-        Peers that did not send it are asked again once no others have it.
+        One that has the newest configuration is preferred.  Peers that did not send what they have
+        are asked again once no others have it.
         """
-        state = self.entry.state
-        newer = [
-            peer
-            for peer in self.peers.active()
-            if state.lacks(peer.configuration, peer.endpoints, peer.endpoints_digest)
-        ]
+        newer = [peer for peer in self.peers.active() if self.lacks(peer)]
         if not newer:
             return None
         newer = [peer for peer in newer if peer.address not in self.failed_peers] or newer
+        version, _ = self.entry.state.versions()
+        newest = max(peer.configuration for peer in newer)
+        if newest > version:
+            newer = [peer for peer in newer if peer.configuration == newest]
         needed = FAST_LINK_SHARE * max(peer.link for peer in newer)
         return self.entry.clock.random.choice([peer for peer in newer if peer.link >= needed])
 
+    def lacks(self, peer):
+        """Return whether a peer has data that this entry lacks."""
+        state = self.entry.state
+        return state.lacks(peer.configuration, peer.endpoints, peer.endpoints_digest)
+
     def wake(self):
         """Note that a peer has newer data."""
         self.news.set()
@@ -127,22 +132,21 @@
         return DIRECTORY_DELAY_SECONDS if directory_answers else CATCH_UP_DELAY_SECONDS
 
     async def catch_up(self):
-        """Fetch the snapshot of a peer that has had newer data for a while."""
+        """Fetch the snapshot of a peer that has had newer data for a while.
+
+        What was fetched may not be all that others have, and then there is no new wait.
+        """
         now = self.entry.now()
         peer = self.newer_peer()
-        if peer is None:
-            self.behind_since = None
-            self.failed_peers.clear()
-            return
-        if self.behind_since is None:
+        if peer is not None and self.behind_since is None:
             self.behind_since = now
-        if now - self.behind_since < self.catch_up_delay():
-            return
-        if await self.fetch(peer):
+        if peer is not None and now - self.behind_since >= self.catch_up_delay():
+            if not await self.fetch(peer) or self.lacks(peer):
+                self.failed_peers.add(peer.address)
+            peer = self.newer_peer()
+        if peer is None:
             self.behind_since = None
             self.failed_peers.clear()
-        else:
-            self.failed_peers.add(peer.address)
 
     async def fetch(self, peer):
         """Fetch and apply what is newer in a peer's snapshot; return whether that succeeded."""
--- a/packages/daemon/tests/test_direct_directory_readers.py
+++ b/packages/daemon/tests/test_direct_directory_readers.py
@@ -13,6 +13,7 @@
     EndpointUpdate,
     EvacuationChange,
     EvacuationUpdate,
+    ReachabilityUpdate,
 )
 from persimmonstall.failures import Failure, Reason
 from persimmonstall.outside.direct import PollTimes, Rows, TableStore
@@ -111,14 +112,19 @@
 def decode(rows, _whole, _restored):
     """Return the updates of a version."""
     version = rows.revision
-    endpoint = Endpoint("e", "llm", "10.0.0.9:80", born=version, slots=8)
     return (
         EvacuationUpdate((EvacuationChange(data_centre(version), True),), version, whole=True),
         ConfigurationUpdate(Configuration(version, (), {})),
-        EndpointUpdate((EndpointChange("e", endpoint),), version, whole=True),
+        endpoint_update(version),
     )
 
 
+def endpoint_update(version):
+    """Return a list with one endpoint, which has just started again."""
+    endpoint = Endpoint("e", "llm", "10.0.0.9:80", born=version, slots=8)
+    return EndpointUpdate((EndpointChange("e", endpoint),), version, whole=True)
+
+
 def connect(fleet, directory, addresses):
     """Let entries of a fleet follow a directory and fetch from each other; return the tasks."""
     tasks = []
@@ -244,6 +250,35 @@
     assert set(play(14, scenario, seed)) == {1.0}
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_configuration_is_fetched_from_a_peer_that_has_it_while_endpoints_change(seed):
+    """It was fetched from a peer that only had newer endpoints, and the wait began anew."""
+
+    async def scenario(fleet, directory):
+        late, holder, *others = fleet.entries.values()
+        directory.turned_away.update(fleet.addresses)
+        late.state.unreachable_since = None
+        late.apply_update(ReachabilityUpdate(True), "directory")
+        holder.apply_update(ConfigurationUpdate(Configuration(9, (), {})), "directory")
+        for entry in others:
+            entry.peers.snapshots.fetch = never_fetched
+        started = late.now()
+        revision = 100
+        while late.state.configuration.version < 9 and late.now() < started + 5.0:
+            revision += 1
+            for entry in others:
+                entry.apply_update(endpoint_update(revision), "directory")
+            await asyncio.sleep(0.1)
+        return late.now() - started
+
+    assert play(8, scenario, seed) <= 1.0
+
+
+async def never_fetched(_peer):
+    """Fetch nothing."""
+    return False
+
+
 @pytest.mark.parametrize("count", [18, 68])
 def test_calls_to_the_directory_do_not_grow_with_the_number_of_entries(count):
     """Each entry read by itself: 13,001 calls of 68 entries on a quiet day."""
