Callers: one that leaves while its connection is not read is noticed

Endpoints worked on after the caller had left (GONE): a caller that had sent ahead, many calls or a large one, had closed its connection, and the call in progress went on to its own timeout. Cause: a connection on which reading is paused, for the bodies or calls that wait, does not see its end. Class: flow control of one kind of event holds back another. Evidence: test_endpoint_hears_that_a_caller_left_that_had_sent_ahead, many and large failed with an entry on the test's loop and with one of its own process (4 of 6); all pass. Why it works: such connections, and only these, are asked at each tick whether the other side has shut down (poll, POLLRDHUP), and are then closed, which ends the call.

--- a/packages/daemon/persimmonstall_daemon/direct/connection.py
+++ b/packages/daemon/persimmonstall_daemon/direct/connection.py
@@ -204,9 +204,15 @@
         if self._reading_paused:
             super().resume_reading(resume_parser)
 
+    def _pause_transport_reading(self):
+        """Read no more; whether the caller has left is then found out in another way."""
+        super()._pause_transport_reading()
+        self.memory.departed.add(self)
+
     def _resume_transport_reading(self):
         """Resume reading as aiohttp asks for, but not before the pace allows it."""
         if not self.paced:
+            self.memory.departed.discard(self)
             super()._resume_transport_reading()
 
     def account(self, piece):
@@ -389,6 +395,7 @@
     def connection_lost(self, exc):
         """Cancel the timeout of a connection that has closed, and the call in progress."""
         self.lost_at = asyncio.get_running_loop().time()
+        self.memory.departed.discard(self)
         self.cancel_timeout()
         if self.holder is not None:
             self.memory.close(self.holder)
--- a/packages/daemon/persimmonstall_daemon/direct/entry_memory.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry_memory.py
@@ -8,6 +8,7 @@
 from persimmonstall.direct.pacing import Pacer
 
 from ..observe import logs
+from .departed_callers import DepartedCallers
 
 LOG = logs.get("memory")
 STEP = "memory"
@@ -64,6 +65,7 @@
 class EntryMemory:
     """The budget of bytes of an entry, and the connections that hold them.
 
+    `departed` finds callers that left while they are not read, as they hold too much.
     `counts` are the numbers of connections, by whether they are essential.  `own` is what the
     process takes by itself, `unfilled` the bytes that are reserved and have not arrived.  Without
     a memory in the settings, everything is granted.
@@ -73,6 +75,7 @@
         self.entry = entry
         self.budget = ByteBudget()
         self.pacer = Pacer()
+        self.departed = DepartedCallers()
         self.connections = {}
         self.counts = {True: 0, False: 0}
         self.granted = {}
@@ -118,6 +121,7 @@
 
     def tick(self):
         """Measure if it is due, and let holders give way if the budget has shrunk."""
+        self.departed.review()
         if not self.limited:
             return
         busy = self.budget.total > BUSY_SHARE * self.budget.capacity
