--- a/packages/daemon/persimmonstall_daemon/bounded_http.py
+++ b/packages/daemon/persimmonstall_daemon/bounded_http.py
@@ -25,6 +25,9 @@
 READ_BUFFER_BYTES = 65_536
 """Size of the read buffer of a connection; twice as much is read ahead of the reader."""
 
+MAX_ERROR_CHARACTERS = 300
+"""Longest text of an error that is logged; some quote the head of an answer."""
+
 RESET_LINGER = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which a close resets the connection."""
 
@@ -51,7 +54,7 @@
     except aiohttp.ClientConnectorError:
         raise
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise ConnectionBroken(repr(error)) from error
+        raise ConnectionBroken(describe(error)) from error
 
 
 class BoundedResponseHandler(ResponseHandler):
@@ -116,7 +119,9 @@
         self.received += len(data)
         super().data_received(data)
         if self._exception is not None and not self.rejected:
-            self.fail_body(aiohttp.ClientPayloadError(f"malformed body: {self._exception!r}"))
+            self.fail_body(
+                aiohttp.ClientPayloadError(f"malformed body: {describe(self._exception)}")
+            )
             return
         if self.rejected or self._reading_paused:
             # While reading is paused, bytes of the body may wait in the parser.
@@ -172,6 +177,15 @@
         return ":".join(map(str, address[:2])) if address else ""
 
 
+def describe(error):
+    """Return the text of an error for a log line.
+
+    >>> describe(ValueError("x" * 400)).count("x")
+    288
+    """
+    return repr(error)[:MAX_ERROR_CHARACTERS]
+
+
 def reset_on_close(transport):
     """Let the close of a connection reset it, so that bytes in the socket are not sent first."""
     sock = transport.get_extra_info("socket")
--- a/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -15,7 +15,13 @@
 from persimmonstall.direct.messages import ResponseHead
 from persimmonstall.failures import Failure, Reason
 
-from ..bounded_http import AnswerRejected, BoundedConnector, ConnectionBroken, open_session
+from ..bounded_http import (
+    AnswerRejected,
+    BoundedConnector,
+    ConnectionBroken,
+    describe,
+    open_session,
+)
 from ..exact_headers import to_text, write_requests_exactly
 from .connecting import (
     CATCH_UP_SECONDS,
@@ -115,7 +121,7 @@
         except AnswerRejected as error:
             return Failure(Reason.ENDPOINT_ERROR, STEP, detail=str(error))
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            return answer_lost(self.head, repr(error))
+            return answer_lost(self.head, describe(error))
         return data
 
     async def read_chunk(self, timeout):
@@ -202,13 +208,15 @@
                 on_sent=on_sent,
             )
         except aiohttp.ConnectionTimeoutError as error:
-            return Failure(Reason.ENDPOINT_LOST, STEP, peer, f"{NOT_CONNECTED_IN_TIME}: {error!r}")
+            return Failure(
+                Reason.ENDPOINT_LOST, STEP, peer, f"{NOT_CONNECTED_IN_TIME}: {describe(error)}"
+            )
         except aiohttp.ClientConnectorError as error:
-            return Failure(Reason.ENDPOINT_LOST, STEP, peer, f"{NOT_CONNECTED}: {error!r}")
+            return Failure(Reason.ENDPOINT_LOST, STEP, peer, f"{NOT_CONNECTED}: {describe(error)}")
         except AnswerRejected as error:
             return Failure(Reason.ENDPOINT_ERROR, STEP, peer, str(error))
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
-            return Failure(Reason.ENDPOINT_LOST, STEP, peer, repr(error))
+            return Failure(Reason.ENDPOINT_LOST, STEP, peer, describe(error))
         if has_control_character(response.raw_headers):
             response.close()
             detail = f"status {response.status}: a header has a control character"
--- a/packages/daemon/persimmonstall_daemon/direct/snapshots.py
+++ b/packages/daemon/persimmonstall_daemon/direct/snapshots.py
@@ -11,7 +11,7 @@
 from persimmonstall.direct.updates import ConfigurationUpdate, EndpointChange, EndpointUpdate
 from persimmonstall.failures import Failure
 
-from ..bounded_http import open_session, read_body
+from ..bounded_http import describe, open_session, read_body
 from ..observe import logs
 from .http_server import ShortRequestServer
 
@@ -160,7 +160,7 @@
             ) as response:
                 data = await read_body(response, MAX_SNAPSHOT_BYTES)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            self.log.warning("snapshot_failed", peer=peer.address, reason=repr(error))
+            self.log.warning("snapshot_failed", peer=peer.address, reason=describe(error))
             return False
         self.entry.metrics.count("direct_snapshot_bytes", len(data), tag="received")
         snapshot = snapshots.decode(data)
