--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -7,10 +7,11 @@
 from persimmonstall.direct.events import EventReader
 from persimmonstall.direct.messages import ResponseKind
 from persimmonstall.direct.notices import NOTHING, Notice
-from persimmonstall.direct.retrying import AttemptOutcome, is_last_run
+from persimmonstall.direct.retrying import AttemptOutcome
 from persimmonstall.failures import Failure, Reason
 
 from .attempt_result import AttemptResult
+from .attempt_timeouts import AttemptTimeouts
 from .connecting import wait_past_suspension
 from .endpoint_client import NOT_CONNECTED_IN_TIME, never_connected
 from .held_body import BodyBuffer
@@ -18,23 +19,10 @@
 
 STEP = "relay"
 
-FIRST_EVENT_FACTOR = 2.0
-MIN_FIRST_EVENT_SECONDS = 1.2
-"""Timeout of the first event: a multiple of the objective, and a minimum in seconds."""
-
-FIRST_ANSWER_FACTOR = 0.6
-LAST_ANSWER_FACTOR = 2.5
-"""Timeouts of a non-streamed answer, as multiples of the objective: of an attempt that
-another one may follow, and of the last attempt."""
-
 MIN_LISTENING_SECONDS = 0.1
 """Time after its sending for which an attempt that has ended waits for the head of its answer: an
 endpoint that refuses a call does so at once, and may ask for a pause."""
 
-GAP_FACTOR = 2.5
-MIN_GAP_SECONDS = 1.2
-"""Timeout between events: a multiple of the gap objective, and a minimum in seconds."""
-
 
 class Attempt:
     """Runs a routed call at the endpoint in `placed`; `history` records the earlier attempts."""
@@ -51,6 +39,7 @@
         self.batches_relayed = 0
         self.dropped = False
         self.watch = SilenceWatch(self)
+        self.timeouts = AttemptTimeouts(self)
 
     @property
     def endpoint(self):
@@ -118,7 +107,7 @@
         try:
             answer = await self.watch.receive(
                 lambda timeout: wait_past_suspension(asyncio.shield(sending), timeout),
-                self.initial_timeout(),
+                self.timeouts.initial(),
             )
         finally:
             await self.end_sending(sending)
@@ -167,44 +156,6 @@
             self.entry.notices.record_answer(self.endpoint, answer.head)
         return answer
 
-    def initial_timeout(self):
-        """Return the timeout in seconds of the first event, or of a non-streamed answer.
-
-        Only calls that may be repeated time out before their deadline, and of streams that the
-        caller has a part of only those that may go on at another endpoint.  A non-streamed call
-        times out early while another endpoint can still answer within the objective.
-        """
-        route = self.routed.route
-        remaining = self.watch.longest_wait()
-        last = is_last_run(self.routed, self.history)
-        if not route.repeatable or (last and self.history.response_started):
-            return remaining
-        if route.streaming:
-            timeout = max(MIN_FIRST_EVENT_SECONDS, FIRST_EVENT_FACTOR * route.objective)
-            return min(remaining, timeout + self.placed.predicted_first_event)
-        factor = LAST_ANSWER_FACTOR if last else FIRST_ANSWER_FACTOR
-        return min(remaining, factor * route.objective)
-
-    def read_timeout(self):
-        """Return the timeout of the next event.
-
-        Only a stream that another endpoint may resume times out before its deadline.
-        """
-        remaining = self.watch.longest_wait()
-        if not self.routed.route.resumable or is_last_run(self.routed, self.history):
-            return remaining
-        return min(remaining, max(MIN_GAP_SECONDS, GAP_FACTOR * self.routed.route.gap_objective))
-
-    def answer_timeout(self):
-        """Return the timeout of a non-streamed answer whose head has arrived.
-
-        It leaves time for another attempt, if one may follow.
-        """
-        remaining = self.watch.longest_wait()
-        if not self.routed.route.repeatable or is_last_run(self.routed, self.history):
-            return remaining
-        return min(remaining, LAST_ANSWER_FACTOR * self.routed.route.objective)
-
     def unanswered_result(self, failure):
         """Return the result of an attempt that failed before the head of an answer arrived."""
         if never_connected(failure):
@@ -304,7 +255,7 @@
 
     async def read_answer(self, body):
         """Read the answer into `body`; return the `AttemptResult` if that fails, or None."""
-        timeout = self.answer_timeout()
+        timeout = self.timeouts.rest_of_answer()
         size = self.answer.announced_bytes
         while size <= body.limit:
             data = await self.watch.receive(self.answer.read, timeout)
@@ -321,7 +272,7 @@
     async def relay_events(self):
         """Relay complete events as they arrive."""
         reader = EventReader(last=self.history.last_event)
-        timeout = self.initial_timeout()
+        timeout = self.timeouts.initial()
         while True:
             data = await self.watch.receive(self.answer.read, timeout)
             if isinstance(data, Failure) or self.dropped:
@@ -341,7 +292,7 @@
                 await self.forward_events(complete_events, reader)
                 if advanced or not self.routed.route.resumable:
                     self.watch.restart()
-                    timeout = self.read_timeout()
+                    timeout = self.timeouts.next_event()
         if reader.partial or not self.history.response_started:
             return self.failed_result(
                 AttemptOutcome.BROKEN,
--- a/packages/daemon/persimmonstall_daemon/direct/connection.py
+++ b/packages/daemon/persimmonstall_daemon/direct/connection.py
@@ -3,13 +3,14 @@
 import asyncio
 import collections
 
-import attrs
 from aiohttp import web
 
 from persimmonstall.direct.byte_budget import Phase
 
 from ..observe import logs
+from .arriving_bytes import HeadInProgress, head_bytes, waiting_bytes
 from .entry_memory import EXCHANGE_BYTES
+from .parser_limits import HEADER_LIMIT_FACTOR, MAX_HEADER_BYTES, parser_options
 
 LOG = logs.get("callers")
 STEP = "read"
@@ -23,22 +24,6 @@
 PARSED_BYTES = 16_384
 """Bytes that are parsed at once, between which the memory is checked."""
 
-FIELD_BYTES = 512
-"""Estimated memory of a header field beyond its characters."""
-
-CHUNK_BYTES = 64
-"""Estimated memory of a piece of a body beyond its bytes."""
-
-HEADER_LIMIT_FACTOR = 4
-"""Multiple of the allowed header size that is parsed, so that headers above the limit are refused
-by the entry and not by the parser."""
-
-MIN_FIELD_BYTES = 4
-"""Size of the shortest header field: a name, a colon and the end of its line."""
-
-MAX_HEADER_BYTES = 65_536
-"""Largest head if the configuration has no limit."""
-
 FRAMING_BYTES = 65_536
 FRAMING_FACTOR = 16
 """Most bytes of chunk sizes and trailers: a constant, and a multiple of the body."""
@@ -56,40 +41,6 @@
 FIELD_SECONDS = 5e-6
 """Fields of a head from which its calls are served at a bounded pace, and their time each."""
 
-READ_BUFFER_BYTES = 65_536
-"""Size of the read buffer of a connection; twice as much is read ahead of the reader."""
-
-
-def parser_options(limits):
-    """Return the options of aiohttp with which heads of the allowed size are parsed."""
-    allowed = limits.header_bytes or MAX_HEADER_BYTES
-    return {
-        "max_line_size": allowed * HEADER_LIMIT_FACTOR,
-        "max_field_size": allowed * HEADER_LIMIT_FACTOR,
-        "max_headers": allowed // MIN_FIELD_BYTES,
-        "read_bufsize": READ_BUFFER_BYTES,
-    }
-
-
-def head_bytes(message):
-    """Return the estimated memory of a parsed head; 0 for one that could not be parsed."""
-    fields = getattr(message, "raw_headers", ())
-    return sum(len(name) + len(value) for name, value in fields) * 2 + len(fields) * FIELD_BYTES
-
-
-@attrs.define
-class HeadInProgress:
-    """Bytes and lines of a head that is not complete, and bytes that wait for the parser."""
-
-    size: int = 0
-    lines: int = 0
-    unparsed: int = 0
-
-    @property
-    def memory(self):
-        """The estimated memory that they take."""
-        return 2 * self.size + self.lines * FIELD_BYTES + self.unparsed
-
 
 class Connection(web.RequestHandler):
     """A caller's connection; it is closed if the head of a request is not complete in time.
@@ -400,9 +351,3 @@
         if self.holder is not None:
             self.memory.close(self.holder)
         super().connection_lost(exc)
-
-
-def waiting_bytes(payload):
-    """Return the estimated memory of a body that has arrived and that nobody reads yet."""
-    pieces = getattr(payload, "_buffer", ())
-    return getattr(payload, "total_bytes", 0) + CHUNK_BYTES * len(pieces)
--- a/packages/daemon/persimmonstall_daemon/direct/peer.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peer.py
@@ -1,6 +1,5 @@
-"""What an entry knows of another one, and the receiver of its datagrams."""
+"""What an entry knows of another one."""
 
-import asyncio
 import math
 
 import attrs
@@ -35,21 +34,3 @@
     def is_active(self, now):
         """Return whether a beacon of the peer arrived lately."""
         return self.last_heard is not None and now - self.last_heard <= ACTIVE_TIMEOUT_SECONDS
-
-
-class DatagramReceiver(asyncio.DatagramProtocol):
-    """Receives datagrams and passes them to `peers`."""
-
-    def __init__(self, peers):
-        self.peers = peers
-
-    def datagram_received(self, data, _address):
-        """Pass on one datagram."""
-        self.peers.on_datagram(data)
-
-    def error_received(self, error):
-        """Log that a datagram could not be sent.
-
-        It is not sent again, because the next beacon carries the complete state.
-        """
-        self.peers.log.debug("datagram_refused", reason=repr(error))
--- a/packages/daemon/persimmonstall_daemon/direct/peers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/peers.py
@@ -10,17 +10,14 @@
 import asyncio
 import math
 
-from persimmonstall.direct import beacon as beacons
-from persimmonstall.direct import datagrams, findings
 from persimmonstall.direct.addresses import is_address
 from persimmonstall.direct.beacon_pacing import BeaconPacer, heartbeat_interval
-from persimmonstall.direct.datagrams import Kind
 from persimmonstall.direct.strangers import Strangers
-from persimmonstall.failures import Failure
 
 from ..observe import logs
 from .beacon_builder import BeaconBuilder
-from .peer import DatagramReceiver, Peer
+from .datagram_inbox import DatagramInbox
+from .peer import Peer
 from .registration import Registration
 from .snapshots import SnapshotExchange
 
@@ -81,13 +78,14 @@
         self.announcement = None
         self.pacer = BeaconPacer()
         self.snapshots = SnapshotExchange(entry, self)
+        self.inbox = DatagramInbox(entry, self)
 
     async def start(self):
         """Listen for beacons and requests for snapshots, and add the seeds as peers."""
         host, _, port = self.address.rpartition(":")
         loop = asyncio.get_running_loop()
         self.transport, _ = await loop.create_datagram_endpoint(
-            lambda: DatagramReceiver(self), local_addr=(host, int(port))
+            lambda: self.inbox, local_addr=(host, int(port))
         )
         await self.snapshots.start(host, int(port))
         for seed in self.entry.settings.direct.seeds:
@@ -252,94 +250,6 @@
             self.entry.state.load_tracker.unseen.record_delay(waited)
             self.urgent_since = None
 
-    def on_datagram(self, data):
-        """Process a datagram of another entry.
-
-        An error in it is logged: one that is passed on would close the socket for good.
-        """
-        try:
-            if datagrams.is_typed(data):
-                self.on_typed_datagram(datagrams.decode(data))
-            else:
-                self.on_beacon(data)
-        except Exception as error:
-            self.entry.metrics.count("bugs")
-            self.log.error("bug", error=repr(error), exc_info=error)
-
-    def on_typed_datagram(self, datagram):
-        """Process findings, or pass on a message about permits or trials."""
-        if isinstance(datagram, Failure):
-            logs.log_failure(self.log, "datagram_unreadable", datagram)
-        elif datagram.kind is Kind.FINDINGS:
-            self.merge_findings(findings.decode(datagram.fields))
-        elif datagram.kind in self.reports:
-            self.merge_report(datagram)
-        elif datagram.kind in (Kind.TRIAL_REQUEST, Kind.TRIAL_REPLY):
-            self.entry.trials.on_datagram(datagram)
-        else:
-            self.entry.permits.on_datagram(datagram)
-
-    def merge_report(self, datagram):
-        """Merge the report of another entry."""
-        merged = self.reports[datagram.kind].merge(datagram.fields, self.entry.now())
-        if isinstance(merged, Failure):
-            logs.log_failure(self.log, "report_unreadable", merged, report=datagram.kind.value)
-
-    def merge_findings(self, found):
-        """Merge the findings of another entry."""
-        if isinstance(found, Failure):
-            logs.log_failure(self.log, "findings_unreadable", found)
-            return
-        self.entry.limits.merge_remote(found.limits, found.address)
-        self.entry.notices.merge_remote(found.leaving, found.address)
-        self.entry.crash_reporter.merge_remote(found)
-
-    def on_beacon(self, data):
-        """Process a beacon; one that is older than the last of its sender is dropped."""
-        beacon = beacons.decode(data, self.entry.state.load_tracker.attempts)
-        if isinstance(beacon, Failure):
-            logs.log_failure(self.log, "beacon_unreadable", beacon)
-            return
-        if beacon.address == self.address:
-            return
-        peer = self.meet(beacon.address)
-        if peer.run == beacon.run and beacon.sequence <= peer.sequence:
-            return
-        if peer.last_heard is None or peer.run != beacon.run:
-            self.log.info("peer_found", peer=beacon.address, run=beacon.run)
-            peer.whole_due = 0.0
-            self.schedule_beacon(True)
-        peer.run, peer.sequence = beacon.run, beacon.sequence
-        peer.last_heard = peer.last_named = self.entry.now()
-        peer.configuration, peer.endpoints = beacon.configuration, beacon.endpoints
-        peer.endpoints_digest = beacon.endpoints_digest
-        peer.link = beacon.link
-        peer.leaving = beacon.leaving
-        if self.entry.state.lacks(peer.configuration, peer.endpoints, peer.endpoints_digest):
-            self.snapshots.wake()
-        for address in beacon.peers:
-            if address not in self.peers:
-                self.add_peer(address, first=True)
-        self.entry.metrics.count("direct_beacons", tag="received")
-        self.entry.metrics.count("direct_beacon_bytes", len(data), tag="received")
-        self.merge_beacon(beacon)
-
-    def merge_beacon(self, beacon):
-        """Merge a beacon into the state of this entry."""
-        state, now = self.entry.state, self.entry.now()
-        if beacon.whole:
-            state.load_tracker.merge_remote(beacon.address, beacon.attempts, now)
-        else:
-            state.load_tracker.merge_remote_changes(
-                beacon.address, beacon.attempts, beacon.ended, now
-            )
-        state.budget.merge_remote(beacon.address, beacon.retry_usage)
-        state.crash_tracker.merge_remote(beacon.crashes, now)
-        state.failure_scores.merge_remote(beacon.failure_scores, now)
-        state.load_tracker.slowdowns.merge_remote(beacon.slowdowns, now)
-        relies_on_peers = self.entry.readers.reason.relies_on_peers
-        state.peer_saw_directory(now - beacon.directory_age, now, relies_on_peers)
-
     async def run(self):
         """Exchange beacons, and fetch newer snapshots."""
         async with asyncio.TaskGroup() as group:
--- a/packages/daemon/tests/direct_fleet.py
+++ b/packages/daemon/tests/direct_fleet.py
@@ -153,7 +153,7 @@
         """Pass a datagram to the entry at an address."""
         port = self.ports.get(address)
         if port is not None and port.open:
-            port.peers.on_datagram(data)
+            port.peers.inbox.receive(data)
 
 
 class GossipFleet:
--- a/packages/daemon/tests/test_direct_mesh.py
+++ b/packages/daemon/tests/test_direct_mesh.py
@@ -113,7 +113,7 @@
     def deliver():
         sent = sender.peers.builder.whole_datagrams()
         for data in sent:
-            receiver.peers.on_datagram(data)
+            receiver.peers.inbox.receive(data)
         return sent
 
     return sender.state.load_tracker, receiver.state.load_tracker, deliver
--- a/packages/daemon/tests/test_direct_peers.py
+++ b/packages/daemon/tests/test_direct_peers.py
@@ -168,7 +168,7 @@
         beacon = builder.make_whole_beacon() if whole else builder.make_changes_beacon()
         peers.record_changes_sent()
         if not lost:
-            receiver.peers.on_datagram(beacons.encode(beacon))
+            receiver.peers.inbox.receive(beacons.encode(beacon))
 
     return sender.state.load_tracker, receiver.state.load_tracker, deliver
 
@@ -275,7 +275,7 @@
     restarted.state = informed_state(9, *names)
     beacon = beacons.encode(restarted.peers.builder.make_whole_beacon())
     informed_entry.peers.schedule_beacon = lambda urgent: None
-    informed_entry.peers.on_datagram(beacon)
+    informed_entry.peers.inbox.receive(beacon)
     assert (informed_entry.peers.snapshots.newer_peer() is not None) == fetches
 
 
