--- a/packages/core/persimmonstall/direct/beacon.py
+++ b/packages/core/persimmonstall/direct/beacon.py
@@ -121,19 +121,21 @@
 
 
 DECODER = msgspec.msgpack.Decoder(BeaconRow)
+ATTEMPTS_PLACE = BeaconRow._fields.index("attempts")
 
 
 def demand_from_row(row):
     """Return the demand that a row encodes."""
+    endpoint, prefill, context, memory, generates, max_gap, max_first_event, weight = row
     return EndpointDemand(
-        row.endpoint,
-        row.prefill / TIME_UNITS_PER_SECOND,
-        row.context,
-        row.memory,
-        row.generates,
-        row.max_gap / TIME_UNITS_PER_SECOND,
-        row.max_first_event / TIME_UNITS_PER_SECOND,
-        row.weight / WEIGHT_UNITS,
+        endpoint,
+        prefill / TIME_UNITS_PER_SECOND,
+        context,
+        memory,
+        generates,
+        max_gap / TIME_UNITS_PER_SECOND,
+        max_first_event / TIME_UNITS_PER_SECOND,
+        weight / WEIGHT_UNITS,
     )
 
 
@@ -240,4 +242,4 @@
     if not row.directory_age >= 0:
         raise ValueError(f"directory answered {row.directory_age} s ago")
     attempts = tuple(attempt_from_row(attempt, known) for attempt in row.attempts)
-    return Beacon(*row._replace(attempts=attempts))
+    return Beacon(*row[:ATTEMPTS_PLACE], attempts, *row[ATTEMPTS_PLACE + 1 :])
