--- a/packages/core/persimmonstall/direct/readers.py
+++ b/packages/core/persimmonstall/direct/readers.py
@@ -34,8 +34,8 @@
 
 POLL_SHARE = 0.25
 FEW_POLL_SHARE = 0.4
-"""Share of that time for which an entry waits for a change in one call, where few read for all and
-where all read."""
+"""Share of that time for which an entry waits for a change in one call: where few entries read for
+all others, and in a small fleet, where each reads for itself."""
 
 ANSWER_SHARE = 0.2
 """Share of that time in which an answer comes after the wait, unless its connection has died."""
@@ -49,10 +49,12 @@
 """Longest wait for a change in one call, and longest time for an answer after it."""
 
 RETRY_SHARE = 0.075
+"""Share of that time for which an entry pauses after a second failed call; doubles with each."""
+
 MAX_RETRY_SHARE = 0.3
 OUTDATED_RETRY_SHARE = 0.6
-"""Share of that time for which an entry pauses after a second failed call, and after many of them:
-as a reader, and as one that was not chosen to read."""
+"""Longest pause, as a share of that time: of an entry that is to read, and of one that only reads
+since what it is told is old."""
 
 MAX_DOUBLINGS = 8
 """Number of failed calls after which times are not doubled any more."""
--- a/packages/daemon/persimmonstall_daemon/direct/entry_memory.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry_memory.py
@@ -65,7 +65,7 @@
 class EntryMemory:
     """The budget of bytes of an entry, and the connections that hold them.
 
-    `departed` finds callers that left while they are not read, as they hold too much.
+    `departed` finds callers that left while their connections are not read.
     `counts` are the numbers of connections, by whether they are essential.  `own` is what the
     process takes by itself, `unfilled` the bytes that are reserved and have not arrived.  Without
     a memory in the settings, everything is granted.
