Organisations whose names a header cannot carry: their calls are refused as not run

With CR LF, NUL or DEL in the name each call got 502, which may have run, after two attempts; nothing had been sent.

Cause: nothing compared a name of the configuration with what a header can carry.

Now the adapter says of an organisation whether its name arrives unchanged. Calls of one whose name does not are refused at once with 503, "not run", with the reason organisation_unsendable; a configuration with such names is logged once, with their number. The names are the operator's to change: no other text stands for them, since a server could not tell it from a name of its own.

--- a/packages/core/persimmonstall/direct/messages.py
+++ b/packages/core/persimmonstall/direct/messages.py
@@ -95,10 +95,14 @@
 
 @attrs.frozen
 class Organisation:
-    """The owner of an API key; a lower `priority` goes first, None means that of the route."""
+    """The owner of an API key; a lower `priority` goes first, None means that of the route.
+
+    It is not `sendable` if endpoints cannot be told its name, so that its calls are not served.
+    """
 
     name: str
     priority: int | None = None
+    sendable: bool = True
 
 
 @attrs.frozen
--- a/packages/core/persimmonstall/direct/routing.py
+++ b/packages/core/persimmonstall/direct/routing.py
@@ -7,6 +7,7 @@
 from .messages import RoutedCall
 
 STEP = "route"
+AUTHENTICATE_STEP = "authenticate"
 
 
 class RouteTable:
@@ -51,7 +52,9 @@
         keyed = self.configuration.keyed
         organisation = self.configuration.keys.get(call.key) if keyed else None
         if keyed and organisation is None and not route.public:
-            return Failure(Reason.UNAUTHENTICATED, "authenticate")
+            return Failure(Reason.UNAUTHENTICATED, AUTHENTICATE_STEP)
+        if organisation is not None and not organisation.sendable:
+            return Failure(Reason.UNSENDABLE, AUTHENTICATE_STEP, detail=repr(organisation.name))
         name = self.choose_service(route, call.call_id)
         service = self.configuration.services.get(name)
         if service is None:
--- a/packages/core/persimmonstall/failures.py
+++ b/packages/core/persimmonstall/failures.py
@@ -24,6 +24,7 @@
     UNAUTHENTICATED = "unauthenticated"
     FORBIDDEN = "forbidden"
     SUSPENDED = "organisation_suspended"
+    UNSENDABLE = "organisation_unsendable"
     UNKNOWN_MODEL = "unknown_model"
     UNKNOWN_SERVICE = "unknown_service"
     BODY_TOO_LARGE = "body_too_large"
@@ -90,6 +91,7 @@
     Reason.UNAUTHENTICATED: "No API key was given, or the key is unknown.",
     Reason.FORBIDDEN: "The organisation may not use this model, adapter or service.",
     Reason.SUSPENDED: "An operator has suspended the organisation.",
+    Reason.UNSENDABLE: "Endpoints cannot be told the organisation's name; it has to be changed.",
     Reason.UNKNOWN_MODEL: "No such model or adapter exists.",
     Reason.UNKNOWN_SERVICE: "No such plain service exists.",
     Reason.BODY_TOO_LARGE: "The body exceeds the limit in the settings.",
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -10,7 +10,7 @@
 from persimmonstall.direct.cold import ColdEndpoints
 from persimmonstall.direct.retry_budget import SharedRetryBudget
 from persimmonstall.direct.state import State
-from persimmonstall.direct.updates import EvacuationUpdate, RestoredUpdate
+from persimmonstall.direct.updates import ConfigurationUpdate, EvacuationUpdate, RestoredUpdate
 
 from ..observe import logs
 from ..observe.prometheus import PrometheusMetrics
@@ -68,6 +68,9 @@
 MAX_LAST_POLLS = 12
 """Maximum number of polls for which a stopping entry waits for its last answers to be sent."""
 
+MAX_LOGGED_NAMES = 5
+"""Maximum number of organisations that one line of the log names."""
+
 RELEASE_SECONDS = 0.2
 """Seconds for which a stopping entry waits for its last reservations to be released."""
 
@@ -161,6 +164,8 @@
         elif changed:
             self.provenance.record(update, source)
             self.log_change(update, source)
+            if isinstance(update, ConfigurationUpdate):
+                self.log_unsendable()
             if source == DIRECTORY_SOURCE:
                 self.peers.announce()
             else:
@@ -195,6 +200,15 @@
             leaving=sum(e.leaving for e in state.fleet.endpoints.values()),
         )
 
+    def log_unsendable(self):
+        """Log the organisations whose calls are refused, since their names cannot be sent."""
+        keys = self.state.configuration.keys
+        names = sorted({repr(owner.name) for owner in keys.values() if not owner.sendable})
+        if names:
+            self.log.warning(
+                "organisations_unsendable", count=len(names), names=names[:MAX_LOGGED_NAMES]
+            )
+
     async def start_role(self):
         """Open all sockets and start the tasks."""
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload)
