Own interface: a plain service runs a method under the name that its caller gave

Callers saw: a call of the method "a?b" or "a#b" ran the method "a", one of "a%0d%0ab" ran "ab", and "." or ".." another path of the service's; its answer came back as theirs.

The adapter put the decoded name into a URL, which the HTTP library then parsed, cut at "?" and "#", and rid of line ends and dots.

The adapter sends the name with all its characters percent-encoded. A name that no segment can carry (dots alone), that has control characters or is not UTF-8 is refused with 400, "not run".

--- a/packages/daemon/persimmonstall_daemon/adapters/service.py
+++ b/packages/daemon/persimmonstall_daemon/adapters/service.py
@@ -1,6 +1,9 @@
 """HTTP client of a plain service: the method is in the path, responses pass unchanged."""
 
+import urllib.parse
+
 import aiohttp
+from yarl import URL
 
 from persimmonstall.failures import Failure, Reason
 from persimmonstall.outside.service import PlainService, ServiceAnswer
@@ -33,9 +36,10 @@
         """Run a `ServiceCall`; return the `ServiceAnswer` or a `Failure`."""
         headers = {CALL_ID: call.call_id, "Content-Type": call.content_type}
         limit = aiohttp.ClientTimeout(total=timeout)
+        method = urllib.parse.quote(call.method, safe="")
         try:
             async with self.open_session().post(
-                f"{self.url}/methods/{call.method}",
+                URL(f"{self.url}/methods/{method}", encoded=True),
                 data=call.body,
                 headers=headers,
                 timeout=limit,
--- a/packages/daemon/persimmonstall_daemon/entry/http/parse.py
+++ b/packages/daemon/persimmonstall_daemon/entry/http/parse.py
@@ -1,6 +1,8 @@
 """Parses the body and headers of an HTTP request."""
 
 import hashlib
+import re
+import urllib.parse
 
 import attrs
 import msgspec
@@ -16,6 +18,9 @@
 MAX_KEY_LENGTH = 200
 MAX_MODEL_LENGTH = 200
 
+DOT_SEGMENTS = (".", "..")
+CONTROL_CHARACTER = re.compile(r"[\x00-\x1f\x7f]")
+
 
 @attrs.frozen
 class Part:
@@ -85,6 +90,17 @@
     return Refusal(reason, STEP, "", detail)
 
 
+def name_of(segment):
+    """Return the name in a segment of the path; raises `BadRequest` if it cannot be sent on."""
+    try:
+        name = urllib.parse.unquote(segment, errors="strict")
+    except UnicodeDecodeError:
+        raise BadRequest(f"the name {segment!r} is not UTF-8") from None
+    if name in DOT_SEGMENTS or CONTROL_CHARACTER.search(name):
+        raise BadRequest(f"the name {name!r} has control characters or only dots")
+    return name
+
+
 def secret_of(headers):
     """Return the API key from the Authorization header, or an empty string."""
     scheme, _, secret = headers.get("Authorization", "").partition(" ")
@@ -200,9 +216,13 @@
     )
 
 
-def parse_service(service, method, data, headers, request_id, now):
-    """Return the `ParsedRequest` of a call of a plain service, or a `Refusal`."""
+def parse_service(segments, data, headers, request_id, now):
+    """Return the `ParsedRequest` of a call of a plain service, or a `Refusal`.
+
+    `segments` are those of the path that name the service and its method.
+    """
     try:
+        service, method = map(name_of, segments)
         request = CallerRequest(
             request_id=request_id,
             secret=secret_of(headers),
--- a/packages/daemon/persimmonstall_daemon/entry/http/server.py
+++ b/packages/daemon/persimmonstall_daemon/entry/http/server.py
@@ -135,10 +135,8 @@
         now = self.entry.context.now()
         request_id = self.new_request_id()
         data = await request.read()
-        names = request.match_info
-        parsed = parse_service(
-            names["service"], names["method"], data, request.headers, request_id, now
-        )
+        segments = request.rel_url.raw_parts[-2:]
+        parsed = parse_service(segments, data, request.headers, request_id, now)
         if not parsed:
             return refusal_response(parsed, request_id)
         outcome = await self.entry.serve(parsed.request, DiscardingSink())
