Links: a message without an encoding stops no other caller's

Callers saw: with one call whose Content-Type had an octet that is not UTF-8, nothing more went over the link of its endpoint daemon: calls hung until the link was lost to silence, and each retry stopped the next daemon's link. Such a call took 13 to 14 s to be refused.

Cause: the writer task encoded queued messages itself. An error there ended the task without a word, while `send` went on to accept messages. Other text of others comes this way as well: the reason that a service names in Not-Run.

Messages are encoded as they are sent; one that has no encoding is logged as message_unencodable and not accepted, as if the link were closed to it, so that its sender goes on. The text of Not-Run is kept with other octets escaped.

--- a/packages/daemon/persimmonstall_daemon/adapters/service.py
+++ b/packages/daemon/persimmonstall_daemon/adapters/service.py
@@ -9,6 +9,7 @@
 from persimmonstall.outside.service import PlainService, ServiceAnswer
 
 from ..bounded_http import AnswerRejected, read_body
+from ..exact_headers import to_octets
 from . import wire
 from .http_client import CONNECTION_LOST, NOT_CONNECTED, TIMEOUT, HttpClient
 
@@ -63,7 +64,8 @@
     def read_answer(self, response, body):
         """Return the `ServiceAnswer`, or a BUSY `Failure` if the service did not run the call."""
         if NOT_RUN in response.headers:
-            return Failure(Reason.BUSY, "call", self.name, response.headers[NOT_RUN])
+            reason = to_octets(response.headers[NOT_RUN]).decode(errors="backslashreplace")
+            return Failure(Reason.BUSY, "call", self.name, reason)
         return ServiceAnswer(response.status, body, response.content_type)
 
     def failure(self, detail):
--- a/packages/daemon/persimmonstall_daemon/network/grpc_link.py
+++ b/packages/daemon/persimmonstall_daemon/network/grpc_link.py
@@ -9,7 +9,11 @@
 from persimmonstall.messages.codec import decode, encode
 from persimmonstall.outside.link import Link
 
+from ..observe import logs
+
+LOG = logs.get("links")
 STEP = "link"
+
 BATCH_BYTES = 1_048_576
 """Size of a batch, in bytes, from which no more frames are added to it before it is written."""
 
@@ -25,8 +29,8 @@
 class GrpcLink(Link):
     """A link over `call`, a gRPC stream with async `read` and `write` of bytes.
 
-    Only the writer task writes to it.  `received_bytes` and `sent_bytes` count the payload,
-    `dropped` the malformed messages and frames.
+    Only the writer task writes to it, the frames in `outgoing`.  `received_bytes` and `sent_bytes`
+    count the payload, `dropped` the malformed messages and frames.
     """
 
     def __init__(self, call, peer, on_close=None):
@@ -43,18 +47,22 @@
         self.writer = asyncio.create_task(self.write())
 
     def send(self, message):
-        """Queue `message`; return False if the link is closed."""
+        """Queue `message`; return False if the link is closed or the message has no encoding."""
         if self.closed.is_set():
             return False
-        self.outgoing.put_nowait(message)
+        try:
+            frame = encode(message)
+        except (ValueError, TypeError, OverflowError) as error:
+            LOG.error("message_unencodable", peer=self.peer, reason=repr(error))
+            return False
+        self.outgoing.put_nowait(frame)
         return True
 
     async def write(self):
         """Send queued messages until the link is closed."""
         try:
             while True:
-                message = await self.outgoing.get()
-                frames = self.collect_frames(message)
+                frames = self.collect_frames(await self.outgoing.get())
                 data = encode_batch(frames)
                 self.sent_bytes += len(data)
                 await self.call.write(data)
@@ -73,12 +81,12 @@
         except TimeoutError:
             self.closed.set()
 
-    def collect_frames(self, message):
-        """Return the frames of `message` and of queued messages, until they have `BATCH_BYTES`."""
-        frames = [encode(message)]
-        size = len(frames[0])
+    def collect_frames(self, first):
+        """Return the frame `first` and queued ones, until they have `BATCH_BYTES`."""
+        frames = [first]
+        size = len(first)
         while size < BATCH_BYTES and not self.outgoing.empty():
-            frames.append(encode(self.outgoing.get_nowait()))
+            frames.append(self.outgoing.get_nowait())
             size += len(frames[-1])
         return frames
 
--- a/packages/daemon/tests/test_requests_sent_once.py
+++ b/packages/daemon/tests/test_requests_sent_once.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from persimmonstall.failures import Failure
@@ -122,3 +123,16 @@
             assert not any(b"cookie" in head.lower() for head in server.heads)
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("header", [b"Content-Type: text/\xe9", b"Not-Run: \xe9"])
+def test_answer_with_a_header_that_is_not_utf8_has_an_encoding(header):
+    answer = b"HTTP/1.1 200 OK\r\n" + header + b"\r\nContent-Length: 0\r\n\r\n"
+
+    async def main():
+        async with RawServer(lambda: (answer,)) as server:
+            client, result = await call_service(server.url)
+            await client.close()
+            assert msgspec.msgpack.encode(result)
+
+    asyncio.run(main())
