Own interface: headers that are not UTF-8 are refused at once, as not run

Callers saw: an API key or an idempotency key with an octet that is not UTF-8 got 500, "outcome unknown", though nothing had run; a Content-Type with one was refused after 13 to 14 s, and stopped links meanwhile. The key "k" with a no-break space at its end was taken for the key "k".

Cause: aiohttp reads such octets as surrogates, which hashes and MessagePack do not encode; nothing looked at them where calls are parsed.

An unknown API key is refused with 401 whatever its octets, the others with 400 and the header's name. Only blanks and tabs are cut off a key's ends.

--- a/packages/daemon/persimmonstall_daemon/entry/http/parse.py
+++ b/packages/daemon/persimmonstall_daemon/entry/http/parse.py
@@ -9,6 +9,7 @@
 
 from persimmonstall.failures import Reason, Refusal
 
+from ...exact_headers import is_utf8
 from ..request import CallerRequest
 
 STEP = "parse"
@@ -17,6 +18,8 @@
 KEY_HEADER = "Idempotency-Key"
 MAX_KEY_LENGTH = 200
 MAX_MODEL_LENGTH = 200
+BLANKS = " \t"
+"""Characters around a header's value that are no part of it; other blanks are."""
 
 DOT_SEGMENTS = (".", "..")
 CONTROL_CHARACTER = re.compile(r"[\x00-\x1f\x7f]")
@@ -90,6 +93,14 @@
     return Refusal(reason, STEP, "", detail)
 
 
+def text_header(headers, name, default=""):
+    """Return the value of a header as text; raises `BadRequest` if it is not UTF-8."""
+    value = headers.get(name, default)
+    if not is_utf8(value):
+        raise BadRequest(f"{name} is not UTF-8")
+    return value
+
+
 def name_of(segment):
     """Return the name in a segment of the path; raises `BadRequest` if it cannot be sent on."""
     try:
@@ -102,9 +113,9 @@
 
 
 def secret_of(headers):
-    """Return the API key from the Authorization header, or an empty string."""
+    """Return the API key from the Authorization header, empty for none or one of odd octets."""
     scheme, _, secret = headers.get("Authorization", "").partition(" ")
-    return secret.strip() if scheme.lower() == "bearer" else ""
+    return secret.strip(BLANKS) if scheme.lower() == "bearer" and is_utf8(secret) else ""
 
 
 def deadline_of(headers):
@@ -131,7 +142,7 @@
 
 def key_of(headers):
     """Return the idempotency key, or an empty string."""
-    key = headers.get(KEY_HEADER, "").strip()
+    key = text_header(headers, KEY_HEADER).strip(BLANKS)
     if len(key) > MAX_KEY_LENGTH:
         raise BadRequest(f"{KEY_HEADER} is longer than {MAX_KEY_LENGTH} characters")
     return key
@@ -232,7 +243,7 @@
             deadline=deadline_of(headers),
             service=service,
             method=method,
-            content_type=headers.get("Content-Type", "application/json"),
+            content_type=text_header(headers, "Content-Type", "application/json"),
             idempotent=idempotent_of(headers),
             key=key_of(headers),
         )
--- a/packages/daemon/persimmonstall_daemon/exact_headers.py
+++ b/packages/daemon/persimmonstall_daemon/exact_headers.py
@@ -28,6 +28,15 @@
     return text.encode("utf-8", "surrogateescape")
 
 
+def is_utf8(value):
+    r"""Return whether a header's value, as aiohttp has read it, is UTF-8.
+
+    >>> is_utf8("é"), is_utf8("\udce9")
+    (True, False)
+    """
+    return value.isascii() or not any("\ud800" <= character <= "\udfff" for character in value)
+
+
 def to_latin1(text):
     """Return text that is encoded in Latin-1 as `text` is by `to_octets`."""
     return to_octets(text).decode("latin-1")
--- a/packages/standins/tests/test_caller_octets.py
+++ b/packages/standins/tests/test_caller_octets.py
@@ -3,6 +3,7 @@
 import http.client
 import itertools
 import json
+import time
 import urllib.parse
 
 import pytest
@@ -11,6 +12,9 @@
 
 pytestmark = pytest.mark.processes
 
+AT_ONCE_SECONDS = 1.0
+"""The answer comes without a try at an endpoint, which would last until its link is lost."""
+
 SERVICE = "/v1/services/records/"
 COMPLETION = "/v1/completions"
 NUMBERS = itertools.count()
@@ -48,6 +52,30 @@
         connection.close()
 
 
+@pytest.mark.parametrize("path", [f"{SERVICE}appoint", COMPLETION])
+@pytest.mark.parametrize(
+    ("name", "value", "status"),
+    [
+        ("Authorization", b"Bearer \xe9", 401),
+        ("Idempotency_Key", b"k\xe9", 400),
+        ("Idempotency_Key", b"k\xa0", 400),
+        ("Content_Type", b"text/\xe9", 400),
+        ("Content_Type", b'text/plain; charset="\xff"', 400),
+    ],
+)
+def test_header_that_is_not_utf8_is_refused_as_not_run(deployment, path, name, value, status):
+    if path == COMPLETION and name == "Content_Type":
+        status = 200
+    ran = len(deployment.log("s1"))
+    started_at = time.monotonic()
+    got, answer = send(deployment, path, **{name: value})
+    assert time.monotonic() - started_at < AT_ONCE_SECONDS
+    assert got == status, answer
+    if got != 200:
+        assert answer["error"]["outcome"] == "not_run"
+    assert len(deployment.log("s1")) == ran
+
+
 @pytest.mark.parametrize("method", ["a%0d%0ab", "a%00b", "a%7fb", ".", "..", "%2e%2e", "r%FF"])
 def test_method_that_cannot_be_sent_is_not_run_as_another(deployment, method):
     ran = len(deployment.log("s1"))
