Crashing parts: crashes after a restart count beside those before it

Callers saw: with a part that crashes endpoints, each restart of all entries was followed by up to five more trials of it, so that endpoints went on crashing, with all the calls that they ran, for as long as entries restarted.

The directory keeps the number of crashes, but an entry that had read it took the larger of that number and those it saw itself, instead of their sum: with four before the restart, five more had to come. Each restart began anew.

The number read counts for the time up to the reading, crashes after it are added. Crashes before it that a peer reports count once.

--- a/packages/core/persimmonstall/direct/crashing_parts.py
+++ b/packages/core/persimmonstall/direct/crashing_parts.py
@@ -113,7 +113,7 @@
         """Record the number of crashes of a part that was kept from before a restart."""
         if not self.sound.is_sound(part, now):
             suspect = self.suspects.setdefault(part, Suspect())
-            suspect.earlier = max(suspect.earlier, crashes)
+            suspect.add_earlier(crashes, now)
             suspect.last_trial = now
             self.cached_culprits = None
 
--- a/packages/core/persimmonstall/direct/suspect.py
+++ b/packages/core/persimmonstall/direct/suspect.py
@@ -34,13 +34,14 @@
     """The crashes that calls with one part have in common.
 
     `crashes` maps (lifetime, content) to the time of the crash.  `earlier` is the number of
-    crashes that another entry recorded before this process started.  `last_trial` is the time of
-    the last of the `trials`, None before the first.  `telling_trials` and `last_telling_trial` are
-    those of calls that lack a part which crashed as often.
+    crashes that were recorded before `earlier_until`, when this process read it.  `last_trial` is
+    the time of the last of the `trials`, None before the first.  `telling_trials` and
+    `last_telling_trial` are those of calls that lack a part which crashed as often.
     """
 
     crashes: dict = attrs.field(factory=dict)
     earlier: int = 0
+    earlier_until: float = -math.inf
     trials: int = 0
     last_trial: float | None = None
     telling_trials: int = 0
@@ -67,9 +68,15 @@
         """Return the (key, time) pairs of the newest crashes."""
         return sorted(self.crashes.items(), key=crash_time)[-MAX_CRASHES_SENT:]
 
+    def add_earlier(self, count, now):
+        """Record the number of crashes that were recorded until now; some may be known here."""
+        if count > self.count():
+            self.earlier, self.earlier_until = count, now
+
     def count(self):
         """Return the number of crashes; those of the same moment count as one."""
-        return max(self.earlier, count_moments(self.crashes.values()))
+        later = [at for at in self.crashes.values() if at > self.earlier_until]
+        return max(self.earlier + count_moments(later), count_moments(self.crashes.values()))
 
     def lifetimes(self):
         """Return the lifetimes of the endpoints that crashed."""
--- a/packages/daemon/tests/test_direct_crashes.py
+++ b/packages/daemon/tests/test_direct_crashes.py
@@ -59,7 +59,7 @@
     """What calls look like: the parts that all share, and how many others some share.
 
     `sharing` is the share of the sound calls that have any of them; the others have no parts.  The
-    crashing calls come `warm_up` seconds after the first sound ones.
+    crashing calls come `warm_up` seconds after the first sound ones, for `seconds`.
     """
 
     shared: tuple = ("5a",)
@@ -69,12 +69,14 @@
     warm_up: float = WARM_UP_SECONDS
     calls_per_second: float = CALLS_PER_SECOND
     crashing_share: float = CRASHING_SHARE
+    seconds: float = PLAY_SECONDS
 
 
 DEFAULT_SERVICE = Service()
 JUST_STARTED = Service(warm_up=0.0)
 SELDOM_SHARED = Service(callers=0, topics=0, sharing=0.1, warm_up=0.0, crashing_share=0.4)
 MANY_SHARED = Service(shared=("5a", "5b", "5c"), callers=2, topics=0, warm_up=0.0)
+LONG_PLAY = Service(calls_per_second=5.0, crashing_share=0.3, seconds=150.0)
 FEW_CALLS = Service(("5a", "5b"), 0, 0, warm_up=0.0, calls_per_second=3.0, crashing_share=0.5)
 
 
@@ -152,12 +154,12 @@
         for flight in beside:
             self.in_flight.remove(flight)
 
-    async def run(self, disturbed):
-        """Send calls to random entries, of which some are killed if `disturbed`."""
+    async def run(self, disturb):
+        """Send calls to random entries, while `disturb(self)` goes on if it is not None."""
         calls = []
         crashing_from = self.fleet.clock() + self.service.warm_up
-        until = crashing_from + PLAY_SECONDS
-        disturbing = asyncio.create_task(self.disturb()) if disturbed else None
+        until = crashing_from + self.service.seconds
+        disturbing = None if disturb is None else asyncio.create_task(disturb(self))
         while self.fleet.clock() < until:
             crashing = (
                 self.numbers.random() < self.service.crashing_share
@@ -170,7 +172,7 @@
         if disturbing is not None:
             disturbing.cancel()
 
-    async def disturb(self):
+    async def restart_random(self):
         """Kill and restart random entries."""
         while True:
             await asyncio.sleep(self.numbers.uniform(1.0, 4.0))
@@ -179,6 +181,15 @@
             await asyncio.sleep(1.0)
             self.fleet.start(address)
 
+    async def restart_all(self):
+        """Kill and restart all entries together, again and again."""
+        while True:
+            await asyncio.sleep(self.numbers.uniform(10.0, 30.0))
+            for address in self.fleet.addresses:
+                self.fleet.kill(address)
+            for address in self.fleet.addresses:
+                self.fleet.start(address)
+
     def late_sound_share(self):
         """Return the share of the sound calls that begin, from a while after two crashes."""
         known_at = self.crashes[1] + 2 * STABLE_SECONDS
@@ -193,7 +204,7 @@
         return sum(at > known_at for at in self.arrivals)
 
 
-def play(count, seed, loss=0.0, disturbed=False, service=DEFAULT_SERVICE):
+def play(count, seed, loss=0.0, disturb=None, service=DEFAULT_SERVICE):
     """Return the `Play` of a fleet of `count` entries."""
 
     async def run():
@@ -201,7 +212,7 @@
         fleet = GossipFleet(count, numbers, loss)
         await asyncio.sleep(2.0)
         played = Play(fleet, numbers, service)
-        await played.run(disturbed)
+        await played.run(disturb)
         fleet.stop()
         return played
 
@@ -229,23 +240,31 @@
 
 @pytest.mark.parametrize("seed", [1, 2])
 def test_part_stays_blocked_while_entries_restart_and_datagrams_are_lost(seed):
-    played = play(8, seed, loss=0.05, disturbed=True)
+    played = play(8, seed, loss=0.05, disturb=Play.restart_random)
     assert played.late_arrivals() <= ALLOWED_ARRIVALS
     assert played.refused <= 0.1 * played.sound
 
 
 @pytest.mark.parametrize("seed", [63])
 def test_part_stays_blocked_although_both_entries_restart_before_they_had_many_answers(seed):
-    played = play(2, seed, loss=0.1, disturbed=True)
+    played = play(2, seed, loss=0.1, disturb=Play.restart_random)
     assert played.late_arrivals() <= ALLOWED_ARRIVALS
     assert played.refused <= 0.1 * played.sound
 
 
+@pytest.mark.parametrize("count", [1, 3, 8])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_part_is_not_tried_anew_after_each_restart_of_all_entries(count, seed):
+    played = play(count, seed, disturb=Play.restart_all, service=LONG_PLAY)
+    assert len(played.crashes) >= FINAL_CRASHES
+    assert played.late_arrivals() <= ALLOWED_ARRIVALS
+
+
 @pytest.mark.soak
 @pytest.mark.parametrize("seed", range(70))
 @pytest.mark.parametrize("count", [2, 8, 34])
 def test_part_is_blocked_over_many_seeds(count, seed):
-    played = play(count, seed, loss=0.1, disturbed=True)
+    played = play(count, seed, loss=0.1, disturb=Play.restart_random)
     assert played.late_arrivals() <= ALLOWED_ARRIVALS
     assert played.refused <= 0.1 * played.sound
 
@@ -325,6 +344,15 @@
     assert parts.trial_wait("p", False, 1.0 + 2 * TRIAL_SECONDS) > TRIAL_SECONDS
 
 
+def test_crashes_after_a_restart_count_beside_those_before_it(parts):
+    parts.add_earlier("p", FINAL_CRASHES - 1, 5.0)
+    parts.merge_remote((PartCrash("p", "c1", "e1", 1, 3.0),), (), 5.5)
+    assert parts.suspects["p"].count() == FINAL_CRASHES - 1
+    crash(parts, 2, 8.0, "p")
+    assert parts.suspects["p"].count() == FINAL_CRASHES
+    assert parts.trial_wait("p", False, 8.0 + 100 * TRIAL_SECONDS) > TRIAL_SECONDS
+
+
 def test_crashes_count_against_the_part_that_most_of_them_share(parts):
     for number in range(4):
         crash(parts, number, 5.0 + number, "p")
