Endpoint client: a connection holds little that nobody has read

Cause: what a connection reads before anything is charged for it was not bounded by the machine's size. A read returned up to 256 KB, the stream buffer took 128 KB, and the system's receive buffer grows to megabytes, which count as well. Bytes that were unread when a connection was closed stayed until the next garbage collection.

The receive buffer is 16 KB (the system doubles it), no read returns more, the stream buffer is half of that, and a connection that is closed frees what is unread.

--- a/packages/daemon/persimmonstall_daemon/bounded_http.py
+++ b/packages/daemon/persimmonstall_daemon/bounded_http.py
@@ -160,12 +160,19 @@
         A mere close would wait until a peer that does not read has taken the rest of the request.
         """
         answered = self.body is not None and self.body.is_eof()
+        if not answered:
+            self.drop_unread()
         if self.transport is None or answered:
             super().close()
         else:
             reset_on_close(self.transport)
             super().abort()
 
+    def drop_unread(self):
+        """Free the bytes of an answer that nobody reads; a garbage collection may be far off."""
+        if self.body is not None and self.body.exception() is None:
+            self.body.read_nowait()
+
     def fail_body(self, error):
         """Let the reader of an incomplete body fail; the parser alone does not after an error."""
         if self.body is not None and not self.body.is_eof() and self.body.exception() is None:
@@ -201,7 +208,7 @@
         self._factory = functools.partial(BoundedResponseHandler, loop=self._loop)
 
 
-def open_session(connector=None, **options):
+def open_session(connector=None, read_bufsize=READ_BUFFER_BYTES, **options):
     """Return an HTTP client session with bounded answers that sends each request at most once.
 
     It keeps no cookies.  Each request names `allow_redirects=False`, since aiohttp would
@@ -211,7 +218,7 @@
         connector=connector or BoundedConnector(limit=0),
         cookie_jar=aiohttp.DummyCookieJar(),
         middlewares=(send_once,),
-        read_bufsize=READ_BUFFER_BYTES,
+        read_bufsize=read_bufsize,
         **options,
     )
 
--- a/packages/daemon/persimmonstall_daemon/direct/connecting.py
+++ b/packages/daemon/persimmonstall_daemon/direct/connecting.py
@@ -21,6 +21,9 @@
 USER_TIMEOUT_MILLISECONDS = 1500
 """Time for which sent data may stay unacknowledged."""
 
+RECEIVE_BYTES = 16_384
+"""Receive buffer of a call to an endpoint; the system doubles it, and no read returns more."""
+
 SUSPENSION_SECONDS = 0.05
 """Lateness of a timeout from which the process counts as having been suspended or held up."""
 
@@ -53,6 +56,13 @@
     return sock
 
 
+def bounded_socket(address_info):
+    """Return the same with a small receive buffer: what waits there counts as memory, too."""
+    sock = keepalive_socket(address_info)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
+    return sock
+
+
 class ConnectLimit:
     """Raises TimeoutError if a request is not connected in time; an asynchronous context manager.
 
--- a/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -16,6 +16,7 @@
 from persimmonstall.failures import Failure, Reason
 
 from ..bounded_http import (
+    READ_BUFFER_BYTES,
     AnswerRejected,
     BoundedConnector,
     ConnectionBroken,
@@ -26,8 +27,10 @@
 from .connecting import (
     CATCH_UP_SECONDS,
     CONNECT_SECONDS,
+    RECEIVE_BYTES,
     SUSPENSION_SECONDS,
     ConnectLimit,
+    bounded_socket,
     keepalive_socket,
     progress_reports,
     wait_past_suspension,
@@ -72,16 +75,23 @@
             self.url = url
 
 
-def make_session(request_class=aiohttp.ClientRequest, trace_configs=(), **options):
+def make_session(
+    request_class=aiohttp.ClientRequest,
+    trace_configs=(),
+    socket_factory=keepalive_socket,
+    read_bufsize=READ_BUFFER_BYTES,
+    **options,
+):
     """Return an HTTP client session with bounded answers; `options` are those of its connector.
 
     It neither adds headers nor decodes bodies.
     """
     connector = BoundedConnector(
-        limit=0, socket_factory=keepalive_socket, happy_eyeballs_delay=None, **options
+        limit=0, socket_factory=socket_factory, happy_eyeballs_delay=None, **options
     )
     return open_session(
         connector,
+        read_bufsize=read_bufsize,
         request_class=request_class,
         trace_configs=trace_configs,
         auto_decompress=False,
@@ -177,7 +187,11 @@
         """Open the HTTP session; must be called in the running event loop."""
         write_requests_exactly()
         self.session = make_session(
-            ExactRequest, trace_configs=(progress_reports(),), force_close=True
+            ExactRequest,
+            trace_configs=(progress_reports(),),
+            socket_factory=bounded_socket,
+            read_bufsize=RECEIVE_BYTES // 2,
+            force_close=True,
         )
 
     async def stop(self):
