Memory: large answers in progress give way before callers whose requests arrive

Callers saw: ordinary callers of streams, beside calls that got answers without end, were refused with 503 or closed (2 to 12 of 10 to 27 answers in 5 s).

Cause: an answer that grew took its room from callers whose requests were arriving, the smallest included, since a call in progress never gives way; answers were dropped only if that was not enough. The same happened when the measured memory grew, and an ordinary request or connection that found no room was refused beside any number of large answers. A dropped answer was counted as free at once, but its bytes went only when its task ran again.

Now those that hold much and don't move give way first, then the largest answers in progress, then callers whose requests arrive. A small request and a new connection have large answers dropped for them. A dropped answer gives its pages back at once, and a body has pages of its own from 64 KB, since larger ones left holes in the heap. Metric: memory_answers_dropped.

--- a/packages/core/persimmonstall/direct/byte_budget.py
+++ b/packages/core/persimmonstall/direct/byte_budget.py
@@ -219,6 +219,10 @@
         """Return by how many bytes `limit` is exceeded, without what is about to be released."""
         return self.total - self.releasing - limit
 
+    def reduce_stalled(self, limit, now):
+        """Return the holders that don't move and have to give way for `limit`; mark them."""
+        return self.mark(self.stalled(now), self.over(limit), partly=True)
+
     def reduce(self, limit, now):
         """Return the holders that have to give way so that `limit` holds again; mark them."""
         excess = self.over(limit)
--- a/packages/daemon/persimmonstall_daemon/direct/answer_memory.py
+++ b/packages/daemon/persimmonstall_daemon/direct/answer_memory.py
@@ -24,14 +24,20 @@
         self.total += more
         self.sizes[sink] = size
         self.readers[sink] = attempt
-        room = self.entry.memory.hold_answer(sink, size, more)
-        while self.readers and (self.exceeded or not room):
-            largest = max(self.readers, key=self.sizes.__getitem__)
-            if not self.exceeded and self.sizes[largest] < LARGE_BYTES:
-                return
-            freed = self.sizes[largest]
-            self.drop(largest)
-            room = room or freed >= more
+        self.entry.memory.hold_answer(sink, size, more)
+        while self.readers and self.exceeded:
+            self.drop(self.largest())
+
+    def largest(self):
+        """Return the sink of the largest answer in progress."""
+        return max(self.readers, key=self.sizes.__getitem__)
+
+    def drop_large(self):
+        """Drop the largest answer in progress if it is large; return whether it was."""
+        if not self.readers or self.sizes[self.largest()] < LARGE_BYTES:
+            return False
+        self.drop(self.largest())
+        return True
 
     @property
     def exceeded(self):
--- a/packages/daemon/persimmonstall_daemon/direct/attempt.py
+++ b/packages/daemon/persimmonstall_daemon/direct/attempt.py
@@ -38,6 +38,7 @@
         self.first_event_at = None
         self.batches_relayed = 0
         self.dropped = False
+        self.body = None
         self.watch = SilenceWatch(self)
         self.timeouts = AttemptTimeouts(self)
 
@@ -218,6 +219,8 @@
     def drop(self):
         """Give up the answer, since the answers in progress take too much memory."""
         self.dropped = True
+        if self.body is not None:
+            self.body.discard()
         self.answer.close()
 
     def broken_result(self, failure):
@@ -238,23 +241,24 @@
     async def collect_answer(self):
         """Read a non-streamed answer; the caller gets it only once it is complete."""
         self.watch.decide_at = None
-        body = BodyBuffer(self.entry.settings.direct.answer_bytes)
+        self.body = BodyBuffer(self.entry.settings.direct.answer_bytes)
         try:
-            failed = await self.read_answer(body)
+            failed = await self.read_answer()
         except BaseException:
-            body.discard()
+            self.body.discard()
             raise
         if failed is not None:
-            body.discard()
+            self.body.discard()
             return failed
         self.entry.answer_memory.reading_ended(self.sink)
         head = self.answer.head
         error = head.kind is ResponseKind.ENDPOINT_ERROR
         ending = AttemptOutcome.ENDPOINT_ERROR if error else AttemptOutcome.WHOLE
-        return AttemptResult(ending, head=head, body=body.content())
+        return AttemptResult(ending, head=head, body=self.body.content())
 
-    async def read_answer(self, body):
-        """Read the answer into `body`; return the `AttemptResult` if that fails, or None."""
+    async def read_answer(self):
+        """Read the answer into `self.body`; return the `AttemptResult` if that fails, or None."""
+        body = self.body
         timeout = self.timeouts.rest_of_answer()
         size = self.answer.announced_bytes
         while size <= body.limit:
--- a/packages/daemon/persimmonstall_daemon/direct/entry_memory.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry_memory.py
@@ -4,7 +4,7 @@
 import math
 import os
 
-from persimmonstall.direct.byte_budget import ByteBudget, Holder
+from persimmonstall.direct.byte_budget import LARGE_BYTES, ByteBudget, Holder
 from persimmonstall.direct.pacing import Pacer
 
 from ..observe import logs
@@ -127,7 +127,7 @@
         busy = self.budget.total > BUSY_SHARE * self.budget.capacity
         if busy or self.entry.now() - self.measured_at >= MEASURE_SECONDS:
             self.measure()
-            self.reduce(self.budget.capacity, "memory has grown")
+            self.make_room(self.budget.capacity, "memory has grown")
             self.grant()
         self.report()
 
@@ -151,6 +151,7 @@
         if self.counts[essential] > most and not self.close_idle(now, essential):
             self.refuse_connection(holder, "too many connections")
             return None
+        self.drop_answers(self.budget.capacity - CONNECTION_BYTES)
         full = self.budget.total + CONNECTION_BYTES > self.budget.capacity
         if full and not essential and not self.close_idle(now, essential):
             self.refuse_connection(holder, "no memory")
@@ -191,13 +192,22 @@
             return True
         if self.budget.take(holder, size):
             return True
-        victims = self.budget.find_victims(holder, size, self.entry.now())
+        victims = self.find_victims(holder, size)
         if not victims:
-            return False
+            return self.budget.take(holder, size)
         self.revoke(victims, "room for another caller")
         self.budget.change(holder, size)
         return True
 
+    def find_victims(self, holder, size):
+        """Return the connections that have to give way to `size` bytes of a caller's request.
+
+        Large answers are dropped first where the request is a small one.
+        """
+        if size < LARGE_BYTES:
+            self.drop_answers(self.budget.limit(holder, size) - size)
+        return self.budget.find_victims(holder, size, self.entry.now())
+
     async def reserve(self, holder, size):
         """Reserve `size` bytes before they are read; return whether there was room in time."""
         if not self.limited:
@@ -211,8 +221,7 @@
         try:
             self.grant()
             while not granted.done() and self.entry.now() < until:
-                victims = self.budget.find_victims(holder, size, self.entry.now())
-                self.revoke(victims, "room for another caller")
+                self.revoke(self.find_victims(holder, size), "room for another caller")
                 await asyncio.wait((granted,), timeout=PATIENCE_SECONDS / 5)
             return granted.done()
         except asyncio.CancelledError:
@@ -253,20 +262,28 @@
             )
             self.connections[victim].give_way()
 
-    def reduce(self, limit, reason):
-        """Let holders give way until `limit` holds; return whether that is enough."""
-        if self.budget.over(limit) > 0:
-            self.revoke(self.budget.reduce(limit, self.entry.now()), reason)
-        return self.budget.over(limit) <= 0
-
-    def hold_answer(self, sink, size, more):
-        """Hold `more` bytes of an answer that now has `size`; return whether there is room.
+    def make_room(self, limit, reason):
+        """Let holders give way until `limit` holds.
 
-        Others give way if need be.
+        First those do that hold much and don't move, then the largest answers in progress, and
+        only then callers whose requests arrive.
         """
+        if self.budget.over(limit) <= 0:
+            return
+        self.revoke(self.budget.reduce_stalled(limit, self.entry.now()), reason)
+        self.drop_answers(limit)
+        self.revoke(self.budget.reduce(limit, self.entry.now()), reason)
+
+    def drop_answers(self, limit):
+        """Drop large answers in progress, the largest first, until `limit` holds."""
+        while self.budget.over(limit) > 0 and self.entry.answer_memory.drop_large():
+            self.entry.metrics.count("memory_answers_dropped")
+
+    def hold_answer(self, sink, size, more):
+        """Hold `more` bytes of an answer that now has `size`; others give way if need be."""
         holder = sink.connection.holder
         self.budget.change(holder, more)
-        return self.reduce(self.budget.limit(holder, size), "answers need room")
+        self.make_room(self.budget.limit(holder, size), "answers need room")
 
     def release_answer(self, sink, size):
         """Give back `size` bytes of an answer."""
--- a/packages/daemon/persimmonstall_daemon/direct/held_body.py
+++ b/packages/daemon/persimmonstall_daemon/direct/held_body.py
@@ -7,7 +7,7 @@
 PIECE_BYTES = 65_536
 """Bytes that are handed to a connection at once; the next follow when it has taken them."""
 
-MAPPED_BYTES = 262_144
+MAPPED_BYTES = 65_536
 """Size from which a body gets pages of its own, which the system has back when it ends."""
 
 
@@ -92,6 +92,7 @@
 
     def discard(self):
         """Give back the memory of a body that is not needed."""
+        self.small = bytearray()
         if self.pages is not None:
             self.pages.discard()
 
--- a/packages/daemon/persimmonstall_daemon/observe/metric_names.py
+++ b/packages/daemon/persimmonstall_daemon/observe/metric_names.py
@@ -93,6 +93,7 @@
     Metric("memory_held_bytes", Kind.GAUGE, "Memory that is reserved for callers."),
     Metric("memory_waiting", Kind.GAUGE, "Reservations of memory that wait for room."),
     Metric("memory_revoked", Kind.COUNTER, "Connections that had to give way.", "phase"),
+    Metric("memory_answers_dropped", Kind.COUNTER, "Answers in progress given up for room."),
     Metric("memory_connections_refused", Kind.COUNTER, "Connections closed for lack of room."),
     Metric("caller_connections", Kind.GAUGE, "Open connections at all doors of an entry."),
     Metric("loop_lag", Kind.TIMER, "Lateness of a periodic timer of the event loop."),
