--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -2,9 +2,12 @@
 # Installs the entry's dependencies and copies its packages to target/deps.
 set -eu
 stamp=target/deps/.installed
-if [ ! -e "$stamp" ] || [ deploy/requirements.txt -nt "$stamp" ] || [ constraints.txt -nt "$stamp" ]; then
+# Compiled dependencies serve one interpreter on one kind of machine.
+wanted="$(python3 -c 'import platform, sys; print(sys.implementation.cache_tag, platform.machine())') $(cat deploy/requirements.txt constraints.txt | cksum)"
+if [ "$(cat "$stamp" 2>/dev/null)" != "$wanted" ]; then
+    rm -rf target/deps
     python3 -m pip install -q -U --target target/deps -c constraints.txt -r deploy/requirements.txt
-    touch "$stamp"
+    printf '%s\n' "$wanted" >"$stamp"
 fi
 for package in packages/core/persimmonstall packages/daemon/persimmonstall_daemon platform/persimmonstall_platform; do
     rm -rf "target/deps/$(basename "$package")"
