--- a/packages/daemon/persimmonstall_daemon/direct/call_handler.py
+++ b/packages/daemon/persimmonstall_daemon/direct/call_handler.py
@@ -279,7 +279,7 @@
             sent_ms=None if sent_at is None else round((self.entry.now() - sent_at) * 1000),
             events=attempt.batches_relayed,
             since_close_ms=round(sink.seconds_since_close() * 1000),
-            loop_lag_ms=round(self.entry.loop_lag * 1000),
+            loop_lag_ms=round(self.entry.ticker.lag * 1000),
             reading_paused=sink.connection.reading_paused,
         )
 
--- a/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import re
 
 import aiohttp
 import attrs
@@ -23,7 +22,7 @@
     describe,
     open_session,
 )
-from ..exact_headers import to_text, write_requests_exactly
+from ..exact_headers import has_control_character, to_text, write_requests_exactly
 from .connecting import (
     CATCH_UP_SECONDS,
     CONNECT_SECONDS,
@@ -49,9 +48,6 @@
 NOT_CONNECTED = "not connected"
 NOT_CONNECTED_IN_TIME = f"{NOT_CONNECTED} in time"
 
-CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
-"""Characters that aiohttp accepts in a header it reads, but refuses to send."""
-
 EXACT_TARGET = ":target"
 """Pseudo-header that passes a request's target to `ExactRequest`; it is never sent."""
 
@@ -231,7 +227,7 @@
             return Failure(Reason.ENDPOINT_ERROR, STEP, peer, str(error))
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
             return Failure(Reason.ENDPOINT_LOST, STEP, peer, describe(error))
-        if has_control_character(response.raw_headers):
+        if any(has_control_character(value) for _name, value in response.raw_headers):
             response.close()
             detail = f"status {response.status}: a header has a control character"
             return Failure(Reason.ENDPOINT_ERROR, STEP, peer, detail)
@@ -264,15 +260,6 @@
             raise aiohttp.ConnectionTimeoutError(f"after {CONNECT_SECONDS} s") from error
 
 
-def has_control_character(headers):
-    r"""Return whether the value of a header cannot be sent on.
-
-    >>> has_control_character(((b"A", b"b\x01"),)), has_control_character(((b"A", b"b\t"),))
-    (True, False)
-    """
-    return any(CONTROL_CHARACTER.search(value) for _name, value in headers)
-
-
 def never_connected(failure):
     """Return whether a failed attempt certainly did not reach its endpoint."""
     return failure.detail.startswith(NOT_CONNECTED)
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -36,21 +36,13 @@
 from .provenance import Provenance
 from .reservations import Reservations
 from .status import StatusServer
+from .ticker import Ticker
 from .time_limits import TimeLimits
 from .trials import TrialExchange
 
 DIRECTORY_SOURCE = "directory"
 """Source of updates that this entry itself has read."""
 
-TICK_SECONDS = 0.1
-"""Interval at which state that changes with time alone is updated."""
-
-LATE_TICK_SECONDS = 0.1
-"""Lateness of a tick from which it is logged."""
-
-SUSPENSION_SECONDS = 0.7
-"""Suspended time between two ticks from which the directory is read again and deadlines reset."""
-
 STARTUP_SECONDS = 1.0
 """Seconds after the start in which a call waits for the configuration to arrive."""
 
@@ -134,7 +126,7 @@
         self.balancer_informed_at = math.inf
         self.exits_at = math.inf
         self.next_attempt = 0
-        self.loop_lag = 0.0
+        self.ticker = Ticker(self)
 
     def now(self):
         """Return the time in seconds, including time spent suspended."""
@@ -222,7 +214,7 @@
         self.supervise(self.peers.run)
         self.supervise(self.peers.registration.run)
         self.supervise(self.crash_records.run)
-        self.supervise(self.tick)
+        self.supervise(self.ticker.run)
         self.supervise(self.watch_settings)
 
     def reload(self):
@@ -246,37 +238,6 @@
         self.state.set_cold_bounds(options.cold_overage, options.cold_slack, self.now())
         self.log.info("settings_reloaded", directory=options.directory)
 
-    async def tick(self):
-        """Update the state as time passes, and detect that the process was suspended."""
-        last = self.now()
-        last_monotonic = time.monotonic()
-        while True:
-            await asyncio.sleep(TICK_SECONDS)
-            now, monotonic = self.now(), time.monotonic()
-            suspended = (now - last) - (monotonic - last_monotonic)
-            self.record_lag(monotonic - last_monotonic - TICK_SECONDS)
-            last, last_monotonic = now, monotonic
-            if suspended > SUSPENSION_SECONDS:
-                self.log.warning("suspended", seconds=round(suspended, 2))
-                self.directory.reconnect()
-                self.time_limits.reschedule()
-            self.state.tick(now)
-            self.memory.tick()
-            self.evacuations.expire(now)
-            self.cold.review(now)
-            self.admission.tick(now)
-            self.metrics.gauge("in_flight", self.callers.in_flight)
-            self.metrics.gauge("directory_age", now - self.state.directory_seen_at)
-            if self.log_stream is not None:
-                self.metrics.gauge("log_lines_dropped", self.log_stream.dropped)
-
-    def record_lag(self, seconds):
-        """Record how late a tick of the event loop was; log it if callers notice."""
-        self.loop_lag = max(0.0, seconds)
-        self.metrics.timing("loop_lag", self.loop_lag)
-        if seconds > LATE_TICK_SECONDS:
-            self.log.warning("loop_late", ms=round(seconds * 1000))
-
     @property
     def knows_enough(self):
         """Whether calls can be served, and those that crash endpoints are known."""
--- a/packages/daemon/persimmonstall_daemon/exact_headers.py
+++ b/packages/daemon/persimmonstall_daemon/exact_headers.py
@@ -5,10 +5,23 @@
 aiohttp reads them, and are written as they came.
 """
 
+import re
+
 from aiohttp import client_reqrep
 from aiohttp.http_writer import StreamWriter
 from multidict import CIMultiDict
 
+CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+
+
+def has_control_character(octets):
+    r"""Return whether a value cannot be sent; aiohttp accepts it in a header that it reads.
+
+    >>> has_control_character(b"b\x01"), has_control_character(b"b\t")
+    (True, False)
+    """
+    return CONTROL_CHARACTER.search(octets) is not None
+
 
 def to_text(octets):
     r"""Return the octets of a name or value as text.
