--- a/packages/standins/persimmonstall_standins/processes.py
+++ b/packages/standins/persimmonstall_standins/processes.py
@@ -23,6 +23,7 @@
 
 from .ports import LOOPBACK, free_ports
 
+MAX_LOG_CHARACTERS = 500
 READY_SECONDS = 30.0
 STOP_SECONDS = 10.0
 POLL_SECONDS = 0.1
@@ -267,6 +268,11 @@
 
     # Waiting.
 
+    def last_lines(self, name):
+        """Return the end of what a process has written, which says why it failed."""
+        text = (self.directory / f"{name}.log").read_text(errors="replace")
+        return text[-MAX_LOG_CHARACTERS:]
+
     def wait_until(self, condition, what, seconds=READY_SECONDS):
         """Wait until `condition()` is true; raises TimeoutError after `seconds`."""
         deadline = time.monotonic() + seconds
@@ -275,7 +281,8 @@
                 name for name, process in self.processes.items() if process.poll() not in (None, 0)
             ]
             if dead:
-                raise RuntimeError(f"processes failed while waiting for {what}: {', '.join(dead)}")
+                ends = "; ".join(f"{name}: {self.last_lines(name)}" for name in dead)
+                raise RuntimeError(f"processes failed while waiting for {what}: {ends}")
             if time.monotonic() > deadline:
                 raise TimeoutError(f"{what}: timed out after {seconds} s")
             time.sleep(POLL_SECONDS)
