--- a/packages/daemon/persimmonstall_daemon/bounded_http.py
+++ b/packages/daemon/persimmonstall_daemon/bounded_http.py
@@ -169,9 +169,13 @@
             super().abort()
 
     def drop_unread(self):
-        """Free the bytes of an answer that nobody reads; a garbage collection may be far off."""
-        if self.body is not None and self.body.exception() is None:
-            self.body.read_nowait()
+        """Free the bytes of an answer that nobody reads; a garbage collection may be far off.
+
+        Closing the answer has set an error by now, so that aiohttp's own methods don't free them.
+        """
+        if self.body is not None:
+            self.body._buffer.clear()
+            self.body._size = 0
 
     def fail_body(self, error):
         """Let the reader of an incomplete body fail; the parser alone does not after an error."""
--- a/packages/daemon/tests/test_bounded_http.py
+++ b/packages/daemon/tests/test_bounded_http.py
@@ -208,3 +208,22 @@
         assert isinstance(protocol, bounded_http.BoundedResponseHandler)
 
     on_server(list, scenario)
+
+
+@pytest.mark.parametrize(("data", "reads"), [(b"", True), (b"some", True), (PIECE, False)])
+def test_closed_answer_keeps_no_bytes_and_its_reader_fails(data, reads):
+    head = HEAD + b"Content-Length: 99999999\r\n\r\n"
+
+    async def scenario(server, session):
+        async with session.get(server.url, allow_redirects=False) as response:
+            if data and reads:
+                assert await response.content.readany() == data
+            reading = asyncio.create_task(response.content.readany()) if reads else None
+            await asyncio.sleep(0.05)
+            response.close()
+            assert not response.content._buffer
+            if reading is not None:
+                with pytest.raises(aiohttp.ClientError):
+                    await reading
+
+    on_server(lambda: (head, data), scenario)
