Stand-ins: a deployment is configured once its platform accepts connections

Cause, traced: the set-up waited for the entry's operators' port alone. On a busy machine the entry was up before the stand-in of the table, which it could not reach. The same came when three deployments started at once.

The set-up waits for all services of the platform first, as bounded as before.

--- a/packages/standins/persimmonstall_standins/processes.py
+++ b/packages/standins/persimmonstall_standins/processes.py
@@ -8,10 +8,12 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import time
 import urllib.error
+import urllib.parse
 import urllib.request
 from http import HTTPStatus
 
@@ -223,6 +225,7 @@
 
     def configure(self, organisation="nilerecord"):
         """Create an organisation with a key, the model and the plain service."""
+        self.wait_until(self.platform_answers, "the platform")
         self.wait_until(self.admin_answers, "the operators' port")
         created = self.call(
             "CreateOrganisation",
@@ -258,6 +261,10 @@
             ),
         )
 
+    def platform_answers(self):
+        """Whether all services of the platform accept connections."""
+        return all(map(accepts_connections, self.platform_urls.values()))
+
     def admin_answers(self):
         """Whether the admin port of the first entry answers."""
         try:
@@ -342,6 +349,16 @@
         }
 
 
+def accepts_connections(url):
+    """Return whether the address of a URL accepts connections."""
+    address = urllib.parse.urlsplit(url)
+    try:
+        socket.create_connection((address.hostname, address.port), POLL_SECONDS).close()
+    except OSError:
+        return False
+    return True
+
+
 def kill_process(pid, marker):
     """Kill the process `pid` if its command line contains `marker`; return whether it did.
 
