--- a/packages/standins/persimmonstall_standins/ports.py
+++ b/packages/standins/persimmonstall_standins/ports.py
@@ -6,11 +6,13 @@
 import pathlib
 import socket
 import tempfile
+import urllib.parse
 
 LOOPBACK = "127.0.0.1"
 FIRST_PORT = 15_000
 LAST_PORT = 32_000
 BLOCK_PORTS = 100
+CONNECT_SECONDS = 0.5
 LOCK_FOLDER = "persimmonstall-test-ports"
 """Folder, in the one for temporary files, of the locks of blocks of ports."""
 
@@ -63,3 +65,13 @@
 def free_ports(count):
     """Return `count` TCP ports that are free and were not returned before."""
     return list(itertools.islice(filter(is_free, PORTS), count))
+
+
+def accepts_connections(url):
+    """Return whether the address of a URL accepts connections."""
+    address = urllib.parse.urlsplit(url)
+    try:
+        socket.create_connection((address.hostname, address.port), CONNECT_SECONDS).close()
+    except OSError:
+        return False
+    return True
--- a/packages/standins/persimmonstall_standins/processes.py
+++ b/packages/standins/persimmonstall_standins/processes.py
@@ -8,12 +8,10 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
 import urllib.error
-import urllib.parse
 import urllib.request
 from http import HTTPStatus
 
@@ -23,7 +21,7 @@
 from persimmonstall_daemon.admin import persimmonstall_admin_pb2 as messages
 from persimmonstall_daemon.admin.persimmonstall_admin_pb2_grpc import AdministrationStub
 
-from .ports import LOOPBACK, free_ports
+from .ports import LOOPBACK, accepts_connections, free_ports
 
 MAX_LOG_CHARACTERS = 500
 READY_SECONDS = 30.0
@@ -275,10 +273,10 @@
 
     # Waiting.
 
-    def last_lines(self, name):
-        """Return the end of what a process has written, which says why it failed."""
-        text = (self.directory / f"{name}.log").read_text(errors="replace")
-        return text[-MAX_LOG_CHARACTERS:]
+    def last_lines(self, names):
+        """Return the end of what some processes have written, by name."""
+        texts = {name: (self.directory / f"{name}.log").read_text() for name in names}
+        return {name: text[-MAX_LOG_CHARACTERS:] for name, text in texts.items()}
 
     def wait_until(self, condition, what, seconds=READY_SECONDS):
         """Wait until `condition()` is true; raises TimeoutError after `seconds`."""
@@ -288,8 +286,7 @@
                 name for name, process in self.processes.items() if process.poll() not in (None, 0)
             ]
             if dead:
-                ends = "; ".join(f"{name}: {self.last_lines(name)}" for name in dead)
-                raise RuntimeError(f"processes failed while waiting for {what}: {ends}")
+                raise RuntimeError(f"failed while waiting for {what}: {self.last_lines(dead)}")
             if time.monotonic() > deadline:
                 raise TimeoutError(f"{what}: timed out after {seconds} s")
             time.sleep(POLL_SECONDS)
@@ -349,16 +346,6 @@
         }
 
 
-def accepts_connections(url):
-    """Return whether the address of a URL accepts connections."""
-    address = urllib.parse.urlsplit(url)
-    try:
-        socket.create_connection((address.hostname, address.port), POLL_SECONDS).close()
-    except OSError:
-        return False
-    return True
-
-
 def kill_process(pid, marker):
     """Kill the process `pid` if its command line contains `marker`; return whether it did.
 
