Links: a writer that fails for any reason closes its link

The error is logged (link_writer_failed) and the link counts as closed at once, so that its owner connects anew.

Evidence: test_link_whose_writer_fails_accepts_no_more_messages fails before.

--- a/packages/daemon/persimmonstall_daemon/network/grpc_link.py
+++ b/packages/daemon/persimmonstall_daemon/network/grpc_link.py
@@ -69,6 +69,10 @@
                 for _ in frames:
                     self.outgoing.task_done()
         except (grpc.RpcError, asyncio.InvalidStateError):
+            pass
+        except Exception as error:
+            LOG.error("link_writer_failed", peer=self.peer, reason=repr(error), exc_info=error)
+        finally:
             self.closed.set()
 
     async def flush(self, timeout):
--- a/packages/daemon/tests/test_grpc_link.py
+++ b/packages/daemon/tests/test_grpc_link.py
@@ -51,3 +51,16 @@
         await link.close()
 
     asyncio.run(scenario())
+
+
+def test_link_whose_writer_fails_accepts_no_more_messages():
+    async def scenario():
+        call = RecordingCall()
+        call.write = None
+        link = GrpcLink(call, "d1")
+        assert link.send(SUBMIT)
+        await asyncio.wait((link.writer,), timeout=1.0)
+        assert not link.send(SUBMIT)
+        await link.close()
+
+    asyncio.run(scenario())
