--- a/review/crowd.py
+++ b/review/crowd.py
@@ -20,6 +20,9 @@
 STAY_SECONDS = 5.0
 """Longest time for which a caller stays after it has sent what it sends."""
 
+LEAVE_SECONDS = 0.5
+"""Time after which a caller of the last pattern leaves."""
+
 REOPEN_SECONDS = 0.01
 
 
@@ -51,7 +54,15 @@
         await writer.drain()
 
 
-PATTERNS = {"fields": send_fields, "chunks": send_chunks}
+async def send_and_leave(writer, attempt):
+    """Send one request with very many short fields, and leave soon."""
+    fields = [(f"a{number}", "") for number in range(FIELDS)]
+    writer.write(head("GET", attempt, fields))
+    await asyncio.sleep(LEAVE_SECONDS)
+    writer.transport.abort()
+
+
+PATTERNS = {"fields": send_fields, "chunks": send_chunks, "leave": send_and_leave}
 
 
 async def caller(number, pattern, address, end):
