Calls whose body was dropped are never routed (review/7, UNASKED)

Callers saw: where a route was added in the first second of an entry that had started while the store was away, requests to it ran with an empty body and were answered 200.

Cause: whether a call is served was decided while its body is read (to keep it or not) and again when it is routed; between the two it waited for the crash records, up to a second after the start, and these were asked for again only 2 s after a failed read.

Change: a body that was not kept is a value of its own, DroppedBody, and RouteTable.admit refuses its call as not run, so that no delay between the two decisions can send it; bodies are kept while calls wait for a newer configuration; while calls wait, crash records are asked for again at the pace of the configuration.

--- a/packages/core/persimmonstall/direct/messages.py
+++ b/packages/core/persimmonstall/direct/messages.py
@@ -153,6 +153,13 @@
         return self.name, self.born
 
 
+@attrs.frozen
+class DroppedBody:
+    """Stands for a body of `size` bytes that arrived and was not kept: its call can't be sent."""
+
+    size: int
+
+
 @attrs.frozen
 class Call:
     """A caller's request, independent of the endpoint that it is sent to.
@@ -168,7 +175,7 @@
     target: str
     host: str
     headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
+    body: bytes | DroppedBody
     arrived: float
     deadline: float
     key: str = ""
--- a/packages/core/persimmonstall/direct/routing.py
+++ b/packages/core/persimmonstall/direct/routing.py
@@ -2,13 +2,16 @@
 
 import xxhash
 
-from ..failures import Failure, Reason
+from ..failures import Failure, Postponed, Reason
 from .content import call_parts, content_fingerprint
-from .messages import RoutedCall
+from .messages import DroppedBody, RoutedCall
 
 STEP = "route"
 AUTHENTICATE_STEP = "authenticate"
 
+ADMITTED_RETRY_SECONDS = 0.05
+"""`Retry-After` of a call that is served if it is sent again now."""
+
 
 class RouteTable:
     """Routes of one configuration by host; the longest matching prefix wins.
@@ -62,10 +65,15 @@
         return route, service, organisation
 
     def admit(self, call):
-        """Return the `RoutedCall` of a call, or a `Failure` if it has no route, key or service."""
+        """Return the `RoutedCall` of a call, or a `Failure` if it has no route, key or service.
+
+        A call without the body that its caller sent is never routed.
+        """
         found = self.find(call)
         if isinstance(found, Failure):
             return found
+        if isinstance(call.body, DroppedBody):
+            return admitted_late(call.body)
         route, service, organisation = found
         content, parts = content_fingerprint(call), call_parts(call)
         priorities = self.priorities.get(service.name, ())
@@ -84,6 +92,12 @@
         return route.shares[-1].service if route.shares else ""
 
 
+def admitted_late(body):
+    """Return the failure of a call that a new configuration admits after its body was dropped."""
+    detail = f"admitted only since its body of {body.size} bytes was dropped"
+    return Postponed(Reason.NO_ENDPOINT, STEP, "", detail, ADMITTED_RETRY_SECONDS)
+
+
 def priorities_by_service(configuration):
     """Return the priorities that calls of each service can have, in ascending order.
 
--- a/packages/core/tests/test_direct_view.py
+++ b/packages/core/tests/test_direct_view.py
@@ -8,7 +8,13 @@
 from persimmonstall.direct.events import EventReader
 from persimmonstall.direct.fleet import OUTAGE_GRACE_SECONDS
 from persimmonstall.direct.loads import EndpointDemand, InFlightAttempt
-from persimmonstall.direct.messages import Configuration, Endpoint, Organisation, Service
+from persimmonstall.direct.messages import (
+    Configuration,
+    DroppedBody,
+    Endpoint,
+    Organisation,
+    Service,
+)
 from persimmonstall.direct.retry_budget import SharedRetryBudget
 from persimmonstall.direct.routing import RouteTable
 from persimmonstall.direct.state import OUTAGE_SECONDS, State
@@ -18,7 +24,7 @@
     EndpointUpdate,
     ReachabilityUpdate,
 )
-from persimmonstall.failures import Reason
+from persimmonstall.failures import Postponed, Reason
 
 from .direct_parts import NON_REPEATABLE, SHORT, make_call, make_fleet
 
@@ -54,6 +60,11 @@
     assert RouteTable(configuration()).admit(make_call()).organisation is None
 
 
+def test_call_whose_body_was_dropped_is_not_routed_without_it():
+    call = attrs.evolve(make_call(), body=DroppedBody(4))
+    assert isinstance(RouteTable(configuration()).admit(call), Postponed)
+
+
 def test_unknown_route_is_not_found():
     assert RouteTable(configuration()).admit(make_call(target="/zz/")).reason is Reason.NOT_FOUND
 
--- a/packages/daemon/persimmonstall_daemon/direct/body_reader.py
+++ b/packages/daemon/persimmonstall_daemon/direct/body_reader.py
@@ -4,6 +4,7 @@
 
 from aiohttp import http
 
+from persimmonstall.direct.messages import DroppedBody
 from persimmonstall.failures import Failure, Postponed, Reason
 
 from .held_body import BodyBuffer
@@ -42,7 +43,7 @@
         self.kept = 0
 
     async def read(self, keep):
-        """Return the body, empty if it is not to be kept, or a `Failure`."""
+        """Return the body, a `DroppedBody` if it is not to be kept, or a `Failure`."""
         announced = self.request.content_length or 0
         if announced > self.limit:
             return self.too_large(announced)
@@ -57,7 +58,7 @@
         if failure is not None:
             return failure
         if not keep:
-            return b""
+            return DroppedBody(self.size) if self.size else b""
         self.connection.give_back(self.reserved - self.size)
         return body.content()
 
--- a/packages/daemon/persimmonstall_daemon/direct/callers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/callers.py
@@ -25,9 +25,6 @@
 
 SHUTDOWN_SECONDS = 0.1
 
-ADMITTED_RETRY_SECONDS = 0.05
-"""`Retry-After` of a call that is served if it is sent again now."""
-
 
 @attrs.frozen
 class RequestHead:
@@ -114,12 +111,6 @@
             transport.abort()
 
 
-def admitted_late():
-    """Return the failure of a call that a new configuration admits after its body was dropped."""
-    detail = "the configuration admits the call only since its body arrived"
-    return Postponed(Reason.NO_ENDPOINT, STEP, "", detail, ADMITTED_RETRY_SECONDS)
-
-
 def set_headers(response, headers):
     """Set the headers of a response; aiohttp itself adds only those for framing."""
     response.headers.clear()
@@ -240,7 +231,7 @@
     async def read_body(self, request, call):
         """Return the body, or a `Failure` if it is too large, too slow or malformed.
 
-        The body of a call that will be refused for its head is read and not kept.
+        That of a call that will be refused for its head is a `DroppedBody`.
         """
         size = sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
         if size > self.limits.header_bytes > 0:
@@ -248,14 +239,10 @@
         connection = request.protocol
         if not await connection.accept(request.message):
             return no_room(self.entry, "a call")
-        served = self.is_served(call, connection)
         reader = BodyReader(self.entry, request, self.limits)
-        body = await reader.read(served)
-        if body == b"" and reader.size and not served and self.is_served(call, connection):
-            return admitted_late()
-        return body
+        return await reader.read(keep=self.may_be_served(call, connection))
 
-    def is_served(self, call, connection):
+    def may_be_served(self, call, connection):
         """Return whether a call may be served, as far as its head tells.
 
         Its connection then shares the memory of its organisation's callers at that address.
@@ -266,7 +253,7 @@
             return True
         found = self.entry.state.routes.find(call)
         if isinstance(found, Failure):
-            return False
+            return self.entry.calls_wait
         _route, _service, organisation = found
         connection.join_group(organisation.name if organisation else "")
         return True
--- a/packages/daemon/persimmonstall_daemon/direct/crash_records.py
+++ b/packages/daemon/persimmonstall_daemon/direct/crash_records.py
@@ -13,7 +13,7 @@
 """Interval at which changes are saved."""
 
 RETRY_SECONDS = 2.0
-"""Time after a failed call of the directory before the next one."""
+"""Time after a failed call of the directory before the next one, once no call waits for it."""
 
 SETTLE_SECONDS = 1.0
 """Time after the start before an entry removes records: until it knows its peers, it owns all."""
@@ -86,14 +86,25 @@
 
     async def run(self):
         """Read the records, then save changes until cancelled."""
+        failures = 0
         while not await self.load():
-            await asyncio.sleep(RETRY_SECONDS)
+            failures += 1
+            await asyncio.sleep(self.entry.clock.jitter(self.retry_seconds(failures)))
         self.loaded = True
         self.settled_at = self.entry.now() + SETTLE_SECONDS
         while True:
             done = (not self.unread or await self.load()) and await self.save_changes()
             await asyncio.sleep(SAVE_SECONDS if done else RETRY_SECONDS)
 
+    def retry_seconds(self, failures):
+        """Return the pause in seconds after `failures` failed reads since the start.
+
+        While calls wait for the records, it is as short as that of the configuration.
+        """
+        if self.entry.starting:
+            return self.entry.readers.retry_seconds(failures)
+        return RETRY_SECONDS
+
     async def load(self):
         """Read the records that entries saved before; return whether that succeeded."""
         self.unread = False
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -243,13 +243,22 @@
         """Whether calls can be served, and those that crash endpoints are known."""
         return self.state.ready and self.crash_records.loaded
 
+    @property
+    def starting(self):
+        """Whether this entry started so lately that calls wait for what it does not know yet."""
+        return self.now() < self.started_at + STARTUP_SECONDS
+
+    @property
+    def calls_wait(self):
+        """Whether calls wait now, so that a newer configuration may decide about them."""
+        return self.starting and not self.knows_enough
+
     async def wait_until_configured(self, deadline):
         """Wait until calls can be served, but only while this entry is starting up.
 
         A call does not wait past its `deadline`.
         """
-        until = min(self.started_at + STARTUP_SECONDS, deadline)
-        while not self.knows_enough and self.now() < until:
+        while self.calls_wait and self.now() < deadline:
             await asyncio.sleep(STARTUP_POLL_SECONDS)
 
     def ends_before_exit(self, deadline):
--- a/packages/daemon/persimmonstall_daemon/direct/final_answers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/final_answers.py
@@ -83,7 +83,9 @@
 
     async def refuse(self, call, sink, failure):
         """Send the caller a refusal and log its reason."""
-        refusal = failure if isinstance(failure, Refusal) else refuse(failure)
+        refusal = failure
+        if not isinstance(failure, Refusal):
+            refusal = refuse(failure, getattr(failure, "delay", None))
         reply = self.entry.dialect.refusal_reply(refusal)
         self.entry.metrics.count("direct_refusals", tag=str(refusal.reason))
         logs.log_failure(
