--- a/packages/core/persimmonstall/direct/datagrams.py
+++ b/packages/core/persimmonstall/direct/datagrams.py
@@ -29,6 +29,7 @@
     EVACUATIONS = "evacuations"
     OBSERVATIONS = "observations"
     USAGE = "usage"
+    HELD_ENDPOINTS = "held_endpoints"
 
 
 @attrs.frozen
--- a/packages/core/persimmonstall/direct/fleet.py
+++ b/packages/core/persimmonstall/direct/fleet.py
@@ -6,7 +6,8 @@
 import msgspec
 import xxhash
 
-from .messages import Endpoint
+from .departures import Departures
+from .updates import RowStamp
 
 OUTAGE_GRACE_SECONDS = 2.0
 """Seconds for which endpoints missing from the list are still used once the list is reachable
@@ -14,25 +15,12 @@
 
 
 RESTORE_SECONDS = 3.0
-"""Time after the list came back from an old copy in which endpoints have written again; until then
-those that had left the list before are not used."""
-
-DEPARTED_SECONDS = 60.0
-"""Time for which an endpoint that left the list is remembered."""
-
+"""Time after the directory came back from an old copy in which it is written again."""
 
 MAX_REMOVED = 1000
 """Maximum number of endpoints that were removed and whose last change is remembered."""
 
 
-@attrs.frozen
-class Departed:
-    """An endpoint that left the list at the time `at`."""
-
-    endpoint: Endpoint
-    at: float
-
-
 @attrs.define
 class Fleet:
     """Endpoints by name, as of a `revision` of the list, which never decreases.
@@ -42,9 +30,8 @@
     endpoints to the time at which they are dropped.  `cached_digest` is None after a change;
     `generation` counts the changes.
 
-    Until `restored_until`, after the list came back from an old copy, it may name endpoints that
-    are gone.  `departed` maps the lifetimes of those that left it to `Departed`; if they are
-    listed again meanwhile, `held` maps their names to the time until which they are not used.
+    Until `restored_until`, after the list came back from an old copy, it is written again.
+    `departures` are the endpoints that left it; some of those that it lists again are not used.
 
     `changed_at` maps names, also of endpoints that were removed, to the revision of their last
     change; it holds all changes after the revision `changes_from`.
@@ -57,47 +44,57 @@
     cached_digest: int | None = None
     generation: int = 0
     restored_until: float = 0.0
-    departed: dict = attrs.field(factory=dict)
-    held: dict = attrs.field(factory=dict)
+    departures: Departures = attrs.field(factory=Departures)
     changed_at: dict = attrs.field(factory=dict)
     changes_from: float = math.inf
 
     @property
     def digest(self):
-        """Hash of the endpoints, the same at all entries that know the same ones."""
+        """Hash of the endpoints, the same at all entries that know the same ones.
+
+        Those that are held back count, so that an entry learns from its peers that one is not.
+        """
         if self.cached_digest is None:
             endpoints = [self.endpoints[name] for name in sorted(self.endpoints)]
-            self.cached_digest = xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(endpoints))
+            held = sorted(set(self.departures.held) & set(self.endpoints))
+            known = (endpoints, held) if held else endpoints
+            self.cached_digest = xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(known))
         return self.cached_digest
 
-    def replace(self, endpoints, revision, now):
-        """Apply a complete read of the list: endpoints by name."""
-        if revision < self.revision:
+    def apply(self, update, now):
+        """Apply an `EndpointUpdate`."""
+        if update.revision < self.revision:
             return
-        self.changes_from = min(self.changes_from, revision)
-        for name in set(self.endpoints) - set(endpoints):
-            self.changed_at[name] = revision
-            self.remove(name, now)
-        for endpoint in endpoints.values():
-            if self.endpoints.get(endpoint.name) != endpoint:
-                self.changed_at[endpoint.name] = revision
-            self.put(endpoint, now)
-        self.revision = revision
-        self.forget_old_changes()
-
-    def change(self, changes, revision, now):
-        """Apply changes up to `revision`: pairs of a name and its endpoint, None if removed."""
-        if revision < self.revision:
-            return
-        for name, endpoint in changes:
-            self.changed_at[name] = revision
-            if endpoint is None:
+        if update.whole:
+            self.changes_from = min(self.changes_from, update.revision)
+            listed = {change.name for change in update.changes if change.endpoint is not None}
+            for name in set(self.endpoints) - listed:
+                self.changed_at[name] = update.revision
                 self.remove(name, now)
-            else:
-                self.put(endpoint, now)
-        self.revision = revision
+        for change in update.changes:
+            self.apply_change(change, update, now)
+        self.revision = update.revision
         self.forget_old_changes()
 
+    def apply_change(self, change, update, now):
+        """Apply one of the changes of an update."""
+        stamp = update.stamp_of(change)
+        if not update.whole or self.is_news(change, stamp):
+            self.changed_at[change.name] = update.revision
+        if change.endpoint is not None:
+            self.put(change.endpoint, now, stamp)
+        elif not update.whole:
+            self.remove(change.name, now)
+
+    def is_news(self, change, stamp):
+        """Return whether a listed endpoint, or what is known of its row, has changed."""
+        if change.endpoint is None:
+            return False
+        held = self.departures.held.get(change.name)
+        if held is not None and stamp.is_later_than(held.stamp):
+            return True
+        return self.endpoints.get(change.name) != change.endpoint
+
     def changed_since(self, revision):
         """Return the names that changed after `revision`, None if that is not known any more."""
         if revision < self.changes_from:
@@ -118,15 +115,10 @@
         for name in removed[:excess]:
             self.changes_from = max(self.changes_from, self.changed_at.pop(name))
 
-    def put(self, endpoint, now=0.0):
+    def put(self, endpoint, now=0.0, stamp=RowStamp()):
         """Add an endpoint or replace its state; one that was leaving stays so for its lifetime."""
-        known = self.endpoints.get(endpoint.name)
-        departed = self.departed.pop(endpoint.lifetime, None)
-        if departed is not None and now < self.restored_until:
-            self.held[endpoint.name] = self.restored_until
-        elif known is not None and known.lifetime != endpoint.lifetime:
-            self.held.pop(endpoint.name, None)
-        earlier = known if departed is None else departed.endpoint
+        departed = self.departures.record_listed(endpoint, stamp, now)
+        earlier = self.endpoints.get(endpoint.name) if departed is None else departed
         if was_leaving(endpoint, earlier):
             endpoint = attrs.evolve(endpoint, leaving=True)
         self.endpoints[endpoint.name] = endpoint
@@ -146,11 +138,17 @@
         """Drop an endpoint at once."""
         endpoint = self.endpoints.pop(name, None)
         if endpoint is not None:
-            self.departed[endpoint.lifetime] = Departed(endpoint, now)
+            self.departures.record_left(endpoint, self.revision, now)
         self.missing.pop(name, None)
-        self.held.pop(name, None)
         self.record_change()
 
+    def hold(self, lifetime, stamp, now):
+        """Hold back a lifetime that another entry saw leave; return whether that is new."""
+        new = self.departures.hold(lifetime, stamp, now)
+        if new:
+            self.record_change()
+        return new
+
     def record_change(self):
         """Record that the endpoints that are known, or usable, have changed."""
         self.cached_digest = None
@@ -160,9 +158,13 @@
         """Start the grace period: the list is reachable again after an outage."""
         self.grace_until = now + OUTAGE_GRACE_SECONDS
 
-    def start_restore(self, now):
-        """Start the time in which the list, come back from an old copy, is written again."""
+    def start_restore(self, revision, now):
+        """Start the time in which the list, come back from an old copy, is written again.
+
+        It did so as of `revision`.
+        """
         self.start_grace(now)
+        self.departures.start_restore(revision, self.endpoints, now)
         self.changes_from = math.inf
         self.restored_until = now + RESTORE_SECONDS
 
@@ -175,12 +177,7 @@
         gone = [name for name, until in self.missing.items() if until <= now]
         for name in gone:
             self.drop(name, now)
-        for name in [name for name, until in self.held.items() if until <= now]:
-            del self.held[name]
-            self.record_change()
-        for lifetime, departed in list(self.departed.items()):
-            if now - departed.at > DEPARTED_SECONDS:
-                del self.departed[lifetime]
+        self.departures.expire(now)
         return gone
 
     def lifetimes(self):
@@ -200,7 +197,12 @@
         name, _ = lifetime
         endpoint = self.endpoints.get(name)
         listed = endpoint is not None and endpoint.lifetime == lifetime
-        return listed and not endpoint.leaving and name not in self.held
+        return listed and not endpoint.leaving and not self.is_held(lifetime)
+
+    def is_held(self, lifetime):
+        """Return whether a lifetime is not used, since its row may be that of an old copy."""
+        held = self.departures.held.get(lifetime[0])
+        return held is not None and held.lifetime == lifetime
 
 
 def was_leaving(endpoint, earlier):
--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -15,7 +15,7 @@
 from .fleet import Fleet
 from .loads import LoadTracker
 from .messages import Configuration
-from .notices import EndpointNotices
+from .notices import EndpointNotices, Notice
 from .observations import Observations
 from .placing import Placer
 from .request_limits import RequestLimits
@@ -193,15 +193,11 @@
             return False
         before, watched = self.fleet.lifetimes(), self.endpoints_known
         if update.restored:
-            self.fleet.start_restore(now)
-        if update.whole:
-            listed = {c.name: c.endpoint for c in update.changes if c.endpoint is not None}
-            self.fleet.replace(listed, update.revision, now)
-        else:
-            changes = [(change.name, change.endpoint) for change in update.changes]
-            self.fleet.change(changes, update.revision, now)
+            self.fleet.start_restore(update.copy_revision or update.revision, now)
+        self.fleet.apply(update, now)
         self.endpoints_known = True
         self.record_cold_rows(update, before if watched else None, now)
+        self.record_outdated_rows(update, now)
         self.handle_ended_lifetimes(before, now)
         return True
 
@@ -213,6 +209,16 @@
                 started = before is not None and endpoint.lifetime not in before
                 self.cold.observe_row(endpoint, started, now)
 
+    def record_outdated_rows(self, update, now):
+        """Record the endpoints that leave though their rows say otherwise again.
+
+        Their rows are those of an old copy; entries that start later know nothing else of them.
+        """
+        for change in update.changes:
+            known = self.fleet.endpoints.get(change.name)
+            if change.endpoint is not None and known.leaving and not change.endpoint.leaving:
+                self.notices.record(known.lifetime, Notice(leaving=True), now)
+
     def handle_ended_lifetimes(self, before, now):
         """Clean up after lifetimes that are in `before` but have ended since."""
         after = self.fleet.lifetimes()
--- a/packages/core/persimmonstall/direct/updates.py
+++ b/packages/core/persimmonstall/direct/updates.py
@@ -16,19 +16,38 @@
     revision: int = 0
 
 
+@attrs.frozen
+class RowStamp:
+    """When an endpoint's row was last written.
+
+    `revision` is the place of the write in the order of all writes to the directory, 0 if that is
+    not known; `sequence` is the endpoint's own count of its writes, which need not change the
+    row otherwise.
+    """
+
+    revision: int = 0
+    sequence: int = 0
+
+    def is_later_than(self, other):
+        """Return whether the row was written after the write with the stamp `other`."""
+        return self.revision > other.revision or self.sequence > other.sequence
+
+
 @attrs.frozen
 class EndpointChange:
     """Newest state of an endpoint, None if its record was removed or is unusable."""
 
     name: str
     endpoint: Endpoint | None = None
+    stamp: RowStamp = RowStamp()
 
 
 @attrs.frozen
 class EndpointUpdate:
     """Changes of endpoints up to `revision`; `whole` marks a complete list.
 
-    `restored` says that the list has just come back from an old copy and may be outdated.
+    `restored` says that the list has just come back from an old copy and may be outdated;
+    `copy_revision` is the revision as of which it did so last, 0 if that is `revision`.
     """
 
     LOG_NAME = "EndpointNews"
@@ -38,6 +57,11 @@
     revision: int
     whole: bool = False
     restored: bool = False
+    copy_revision: int = 0
+
+    def stamp_of(self, change):
+        """Return the stamp of a change; a row without one was written as of this update."""
+        return change.stamp if change.stamp.revision else RowStamp(self.revision)
 
 
 @attrs.frozen
--- a/packages/core/persimmonstall/outside/direct.py
+++ b/packages/core/persimmonstall/outside/direct.py
@@ -19,6 +19,12 @@
     era: int = 0
     history_gone: bool = False
 
+    def position_of(self, revision):
+        """Return the place of one of the rows' revisions, that of all rows if it is not known."""
+        if not isinstance(revision, int):
+            return self.position
+        return self.position - self.revision + revision
+
 
 @attrs.frozen
 class PollTimes:
@@ -64,6 +70,13 @@
     def reconnect(self):
         """Treat every open call to the directory as lost and read everything again."""
 
+    @abc.abstractmethod
+    def read_endpoints_again(self):
+        """Read all endpoints again once the open call has ended.
+
+        An endpoint that writes its row anew, otherwise unchanged, does not change the table.
+        """
+
     @abc.abstractmethod
     async def register(self, address):
         """Write this entry's row; return the `EntryRow`s of the others, or a `Failure`.
--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -27,6 +27,7 @@
 from .endpoint_client import EndpointClient
 from .entry_memory import EntryMemory
 from .evacuations import EvacuationReporter
+from .held_endpoints import HeldEndpoints
 from .limits import LimitReporter
 from .loads import LoadReporter
 from .notices import NoticeReporter
@@ -108,6 +109,7 @@
         self.limits = LimitReporter(self, self.peers.schedule_beacon)
         self.notices = NoticeReporter(self, self.peers.schedule_beacon)
         self.evacuations = EvacuationReporter(self)
+        self.held_endpoints = HeldEndpoints(self)
         self.cold = ColdReporter(self)
         self.chooser = EndpointChooser(self)
         self.admission = AdmissionQueue(self)
--- a/packages/daemon/persimmonstall_daemon/direct/snapshots.py
+++ b/packages/daemon/persimmonstall_daemon/direct/snapshots.py
@@ -8,7 +8,12 @@
 
 from persimmonstall.direct import snapshot as snapshots
 from persimmonstall.direct.snapshot import Snapshot
-from persimmonstall.direct.updates import ConfigurationUpdate, EndpointChange, EndpointUpdate
+from persimmonstall.direct.updates import (
+    ConfigurationUpdate,
+    EndpointChange,
+    EndpointUpdate,
+    RowStamp,
+)
 from persimmonstall.failures import Failure
 
 from ..bounded_http import describe, open_session, read_body
@@ -233,8 +238,13 @@
         whole = names is None
         if whole:
             names = [name for name in fleet.endpoints if name not in fleet.missing]
-        changes = tuple(EndpointChange(name, fleet.listed(name)) for name in names)
-        return EndpointUpdate(changes, fleet.revision, whole, restored)
+        stamps = fleet.departures.stamps
+        changes = tuple(
+            EndpointChange(name, fleet.listed(name), stamps.get(name, RowStamp()))
+            for name in names
+        )
+        copy_revision = fleet.departures.copy_revision
+        return EndpointUpdate(changes, fleet.revision, whole, restored, copy_revision)
 
 
 def version_in(request, name):
--- a/packages/daemon/persimmonstall_daemon/direct/table_follower.py
+++ b/packages/daemon/persimmonstall_daemon/direct/table_follower.py
@@ -21,6 +21,7 @@
     `decode(rows, whole, restored)` returns the updates to report: `whole` is true after a full
     read, `restored` if the store has come back from an old copy since the last one.  `era` is that
     of the last answer, None before the first.  `failures` counts the calls since then that failed.
+    `outdated` says that the table is to be read in full again.
     """
 
     def __init__(self, table, store, clock, readers, decode, report):
@@ -34,6 +35,7 @@
         self.era = None
         self.reachable = None
         self.failures = 0
+        self.outdated = False
 
     async def run(self):
         """Follow the table until cancelled, from a full read on."""
@@ -47,7 +49,8 @@
                 self.log.warning("history_gone", table=self.table, revision=revision, era=rows.era)
                 revision = None
             else:
-                revision = rows.revision
+                revision = None if self.outdated else rows.revision
+                self.outdated = False
                 await self.apply(rows, whole)
 
     async def ask(self, revision):
--- a/packages/daemon/persimmonstall_daemon/direct/ticker.py
+++ b/packages/daemon/persimmonstall_daemon/direct/ticker.py
@@ -52,6 +52,7 @@
         entry.state.tick(now)
         entry.memory.tick()
         entry.evacuations.expire(now)
+        entry.held_endpoints.tick(now)
         entry.cold.review(now)
         entry.admission.tick(now)
 
--- a/packages/daemon/persimmonstall_daemon/observe/metric_names.py
+++ b/packages/daemon/persimmonstall_daemon/observe/metric_names.py
@@ -101,6 +101,9 @@
     Metric("direct_peers", Kind.GAUGE, "Entries heard lately."),
     Metric("direct_cold_permits", Kind.COUNTER, "Permits asked for cold endpoints.", "answer"),
     Metric("direct_cold_endpoints", Kind.GAUGE, "Endpoints that are cold, as far as known."),
+    Metric(
+        "direct_held_endpoints", Kind.GAUGE, "Endpoints listed again by an old copy, not used."
+    ),
     Metric("direct_evacuated", Kind.GAUGE, "Data centres that are evacuated, as far as known."),
     Metric("direct_configuration", Kind.GAUGE, "Version of the configuration in force."),
     Metric("directory_age", Kind.GAUGE, "Seconds since the directory answered anybody."),
