--- a/packages/daemon/persimmonstall_daemon/bounded_http.py
+++ b/packages/daemon/persimmonstall_daemon/bounded_http.py
@@ -1,12 +1,15 @@
-"""Bounds on what a peer may send in answer to a request: head, framing and body.
+"""Bounds on what a peer may send in answer to a request, and whether an answer is whole.
 
-A peer that exceeds a bound has its connection closed at once, and the reader of its answer gets
-an `AnswerRejected`.
+A peer that exceeds a bound in head, framing or body has its connection closed at once, and the
+reader of its answer gets an `AnswerRejected`.  An answer that only its connection ends is whole if
+the peer had received the whole request by then, and neither side reset the connection.
 """
 
+import fcntl
 import functools
 import socket
 import struct
+import termios
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -33,6 +36,8 @@
 
 END_OF_HEAD = b"\r\n\r\n"
 SWITCHING_PROTOCOLS = 101
+BODILESS_STATUSES = (204, 304)
+UNSENT_BYTES = struct.Struct("i")
 
 
 class AnswerRejected(aiohttp.ClientPayloadError):
@@ -57,12 +62,47 @@
         raise ConnectionBroken(describe(error)) from error
 
 
+class BoundedRequest(aiohttp.ClientRequest):
+    """A request that tells its connection whether all of its body was written."""
+
+    async def write_bytes(self, writer, conn, content_length=None):
+        """Write the body."""
+        protocol = conn.protocol
+        protocol.request_written = False
+        await super().write_bytes(writer, conn, content_length)
+        protocol.request_written = protocol.exception() is None
+
+
+class BoundedResponse(aiohttp.ClientResponse):
+    """An answer that knows whether it is whole, also once its connection is gone."""
+
+    connection_state = None
+
+    async def start(self, connection):
+        """Read the head."""
+        self.connection_state = connection.protocol
+        return await super().start(connection)
+
+    @property
+    def framed(self):
+        """Whether length, chunks, method or status mark the end of the body."""
+        chunked = "chunked" in self.headers.get("Transfer-Encoding", "").lower()
+        empty = self.method == "HEAD" or self.status in BODILESS_STATUSES
+        return chunked or empty or "Content-Length" in self.headers
+
+    @property
+    def cut_off(self):
+        """Why an answer whose body has ended is not whole, empty if it is."""
+        return "" if self.framed else self.connection_state.cut_off
+
+
 class BoundedResponseHandler(ResponseHandler):
     """A client connection that rejects answers whose head or framing does not end.
 
     `received` counts the bytes since the request, `head_end` holds the last bytes of a head so
     far, `body` is the stream reader of the answer's body, None before the head is complete.
-    Interim answers (1xx) are dropped.
+    Interim answers (1xx) are dropped.  `request_written` says whether the request was handed to
+    the system, `cut_off` how the connection ended if that does not end an answer.
     """
 
     def __init__(self, loop):
@@ -71,10 +111,13 @@
         self.head_end = b""
         self.body = None
         self.rejected = False
+        self.request_written = True
+        self.cut_off = ""
 
     def set_response_params(self, **options):
         """Expect the answer to a request; bytes that came before it belong to no request."""
         unasked = len(self._tail) + len(self)
+        self.request_written = True
         self.received = 0
         self.head_end = b""
         self.body = None
@@ -109,6 +152,18 @@
         self.head_end = b""
         return start + end
 
+    def eof_received(self):
+        """Find out whether the peer ended before it had received the whole request."""
+        if not self.request_written or (self.transport and unreceived_bytes(self.transport)):
+            self.cut_off = "the connection ended before the peer had received the whole request"
+        return super().eof_received()
+
+    def connection_lost(self, exc):
+        """Record that the connection was reset, if it was, before the body ends with it."""
+        if exc is not None:
+            self.cut_off = f"connection lost: {describe(exc)}"
+        super().connection_lost(exc)
+
     def receive(self, data):
         """Parse bytes, then check the bound on what is not part of the body."""
         if self.rejected:
@@ -188,6 +243,18 @@
         return ":".join(map(str, address[:2])) if address else ""
 
 
+def unreceived_bytes(transport):
+    """Return how many bytes that were sent the peer's system has not acknowledged."""
+    waiting = transport.get_write_buffer_size()
+    sock = transport.get_extra_info("socket")
+    try:
+        unsent = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(UNSENT_BYTES.size))
+    except OSError as error:
+        LOG.debug("unacknowledged_unknown", reason=describe(error))
+        return waiting
+    return waiting + UNSENT_BYTES.unpack(unsent)[0]
+
+
 def describe(error):
     """Return the text of an error for a log line.
 
@@ -212,7 +279,9 @@
         self._factory = functools.partial(BoundedResponseHandler, loop=self._loop)
 
 
-def open_session(connector=None, read_bufsize=READ_BUFFER_BYTES, **options):
+def open_session(
+    connector=None, read_bufsize=READ_BUFFER_BYTES, request_class=BoundedRequest, **options
+):
     """Return an HTTP client session with bounded answers that sends each request at most once.
 
     It keeps no cookies.  Each request names `allow_redirects=False`, since aiohttp would
@@ -223,12 +292,14 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         middlewares=(send_once,),
         read_bufsize=read_bufsize,
+        request_class=request_class,
+        response_class=BoundedResponse,
         **options,
     )
 
 
 async def read_body(response, limit):
-    """Return the complete body of a response.
+    """Return the complete body of a response; raise `ConnectionBroken` if it was cut off.
 
     Raise `AnswerRejected` and close the connection if it has more than `limit` bytes.
     """
@@ -237,6 +308,8 @@
     while data := await response.content.readany():
         body += data
         check_size(response, len(body), limit)
+    if response.cut_off:
+        raise ConnectionBroken(response.cut_off)
     return bytes(body)
 
 
--- a/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
+++ b/packages/daemon/persimmonstall_daemon/direct/endpoint_client.py
@@ -18,6 +18,7 @@
     READ_BUFFER_BYTES,
     AnswerRejected,
     BoundedConnector,
+    BoundedRequest,
     ConnectionBroken,
     describe,
     open_session,
@@ -59,7 +60,7 @@
     raw_path_qs: str
 
 
-class ExactRequest(aiohttp.ClientRequest):
+class ExactRequest(BoundedRequest):
     """A request that sends its target unchanged; a URL would drop an empty query."""
 
     async def send(self, conn):
@@ -72,7 +73,7 @@
 
 
 def make_session(
-    request_class=aiohttp.ClientRequest,
+    request_class=BoundedRequest,
     trace_configs=(),
     socket_factory=keepalive_socket,
     read_bufsize=READ_BUFFER_BYTES,
@@ -100,15 +101,10 @@
 
 @attrs.define
 class EndpointAnswer:
-    """An endpoint's answer: its `ResponseHead`, and the body, which is read as it arrives.
-
-    `closed` is a future that completes when the connection closes, None if it was already gone
-    when the head was read.
-    """
+    """An endpoint's answer: its `ResponseHead`, and the body, which is read as it arrives."""
 
     head: ResponseHead
     response: object
-    closed: object
 
     async def read(self, timeout):
         """Return the next bytes, empty at the end of a complete body, or a `Failure`.
@@ -117,10 +113,8 @@
         """
         try:
             data = await self.read_chunk(timeout)
-            if not data and not await self.ended_cleanly():
-                return answer_lost(
-                    self.head, "connection reset at the end of a body without framing"
-                )
+            if not data and self.response.cut_off:
+                return answer_lost(self.head, self.response.cut_off)
         except TimeoutError:
             # A subclass of OSError, but not a connection failure.
             raise
@@ -142,26 +136,11 @@
             late = clock() - deadline >= SUSPENSION_SECONDS
         return await wait_past_suspension(content.readany(), CATCH_UP_SECONDS if late else 0.0)
 
-    async def ended_cleanly(self):
-        """Return whether the body is framed, or its connection was closed without an error."""
-        if self.framed:
-            return True
-        if self.closed is None or not self.closed.done():
-            return False
-        return self.closed.exception() is None
-
     @property
     def announced_bytes(self):
         """The length of the body according to the head, 0 if the head does not tell it."""
         return self.response.content_length or 0
 
-    @property
-    def framed(self):
-        """Whether length, chunks or status mark the end of the body."""
-        headers = self.response.headers
-        chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
-        return chunked or "Content-Length" in headers or self.head.status in (204, 304)
-
     def close(self):
         """Close the connection, which cancels the call at the endpoint."""
         self.response.close()
@@ -231,11 +210,8 @@
             response.close()
             detail = f"status {response.status}: a header has a control character"
             return Failure(Reason.ENDPOINT_ERROR, STEP, peer, detail)
-        connection = response.connection
-        protocol = None if connection is None else connection.protocol
-        closed = None if protocol is None else protocol.closed
         head = self.dialect.read_head(call, response.status, response.raw_headers)
-        return EndpointAnswer(head, response, closed)
+        return EndpointAnswer(head, response)
 
     async def request(self, *arguments, on_sent, **options):
         """Make an HTTP request; connect once more if the timeout of connecting was late itself."""
--- a/packages/daemon/tests/test_bounded_http.py
+++ b/packages/daemon/tests/test_bounded_http.py
@@ -227,3 +227,18 @@
                     await reading
 
     on_server(lambda: (head, data), scenario)
+
+
+@pytest.mark.parametrize(("size", "ends"), [(0, False), (1 << 24, False), (1 << 24, True)])
+def test_part_of_an_unframed_answer_is_not_whole_if_its_connection_is_reset(size, ends):
+    """The caller of a plain service got the part as the whole answer."""
+    answer = [HEAD + b"Connection: close\r\n\r\n", b"part"]
+
+    async def scenario(server, _session):
+        server.ends, server.resets = ends, not ends
+        service = HttpService(server.url)
+        result = await service.call(ServiceCall("c", "m", b"x" * size), 2.0)
+        await service.close()
+        assert result.reason is Reason.ENDPOINT_LOST
+
+    on_server(lambda: answer, scenario)
--- a/packages/standins/persimmonstall_standins/raw_server.py
+++ b/packages/standins/persimmonstall_standins/raw_server.py
@@ -2,17 +2,24 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 
 END_OF_HEAD = b"\r\n\r\n"
 CLOSED_SECONDS = 2.0
 """Time within which all connections have to close."""
 
+RESET_SECONDS = 0.02
+RESET_LINGER = struct.pack("ii", 1, 0)
+"""Time from the end of a stream to the reset, and value of SO_LINGER with which a close is one."""
+
 
 class RawServer:
     """Answers each request with the byte strings of `answer()`, which may not end.
 
     `heads` are the heads of the requests, `sent` is the number of bytes sent and `open` that of
-    open connections.  A server that `closes` closes a connection after each answer.
+    open connections.  A server that `closes` closes a connection after each answer, one that
+    `resets` resets it a moment later, and one that `ends` ends its stream before that.
     """
 
     def __init__(self, answer):
@@ -21,6 +28,8 @@
         self.sent = 0
         self.open = 0
         self.closes = False
+        self.resets = False
+        self.ends = False
         self.address = ""
         self.server = None
 
@@ -50,6 +59,9 @@
             while True:
                 self.heads.append(await reader.readuntil(END_OF_HEAD))
                 await self.send_answer(writer)
+                if self.resets or self.ends:
+                    await reset_soon(writer, self.ends)
+                    break
                 if self.closes:
                     writer.close()
                     await writer.wait_closed()
@@ -69,3 +81,13 @@
         async with asyncio.timeout(CLOSED_SECONDS):
             while self.open:
                 await asyncio.sleep(0.01)
+
+
+async def reset_soon(writer, ends):
+    """Reset a connection in a moment, and end its stream now if it `ends`."""
+    if ends:
+        writer.write_eof()
+    await asyncio.sleep(RESET_SECONDS)
+    sock = writer.transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+    writer.transport.abort()
