--- a/packages/daemon/persimmonstall_daemon/bounded_http.py
+++ b/packages/daemon/persimmonstall_daemon/bounded_http.py
@@ -36,6 +36,7 @@
 
 END_OF_HEAD = b"\r\n\r\n"
 SWITCHING_PROTOCOLS = 101
+FINAL_STATUSES = range(200, 600)
 BODILESS_STATUSES = (204, 304)
 UNSENT_BYTES = struct.Struct("i")
 
@@ -195,6 +196,9 @@
         if self.body is not None or self._parser is None:
             self.reject("another answer than the one expected")
             return
+        if not is_final(message.code):
+            self.reject(f"status {message.code} is none of an answer")
+            return
         self.body = body
         super().feed_data(answer, size)
 
@@ -243,6 +247,15 @@
         return ":".join(map(str, address[:2])) if address else ""
 
 
+def is_final(status):
+    """Return whether a status is that of a final answer.
+
+    >>> is_final(200), is_final(599), is_final(0), is_final(101), is_final(600)
+    (True, True, False, False, False)
+    """
+    return status in FINAL_STATUSES
+
+
 def unreceived_bytes(transport):
     """Return how many bytes that were sent the peer's system has not acknowledged."""
     waiting = transport.get_write_buffer_size()
--- a/packages/daemon/tests/test_bounded_http.py
+++ b/packages/daemon/tests/test_bounded_http.py
@@ -229,6 +229,20 @@
     on_server(lambda: (head, data), scenario)
 
 
+@pytest.mark.parametrize("status", [0, 99, 600, 700, 999])
+def test_status_that_is_none_of_a_final_answer_is_rejected(status):
+    """The caller of a plain service got such statuses as answers."""
+    answer = [b"HTTP/1.1 %03d Odd\r\nContent-Length: 3\r\n\r\nown" % status]
+
+    async def scenario(server, _session):
+        service = HttpService(server.url)
+        result = await service.call(ServiceCall("c", "m", b""), 1.0)
+        await service.close()
+        assert result.reason is Reason.ENDPOINT_LOST
+
+    on_server(lambda: answer, scenario)
+
+
 @pytest.mark.parametrize(("size", "ends"), [(0, False), (1 << 24, False), (1 << 24, True)])
 def test_part_of_an_unframed_answer_is_not_whole_if_its_connection_is_reset(size, ends):
     """The caller of a plain service got the part as the whole answer."""
