--- a/packages/daemon/persimmonstall_daemon/direct/body_reader.py
+++ b/packages/daemon/persimmonstall_daemon/direct/body_reader.py
@@ -1,7 +1,5 @@
 """Reads the body of a request within the limits and the memory of the entry."""
 
-import asyncio
-
 from aiohttp import http
 
 from persimmonstall.direct.messages import DroppedBody
@@ -77,20 +75,16 @@
     async def receive(self, body):
         """Read the body into `body`, or discard it if that is None; return a `Failure` or None."""
         deadline = self.entry.now() + self.limits.idle_timeout
-        revocation = asyncio.timeout(None)
         try:
-            async with self.entry.time_limits.until(deadline), revocation:
-                self.connection.revoke = lambda: revoke(revocation)
-                return await self.receive_pieces(body)
+            with self.connection.revocable() as revocation:
+                async with self.entry.time_limits.until(deadline), revocation:
+                    return await self.receive_pieces(body)
+            return no_room(self.entry, "a body that arrives too slowly")
         except TimeoutError:
-            if revocation.expired():
-                return no_room(self.entry, "a body that arrives too slowly")
             reason = Reason.LEAVING if deadline > self.entry.exits_at else Reason.BODY_TOO_SLOW
             return Failure(reason, STEP, detail="body incomplete at the timeout")
         except (http.HttpProcessingError, ValueError) as error:
             return Failure(Reason.BAD_REQUEST, STEP, detail=repr(error))
-        finally:
-            self.connection.revoke = None
 
     async def receive_pieces(self, body):
         """Read until the end of the body; return None, or a `Failure` if it is too large."""
@@ -107,8 +101,3 @@
                 self.kept = self.size
                 self.memory.unfilled -= len(data)
         return None
-
-
-def revoke(revocation):
-    """End the wait of a body that has to give way."""
-    revocation.reschedule(asyncio.get_running_loop().time())
--- a/packages/daemon/persimmonstall_daemon/direct/callers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/callers.py
@@ -237,11 +237,26 @@
         if size > self.limits.header_bytes > 0:
             return Failure(Reason.HEADERS_TOO_LARGE, STEP, detail=f"{size} bytes")
         connection = request.protocol
-        if not await connection.accept(request.message):
+        if not await connection.accept(request.message, self.deadline_of(call)):
             return no_room(self.entry, "a call")
         reader = BodyReader(self.entry, request, self.limits)
         return await reader.read(keep=self.may_be_served(call, connection))
 
+    def deadline_of(self, call):
+        """Return the time by which a call has to be answered, now for one that is unreadable."""
+        if isinstance(call, Failure):
+            return self.entry.now()
+        found = self.find_route(call)
+        if found is None:
+            return call.deadline
+        route, _service, _organisation = found
+        return min(call.deadline, call.arrived + route.timeout)
+
+    def find_route(self, call):
+        """Return route, service and organisation of a call, None if it is not admitted now."""
+        found = self.entry.state.routes.find(call) if self.entry.state.ready else None
+        return None if isinstance(found, Failure) else found
+
     def may_be_served(self, call, connection):
         """Return whether a call may be served, as far as its head tells.
 
@@ -249,11 +264,9 @@
         """
         if isinstance(call, Failure):
             return False
-        if not self.entry.state.ready:
-            return True
-        found = self.entry.state.routes.find(call)
-        if isinstance(found, Failure):
-            return self.entry.calls_wait
+        found = self.find_route(call)
+        if found is None:
+            return self.entry.calls_wait or not self.entry.state.ready
         _route, _service, organisation = found
         connection.join_group(organisation.name if organisation else "")
         return True
--- a/packages/daemon/persimmonstall_daemon/direct/connection.py
+++ b/packages/daemon/persimmonstall_daemon/direct/connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 
 from aiohttp import web
 
@@ -54,8 +55,9 @@
     `queued` holds the sizes of the heads, and `unparsed` data that waits for its turn.  `taken`
     are those of the request that is served, and `stored` is its body.  `body` is the body that is
     parsed, of which `body_received` bytes came; `counted` is the number of requests that were
-    parsed, `work` the number of lines since the last turn.  `denied` says that there was no room
-    for a request; `revoke`, if there is one, refuses the request whose body arrives.
+    parsed, `work` the number of lines since the last turn.  `turn` is the one after which it is
+    read again, None while it is read.  `denied` says that there was no room for a request;
+    `revoke`, if there is one, refuses the request that arrives.
     """
 
     def __init__(self, server, limits, memory, essential=False, **options):
@@ -72,7 +74,7 @@
         self.chunked = False
         self.queued = collections.deque()
         self.work = 0
-        self.paced = False
+        self.turn = None
         self.unparsed = b""
         self.wire = 0
         self.taken = 0
@@ -120,8 +122,8 @@
             self.account(piece)
             start += len(piece)
             if self.work >= PACED_LINES:
-                self.pace()
                 self.unparsed += data[start:]
+                self.pace()
                 return
             if start >= len(data):
                 return
@@ -129,21 +131,19 @@
     @property
     def reading_paused(self):
         """Whether the connection is not read now, so that its close is not noticed."""
-        return self.paced or self._reading_paused or self._buffer_paused
+        return self.turn is not None or self._reading_paused or self._buffer_paused
 
     def pace(self):
-        """Read no more for as long as parsing takes the share that is left to such callers."""
-        seconds = self.memory.pacer.delay(self.work * LINE_SECONDS, self.memory.entry.now())
-        self.work = 0
-        if self.transport is None or self.paced:
+        """Read no more until it is this connection's turn among those that are dear to parse."""
+        seconds, self.work = self.work * LINE_SECONDS, 0
+        if self.transport is None or self.turn is not None:
             return
-        self.paced = True
+        self.turn = self.memory.turns.ask(seconds, self.end_pace)
         self._pause_transport_reading()
-        asyncio.get_running_loop().call_later(seconds, self.resume_pace)
 
-    def resume_pace(self):
+    def end_pace(self):
         """Parse what is left, then read again, unless something else forbids it."""
-        self.paced = False
+        self.turn = None
         data, self.unparsed = self.unparsed, b""
         if data and self.transport is not None and not self._close:
             self.parse(data)
@@ -162,7 +162,7 @@
 
     def _resume_transport_reading(self):
         """Resume reading as aiohttp asks for, but not before the pace allows it."""
-        if not self.paced:
+        if self.turn is None:
             self.memory.departed.discard(self)
             super()._resume_transport_reading()
 
@@ -315,16 +315,39 @@
             self.charge_wire(min(self.wire, self.waiting_bytes()))
             self.enter(Phase.READING)
 
-    async def accept(self, message):
-        """Reserve what a call needs beside its body; return whether there was room."""
+    async def accept(self, message, until):
+        """Reserve what a call needs beside its body; return whether there was room.
+
+        One of very many fields waits for its turn, which has to come by the time `until`.
+        """
         if self.denied or not await self.take(EXCHANGE_BYTES + head_bytes(message)):
             return False
         fields = len(message.raw_headers)
-        if fields > SERVED_FIELDS:
-            now = self.memory.entry.now()
-            await asyncio.sleep(self.memory.pacer.delay(fields * FIELD_SECONDS, now))
+        if fields > SERVED_FIELDS and not await self.wait_for_turn(fields, until):
+            return False
         return not self.denied
 
+    async def wait_for_turn(self, fields, until):
+        """Wait for the turn of a call of so many fields; return whether it came in time."""
+        with self.revocable() as revocation:
+            async with revocation:
+                return await self.memory.turns.wait(fields * FIELD_SECONDS, until)
+        return False
+
+    @contextlib.contextmanager
+    def revocable(self):
+        """Provide a timeout that ends once this connection has to give way; leave on its end."""
+        revocation = asyncio.timeout(None)
+        clock = asyncio.get_running_loop().time
+        self.revoke = lambda: revocation.reschedule(clock())
+        try:
+            yield revocation
+        except TimeoutError:
+            if not revocation.expired():
+                raise
+        finally:
+            self.revoke = None
+
     def request_ended(self):
         """Expect the head of another request: this one has been answered."""
         self.in_request = False
@@ -347,6 +370,8 @@
         """Cancel the timeout of a connection that has closed, and the call in progress."""
         self.lost_at = asyncio.get_running_loop().time()
         self.memory.departed.discard(self)
+        self.memory.turns.withdraw(self.turn)
+        self.turn, self.unparsed = None, b""
         self.cancel_timeout()
         if self.holder is not None:
             self.memory.close(self.holder)
--- a/packages/daemon/persimmonstall_daemon/direct/entry_memory.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry_memory.py
@@ -5,10 +5,10 @@
 import os
 
 from persimmonstall.direct.byte_budget import LARGE_BYTES, ByteBudget, Holder
-from persimmonstall.direct.pacing import Pacer
 
 from ..observe import logs
 from .departed_callers import DepartedCallers
+from .turns import Turns
 
 LOG = logs.get("memory")
 STEP = "memory"
@@ -65,7 +65,8 @@
 class EntryMemory:
     """The budget of bytes of an entry, and the connections that hold them.
 
-    `departed` finds callers that left while their connections are not read.
+    `turns` are those of callers whose requests are dear to parse; `departed` finds callers that
+    left while their connections are not read.
     `counts` are the numbers of connections, by whether they are essential.  `own` is what the
     process takes by itself, `unfilled` the bytes that are reserved and have not arrived.  Without
     a memory in the settings, everything is granted.
@@ -74,7 +75,7 @@
     def __init__(self, entry):
         self.entry = entry
         self.budget = ByteBudget()
-        self.pacer = Pacer()
+        self.turns = Turns(entry.now)
         self.departed = DepartedCallers()
         self.connections = {}
         self.counts = {True: 0, False: 0}
