Unread bytes of bodies count, and are freed when their connection closes

Cause: bytes of such a body that wait to be read, up to 256 KB in a connection, were not counted, since nothing is reserved for them yet; those of a closed connection stayed until a garbage collection.

Change: what waits in the stream of the served body counts, beyond what is reserved for it; a connection that closes frees what nobody has read.

--- a/packages/daemon/persimmonstall_daemon/bounded_http.py
+++ b/packages/daemon/persimmonstall_daemon/bounded_http.py
@@ -228,13 +228,8 @@
             super().abort()
 
     def drop_unread(self):
-        """Free the bytes of an answer that nobody reads; a garbage collection may be far off.
-
-        Closing the answer has set an error by now, so that aiohttp's own methods don't free them.
-        """
-        if self.body is not None:
-            self.body._buffer.clear()
-            self.body._size = 0
+        """Free the bytes of an answer that nobody reads."""
+        drop_unread(self.body)
 
     def fail_body(self, error):
         """Let the reader of an incomplete body fail; the parser alone does not after an error."""
@@ -247,6 +242,17 @@
         return ":".join(map(str, address[:2])) if address else ""
 
 
+def drop_unread(body):
+    """Free the bytes that wait in the stream of a body; a garbage collection may be far off.
+
+    Its connection has closed, which has set an error, so that aiohttp's own methods don't free
+    them.  `body` may be None, or the stream of a message without one.
+    """
+    if getattr(body, "_buffer", None):
+        body._buffer.clear()
+        body._size = 0
+
+
 def is_final(status):
     """Return whether a status is that of a final answer.
 
--- a/packages/daemon/persimmonstall_daemon/direct/arriving_bytes.py
+++ b/packages/daemon/persimmonstall_daemon/direct/arriving_bytes.py
@@ -29,6 +29,11 @@
         return 2 * self.size + self.lines * FIELD_BYTES + self.unparsed
 
 
+def unread_bytes(body):
+    """Return how many bytes wait in the stream of a body to be read; 0 for None."""
+    return getattr(body, "_size", 0)
+
+
 def waiting_bytes(payload):
     """Return the estimated memory of a body that has arrived and that nobody reads yet."""
     pieces = getattr(payload, "_buffer", ())
--- a/packages/daemon/persimmonstall_daemon/direct/body_reader.py
+++ b/packages/daemon/persimmonstall_daemon/direct/body_reader.py
@@ -70,6 +70,7 @@
             return False
         self.reserved += size
         self.memory.unfilled += size
+        self.connection.fill(self.reserved - self.kept)
         return not self.connection.denied
 
     async def receive(self, body):
@@ -100,4 +101,5 @@
                 body.add(data)
                 self.kept = self.size
                 self.memory.unfilled -= len(data)
+            self.connection.fill(self.reserved - self.kept)
         return None
--- a/packages/daemon/persimmonstall_daemon/direct/callers.py
+++ b/packages/daemon/persimmonstall_daemon/direct/callers.py
@@ -167,7 +167,7 @@
 
     def make_request(self, message, payload, protocol, _writer, task):
         """Return a request whose head is complete; the headers of its answer are exact."""
-        protocol.request_started()
+        protocol.request_started(payload)
         loop = asyncio.get_running_loop()
         writer = ExactHeaderWriter(protocol, loop)
         return web.BaseRequest(message, payload, protocol, writer, task, loop)
--- a/packages/daemon/persimmonstall_daemon/direct/connection.py
+++ b/packages/daemon/persimmonstall_daemon/direct/connection.py
@@ -8,8 +8,9 @@
 
 from persimmonstall.direct.byte_budget import Phase
 
+from ..bounded_http import drop_unread
 from ..observe import logs
-from .arriving_bytes import HeadInProgress, head_bytes, waiting_bytes
+from .arriving_bytes import HeadInProgress, head_bytes, unread_bytes, waiting_bytes
 from .entry_memory import EXCHANGE_BYTES
 from .parser_limits import HEADER_LIMIT_FACTOR, MAX_HEADER_BYTES, parser_options
 
@@ -50,13 +51,14 @@
     event loop at which it closed, None while it is open.  `reading` says that bytes of a request
     have arrived that has not been answered.  It is `essential` if it does not serve callers.
 
-    `holder` stands for it in the budget of `memory`.  `wire` are the bytes charged for what has
+    `holder` stands for it in the budget of `memory`. `wire` are the bytes charged for what has
     arrived and is not served yet: the `head` in progress, the requests that wait, of which
-    `queued` holds the sizes of the heads, and `unparsed` data that waits for its turn.  `taken`
-    are those of the request that is served, and `stored` is its body.  `body` is the body that is
-    parsed, of which `body_received` bytes came; `counted` is the number of requests that were
-    parsed, `work` the number of lines since the last turn.  `turn` is the one after which it is
-    read again, None while it is read.  `denied` says that there was no room for a request;
+    `queued` holds the sizes of the heads, and `unparsed` data that waits for its turn. `taken`
+    are those of the request that is served, `served` is the stream of its body, `stored` what
+    was read of it and `unfilled` the bytes that are reserved for the rest. `body` is the body
+    that is parsed, of which `body_received` bytes came; `counted` is the number of requests that
+    were parsed, `work` the number of lines since the last turn. `turn` is the one after which it
+    is read again, None while it is read. `denied` says that there was no room for a request;
     `revoke`, if there is one, refuses the request that arrives.
     """
 
@@ -70,6 +72,8 @@
         self.head = HeadInProgress()
         self.counted = 0
         self.body = None
+        self.served = None
+        self.unfilled = 0
         self.body_received = 0
         self.chunked = False
         self.queued = collections.deque()
@@ -178,7 +182,13 @@
 
     def waiting_bytes(self):
         """Return the estimated memory of what has arrived and is not served yet."""
-        return self.head.memory + len(self.unparsed) + self.queued_bytes()
+        unread = max(0, unread_bytes(self.served) - self.unfilled)
+        return self.head.memory + len(self.unparsed) + unread + self.queued_bytes()
+
+    def fill(self, unfilled):
+        """Record how much of what is reserved for the body has not been read; charge the rest."""
+        self.unfilled = unfilled
+        self.charge_wire(min(self.wire, self.waiting_bytes()))
 
     def queued_bytes(self):
         """Return the estimated memory of the requests that have not begun to be served."""
@@ -307,9 +317,11 @@
             LOG.info("request_incomplete", step=STEP, reason="head incomplete at the timeout")
         self.force_close()
 
-    def request_started(self):
-        """Stop the header timeout: the head is complete."""
+    def request_started(self, body):
+        """Stop the header timeout: the head is complete; `body` is the stream of the body."""
         self.in_request = True
+        self.served = body
+        self.unfilled = 0
         self.cancel_timeout()
         if self.holder is not None:
             self.charge_wire(min(self.wire, self.waiting_bytes()))
@@ -375,4 +387,9 @@
         self.cancel_timeout()
         if self.holder is not None:
             self.memory.close(self.holder)
+        unread = [self.served, self.body, *(body for _, body in self._messages)]
         super().connection_lost(exc)
+        self._messages.clear()
+        self.body = self.served = None
+        for body in unread:
+            drop_unread(body)
--- a/packages/daemon/persimmonstall_daemon/direct/http_server.py
+++ b/packages/daemon/persimmonstall_daemon/direct/http_server.py
@@ -47,7 +47,7 @@
 
     def make_request(self, message, payload, protocol, writer, task):
         """Return a request whose head is complete."""
-        protocol.request_started()
+        protocol.request_started(payload)
         loop = asyncio.get_running_loop()
         return web.BaseRequest(message, payload, protocol, writer, task, loop)
 
