Held endpoints: stamps of rows name their era; a peer's old news bring none back

Change: a stamp holds era, version and the endpoint's own count, and is later than another of the same era alone. What was read of a newer copy moves the stamp of what is held, and releases nothing.

--- a/packages/core/persimmonstall/direct/departures.py
+++ b/packages/core/persimmonstall/direct/departures.py
@@ -24,11 +24,11 @@
 
 @attrs.frozen
 class Departed:
-    """An endpoint that left the list at the time `at`, as of a `revision` of the list."""
+    """An endpoint that left the list at the time `at`, in an `era` of the list."""
 
     endpoint: Endpoint
     at: float
-    revision: int
+    era: int
 
 
 @attrs.frozen
@@ -47,49 +47,56 @@
 class Departures:
     """The endpoints that left the list, by lifetime, and those that are `held` back, by name.
 
-    `stamps` are those of the listed rows by name.  `copy_revision` is the revision as of which the
-    list came back from an old copy, 0 if it never did: rows written later are no part of the copy.
+    `stamps` are those of the listed rows by name.  `copied` is the stamp as of which the list was
+    first read in its newest era: rows written later are no part of the copy from which it came.
     """
 
     departed: dict = attrs.field(factory=dict)
     held: dict = attrs.field(factory=dict)
     stamps: dict = attrs.field(factory=dict)
-    copy_revision: int = 0
+    copied: RowStamp = attrs.field(factory=RowStamp)
 
-    def record_left(self, endpoint, revision, now):
+    def record_copy(self, copied):
+        """Record as of when the list was first read in an era, by this entry or another."""
+        if copied.era > self.copied.era:
+            self.copied = copied
+        elif copied.era == self.copied.era:
+            self.copied = min(self.copied, copied, key=lambda stamp: stamp.version)
+
+    def record_left(self, endpoint, now):
         """Record that an endpoint left the list."""
-        self.departed[endpoint.lifetime] = Departed(endpoint, now, revision)
+        self.departed[endpoint.lifetime] = Departed(endpoint, now, self.copied.era)
         self.stamps.pop(endpoint.name, None)
         self.held.pop(endpoint.name, None)
 
     def record_listed(self, endpoint, stamp, now):
         """Record that an endpoint is listed; return how it left the list before, or None."""
-        name, departed = endpoint.name, self.departed.pop(endpoint.lifetime, None)
-        if departed is not None and self.is_of_copy(departed, stamp):
-            self.held[name] = Held(endpoint.lifetime, stamp, now)
-        elif name in self.held and self.is_written_anew(self.held[name], endpoint, stamp):
-            del self.held[name]
-        self.stamps[name] = stamp
+        departed = self.departed.pop(endpoint.lifetime, None)
+        since = None if departed is None else departed.era
+        held = self.held.pop(endpoint.name, None)
+        if held is not None and held.lifetime == endpoint.lifetime:
+            self.keep_held(held, stamp)
+        elif since is not None and stamp.era > since and not self.is_written_since_copy(stamp):
+            self.held[endpoint.name] = Held(endpoint.lifetime, stamp, now)
+        self.stamps[endpoint.name] = stamp
         return None if departed is None else departed.endpoint
 
-    def is_of_copy(self, departed, stamp):
-        """Return whether the row of an endpoint that had left may be that of the old copy."""
-        return departed.revision < self.copy_revision and stamp.revision <= self.copy_revision
-
-    def is_written_anew(self, held, endpoint, stamp):
-        """Return whether a row is news of the endpoint that is held back, or names another one."""
-        return held.lifetime != endpoint.lifetime or stamp.is_later_than(held.stamp)
+    def keep_held(self, held, stamp):
+        """Hold a lifetime back on, unless its row was written anew."""
+        name, _ = held.lifetime
+        if stamp.era > held.stamp.era and not self.is_written_since_copy(stamp):
+            self.held[name] = attrs.evolve(held, stamp=stamp)
+        elif stamp.era <= held.stamp.era and not stamp.is_later_than(held.stamp):
+            self.held[name] = held
 
-    def start_restore(self, revision, endpoints, now):
-        """Expect the rows of an old copy as of `revision`; `endpoints` are those known by name.
+    def is_written_since_copy(self, stamp):
+        """Return whether a row was certainly written after the list came back from a copy."""
+        return stamp.era == self.copied.era and stamp.version > self.copied.version
 
-        What was held back after an earlier restore is compared with the rows of this copy.
-        """
-        for name in set(self.held) & set(endpoints):
-            endpoint = endpoints[name]
-            self.departed[endpoint.lifetime] = Departed(endpoint, now, self.copy_revision)
-        self.held.clear()
-        self.copy_revision = max(self.copy_revision, revision)
+    def is_news(self, name, stamp):
+        """Return whether a stamp shows that a row was written which is held back."""
+        held = self.held.get(name)
+        return held is not None and stamp != held.stamp
 
     def hold(self, lifetime, stamp, now):
         """Hold back a lifetime that another entry saw leave; return whether that is new.
@@ -100,7 +107,7 @@
         known = self.stamps.get(name)
         if name in self.held or len(self.held) >= MAX_HELD:
             return False
-        if known is not None and known.is_later_than(stamp):
+        if known is not None and (known.era > stamp.era or known.is_later_than(stamp)):
             return False
         self.held[name] = Held(lifetime, stamp, now)
         return True
@@ -118,19 +125,19 @@
 def encode_held(held):
     """Return the fields of a datagram that names endpoints which are held back.
 
-    >>> held = Held(("e", 1), RowStamp(7, 2), 0.5)
+    >>> held = Held(("e", 1), RowStamp(3, 7, 2), 0.5)
     >>> decode_held(encode_held([held]))
-    ((('e', 1), RowStamp(revision=7, sequence=2)),)
+    ((('e', 1), RowStamp(era=3, version=7, sequence=2)),)
     """
     latest = sorted(held, key=lambda each: each.at)[-MAX_SENT:]
-    return [(*each.lifetime, each.stamp.revision, each.stamp.sequence) for each in latest]
+    return [(*each.lifetime, *attrs.astuple(each.stamp)) for each in latest]
 
 
 @decoder("held endpoints", STEP)
 def decode_held(fields):
     """Return the (lifetime, stamp) pairs in the fields of a datagram, or a `Failure`.
 
-    >>> decode_held([("e", 1, "7", 2)]).detail
+    >>> decode_held([("e", 1, 3, "7", 2)]).detail
     'invalid held endpoints: TypeError: lifetime or stamp is malformed'
     """
     return tuple(map(read_held, fields))
@@ -138,7 +145,7 @@
 
 def read_held(row):
     """Return the (lifetime, stamp) pair in a row; raise TypeError or ValueError."""
-    name, born, revision, sequence = row[:4]
-    if type(name) is not str or {type(born), type(revision), type(sequence)} != {int}:
+    name, born, *stamp = row
+    if type(name) is not str or {type(each) for each in (born, *stamp)} != {int}:
         raise TypeError("lifetime or stamp is malformed")
-    return (name, born), RowStamp(revision, sequence)
+    return (name, born), RowStamp(*stamp)
--- a/packages/core/persimmonstall/direct/fleet.py
+++ b/packages/core/persimmonstall/direct/fleet.py
@@ -65,6 +65,7 @@
         """Apply an `EndpointUpdate`."""
         if update.revision < self.revision:
             return
+        self.departures.record_copy(update.copied)
         if update.whole:
             self.changes_from = min(self.changes_from, update.revision)
             listed = {change.name for change in update.changes if change.endpoint is not None}
@@ -90,10 +91,8 @@
         """Return whether a listed endpoint, or what is known of its row, has changed."""
         if change.endpoint is None:
             return False
-        held = self.departures.held.get(change.name)
-        if held is not None and stamp.is_later_than(held.stamp):
-            return True
-        return self.endpoints.get(change.name) != change.endpoint
+        changed = self.endpoints.get(change.name) != change.endpoint
+        return changed or self.departures.is_news(change.name, stamp)
 
     def changed_since(self, revision):
         """Return the names that changed after `revision`, None if that is not known any more."""
@@ -138,7 +137,7 @@
         """Drop an endpoint at once."""
         endpoint = self.endpoints.pop(name, None)
         if endpoint is not None:
-            self.departures.record_left(endpoint, self.revision, now)
+            self.departures.record_left(endpoint, now)
         self.missing.pop(name, None)
         self.record_change()
 
@@ -158,13 +157,9 @@
         """Start the grace period: the list is reachable again after an outage."""
         self.grace_until = now + OUTAGE_GRACE_SECONDS
 
-    def start_restore(self, revision, now):
-        """Start the time in which the list, come back from an old copy, is written again.
-
-        It did so as of `revision`.
-        """
+    def start_restore(self, now):
+        """Start the time in which the list, come back from an old copy, is written again."""
         self.start_grace(now)
-        self.departures.start_restore(revision, self.endpoints, now)
         self.changes_from = math.inf
         self.restored_until = now + RESTORE_SECONDS
 
--- a/packages/core/persimmonstall/direct/state.py
+++ b/packages/core/persimmonstall/direct/state.py
@@ -193,7 +193,7 @@
             return False
         before, watched = self.fleet.lifetimes(), self.endpoints_known
         if update.restored:
-            self.fleet.start_restore(update.copy_revision or update.revision, now)
+            self.fleet.start_restore(now)
         self.fleet.apply(update, now)
         self.endpoints_known = True
         self.record_cold_rows(update, before if watched else None, now)
--- a/packages/core/persimmonstall/direct/updates.py
+++ b/packages/core/persimmonstall/direct/updates.py
@@ -20,17 +20,22 @@
 class RowStamp:
     """When an endpoint's row was last written.
 
-    `revision` is the place of the write in the order of all writes to the directory, 0 if that is
-    not known; `sequence` is the endpoint's own count of its writes, which need not change the
-    row otherwise.
+    `era` counts how often the directory came back from an old copy, `version` is the place of the
+    write in the order of all writes of that era; `sequence` is the endpoint's own count of its
+    writes, which need not change the row otherwise.
     """
 
-    revision: int = 0
+    era: int = 0
+    version: int = 0
     sequence: int = 0
 
     def is_later_than(self, other):
-        """Return whether the row was written after the write with the stamp `other`."""
-        return self.revision > other.revision or self.sequence > other.sequence
+        """Return whether the row was written after the write with the stamp `other`.
+
+        Nobody knows that of writes of different eras.
+        """
+        later = self.version > other.version or self.sequence > other.sequence
+        return self.era == other.era and later
 
 
 @attrs.frozen
@@ -39,15 +44,16 @@
 
     name: str
     endpoint: Endpoint | None = None
-    stamp: RowStamp = RowStamp()
+    stamp: RowStamp | None = None
 
 
 @attrs.frozen
 class EndpointUpdate:
     """Changes of endpoints up to `revision`; `whole` marks a complete list.
 
-    `restored` says that the list has just come back from an old copy and may be outdated;
-    `copy_revision` is the revision as of which it did so last, 0 if that is `revision`.
+    `restored` says that the list has just come back from an old copy and may be outdated.
+    `copied` is the stamp as of which it was first read in its era: rows of that era that were
+    written later are no part of the copy.
     """
 
     LOG_NAME = "EndpointNews"
@@ -57,11 +63,11 @@
     revision: int
     whole: bool = False
     restored: bool = False
-    copy_revision: int = 0
+    copied: RowStamp = RowStamp()
 
     def stamp_of(self, change):
         """Return the stamp of a change; a row without one was written as of this update."""
-        return change.stamp if change.stamp.revision else RowStamp(self.revision)
+        return change.stamp or RowStamp(self.copied.era, self.revision)
 
 
 @attrs.frozen
--- a/packages/core/persimmonstall/outside/direct.py
+++ b/packages/core/persimmonstall/outside/direct.py
@@ -19,12 +19,6 @@
     era: int = 0
     history_gone: bool = False
 
-    def position_of(self, revision):
-        """Return the place of one of the rows' revisions, that of all rows if it is not known."""
-        if not isinstance(revision, int):
-            return self.position
-        return self.position - self.revision + revision
-
 
 @attrs.frozen
 class PollTimes:
--- a/packages/daemon/persimmonstall_daemon/direct/snapshots.py
+++ b/packages/daemon/persimmonstall_daemon/direct/snapshots.py
@@ -12,7 +12,6 @@
     ConfigurationUpdate,
     EndpointChange,
     EndpointUpdate,
-    RowStamp,
 )
 from persimmonstall.failures import Failure
 
@@ -240,11 +239,10 @@
             names = [name for name in fleet.endpoints if name not in fleet.missing]
         stamps = fleet.departures.stamps
         changes = tuple(
-            EndpointChange(name, fleet.listed(name), stamps.get(name, RowStamp()))
-            for name in names
+            EndpointChange(name, fleet.listed(name), stamps.get(name)) for name in names
         )
-        copy_revision = fleet.departures.copy_revision
-        return EndpointUpdate(changes, fleet.revision, whole, restored, copy_revision)
+        copied = fleet.departures.copied
+        return EndpointUpdate(changes, fleet.revision, whole, restored, copied)
 
 
 def version_in(request, name):
