--- a/packages/daemon/persimmonstall_daemon/adapters/engine.py
+++ b/packages/daemon/persimmonstall_daemon/adapters/engine.py
@@ -8,7 +8,7 @@
 from persimmonstall.failures import Reason
 from persimmonstall.outside.engine import CacheEvent, Engine, Step
 
-from ..bounded_http import LineReader
+from ..bounded_body import LineReader
 from ..observe import logs
 from . import wire
 from .http_client import HttpClient
--- a/packages/daemon/persimmonstall_daemon/adapters/http_client.py
+++ b/packages/daemon/persimmonstall_daemon/adapters/http_client.py
@@ -5,7 +5,8 @@
 
 from persimmonstall.failures import Failure, Reason
 
-from ..bounded_http import AnswerRejected, open_session, read_body
+from ..bounded_body import read_body
+from ..bounded_http import AnswerRejected, open_session
 from .wire import decode_answer
 
 NOT_CONNECTED = "not connected"
--- a/packages/daemon/persimmonstall_daemon/adapters/service.py
+++ b/packages/daemon/persimmonstall_daemon/adapters/service.py
@@ -8,7 +8,8 @@
 from persimmonstall.failures import Failure, Reason
 from persimmonstall.outside.service import PlainService, ServiceAnswer
 
-from ..bounded_http import AnswerRejected, read_body
+from ..bounded_body import read_body
+from ..bounded_http import AnswerRejected
 from ..exact_headers import to_octets
 from . import wire
 from .http_client import CONNECTION_LOST, NOT_CONNECTED, TIMEOUT, HttpClient
--- a/packages/daemon/persimmonstall_daemon/direct/connection.py
+++ b/packages/daemon/persimmonstall_daemon/direct/connection.py
@@ -1,44 +1,24 @@
 """A caller's connection: its timeouts, and the bytes that it holds."""
 
 import asyncio
-import collections
 import contextlib
 
 from aiohttp import web
 
 from persimmonstall.direct.byte_budget import Phase
 
-from ..bounded_http import drop_unread
 from ..observe import logs
-from .arriving_bytes import HeadInProgress, head_bytes, unread_bytes, waiting_bytes
+from .arrivals import Arrivals, field_count, head_bytes
 from .entry_memory import EXCHANGE_BYTES
-from .parser_limits import HEADER_LIMIT_FACTOR, MAX_HEADER_BYTES, parser_options
+from .head_timeout import HeadTimeout
+from .parser_limits import parser_options
 
 LOG = logs.get("callers")
 STEP = "read"
 
-LAST_READ_SECONDS = 0.1
-"""Time after a timeout in which a request that has arrived may still be read."""
-
 IDLE_MARGIN_SECONDS = 2.0
 """Added to the idle timeout, so that a call rarely arrives while its connection closes."""
 
-PARSED_BYTES = 16_384
-"""Bytes that are parsed at once, between which the memory is checked."""
-
-FRAMING_BYTES = 65_536
-FRAMING_FACTOR = 16
-"""Most bytes of chunk sizes and trailers: a constant, and a multiple of the body."""
-
-CHUNKED_BYTES = 4096
-"""The same for bodies in chunks, which are dear to parse if they are small."""
-
-PACED_LINES = 512
-"""Lines of heads and chunks in one read from which a caller is read at a bounded pace."""
-
-LINE_SECONDS = 2.5e-6
-"""Estimated time to parse a line."""
-
 SERVED_FIELDS = 128
 FIELD_SECONDS = 5e-6
 """Fields of a head from which its calls are served at a bounded pace, and their time each."""
@@ -51,15 +31,11 @@
     event loop at which it closed, None while it is open.  `reading` says that bytes of a request
     have arrived that has not been answered.  It is `essential` if it does not serve callers.
 
-    `holder` stands for it in the budget of `memory`. `wire` are the bytes charged for what has
-    arrived and is not served yet: the `head` in progress, the requests that wait, of which
-    `queued` holds the sizes of the heads, and `unparsed` data that waits for its turn. `taken`
-    are those of the request that is served, `served` is the stream of its body, `stored` what
-    was read of it and `unfilled` the bytes that are reserved for the rest. `body` is the body
-    that is parsed, of which `body_received` bytes came; `counted` is the number of requests that
-    were parsed, `work` the number of lines since the last turn. `turn` is the one after which it
-    is read again, None while it is read. `denied` says that there was no room for a request;
-    `revoke`, if there is one, refuses the request that arrives.
+    `holder` stands for it in the budget of `memory`.  `wire` are the bytes charged for what has
+    arrived and is not served yet, its `arrivals`.  `taken` are those of the request that is
+    served, and `stored` is what was read of its body.  `turn` is the one after which it is read
+    again, None while it is read.  `denied` says that there was no room for a request; `revoke`,
+    if there is one, refuses the request that arrives.
     """
 
     def __init__(self, server, limits, memory, essential=False, **options):
@@ -69,23 +45,14 @@
         self.essential = essential
         self.address = ""
         self.holder = None
-        self.head = HeadInProgress()
-        self.counted = 0
-        self.body = None
-        self.served = None
-        self.unfilled = 0
-        self.body_received = 0
-        self.chunked = False
-        self.queued = collections.deque()
-        self.work = 0
+        self.arrivals = Arrivals(limits)
         self.turn = None
-        self.unparsed = b""
         self.wire = 0
         self.taken = 0
         self.stored = None
         self.denied = False
         self.revoke = None
-        self.timer = None
+        self.timeout = HeadTimeout()
         self.in_request = False
         self.reading = False
         self.lost_at = None
@@ -109,8 +76,8 @@
                 self.start_timeout(self.limits.header_timeout)
         if self._close:
             return
-        if self.unparsed and data:
-            self.unparsed += data
+        if self.arrivals.unparsed and data:
+            self.arrivals.unparsed += data
             return
         self.parse(data)
 
@@ -118,15 +85,14 @@
         """Parse data piece by piece; what is dear to parse waits for its turn."""
         start = 0
         while True:
-            size = CHUNKED_BYTES if self.chunked else PARSED_BYTES
-            piece = data[start : start + size]
+            piece = data[start : start + self.arrivals.parsed_bytes]
             super().data_received(piece)
             if self.holder is None or self.transport is None:
                 return
             self.account(piece)
             start += len(piece)
-            if self.work >= PACED_LINES:
-                self.unparsed += data[start:]
+            if self.arrivals.is_dear:
+                self.arrivals.unparsed += data[start:]
                 self.pace()
                 return
             if start >= len(data):
@@ -139,7 +105,7 @@
 
     def pace(self):
         """Read no more until it is this connection's turn among those that are dear to parse."""
-        seconds, self.work = self.work * LINE_SECONDS, 0
+        seconds = self.arrivals.take_work()
         if self.transport is None or self.turn is not None:
             return
         self.turn = self.memory.turns.ask(seconds, self.end_pace)
@@ -148,7 +114,7 @@
     def end_pace(self):
         """Parse what is left, then read again, unless something else forbids it."""
         self.turn = None
-        data, self.unparsed = self.unparsed, b""
+        data, self.arrivals.unparsed = self.arrivals.unparsed, b""
         if data and self.transport is not None and not self._close:
             self.parse(data)
         if not self._reading_paused and not self._buffer_paused:
@@ -173,8 +139,8 @@
     def account(self, piece):
         """Charge what has arrived and is not served yet; give way if there is no room for it."""
         self.holder.move(len(piece), self.memory.entry.now())
-        self.count(piece)
-        if self.is_endless():
+        self.arrivals.count(piece, self._request_count, self._messages, self._buffer_paused)
+        if self.arrivals.is_endless(self._reading_paused):
             self.abort("head or framing too large")
             return
         if not self.charge_wire(self.waiting_bytes()):
@@ -182,51 +148,13 @@
 
     def waiting_bytes(self):
         """Return the estimated memory of what has arrived and is not served yet."""
-        unread = max(0, unread_bytes(self.served) - self.unfilled)
-        return self.head.memory + len(self.unparsed) + unread + self.queued_bytes()
+        return self.arrivals.waiting_bytes(self._messages)
 
     def fill(self, unfilled):
         """Record how much of what is reserved for the body has not been read; charge the rest."""
-        self.unfilled = unfilled
+        self.arrivals.unfilled = unfilled
         self.charge_wire(min(self.wire, self.waiting_bytes()))
 
-    def queued_bytes(self):
-        """Return the estimated memory of the requests that have not begun to be served."""
-        while len(self.queued) > len(self._messages):
-            self.queued.popleft()
-        return sum(self.queued) + sum(waiting_bytes(payload) for _, payload in self._messages)
-
-    def count(self, piece):
-        """Count the bytes of the head or the body that arrives."""
-        new = self._request_count - self.counted
-        self.counted = self._request_count
-        if new:
-            self.head = HeadInProgress()
-            message, self.body = self._messages[-1]
-            self.chunked = getattr(message, "chunked", False)
-            self.body_received = 0
-            last = list(self._messages)[-new:]
-            self.queued.extend(head_bytes(message) for message, _ in last)
-            self.work += sum(len(getattr(message, "raw_headers", ())) for message, _ in last)
-        elif self._buffer_paused:
-            self.head.unparsed += len(piece)
-        elif self.body is not None and not self.body.is_eof():
-            self.body_received += len(piece)
-            if self.chunked:
-                self.work += piece.count(b"\n")
-        else:
-            self.head.size += len(piece)
-            self.head.lines += piece.count(b"\n")
-
-    def is_endless(self):
-        """Return whether a head or the framing of a body exceeds every limit."""
-        allowed = self.limits.header_bytes or MAX_HEADER_BYTES
-        if self.head.size > allowed * HEADER_LIMIT_FACTOR + PARSED_BYTES:
-            return True
-        if self.body is None or self._reading_paused:
-            return False
-        return self.body_received > FRAMING_BYTES + FRAMING_FACTOR * self.body.total_bytes
-
     def charge_wire(self, size):
         """Charge `size` bytes for what waits, in place of what was charged so far."""
         if size <= self.wire:
@@ -289,22 +217,8 @@
         self.holder.move(size, self.memory.entry.now())
 
     def start_timeout(self, seconds):
-        """Close the connection unless a head is complete within `seconds`.
-
-        A timeout that is due earlier stays as it is.
-        """
-        loop = asyncio.get_running_loop()
-        due = loop.time() + seconds
-        if self.timer is not None:
-            if self.timer.when() <= due:
-                return
-            self.timer.cancel()
-        self.timer = loop.call_at(due, self.on_timeout)
-
-    def on_timeout(self):
-        """Read what has arrived, since the event loop may be late, before closing."""
-        loop = asyncio.get_running_loop()
-        self.timer = loop.call_later(LAST_READ_SECONDS, loop.call_soon, self.close_unless_served)
+        """Close the connection unless a head is complete within `seconds`."""
+        self.timeout.start(seconds, self.close_unless_served)
 
     def close_unless_served(self):
         """Close the connection, unless a request that was read has begun to be served.
@@ -320,9 +234,8 @@
     def request_started(self, body):
         """Stop the header timeout: the head is complete; `body` is the stream of the body."""
         self.in_request = True
-        self.served = body
-        self.unfilled = 0
-        self.cancel_timeout()
+        self.arrivals.begin_serving(body)
+        self.timeout.cancel()
         if self.holder is not None:
             self.charge_wire(min(self.wire, self.waiting_bytes()))
             self.enter(Phase.READING)
@@ -334,7 +247,7 @@
         """
         if self.denied or not await self.take(EXCHANGE_BYTES + head_bytes(message)):
             return False
-        fields = len(message.raw_headers)
+        fields = field_count(message)
         if fields > SERVED_FIELDS and not await self.wait_for_turn(fields, until):
             return False
         return not self.denied
@@ -372,24 +285,16 @@
             self.memory.budget.spare(self.holder)
             self.enter(Phase.WAITING)
 
-    def cancel_timeout(self):
-        """Cancel the timeout of a head."""
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-
     def connection_lost(self, exc):
         """Cancel the timeout of a connection that has closed, and the call in progress."""
         self.lost_at = asyncio.get_running_loop().time()
         self.memory.departed.discard(self)
         self.memory.turns.withdraw(self.turn)
-        self.turn, self.unparsed = None, b""
-        self.cancel_timeout()
+        self.turn = None
+        self.timeout.cancel()
         if self.holder is not None:
             self.memory.close(self.holder)
-        unread = [self.served, self.body, *(body for _, body in self._messages)]
+        messages = list(self._messages)
         super().connection_lost(exc)
         self._messages.clear()
-        self.body = self.served = None
-        for body in unread:
-            drop_unread(body)
+        self.arrivals.drop(messages)
--- a/packages/daemon/persimmonstall_daemon/direct/snapshots.py
+++ b/packages/daemon/persimmonstall_daemon/direct/snapshots.py
@@ -15,7 +15,8 @@
 )
 from persimmonstall.failures import Failure
 
-from ..bounded_http import describe, open_session, read_body
+from ..bounded_body import read_body
+from ..bounded_http import describe, open_session
 from ..observe import logs
 from .http_server import ShortRequestServer
 
--- a/packages/daemon/tests/test_bounded_http.py
+++ b/packages/daemon/tests/test_bounded_http.py
@@ -12,7 +12,8 @@
 from persimmonstall_daemon.adapters.engine import HttpEngine
 from persimmonstall_daemon.adapters.http_client import HttpClient
 from persimmonstall_daemon.adapters.service import HttpService
-from persimmonstall_daemon.bounded_http import AnswerRejected, LineReader, open_session, read_body
+from persimmonstall_daemon.bounded_body import LineReader, read_body
+from persimmonstall_daemon.bounded_http import AnswerRejected, open_session
 from persimmonstall_standins.raw_server import RawServer
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
