Stopping entries wait for last answers and releases at once

Cause: of the last second, the waits for answers (0.6 s), for released memory (0.2 s) and for sockets (0.1 s) followed each other, and left 0.05 s for a late loop.

Change: one wait of 12 polls for answers and releases; RELEASE_SECONDS of the entry and Reservations.drain go.

Evidence: test_last_answers_and_releases_that_hang_leave_time_to_exit_within_the_grace failed before (1.86 s, limit 1.75 s), passes now, with 28 others of stopping, reserved memory and unanswered calls.

--- a/packages/daemon/persimmonstall_daemon/direct/entry.py
+++ b/packages/daemon/persimmonstall_daemon/direct/entry.py
@@ -59,14 +59,11 @@
 """Seconds of the grace period that are reserved for an orderly exit."""
 
 MAX_LAST_POLLS = 12
-"""Maximum number of polls for which a stopping entry waits for its last answers to be sent."""
+"""Maximum number of polls for which a stopping entry waits for its last calls to end."""
 
 MAX_LOGGED_NAMES = 5
 """Maximum number of organisations that one line of the log names."""
 
-RELEASE_SECONDS = 0.2
-"""Seconds for which a stopping entry waits for its last reservations to be released."""
-
 
 def boottime_context():
     """Return a `Context` whose clock also counts the time that the machine is suspended."""
@@ -292,24 +289,21 @@
         # A call that was read just before may not have started yet.
         await asyncio.sleep(DRAIN_POLL_SECONDS)
         await self.wait_for_calls()
-        await self.send_last_answers()
-        await asyncio.wait(
-            [asyncio.create_task(self.reservations.drain())], timeout=RELEASE_SECONDS
-        )
+        await self.end_last_calls()
 
     async def wait_for_calls(self):
         """Wait until no call is in flight, or the calls in flight get their final answers."""
         while self.callers.in_flight and self.now() < self.exits_at:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
-    async def send_last_answers(self):
-        """Wait until the final answers are sent.
+    async def end_last_calls(self):
+        """Wait until the final answers are sent and the memory of their calls is released.
 
         The number of polls is limited and not the time, since a process that is slow or was
         suspended may be late.
         """
         for _ in range(MAX_LAST_POLLS):
-            if not self.callers.in_flight:
+            if not self.callers.in_flight and not self.reservations.tasks:
                 return
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
--- a/packages/daemon/persimmonstall_daemon/direct/reservations.py
+++ b/packages/daemon/persimmonstall_daemon/direct/reservations.py
@@ -115,10 +115,6 @@
                 return
         logs.log_failure(self.log, "release_failed", result, ticket=helper.ticket)
 
-    async def drain(self):
-        """Wait for the releases in progress."""
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-
 
 def helper_address(placed, name):
     """Return the address of the helper called `name`, empty if there is none."""
