A reservation that is refused while it waits leaves nothing unfilled

Callers saw: refusals for want of memory that was there; each body that was refused while its reservation waited made the budget smaller by its size.

Evidence: test_reservation_of_a_call_that_is_refused_while_it_waits_is_not_left failed before (100,000 bytes left), passes now with 11 others.

--- a/packages/daemon/persimmonstall_daemon/direct/body_reader.py
+++ b/packages/daemon/persimmonstall_daemon/direct/body_reader.py
@@ -45,11 +45,11 @@
         announced = self.request.content_length or 0
         if announced > self.limit:
             return self.too_large(announced)
-        if keep and not await self.reserve(announced):
-            return no_room(self.entry, f"a body of {announced} bytes")
         body = BodyBuffer(announced or self.limit) if keep else None
-        self.connection.stored = body
         try:
+            if keep and not await self.reserve(announced):
+                return no_room(self.entry, f"a body of {announced} bytes")
+            self.connection.stored = body
             failure = await self.receive(body)
         finally:
             self.memory.unfilled -= self.reserved - self.kept
