--- a/packages/core/persimmonstall/direct/departures.py
+++ b/packages/core/persimmonstall/direct/departures.py
@@ -47,25 +47,25 @@
 class Departures:
     """The endpoints that left the list, by lifetime, and those that are `held` back, by name.
 
-    `stamps` are those of the listed rows by name.  `copied` is the stamp as of which the list was
+    `stamps` are those of the listed rows by name.  `first_read` is that as of which the list was
     first read in its newest era: rows written later are no part of the copy from which it came.
     """
 
     departed: dict = attrs.field(factory=dict)
     held: dict = attrs.field(factory=dict)
     stamps: dict = attrs.field(factory=dict)
-    copied: RowStamp = attrs.field(factory=RowStamp)
+    first_read: RowStamp = attrs.field(factory=RowStamp)
 
-    def record_copy(self, copied):
+    def record_first_read(self, first_read):
         """Record as of when the list was first read in an era, by this entry or another."""
-        if copied.era > self.copied.era:
-            self.copied = copied
-        elif copied.era == self.copied.era:
-            self.copied = min(self.copied, copied, key=lambda stamp: stamp.version)
+        if first_read.era > self.first_read.era:
+            self.first_read = first_read
+        elif first_read.era == self.first_read.era:
+            self.first_read = min(self.first_read, first_read, key=lambda stamp: stamp.version)
 
     def record_left(self, endpoint, now):
         """Record that an endpoint left the list."""
-        self.departed[endpoint.lifetime] = Departed(endpoint, now, self.copied.era)
+        self.departed[endpoint.lifetime] = Departed(endpoint, now, self.first_read.era)
         self.stamps.pop(endpoint.name, None)
         self.held.pop(endpoint.name, None)
 
@@ -91,7 +91,7 @@
 
     def is_written_since_copy(self, stamp):
         """Return whether a row was certainly written after the list came back from a copy."""
-        return stamp.era == self.copied.era and stamp.version > self.copied.version
+        return stamp.era == self.first_read.era and stamp.version > self.first_read.version
 
     def is_news(self, name, stamp):
         """Return whether a stamp shows that a row was written which is held back."""
--- a/packages/core/persimmonstall/direct/fleet.py
+++ b/packages/core/persimmonstall/direct/fleet.py
@@ -65,7 +65,7 @@
         """Apply an `EndpointUpdate`."""
         if update.revision < self.revision:
             return
-        self.departures.record_copy(update.copied)
+        self.departures.record_first_read(update.first_read)
         if update.whole:
             self.changes_from = min(self.changes_from, update.revision)
             listed = {change.name for change in update.changes if change.endpoint is not None}
--- a/packages/core/persimmonstall/direct/updates.py
+++ b/packages/core/persimmonstall/direct/updates.py
@@ -52,7 +52,7 @@
     """Changes of endpoints up to `revision`; `whole` marks a complete list.
 
     `restored` says that the list has just come back from an old copy and may be outdated.
-    `copied` is the stamp as of which it was first read in its era: rows of that era that were
+    `first_read` is the stamp as of which it was first read in its era: rows of that era that were
     written later are no part of the copy.
     """
 
@@ -63,11 +63,11 @@
     revision: int
     whole: bool = False
     restored: bool = False
-    copied: RowStamp = RowStamp()
+    first_read: RowStamp = RowStamp()
 
     def stamp_of(self, change):
         """Return the stamp of a change; a row without one was written as of this update."""
-        return change.stamp or RowStamp(self.copied.era, self.revision)
+        return change.stamp or RowStamp(self.first_read.era, self.revision)
 
 
 @attrs.frozen
--- a/packages/core/tests/test_direct_departures.py
+++ b/packages/core/tests/test_direct_departures.py
@@ -21,7 +21,7 @@
 
 def update(version, *rows, era=1, whole=False):
     return EndpointUpdate(
-        rows, era * ERA_STRIDE + version, whole=whole, copied=RowStamp(era, version)
+        rows, era * ERA_STRIDE + version, whole=whole, first_read=RowStamp(era, version)
     )
 
 
@@ -78,7 +78,7 @@
     fleet.start_restore(2.5)
     fleet.apply(whole(7, row(GONE, 4), row(STAYS, 6)), 2.5)
     assert usable(fleet) == {"stays"}
-    assert fleet.departures.copied.version == 5
+    assert fleet.departures.first_read.version == 5
 
 
 def test_new_lifetime_of_an_endpoint_that_was_gone_is_used(fleet):
--- a/packages/daemon/persimmonstall_daemon/direct/snapshots.py
+++ b/packages/daemon/persimmonstall_daemon/direct/snapshots.py
@@ -242,8 +242,8 @@
         changes = tuple(
             EndpointChange(name, fleet.listed(name), stamps.get(name)) for name in names
         )
-        copied = fleet.departures.copied
-        return EndpointUpdate(changes, fleet.revision, whole, restored, copied)
+        first_read = fleet.departures.first_read
+        return EndpointUpdate(changes, fleet.revision, whole, restored, first_read)
 
 
 def version_in(request, name):
