--- a/review/rig3.py
+++ b/review/rig3.py
@@ -10,6 +10,7 @@
 import re
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -97,9 +98,13 @@
 
     def __call__(self, text):
         """Write a line with the seconds since the start."""
-        self.file.write(f"{time.monotonic() - self.started_at:8.3f} {text}\n")
+        self.file.write(f"{self.seconds():8.3f} {text}\n")
         self.file.flush()
 
+    def seconds(self):
+        """Return the seconds since the start."""
+        return time.monotonic() - self.started_at
+
 
 class Site:
     """A store, servers and entry processes; `record` logs what happens."""
@@ -264,7 +269,10 @@
         return await reader.readexactly(int(head["Content-Length"] or 0))
     body = b""
     while True:
-        size = int((await reader.readline()).split(b";")[0], 16)
+        line = await reader.readline()
+        if not line.endswith(b"\n"):
+            raise asyncio.IncompleteReadError(line, None)
+        size = int(line.split(b";")[0], 16)
         piece = await reader.readexactly(size)
         await reader.readline()
         if not size:
@@ -368,3 +376,11 @@
     writer.close()
     record(f"client got {call}: {head.first if head else None} {None if body is None else len(body)} B")
     return head, body
+
+
+def reset(writer):
+    """Close a connection with a TCP reset."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
