--- a/review/rig3.py
+++ b/review/rig3.py
@@ -233,10 +233,6 @@
             self.process.kill()
         await self.process.wait()
         self.log.close()
-        if os.environ.get("KEEP_LOG"):
-            pathlib.Path(os.environ["KEEP_LOG"]).write_bytes(
-                self.path.with_suffix(".log").read_bytes()
-            )
 
 
 class Head:
@@ -374,7 +370,8 @@
     except (ConnectionError, asyncio.IncompleteReadError) as error:
         record(f"client: {call} broke off: {error!r}")
     writer.close()
-    record(f"client got {call}: {head.first if head else None} {None if body is None else len(body)} B")
+    size = None if body is None else len(body)
+    record(f"client got {call}: {head.first if head else None} {size} B")
     return head, body
 
 
